--- /dev/null
+++ b/budget.go
@@ -0,0 +1,47 @@
+package tamarindworks
+
+import "time"
+
+type (
+	// Ledger lists the planned disruptions of a service now allowed, over
+	// all halls.
+	Ledger struct {
+		Disruptions []Disruption `json:"disruptions"`
+	}
+
+	// Disruption is one instance that planned work has taken or will take
+	// from a service.
+	Disruption struct {
+		Instance InstanceID `json:"instance"`
+		Hall     HallID     `json:"hall"`
+		Since    time.Time  `json:"since"` // for people; decides nothing
+	}
+)
+
+// Has tells whether an instance is in the ledger.
+func (l Ledger) Has(id InstanceID) bool {
+	for _, d := range l.Disruptions {
+		if d.Instance == id {
+			return true
+		}
+	}
+	return false
+}
+
+// With returns the ledger with d added, once.
+func (l Ledger) With(d Disruption) Ledger {
+	next := l.Without(d.Instance)
+	next.Disruptions = append(next.Disruptions, d)
+	return next
+}
+
+// Without returns the ledger without an instance.
+func (l Ledger) Without(id InstanceID) Ledger {
+	var next Ledger
+	for _, d := range l.Disruptions {
+		if d.Instance != id {
+			next.Disruptions = append(next.Disruptions, d)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/cmd/tamarind-standin/load.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+const loadHelp = `Send a bounded stream of requests at a steady rate and count, from the
+upstreams' own records, how many were answered, refused, lost and doubled.
+
+Exit code 1 means that something happened that never must.`
+
+func addLoad(app *kingpin.Application) {
+	var config standin.LoadConfig
+	var stream standin.Stream
+	cmd := app.Command("load", loadHelp)
+	cmd.Flag("entry", "Gateway, IP:port; may be repeated.").Required().StringsVar(&config.Entries)
+	cmd.Flag("requests", "How many requests to send.").Default("1000").IntVar(&config.Requests)
+	cmd.Flag("rate", "Requests a second.").Default("200").Float64Var(&config.Rate)
+	cmd.Flag("timeout", "What a caller waits.").Default("15s").DurationVar(&config.Timeout)
+	cmd.Flag("repeat", "More tries of each keyed request.").IntVar(&config.Repeat)
+	cmd.Flag("method", "HTTP method.").Default("POST").StringVar(&stream.Method)
+	cmd.Flag("host", "Host header.").Default("demo").StringVar(&stream.Host)
+	cmd.Flag("path", "Path.").Default("/").StringVar(&stream.Path)
+	cmd.Flag("work", "How long each request takes.").Default("5ms").DurationVar(&stream.Work)
+	cmd.Flag("keyed", "Send an Idempotency-Key.").BoolVar(&stream.Keyed)
+	class := cmd.Flag("class", "Class.").Enum("quick", "normal", "long")
+	team := cmd.Flag("team", "Team.").String()
+	records := cmd.Flag("records", "Record file of an upstream; may be repeated.").Required().Strings()
+	asJSON := cmd.Flag("json", "Print JSON.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		stream.Name = stream.Path
+		stream.Class, stream.Team = tw.Class(*class), tw.TeamID(*team)
+		config.Streams = []standin.Stream{stream}
+		config.Runs = func() (standin.Runs, error) {
+			time.Sleep(settleTime)
+			return standin.ReadRuns(*records)
+		}
+		return runLoad(config, *asJSON)
+	})
+}
+
+// settleTime is how long what is still running may take to be recorded.
+const settleTime = 200 * time.Millisecond
+
+func runLoad(config standin.LoadConfig, asJSON bool) error {
+	report, err := config.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		out, err := report.JSON()
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(out))
+	} else {
+		fmt.Println(report.String())
+	}
+	if report.Faults() > 0 {
+		os.Exit(1)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/tamarind-standin/platform.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+const platformHelp = `Run a platform: store, instance list and tasks, in memory.
+
+Faults are set with PUT /standin/faults, for example
+{"down":true}, {"delay":"300ms"}, {"lose_answers":3}, {"stale_list":true}.
+The address is printed on the first line.`
+
+func addPlatform(app *kingpin.Application) {
+	cmd := app.Command("platform", platformHelp)
+	listen := cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").String()
+	silence := cmd.Flag("silence", "An upstream silent for so long is lost.").Default("1s").Duration()
+	cmd.Action(func(*kingpin.ParseContext) error { return servePlatform(*listen, *silence) })
+}
+
+func servePlatform(listen string, silence time.Duration) error {
+	at, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println(at.Addr())
+	return http.Serve(at, standin.PlatformConfig{Silence: silence}.New().Handler())
+}
--- /dev/null
+++ b/cmd/tamarind/explain.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+)
+
+const (
+	explainHelp = `Say why something is as it is.`
+
+	explainInstanceHelp = `Say in which pool and state an instance is, why, and what it waits for.
+
+Example: tamarind explain instance w12`
+
+	explainJobHelp = `Say where a job runs in each hall, or why it cannot.
+
+Example: tamarind explain job board-check`
+)
+
+func addExplain(app *kingpin.Application, conn *connection) {
+	explain := app.Command("explain", explainHelp)
+	instance := explain.Command("instance", explainInstanceHelp)
+	instanceID := instance.Arg("id", "Instance.").Required().String()
+	instance.Action(func(*kingpin.ParseContext) error {
+		return conn.use(func(ctx context.Context, o *control.Operator) error {
+			return explainInstance(ctx, o, tw.InstanceID(*instanceID))
+		})
+	})
+	job := explain.Command("job", explainJobHelp)
+	jobID := job.Arg("id", "Job.").Required().String()
+	job.Action(func(*kingpin.ParseContext) error {
+		return conn.use(func(ctx context.Context, o *control.Operator) error {
+			return explainJob(ctx, o, tw.JobID(*jobID))
+		})
+	})
+}
+
+// plans reads the configuration and every hall's plan.
+func plans(ctx context.Context, o *control.Operator) (*tw.FleetConfig, []tw.Plan, error) {
+	current, err := o.Get(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if current.Revision == 0 {
+		return nil, nil, errors.New("there is no configuration yet")
+	}
+	config, err := control.ParseConfig(current.Source)
+	if err != nil {
+		return nil, nil, err
+	}
+	var out []tw.Plan
+	for _, hall := range config.Halls {
+		plan, err := o.Plan(ctx, hall)
+		if err != nil {
+			return nil, nil, err
+		}
+		plan.Hall = hall
+		out = append(out, plan)
+	}
+	return config, out, nil
+}
+
+func explainInstance(ctx context.Context, o *control.Operator, id tw.InstanceID) error {
+	_, all, err := plans(ctx, o)
+	if err != nil {
+		return err
+	}
+	for i := range all {
+		a := all[i].Find(id)
+		if a == nil {
+			continue
+		}
+		fmt.Printf("%s is %s in pool %s of hall %s since plan %d\nreason: %s\n", id, a.State, a.Pool, all[i].Hall, a.Generation, a.Reason)
+		for _, at := range a.Jobs {
+			fmt.Printf("job %s: %s since plan %d\n", at.Job, at.State, at.Generation)
+		}
+		if a.State != tw.Draining {
+			return nil
+		}
+		return explainWait(ctx, o, all[i].Hall, a)
+	}
+	return errors.Wrapf(tw.ErrNotFound, "instance %s in any plan", id)
+}
+
+// explainWait names the daemons that a drain waits for.
+func explainWait(ctx context.Context, o *control.Operator, hall tw.HallID, a *tw.Assignment) error {
+	daemons, err := o.Daemons(ctx, []tw.HallID{hall})
+	if err != nil {
+		return err
+	}
+	waits := false
+	for _, d := range daemons {
+		if d.Reached && d.Acked >= a.Generation {
+			continue
+		}
+		waits = true
+		fmt.Printf("waits for daemon %s to acknowledge plan %d (reached: %v, acknowledged: %d)\n", d.ID, a.Generation, d.Reached, d.Acked)
+	}
+	if !waits {
+		fmt.Println("waits for its work in flight and its tasks to end")
+	}
+	return nil
+}
+
+func explainJob(ctx context.Context, o *control.Operator, id tw.JobID) error {
+	config, all, err := plans(ctx, o)
+	if err != nil {
+		return err
+	}
+	job := config.Job(id)
+	if job == nil {
+		return errors.Wrapf(tw.ErrNotFound, "job %s in the configuration", id)
+	}
+	for i := range all {
+		explainJobIn(job, &all[i])
+	}
+	return nil
+}
+
+func explainJobIn(job *tw.Job, plan *tw.Plan) {
+	if !job.In(plan.Hall) {
+		fmt.Printf("hall %s: not wanted there\n", plan.Hall)
+		return
+	}
+	for _, s := range plan.SetAside {
+		if s.Job == job.ID {
+			fmt.Printf("hall %s: set aside: %s\n", plan.Hall, s.Reason)
+			return
+		}
+	}
+	fmt.Printf("hall %s: %d wanted\n", plan.Hall, job.Replicas)
+	for i := range plan.Instances {
+		a := &plan.Instances[i]
+		if at := a.Placement(job.ID); at != nil {
+			fmt.Printf("  %s: %s on an instance that is %s\n", a.Instance, at.State, a.State)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/tamarind/main.go
@@ -0,0 +1,73 @@
+// Command tamarind is the operators' command line.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+)
+
+const help = `Drive a tamarindworks fleet: change labels, selectors and budgets, and look.
+There is no command to place, move or drain anything by hand; see docs/OPERATING.md.
+
+Exit codes: 0 done, 1 failed, 2 bad configuration or bad use (nothing was
+changed), 3 somebody else's change was first (nothing was changed).
+
+Examples:
+
+  tamarind config check fleet.toml
+  tamarind config apply fleet.toml --base 7 --wait 10s
+  tamarind status
+  tamarind explain instance w12
+  tamarind demo
+`
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+)
+
+func main() {
+	app := kingpin.New("tamarind", help)
+	app.Terminate(func(code int) {
+		if code != 0 {
+			code = exitBadInput
+		}
+		os.Exit(code)
+	})
+	conn := addConnection(app)
+	addConfig(app, conn)
+	addStatus(app, conn)
+	addExplain(app, conn)
+	addPlan(app, conn)
+	addEntry(app, conn)
+	addDemo(app)
+	_, err := app.Parse(os.Args[1:])
+	if err == nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "tamarind: %v\n", err)
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var faults tw.Faults
+	var conflict *control.Conflict
+	switch {
+	case errors.As(err, &faults) || errors.Is(err, errUsage):
+		return exitBadInput
+	case errors.As(err, &conflict):
+		return exitConflict
+	}
+	return exitFailed
+}
+
+// errUsage is a command line that makes no sense.
+var errUsage = errors.New("bad use")
--- /dev/null
+++ b/control/knowledge.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"encoding/json"
+	"sync"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// knowledge is the newest configuration, plan and instance list that a daemon
+// has seen. Nothing older ever replaces anything newer, wherever it is from.
+type knowledge struct {
+	mu         sync.Mutex
+	configBody json.RawMessage
+	config     *tw.FleetConfig
+	revision   tw.Revision
+	planBody   json.RawMessage
+	plan       *tw.Plan
+	list       tw.InstanceSnapshot
+	listed     bool
+	// registered and fresh: the daemon is in the roster, and has read the
+	// plan from the store since.
+	registered bool
+	fresh      bool
+	changed    chan struct{} // holds one token
+}
+
+func newKnowledge() *knowledge { return &knowledge{changed: make(chan struct{}, 1)} }
+
+// offerConfig takes a configuration if it is newer; it tells whether it was.
+func (k *knowledge) offerConfig(body json.RawMessage) (bool, error) {
+	accepted, config, err := parseAccepted(body)
+	if err != nil {
+		return false, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if accepted.Revision <= k.revision {
+		return false, nil
+	}
+	k.configBody, k.config, k.revision = body, config, accepted.Revision
+	k.signal()
+	return true, nil
+}
+
+// offerPlan takes a plan if it is newer.
+func (k *knowledge) offerPlan(body json.RawMessage) (bool, error) {
+	plan := &tw.Plan{}
+	if err := json.Unmarshal(body, plan); err != nil {
+		return false, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.plan != nil && plan.Generation <= k.plan.Generation {
+		return false, nil
+	}
+	k.planBody, k.plan = body, plan
+	k.signal()
+	return true, nil
+}
+
+// offerList takes an instance list if it is newer.
+func (k *knowledge) offerList(list tw.InstanceSnapshot) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listed && list.Version <= k.list.Version {
+		return
+	}
+	k.list, k.listed = list, true
+	k.signal()
+}
+
+// register notes that the daemon is in the roster. The plan must be read from
+// the store after that: what was learned before may be older than a handover
+// that no longer waits for this daemon.
+func (k *knowledge) register(in bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.registered, k.fresh = in, false
+	k.signal()
+}
+
+// refreshed notes that the store's plan was read after registering.
+func (k *knowledge) refreshed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.registered && !k.fresh {
+		k.fresh = true
+		k.signal()
+	}
+}
+
+// signal wakes the installer; the lock is held.
+func (k *knowledge) signal() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// snapshot fills a view with what is known.
+func (k *knowledge) snapshot(view *tw.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	view.Revision = k.revision
+	view.Config = k.config
+	view.Plan = k.plan
+	view.Registered = k.registered && k.fresh
+	view.Leaving = map[tw.InstanceID]bool{}
+	for _, in := range k.list.Instances {
+		if in.Phase == tw.Leaving {
+			view.Leaving[in.ID] = true
+		}
+	}
+}
+
+func (k *knowledge) revisionNow() tw.Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.revision
+}
+
+func (k *knowledge) generationNow() tw.Generation {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.plan == nil {
+		return 0
+	}
+	return k.plan.Generation
+}
+
+func (k *knowledge) documents() (config, plan json.RawMessage) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.configBody, k.planBody
+}
+
+func (k *knowledge) instances() (tw.InstanceSnapshot, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list, k.listed
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+type (
+	// Config configures a Node.
+	Config struct {
+		Self       tw.Member // id, hall, instance, addresses; the rest is filled in
+		Clock      tw.Clock
+		Log        *zap.Logger
+		Metrics    *metrics.Set
+		Documents  *platform.Documents
+		Instances  tw.InstanceList
+		Workers    tw.Workers
+		Peers      tw.Peers
+		Dispatcher tw.Dispatcher
+		// Seeds are peer addresses to ask while the store cannot be reached.
+		Seeds []string
+		Seed  uint64 // of random choices
+		Pace  Pace
+	}
+
+	// Node runs a daemon's duties.
+	Node struct {
+		cfg     Config
+		log     *zap.Logger
+		know    *knowledge
+		members *members
+		claims  *claims
+		planner *planner
+		rand    *lockedRand
+		acked   atomic.Uint64
+		beat    atomic.Uint64
+		life    atomic.Uint64 // incarnation
+		ctx     context.Context
+		cancel  context.CancelFunc
+		duties  sync.WaitGroup
+		done    chan struct{}
+	}
+
+	// Pace is how often the duties run.
+	Pace struct {
+		Sync      time.Duration // heartbeats
+		List      time.Duration // instance list
+		Plan      time.Duration // planning at rest
+		Handover  time.Duration // planning while a handover is on its way
+		Watch     time.Duration // how long a watch waits
+		Roster    time.Duration // looking whether we are still in it
+		Lease     time.Duration // renewal of the planner's lease
+		LeaseTTL  time.Duration
+		Dead      time.Duration // silence of a peer
+		ClaimKeep time.Duration // idempotency keys
+	}
+
+	lockedRand struct {
+		mu   sync.Mutex
+		rand *rand.Rand
+	}
+)
+
+const (
+	// syncPeers is how many daemons of the hall get each heartbeat.
+	syncPeers = 3
+	// claimLimit bounds the idempotency keys held by a daemon.
+	claimLimit = 100_000
+)
+
+var _ tw.PeerHandler = (*Node)(nil)
+
+// Defaults fills what was left out.
+func (p *Pace) Defaults() {
+	for _, d := range []struct {
+		at   *time.Duration
+		rest time.Duration
+	}{
+		{&p.Sync, time.Second},
+		{&p.List, time.Second},
+		{&p.Plan, time.Second},
+		{&p.Handover, 200 * time.Millisecond},
+		{&p.Watch, 25 * time.Second},
+		{&p.Roster, 15 * time.Second},
+		{&p.Lease, 3 * time.Second},
+		{&p.LeaseTTL, 10 * time.Second},
+		{&p.Dead, 4 * time.Second},
+		{&p.ClaimKeep, 10 * time.Minute},
+	} {
+		if *d.at == 0 {
+			*d.at = d.rest
+		}
+	}
+}
+
+// New makes a node and starts its duties; Close ends them.
+func (c Config) New() *Node {
+	c.Pace.Defaults()
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	n := &Node{
+		cfg:     c,
+		log:     c.Log.Named("control"),
+		know:    newKnowledge(),
+		members: newMembers(c.Clock, c.Pace.Dead),
+		rand:    &lockedRand{rand: rand.New(rand.NewPCG(c.Seed, c.Seed))},
+		done:    make(chan struct{}),
+	}
+	n.life.Store(uint64(c.Self.Incarnation))
+	n.claims = &claims{
+		table:   newClaimTable(c.Clock, c.Pace.ClaimKeep, claimLimit),
+		peers:   c.Peers,
+		self:    c.Self.ID,
+		hall:    n.hallMembers,
+		metrics: c.Metrics,
+	}
+	n.planner = newPlanner(n)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.start(n.registerDuty)
+	n.start(n.configDuty)
+	n.start(n.planDuty)
+	n.start(n.listDuty)
+	n.start(n.syncDuty)
+	n.start(n.installDuty)
+	n.start(n.planner.duty)
+	go func() {
+		n.duties.Wait()
+		close(n.done)
+	}()
+	return n
+}
+
+// start runs a duty until the node is closed.
+func (n *Node) start(duty func(ctx context.Context)) {
+	n.duties.Add(1)
+	go func() {
+		defer n.duties.Done()
+		duty(n.ctx)
+	}()
+}
+
+// Claims is the keeper of idempotency keys.
+func (n *Node) Claims() tw.Claims { return n.claims }
+
+// Leave gives back the lease and the place in the roster, for a planned stop.
+// The gateway must have stopped: nothing may be in flight any more.
+func (n *Node) Leave(ctx context.Context) {
+	n.cancel()
+	<-n.done
+	n.planner.release(ctx)
+	n.unregister(ctx)
+}
+
+// Close ends the duties at once.
+func (n *Node) Close() {
+	n.cancel()
+	<-n.done
+}
+
+// Done is closed when all duties have ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// sleep waits, and returns false when the node is closed.
+func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.cfg.Clock.After(d):
+		return true
+	}
+}
+
+// jitter spreads d by a fifth to either side.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	n.rand.mu.Lock()
+	defer n.rand.mu.Unlock()
+	return time.Duration(float64(d) * (0.8 + 0.4*n.rand.rand.Float64()))
+}
+
+func (n *Node) shuffle(in []tw.Member) {
+	n.rand.mu.Lock()
+	defer n.rand.mu.Unlock()
+	n.rand.rand.Shuffle(len(in), func(i, j int) { in[i], in[j] = in[j], in[i] })
+}
--- /dev/null
+++ b/control/operator.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+type (
+	// OperatorConfig configures an Operator.
+	OperatorConfig struct {
+		Documents *platform.Documents
+		Peers     tw.Peers
+		Clock     tw.Clock
+	}
+
+	// Operator does what the command line asks for. It never places anything:
+	// it changes the configuration, and looks.
+	Operator struct {
+		documents *platform.Documents
+		peers     tw.Peers
+		clock     tw.Clock
+	}
+
+	// Conflict is an apply that was made from a revision that is no longer
+	// the newest.
+	Conflict struct {
+		Base    tw.Revision
+		Current tw.AcceptedConfig
+	}
+
+	// DaemonState is how far one registered daemon is.
+	DaemonState struct {
+		tw.RosterMember
+		Hall     tw.HallID
+		Reached  bool
+		Revision tw.Revision
+		Acked    tw.Generation
+	}
+)
+
+// lookEvery is how often WaitInForce asks the daemons.
+const lookEvery = 50 * time.Millisecond
+
+// New makes an operator.
+func (c OperatorConfig) New() *Operator {
+	return &Operator{documents: c.Documents, peers: c.Peers, clock: c.Clock}
+}
+
+// Error tells who was first.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("made from revision %d, but revision %d by %s is in force: look at the difference and apply again",
+		c.Base, c.Current.Revision, nameOr(c.Current.Operator, "somebody"))
+}
+
+// Get reads the accepted configuration; revision 0 means none.
+func (o *Operator) Get(ctx context.Context) (tw.AcceptedConfig, error) {
+	current, _, err := o.read(ctx)
+	return current, err
+}
+
+// Apply makes source the configuration, if base is still the newest revision.
+// It fails with tw.Faults, or with *Conflict.
+func (o *Operator) Apply(ctx context.Context, source, operator string, base tw.Revision) (tw.AcceptedConfig, error) {
+	if _, err := ParseConfig(source); err != nil {
+		return tw.AcceptedConfig{}, err
+	}
+	current, stored, err := o.read(ctx)
+	if err != nil {
+		return tw.AcceptedConfig{}, err
+	}
+	if current.Revision != base {
+		return tw.AcceptedConfig{}, &Conflict{Base: base, Current: current}
+	}
+	next := tw.AcceptedConfig{
+		Revision:  base + 1,
+		Source:    source,
+		Operator:  operator,
+		AppliedAt: o.clock.Now(),
+	}
+	_, err = o.documents.Write(ctx, tw.ConfigKey, stored, next)
+	if errors.Is(err, tw.ErrConflict) {
+		winner, err := o.Get(ctx)
+		if err != nil {
+			return tw.AcceptedConfig{}, err
+		}
+		return tw.AcceptedConfig{}, &Conflict{Base: base, Current: winner}
+	}
+	return next, err
+}
+
+// Daemons asks every registered daemon of the halls how far it is.
+func (o *Operator) Daemons(ctx context.Context, halls []tw.HallID) ([]DaemonState, error) {
+	var out []DaemonState
+	for _, hall := range halls {
+		roster, err := o.Roster(ctx, hall)
+		if err != nil {
+			return nil, err
+		}
+		for _, m := range roster.Members {
+			out = append(out, DaemonState{RosterMember: m, Hall: hall})
+		}
+	}
+	var asked sync.WaitGroup
+	for i := range out {
+		asked.Go(func() { o.ask(ctx, &out[i]) })
+	}
+	asked.Wait()
+	return out, nil
+}
+
+// Roster reads a hall's roster.
+func (o *Operator) Roster(ctx context.Context, hall tw.HallID) (tw.Roster, error) {
+	var roster tw.Roster
+	err := o.readInto(ctx, tw.RosterKey(hall), &roster)
+	return roster, err
+}
+
+// Plan reads a hall's plan.
+func (o *Operator) Plan(ctx context.Context, hall tw.HallID) (tw.Plan, error) {
+	var plan tw.Plan
+	err := o.readInto(ctx, tw.PlanKey(hall), &plan)
+	return plan, err
+}
+
+// Forget attests that a daemon is gone, so that no move waits for it.
+func (o *Operator) Forget(ctx context.Context, hall tw.HallID, id tw.DaemonID) error {
+	found := false
+	err := o.documents.Update(ctx, tw.RosterKey(hall), func(body json.RawMessage) (any, error) {
+		var roster tw.Roster
+		if body != nil {
+			if err := json.Unmarshal(body, &roster); err != nil {
+				return nil, err
+			}
+		}
+		next := roster.Without(id)
+		found = len(next.Members) < len(roster.Members)
+		if !found {
+			return nil, nil
+		}
+		return next, nil
+	})
+	if err == nil && !found {
+		return errors.Wrapf(tw.ErrNotFound, "daemon %s in the roster of %s", id, hall)
+	}
+	return err
+}
+
+// WaitInForce waits until every registered daemon has the revision.
+func (o *Operator) WaitInForce(ctx context.Context, halls []tw.HallID, revision tw.Revision) ([]DaemonState, error) {
+	for {
+		daemons, err := o.Daemons(ctx, halls)
+		if err == nil && allAt(daemons, revision) {
+			return daemons, nil
+		}
+		select {
+		case <-ctx.Done():
+			return daemons, errors.Wrapf(ctx.Err(), "waiting for revision %d", revision)
+		case <-o.clock.After(lookEvery):
+		}
+	}
+}
+
+func allAt(daemons []DaemonState, revision tw.Revision) bool {
+	for _, d := range daemons {
+		if !d.Reached || d.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Operator) ask(ctx context.Context, d *DaemonState) {
+	resp, err := o.peers.Sync(ctx, d.Address, tw.SyncRequest{Self: tw.Member{Revision: ^tw.Revision(0)}})
+	if err != nil || resp.Self.ID != d.ID {
+		return
+	}
+	d.Reached, d.Revision, d.Acked = true, resp.Self.Revision, resp.Self.Acked
+}
+
+func (o *Operator) read(ctx context.Context) (tw.AcceptedConfig, platform.Stored, error) {
+	var current tw.AcceptedConfig
+	stored, err := o.documents.Read(ctx, tw.ConfigKey)
+	if err != nil || stored.Body == nil {
+		return current, stored, err
+	}
+	return current, stored, json.Unmarshal(stored.Body, &current)
+}
+
+func (o *Operator) readInto(ctx context.Context, key tw.Key, into any) error {
+	stored, err := o.documents.Read(ctx, key)
+	if err != nil || stored.Body == nil {
+		return err
+	}
+	return json.Unmarshal(stored.Body, into)
+}
+
+func nameOr(name, rest string) string {
+	if name == "" {
+		return rest
+	}
+	return name
+}
--- /dev/null
+++ b/control/planner.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/fleet"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+// planner plans for its hall while it holds the hall's lease. Only its duty
+// touches it.
+type planner struct {
+	node    *Node
+	log     *zap.Logger
+	held    atomic.Bool
+	until   time.Time // the lease surely holds until then, by our own clock
+	renewAt time.Time
+	epoch   tw.Epoch
+	stored  platform.Stored // the plan as last read or written
+	loaded  bool
+	plan    tw.Plan
+	busy    *busyMeter
+	absent  *absence
+	owed    map[tw.ServiceID]bool // ledgers that may have entries of this hall
+	askAt   time.Time             // when to ask the ledgers again
+}
+
+// ledgerPause is how long to wait before asking again for a budget that was
+// used up.
+const ledgerPause = time.Second
+
+func newPlanner(n *Node) *planner {
+	return &planner{
+		node:   n,
+		log:    n.cfg.Log.Named("planner"),
+		busy:   newBusyMeter(n.cfg.Clock),
+		absent: newAbsence(n.cfg.Clock),
+		owed:   map[tw.ServiceID]bool{},
+	}
+}
+
+// duty takes or renews the lease, and plans while it holds it.
+func (p *planner) duty(ctx context.Context) {
+	pace := p.node.cfg.Pace
+	for {
+		wait := pace.Lease
+		if p.lease(ctx) {
+			wait = pace.Plan
+			if err := p.run(ctx); err != nil {
+				p.failed(err)
+			}
+			if p.pending() {
+				wait = pace.Handover
+			}
+		}
+		if !p.node.sleep(ctx, p.node.jitter(wait)) {
+			return
+		}
+	}
+}
+
+// lease makes sure that this daemon may plan now.
+func (p *planner) lease(ctx context.Context) bool {
+	clock := p.node.cfg.Clock
+	asked := clock.Now()
+	if p.held.Load() && asked.Before(p.renewAt) {
+		return true
+	}
+	if !p.node.ready() {
+		return false
+	}
+	lease, err := p.node.cfg.Documents.Acquire(ctx, p.request())
+	switch {
+	case err == nil:
+		p.until = asked.Add(p.node.cfg.Pace.LeaseTTL)
+		p.renewAt = asked.Add(p.node.cfg.Pace.Lease)
+		if !p.held.Load() || lease.Epoch != p.epoch {
+			p.take(lease.Epoch)
+		}
+	case errors.Is(err, tw.ErrHeld):
+		p.drop()
+	}
+	return p.holds()
+}
+
+// holds tells whether the lease surely holds now: a process that was paused
+// finds out by its own clock before it does anything.
+func (p *planner) holds() bool {
+	if p.held.Load() && !p.node.cfg.Clock.Now().Before(p.until) {
+		p.drop()
+	}
+	return p.held.Load()
+}
+
+func (p *planner) take(epoch tw.Epoch) {
+	p.held.Store(true)
+	p.epoch = epoch
+	p.loaded = false
+	p.askAt = time.Time{}
+	p.log.Info("planning for the hall", zap.Uint64("epoch", uint64(epoch)))
+	var view tw.View
+	p.node.know.snapshot(&view)
+	if view.Config != nil {
+		for _, s := range view.Config.Services {
+			p.owed[s.ID] = true
+		}
+	}
+}
+
+func (p *planner) drop() {
+	if p.held.Swap(false) {
+		p.log.Info("no longer planning")
+	}
+}
+
+func (p *planner) request() tw.LeaseRequest {
+	self := p.node.cfg.Self
+	return tw.LeaseRequest{
+		Name:   tw.PlannerLease(self.Hall),
+		Holder: string(self.ID),
+		TTL:    p.node.cfg.Pace.LeaseTTL,
+	}
+}
+
+// release gives the lease back, for a planned stop.
+func (p *planner) release(ctx context.Context) {
+	if !p.held.Load() {
+		return
+	}
+	if err := p.node.cfg.Documents.Release(ctx, p.request()); err != nil {
+		p.log.Warn("cannot give the lease back", zap.Error(err))
+	}
+}
+
+func (p *planner) failed(err error) {
+	switch {
+	case errors.Is(err, ErrLostLease):
+		p.drop()
+	case errors.Is(err, tw.ErrConflict):
+		p.loaded = false
+	default:
+		p.log.Debug("pass not finished", zap.Error(err))
+	}
+}
+
+// run is one pass: look, decide, write, then order.
+func (p *planner) run(ctx context.Context) error {
+	if err := p.load(ctx); err != nil {
+		return err
+	}
+	in, ok, err := p.look(ctx)
+	if err != nil || !ok {
+		return err
+	}
+	out := fleet.Decide(in)
+	if len(out.Wants) > 0 {
+		out = p.withBudget(ctx, in, out)
+	}
+	if out.Changed {
+		if err := p.write(ctx, out.Plan); err != nil {
+			return err
+		}
+		in.Plan = out.Plan
+		in.Members = nil
+		if p.pending() {
+			// The roster must be read after the plan was written.
+			if in.Members, err = p.roster(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	p.settleLedgers(ctx, in.Config)
+	return p.order(ctx, fleet.Actions(in))
+}
+
+// load reads the stored plan once after the lease was taken. If the store has
+// come back older than what is in force here, what is in force goes on.
+func (p *planner) load(ctx context.Context) error {
+	if p.loaded {
+		return nil
+	}
+	stored, err := p.node.cfg.Documents.Read(ctx, tw.PlanKey(p.node.cfg.Self.Hall))
+	if err != nil {
+		return err
+	}
+	var plan tw.Plan
+	if stored.Body != nil {
+		if err := json.Unmarshal(stored.Body, &plan); err != nil {
+			return errors.Wrap(err, "control: stored plan")
+		}
+	}
+	var view tw.View
+	p.node.know.snapshot(&view)
+	if view.Plan != nil && view.Plan.Generation > plan.Generation {
+		plan = view.Plan.Clone()
+	}
+	if plan.Epoch > p.epoch {
+		if view.Plan == nil || view.Plan.Epoch < plan.Epoch {
+			return ErrLostLease
+		}
+		p.epoch = plan.Epoch + 1 // the store has forgotten our epochs
+	}
+	p.stored, p.plan, p.loaded = stored, plan, true
+	return nil
+}
+
+// write puts a plan into the store, if the lease still holds, and tells the
+// hall at once.
+func (p *planner) write(ctx context.Context, plan tw.Plan) error {
+	if !p.holds() {
+		return ErrLostLease
+	}
+	stored, err := p.node.cfg.Documents.Write(ctx, tw.PlanKey(p.node.cfg.Self.Hall), p.stored, plan)
+	if err != nil {
+		p.loaded = false
+		return err
+	}
+	p.logChanges(plan)
+	p.stored, p.plan = stored, plan
+	_, err = p.node.know.offerPlan(stored.Body)
+	return err
+}
+
+// pending tells whether the plan waits for acknowledgements or for tasks.
+func (p *planner) pending() bool {
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.State == tw.Draining || a.State == tw.Joining {
+			return true
+		}
+		for _, at := range a.Jobs {
+			if at.State == tw.PlacementStarting || at.State == tw.PlacementStopping {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// order tells the platform. What fails is told again in the next pass.
+func (p *planner) order(ctx context.Context, orders fleet.Orders) error {
+	workers := p.node.cfg.Workers
+	var failed error
+	for _, id := range orders.Stop {
+		failed = errors.CombineErrors(failed, workers.Stop(ctx, id))
+	}
+	for _, t := range orders.Start {
+		failed = errors.CombineErrors(failed, workers.Start(ctx, t))
+	}
+	for _, r := range orders.Reboot {
+		failed = errors.CombineErrors(failed, workers.Reboot(ctx, r.Instance, r.Boots))
+	}
+	return failed
+}
+
+func (p *planner) logChanges(plan tw.Plan) {
+	for i := range plan.Instances {
+		a := &plan.Instances[i]
+		if a.Generation == plan.Generation {
+			p.log.Info("instance", zap.String("id", string(a.Instance)), zap.String("pool", string(a.Pool)),
+				zap.String("state", string(a.State)), zap.String("reason", a.Reason.String()))
+		}
+	}
+}
--- /dev/null
+++ b/control/planner_look.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/fleet"
+)
+
+type (
+	// busyMeter smooths the measured use of jobs: up at once, down slowly.
+	busyMeter struct {
+		clock tw.Clock
+		last  time.Time
+		slots map[tw.JobID]float64
+	}
+
+	// absence notes since when the platform has not listed an entry instance.
+	absence struct {
+		clock tw.Clock
+		since map[tw.DaemonID]time.Time
+	}
+)
+
+const (
+	busyHalfLife = 30 * time.Second
+	// absentFor is how long an entry instance must be unlisted, and its
+	// daemon silent, until nobody waits for its acknowledgement any more.
+	// The list lags, also for instances that are new.
+	absentFor = 30 * time.Second
+)
+
+// ready tells whether this daemon knows enough to plan.
+func (n *Node) ready() bool {
+	var view tw.View
+	n.know.snapshot(&view)
+	_, listed := n.know.instances()
+	return view.Registered && view.Config != nil && listed
+}
+
+// look gathers what a decision is made from.
+func (p *planner) look(ctx context.Context) (fleet.Input, bool, error) {
+	n := p.node
+	var view tw.View
+	n.know.snapshot(&view)
+	list, listed := n.know.instances()
+	if view.Config == nil || !listed {
+		return fleet.Input{}, false, nil
+	}
+	tasks, err := n.cfg.Workers.Tasks(ctx, n.cfg.Self.Hall)
+	in := fleet.Input{
+		Hall:       n.cfg.Self.Hall,
+		Config:     view.Config,
+		Revision:   view.Revision,
+		Epoch:      p.epoch,
+		Plan:       p.plan,
+		Tasks:      tasks,
+		TasksKnown: err == nil,
+	}
+	for _, i := range list.Instances {
+		if i.Role != tw.Entry {
+			in.Instances = append(in.Instances, i)
+		}
+	}
+	in.Health, in.Busy = p.measure()
+	if p.pending() {
+		in.Members, err = p.roster(ctx)
+	}
+	return in, true, err
+}
+
+// roster reads the hall's roster and asks each daemon on it how far it is.
+func (p *planner) roster(ctx context.Context) ([]fleet.Member, error) {
+	n := p.node
+	stored, err := n.cfg.Documents.Read(ctx, tw.RosterKey(n.cfg.Self.Hall))
+	if err != nil {
+		return nil, err
+	}
+	var roster tw.Roster
+	if stored.Body != nil {
+		if err := json.Unmarshal(stored.Body, &roster); err != nil {
+			return nil, err
+		}
+	}
+	var addresses []string
+	for _, m := range roster.Members {
+		addresses = append(addresses, m.Address)
+	}
+	n.syncWith(ctx, addresses)
+	p.dropGone(ctx, roster)
+	out := make([]fleet.Member, 0, len(roster.Members))
+	for _, m := range roster.Members {
+		out = append(out, p.member(m))
+	}
+	return out, nil
+}
+
+// member is what is known of a registered daemon; one that was not heard in
+// this life has acknowledged nothing.
+func (p *planner) member(m tw.RosterMember) fleet.Member {
+	out := fleet.Member{ID: m.ID, InFlight: map[fleet.Held]int{}}
+	var heard tw.Member
+	if m.ID == p.node.cfg.Self.ID {
+		heard = p.node.self()
+	} else {
+		state, ok := p.node.members.get(m.ID, m.Incarnation)
+		if !ok || !state.direct {
+			return out
+		}
+		heard = state.Member
+	}
+	out.Acked = heard.Acked
+	for _, l := range heard.Loads {
+		out.InFlight[fleet.Held{Instance: l.Instance, Job: l.Job}] = l.InFlight
+	}
+	return out
+}
+
+// dropGone takes daemons out of the roster whose instance the platform no
+// longer lists and that nobody has heard for long.
+func (p *planner) dropGone(ctx context.Context, roster tw.Roster) {
+	list, ok := p.node.know.instances()
+	if !ok {
+		return
+	}
+	listed := map[tw.InstanceID]bool{}
+	for _, in := range list.Instances {
+		listed[in.ID] = true
+	}
+	for _, m := range roster.Members {
+		if m.Instance == "" || !p.absent.long(m.ID, listed[m.Instance]) || !p.node.members.silent(m.ID, absentFor) {
+			continue
+		}
+		p.log.Info("daemon is gone with its instance", zapDaemon(m.ID))
+		err := p.node.updateRoster(ctx, func(r tw.Roster) (tw.Roster, bool) { return r.Without(m.ID), true })
+		if err != nil {
+			return
+		}
+	}
+}
+
+// measure adds up what the hall's daemons report.
+func (p *planner) measure() (map[tw.InstanceID]fleet.Health, map[tw.JobID]float64) {
+	health := map[tw.InstanceID]fleet.Health{}
+	inFlight := map[tw.JobID]float64{}
+	members := p.node.others(p.node.hallMembers())
+	for _, m := range append(members, p.node.self()) {
+		for _, l := range m.Loads {
+			h := health[l.Instance]
+			h.OK += l.OK
+			h.Failed += l.Failed
+			health[l.Instance] = h
+			inFlight[l.Job] += float64(l.InFlight)
+		}
+	}
+	return health, p.busy.observe(inFlight)
+}
+
+func newBusyMeter(clock tw.Clock) *busyMeter {
+	return &busyMeter{clock: clock, last: clock.Now(), slots: map[tw.JobID]float64{}}
+}
+
+func (b *busyMeter) observe(now map[tw.JobID]float64) map[tw.JobID]float64 {
+	at := b.clock.Now()
+	keep := decay(at.Sub(b.last), busyHalfLife)
+	b.last = at
+	out := map[tw.JobID]float64{}
+	for job, v := range b.slots {
+		b.slots[job] = v * keep
+	}
+	for job, v := range now {
+		b.slots[job] = max(b.slots[job], v)
+	}
+	for job, v := range b.slots {
+		if v < 0.01 {
+			delete(b.slots, job)
+			continue
+		}
+		out[job] = v
+	}
+	return out
+}
+
+func newAbsence(clock tw.Clock) *absence {
+	return &absence{clock: clock, since: map[tw.DaemonID]time.Time{}}
+}
+
+// long tells whether a daemon's instance has been unlisted for long.
+func (a *absence) long(id tw.DaemonID, listed bool) bool {
+	if listed {
+		delete(a.since, id)
+		return false
+	}
+	since, ok := a.since[id]
+	if !ok {
+		since = a.clock.Now()
+		a.since[id] = since
+	}
+	return a.clock.Now().Sub(since) >= absentFor
+}
--- /dev/null
+++ b/control/register.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// registerDuty puts this daemon into its hall's roster, then reads the plan,
+// and looks now and then whether it is still there.
+func (n *Node) registerDuty(ctx context.Context) {
+	for {
+		wait := n.cfg.Pace.Roster
+		if err := n.register(ctx); err != nil {
+			n.log.Debug("cannot register yet", zap.Error(err))
+			wait = n.cfg.Pace.Sync
+		}
+		if !n.sleep(ctx, n.jitter(wait)) {
+			return
+		}
+	}
+}
+
+// register makes sure that the roster has this life of the daemon. A daemon
+// that was taken out starts over as if it were new.
+func (n *Node) register(ctx context.Context) error {
+	added := false
+	err := n.updateRoster(ctx, func(roster tw.Roster) (tw.Roster, bool) {
+		added = false
+		for _, m := range roster.Members {
+			if m.ID != n.cfg.Self.ID {
+				n.learnAddress(m)
+				continue
+			}
+			life := tw.Incarnation(n.life.Load())
+			if m.Incarnation == life {
+				return roster, false
+			}
+			if m.Incarnation > life {
+				// The wall clock, which incarnations start from, went back.
+				n.life.Store(uint64(m.Incarnation) + 1)
+			}
+		}
+		added = true
+		return roster.With(n.rosterMember()), true
+	})
+	if err != nil {
+		return err
+	}
+	var view tw.View
+	n.know.snapshot(&view)
+	if view.Registered && !added {
+		return nil
+	}
+	n.know.register(true)
+	n.log.Info("registered", zap.String("hall", string(n.cfg.Self.Hall)))
+	return n.readPlan(ctx)
+}
+
+// readPlan reads the plan from the store after registering.
+func (n *Node) readPlan(ctx context.Context) error {
+	stored, err := n.cfg.Documents.Read(ctx, tw.PlanKey(n.cfg.Self.Hall))
+	if err != nil {
+		return err
+	}
+	if stored.Body != nil {
+		if _, err := n.know.offerPlan(stored.Body); err != nil {
+			return err
+		}
+	}
+	n.know.refreshed()
+	return nil
+}
+
+func (n *Node) rosterMember() tw.RosterMember {
+	return tw.RosterMember{
+		ID:          n.cfg.Self.ID,
+		Instance:    n.cfg.Self.Instance,
+		Incarnation: tw.Incarnation(n.life.Load()),
+		Address:     n.cfg.Self.Address,
+		Gateway:     n.cfg.Self.Gateway,
+	}
+}
+
+// unregister takes this daemon out of the roster, for a planned stop.
+func (n *Node) unregister(ctx context.Context) {
+	err := n.updateRoster(ctx, func(roster tw.Roster) (tw.Roster, bool) {
+		return roster.Without(n.cfg.Self.ID), true
+	})
+	if err != nil {
+		n.log.Warn("cannot leave the roster", zap.Error(err))
+	}
+}
+
+// updateRoster changes the hall's roster; change returns false for no change.
+func (n *Node) updateRoster(ctx context.Context, change func(tw.Roster) (tw.Roster, bool)) error {
+	return n.cfg.Documents.Update(ctx, tw.RosterKey(n.cfg.Self.Hall), func(body json.RawMessage) (any, error) {
+		var roster tw.Roster
+		if body != nil {
+			if err := json.Unmarshal(body, &roster); err != nil {
+				return nil, err
+			}
+		}
+		next, changed := change(roster)
+		if !changed {
+			return nil, nil
+		}
+		return next, nil
+	})
+}
--- /dev/null
+++ b/control/rosters.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// learnAddress notes a registered daemon that was not heard yet, so that the
+// next heartbeat may reach it. It does not count as live before it answers.
+func (n *Node) learnAddress(m tw.RosterMember) {
+	n.learn(m, n.cfg.Self.Hall)
+}
+
+func (n *Node) learn(m tw.RosterMember, hall tw.HallID) {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	if _, known := n.members.table[m.ID]; known || m.ID == n.cfg.Self.ID {
+		return
+	}
+	n.members.table[m.ID] = heardMember{
+		Member: tw.Member{ID: m.ID, Hall: hall, Instance: m.Instance, Address: m.Address, Gateway: m.Gateway},
+		heard:  n.cfg.Clock.Now().Add(-2 * n.members.dead),
+	}
+}
+
+// learnRosters reads the rosters of halls of which no daemon is known, own
+// hall included, so that the halls find each other.
+func (n *Node) learnRosters(ctx context.Context) {
+	var view tw.View
+	n.know.snapshot(&view)
+	if view.Config == nil {
+		return
+	}
+	for _, hall := range view.Config.Halls {
+		known := n.known(func(m tw.Member) bool { return m.Hall == hall && m.ID != n.cfg.Self.ID })
+		if len(known) > 0 || !n.lookNow() {
+			continue
+		}
+		stored, err := n.cfg.Documents.Read(ctx, tw.RosterKey(hall))
+		if err != nil || stored.Body == nil {
+			continue
+		}
+		var roster tw.Roster
+		if err := json.Unmarshal(stored.Body, &roster); err != nil {
+			n.log.Error("stored roster is unreadable", zap.String("hall", string(hall)), zap.Error(err))
+			continue
+		}
+		for _, m := range roster.Members {
+			n.learn(m, hall)
+		}
+	}
+}
+
+// lookNow thins out the reads for halls that have no daemon yet.
+func (n *Node) lookNow() bool {
+	n.rand.mu.Lock()
+	defer n.rand.mu.Unlock()
+	return n.rand.rand.IntN(lookOneIn) == 0
+}
+
+const lookOneIn = 4
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+	"github.com/tamarindworks/tamarindworks/gateway"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+type (
+	// Config configures a Daemon. What is nil is made from the settings.
+	Config struct {
+		Settings  Settings
+		Log       *zap.Logger
+		Clock     tw.Clock
+		Store     tw.Store
+		Instances tw.InstanceList
+		Workers   tw.Workers
+		Peers     tw.Peers
+		Pace      control.Pace
+	}
+
+	// Daemon is a running entry daemon.
+	Daemon struct {
+		settings Settings
+		log      *zap.Logger
+		metrics  *metrics.Set
+		gateway  *gateway.Gateway
+		node     *control.Node
+		servers  []*http.Server
+		admin    string
+		member   tw.Member
+		stopping atomic.Bool
+		done     chan struct{}
+	}
+
+	// lateClaims lets the gateway be made before the node that keeps claims.
+	lateClaims struct{ tw.Claims }
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send its header.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// balancerNotice is how long a stopping daemon still takes requests
+	// after it has said that it is not ready, so that the balancer sees it.
+	balancerNotice = time.Second
+)
+
+// New starts a daemon; Stop ends it.
+func (c Config) New() (*Daemon, error) {
+	c.defaults()
+	d := &Daemon{settings: c.Settings, log: c.Log, metrics: metrics.NewSet(), done: make(chan struct{})}
+	gatewayAt, peerAt, adminAt, err := listen(c.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	d.admin = adminAt.Addr().String()
+	d.member = tw.Member{
+		ID:          c.Settings.ID,
+		Hall:        c.Settings.Hall,
+		Instance:    c.Settings.Instance,
+		Incarnation: tw.Incarnation(c.Clock.Now().UnixNano()),
+		Address:     peerAt.Addr().String(),
+		Gateway:     gatewayAt.Addr().String(),
+	}
+	claims := &lateClaims{}
+	d.gateway = gateway.Config{
+		Clock:            c.Clock,
+		Log:              c.Log,
+		Metrics:          d.metrics,
+		Claims:           claims,
+		Seed:             uint64(d.member.Incarnation),
+		MaxBody:          c.Settings.Limits.Body,
+		MaxHeldBody:      c.Settings.Limits.HeldBody,
+		DialTimeout:      c.Settings.Limits.DialTimeout.Std(),
+		ConnsPerInstance: c.Settings.Limits.Connections,
+		IdlePerInstance:  c.Settings.Limits.Connections,
+	}.New()
+	d.node = c.node(d)
+	claims.Claims = d.node.Claims()
+	d.serve(gatewayAt, &http.Server{Handler: d.gateway, MaxHeaderBytes: int(c.Settings.Limits.Header)})
+	d.serve(peerAt, &http.Server{Handler: control.NewPeerServer(d.node), Protocols: control.ServerProtocols()})
+	d.serve(adminAt, &http.Server{Handler: d.adminHandler()})
+	d.log.Info("daemon: started", zap.String("gateway", d.member.Gateway),
+		zap.String("peer", d.member.Address), zap.String("admin", d.admin))
+	return d, nil
+}
+
+func (c *Config) defaults() {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Store == nil {
+		client := platform.ClientConfig{URL: c.Settings.Platform.URL, Timeout: c.Settings.Platform.Timeout.Std()}.New()
+		c.Store, c.Instances, c.Workers = client, client, client
+	}
+	if c.Peers == nil {
+		c.Peers = control.PeerClientConfig{}.New()
+	}
+	c.Pace.ClaimKeep = c.Settings.Limits.KeyLifetime.Std()
+}
+
+func (c *Config) node(d *Daemon) *control.Node {
+	documents := platform.DocumentsConfig{
+		Store:          c.Store,
+		Clock:          c.Clock,
+		Metrics:        d.metrics,
+		CallsPerSecond: c.Settings.Platform.CallsPerSecond,
+	}.New()
+	return control.Config{
+		Self:       d.member,
+		Clock:      c.Clock,
+		Log:        c.Log,
+		Metrics:    d.metrics,
+		Documents:  documents,
+		Instances:  c.Instances,
+		Workers:    c.Workers,
+		Peers:      c.Peers,
+		Dispatcher: d.gateway,
+		Seeds:      c.Settings.Peers,
+		Seed:       uint64(d.member.Incarnation),
+		Pace:       c.Pace,
+	}.New()
+}
+
+// Gateway is the address that takes requests.
+func (d *Daemon) Gateway() string { return d.member.Gateway }
+
+// Admin is the address of the admin port.
+func (d *Daemon) Admin() string { return d.admin }
+
+// Done is closed when the daemon has stopped.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Stop is the planned stop: not ready, then nothing new, then what is in
+// flight is finished, then lease and place in the roster are given back.
+func (d *Daemon) Stop(ctx context.Context) error {
+	if d.stopping.Swap(true) {
+		return nil
+	}
+	defer close(d.done)
+	d.log.Info("daemon: stopping")
+	select {
+	case <-time.After(balancerNotice):
+	case <-ctx.Done():
+	}
+	err := d.gateway.Stop(ctx)
+	d.node.Leave(ctx)
+	for _, s := range d.servers {
+		err = errors.CombineErrors(err, s.Shutdown(ctx))
+	}
+	d.log.Info("daemon: stopped")
+	return err
+}
+
+// Kill ends the daemon at once, as a crash would.
+func (d *Daemon) Kill() {
+	if d.stopping.Swap(true) {
+		return
+	}
+	defer close(d.done)
+	for _, s := range d.servers {
+		_ = s.Close() // nobody is left to tell
+	}
+	d.node.Close()
+}
+
+func (d *Daemon) serve(at net.Listener, s *http.Server) {
+	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = idleTimeout
+	s.ErrorLog = zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	d.servers = append(d.servers, s)
+	go func() {
+		if err := s.Serve(at); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("daemon: listener failed", zap.Error(err))
+		}
+	}()
+}
+
+// listen opens all listeners, or none.
+func listen(s ListenSettings) (gatewayAt, peerAt, adminAt net.Listener, err error) {
+	var open []net.Listener
+	for _, at := range []string{s.Gateway, s.Peer, s.Admin} {
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close() // the first error is what counts
+			}
+			return nil, nil, nil, errors.Wrap(err, "daemon.listen")
+		}
+		open = append(open, l)
+	}
+	return open[0], open[1], open[2], nil
+}
--- /dev/null
+++ b/fleet/decide.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// pass is one run of Decide.
+type pass struct {
+	in        Input
+	plan      tw.Plan
+	gen       tw.Generation // what the plan will have if anything changes
+	listed    map[tw.InstanceID]tw.Instance
+	tasks     map[tw.TaskID]tw.Task
+	onTask    map[tw.InstanceID]int // tasks by instance
+	allowance map[tw.ServiceID]int
+	pools     []*poolNeed
+	doomed    map[tw.InstanceID]tw.Reason // will leave their pool when allowed
+	out       Output
+}
+
+// Decide makes the next plan. The same input always gives the same output.
+func Decide(in Input) Output {
+	p := newPass(in)
+	p.observeInstances()
+	p.observeTasks()
+	p.advanceHandovers()
+	p.quarantine()
+	p.needs()
+	p.findMisplaced()
+	p.findWaves()
+	p.fill()
+	p.drainDoomed()
+	p.placeJobs()
+	p.plan.SparesNeeded = sparesNeeded(&p.plan, in.Config)
+	return p.finish()
+}
+
+func newPass(in Input) *pass {
+	p := &pass{
+		in:        in,
+		plan:      in.Plan.Clone(),
+		gen:       in.Plan.Generation + 1,
+		listed:    map[tw.InstanceID]tw.Instance{},
+		tasks:     map[tw.TaskID]tw.Task{},
+		onTask:    map[tw.InstanceID]int{},
+		allowance: map[tw.ServiceID]int{},
+		doomed:    map[tw.InstanceID]tw.Reason{},
+	}
+	p.plan.Hall = in.Hall
+	p.plan.SetAside = nil
+	for _, i := range in.Instances {
+		p.listed[i.ID] = i
+	}
+	for _, t := range in.Tasks {
+		p.tasks[t.ID] = t
+		p.onTask[t.Instance]++
+	}
+	for s, n := range in.Allowance {
+		p.allowance[s] = n
+	}
+	return p
+}
+
+// finish stamps the plan if anything in it changed.
+func (p *pass) finish() Output {
+	slices.SortFunc(p.plan.Instances, func(a, b tw.Assignment) int { return cmp.Compare(a.Instance, b.Instance) })
+	p.plan.Revision = p.in.Revision
+	before := p.in.Plan.Clone()
+	if !reflect.DeepEqual(before, p.plan) {
+		p.out.Changed = true
+		p.plan.Generation = p.gen
+	}
+	p.plan.Epoch = p.in.Epoch
+	p.out.Plan = p.plan
+	return p.out
+}
+
+// set moves an instance to a state.
+func (p *pass) set(a *tw.Assignment, state tw.State, code tw.ReasonCode, detail string) {
+	a.State = state
+	a.Generation = p.gen
+	a.Reason = tw.Reason{Code: code, Detail: detail}
+}
+
+// drain begins a handover; next is where the instance goes, or "".
+func (p *pass) drain(a *tw.Assignment, next tw.PoolID, reason tw.Reason) {
+	a.Next = next
+	p.set(a, tw.Draining, reason.Code, reason.Detail)
+}
+
+// setPlacement moves a placement to a state.
+func (p *pass) setPlacement(at *tw.Placement, state tw.PlacementState) {
+	at.State = state
+	at.Generation = p.gen
+}
--- /dev/null
+++ b/fleet/moves.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// findMisplaced marks the instances whose pool is gone or whose labels no
+// longer match it. They no longer count, so that fill brings their
+// replacements first; they drain when the budgets allow.
+func (p *pass) findMisplaced() {
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if !a.Active() {
+			continue
+		}
+		pool := p.in.Config.Pool(a.Pool)
+		switch {
+		case pool == nil:
+			p.doom(a, tw.Reason{Code: tw.ReasonPoolGone, Detail: string(a.Pool)})
+		case !p.eligible(a, pool):
+			p.doom(a, tw.Reason{Code: tw.ReasonLabels, Detail: string(a.Pool)})
+		}
+	}
+}
+
+// doom marks an instance that will leave its pool when allowed.
+func (p *pass) doom(a *tw.Assignment, reason tw.Reason) {
+	if p.doomed[a.Instance].Code != "" {
+		return
+	}
+	p.doomed[a.Instance] = reason
+	for _, n := range p.pools {
+		if n.pool.ID == a.Pool && a.Active() {
+			n.active--
+		}
+	}
+}
+
+// findWaves marks the next instances of each maintenance wave. Losses that
+// leave a pool short pause the waves.
+func (p *pass) findWaves() {
+	if p.anyShort() {
+		return
+	}
+	for i := range p.in.Config.Waves {
+		p.findWave(&p.in.Config.Waves[i])
+	}
+}
+
+func (p *pass) findWave(w *tw.Wave) {
+	var serving []*tw.Assignment
+	room := w.AtOnce
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.Wave == w.ID {
+			room--
+			continue
+		}
+		in, listed := p.listed[a.Instance]
+		due := listed && in.Phase == tw.Live && !a.Maintained(w.ID) && w.Instances.Matches(p.in.Config.LabelsOf(in))
+		switch {
+		case !due || a.Wave != "":
+		case a.State == tw.Spare && room > 0:
+			// A spare carries nothing: it goes at once, and first.
+			a.Wave, a.Boots = w.ID, in.Boots
+			p.set(a, tw.Out, tw.ReasonWave, string(w.ID))
+			room--
+		case a.State == tw.Serving:
+			serving = append(serving, a)
+		}
+	}
+	for _, a := range serving {
+		if room <= 0 {
+			return
+		}
+		p.doom(a, tw.Reason{Code: tw.ReasonWave, Detail: string(w.ID)})
+		room--
+	}
+}
+
+func (p *pass) anyShort() bool {
+	for _, n := range p.pools {
+		if n.short() {
+			return true
+		}
+	}
+	return false
+}
+
+// drainDoomed begins the planned moves that the budgets and the bound on
+// moves allow now.
+func (p *pass) drainDoomed() {
+	moving := p.moving()
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		reason := p.doomed[a.Instance]
+		if reason.Code == "" || !a.Active() {
+			continue
+		}
+		drain := Drain{Instance: a.Instance, Services: p.services(a), Reason: reason}
+		if moving >= p.in.Config.Spares.MaxMoves || !p.allow(a) {
+			p.out.Wants = append(p.out.Wants, drain)
+			continue
+		}
+		next := tw.PoolID("")
+		if reason.Code == tw.ReasonTaken {
+			next = tw.PoolID(reason.Detail)
+		}
+		if reason.Code == tw.ReasonWave {
+			a.Wave = tw.WaveID(reason.Detail)
+		}
+		p.drain(a, next, reason)
+		p.out.Drains = append(p.out.Drains, drain)
+		moving++
+	}
+}
+
+// moving counts the instances on a planned way out.
+func (p *pass) moving() int {
+	n := 0
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		unplanned := a.Reason.Code == tw.ReasonLost || a.Reason.Code == tw.ReasonLeaving
+		if a.State == tw.Draining && !unplanned {
+			n++
+		}
+	}
+	return n
+}
+
+// allow takes the replicas that an instance carries out of the allowance, all
+// or none of them.
+func (p *pass) allow(a *tw.Assignment) bool {
+	taken := p.replicas(a)
+	for service, n := range taken {
+		if p.allowance[service] < n {
+			return false
+		}
+	}
+	for service, n := range taken {
+		p.allowance[service] -= n
+	}
+	return true
+}
+
+// replicas counts the running replicas of each service on an instance.
+func (p *pass) replicas(a *tw.Assignment) map[tw.ServiceID]int {
+	n := map[tw.ServiceID]int{}
+	for _, at := range a.Jobs {
+		if job := p.in.Config.Job(at.Job); job != nil && a.Runs(at.Job) {
+			n[job.Service]++
+		}
+	}
+	return n
+}
+
+// services lists whose replicas run on an instance, in the plan's order.
+func (p *pass) services(a *tw.Assignment) []tw.ServiceID {
+	var out []tw.ServiceID
+	seen := map[tw.ServiceID]bool{}
+	for _, at := range a.Jobs {
+		job := p.in.Config.Job(at.Job)
+		if job != nil && a.Runs(at.Job) && !seen[job.Service] {
+			seen[job.Service] = true
+			out = append(out, job.Service)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/pools.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// targetUse is how full a pool's slots may be by measured use; the rest is
+// its headroom for the loss of an instance.
+const targetUse = 0.7
+
+// poolNeed is what a pool has and lacks in this pass.
+type poolNeed struct {
+	pool   *tw.Pool
+	jobs   []*tw.Job
+	need   int // instances wanted
+	active int // instances that count: joining or serving, and not doomed
+}
+
+func (n *poolNeed) short() bool { return n.active < n.need }
+
+// fraction orders pools by how badly off they are.
+func (n *poolNeed) fraction() float64 { return float64(n.active) / float64(max(n.need, 1)) }
+
+// needs works out for each pool its jobs and its size, and sets aside the
+// jobs that can run nowhere. They hold nothing up.
+func (p *pass) needs() {
+	byPool := map[tw.PoolID]*poolNeed{}
+	for i := range p.in.Config.Pools {
+		n := &poolNeed{pool: &p.in.Config.Pools[i]}
+		byPool[n.pool.ID] = n
+		p.pools = append(p.pools, n)
+	}
+	for i := range p.in.Config.Jobs {
+		job := &p.in.Config.Jobs[i]
+		if !job.In(p.in.Hall) {
+			continue
+		}
+		pool := p.in.Config.PoolOf(job)
+		if pool == nil {
+			p.setAside(job, tw.ReasonNoPool, "no pool's job selector matches its labels")
+			continue
+		}
+		if reason, ok := p.fitsNowhere(job, pool); ok {
+			p.setAside(job, reason.Code, reason.Detail)
+			continue
+		}
+		byPool[pool.ID].jobs = append(byPool[pool.ID].jobs, job)
+	}
+	for _, n := range p.pools {
+		n.need = p.size(n)
+	}
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if n := byPool[a.Pool]; n != nil && a.Active() {
+			n.active++
+		}
+	}
+}
+
+func (p *pass) setAside(job *tw.Job, code tw.ReasonCode, detail string) {
+	p.plan.SetAside = append(p.plan.SetAside, tw.SetAside{Job: job.ID, Reason: tw.Reason{Code: code, Detail: detail}})
+}
+
+// maxFailures is on how many instances a job may fail before it is set aside.
+const maxFailures = 3
+
+func (p *pass) fitsNowhere(job *tw.Job, pool *tw.Pool) (tw.Reason, bool) {
+	eligible, fits := 0, 0
+	for _, in := range p.in.Instances {
+		if !pool.Instances.Matches(p.in.Config.LabelsOf(in)) {
+			continue
+		}
+		eligible++
+		if job.Cores <= in.Cores && job.Memory <= in.Memory {
+			fits++
+		}
+	}
+	switch {
+	case eligible == 0:
+		return tw.Reason{Code: tw.ReasonNoInstance, Detail: fmt.Sprintf("no instance of the hall matches pool %s", pool.ID)}, true
+	case fits == 0:
+		return tw.Reason{Code: tw.ReasonTooLarge, Detail: fmt.Sprintf("%v cores, %d MB", job.Cores, job.Memory)}, true
+	}
+	failed, runs := p.outcomes(job.ID)
+	if failed >= maxFailures && runs == 0 {
+		return tw.Reason{Code: tw.ReasonFailing, Detail: fmt.Sprintf("failed on %d instances, runs on none", failed)}, true
+	}
+	return tw.Reason{}, false
+}
+
+// outcomes counts on how many instances a job has failed and runs.
+func (p *pass) outcomes(job tw.JobID) (failed, runs int) {
+	for i := range p.plan.Instances {
+		at := p.plan.Instances[i].Placement(job)
+		switch {
+		case at == nil:
+		case at.State == tw.PlacementFailed:
+			failed++
+		case at.State == tw.PlacementRunning:
+			runs++
+		}
+	}
+	return failed, runs
+}
+
+// size is how many instances a pool needs: enough for its largest number of
+// replicas, for the declared sizes together, and for the measured use.
+func (p *pass) size(n *poolNeed) int {
+	var cores tw.Cores
+	var memory tw.Megabytes
+	var busy float64
+	need := n.pool.MinSize
+	for _, j := range n.jobs {
+		need = max(need, j.Replicas)
+		cores += j.Cores * tw.Cores(j.Replicas)
+		memory += j.Memory * tw.Megabytes(j.Replicas)
+		busy += p.in.Busy[j.ID]
+	}
+	typical := p.typical(n.pool)
+	if typical.Cores > 0 {
+		need = max(need, int(math.Ceil(float64(cores/typical.Cores))))
+	}
+	if typical.Memory > 0 {
+		need = max(need, int((memory+typical.Memory-1)/typical.Memory))
+	}
+	if typical.Slots > 0 {
+		need = max(need, int(math.Ceil(busy/(float64(typical.Slots)*targetUse))))
+	}
+	return need
+}
+
+// typical is the smallest instance that matches a pool, so that sizes worked
+// out from it are enough.
+func (p *pass) typical(pool *tw.Pool) tw.Instance {
+	var least tw.Instance
+	for _, in := range p.in.Instances {
+		if !pool.Instances.Matches(p.in.Config.LabelsOf(in)) {
+			continue
+		}
+		if least.ID == "" || in.Cores < least.Cores {
+			least = in
+		}
+	}
+	return least
+}
+
+// fill brings short pools up to size from spares, the worst off first. Nobody
+// sends to a spare, so this waits for nobody.
+func (p *pass) fill() {
+	for {
+		short := p.shortest()
+		if short == nil {
+			return
+		}
+		a := p.bestSpare(short.pool)
+		if a == nil {
+			p.takeFromSurplus(short)
+			short.need = short.active // nothing more can be done in this pass
+			continue
+		}
+		a.Pool = short.pool.ID
+		p.set(a, tw.Joining, tw.ReasonNeeded, fmt.Sprintf("%s had %d of %d", short.pool.ID, short.active, short.need))
+		short.active++
+	}
+}
+
+func (p *pass) shortest() *poolNeed {
+	var worst *poolNeed
+	for _, n := range p.pools {
+		if n.short() && (worst == nil || n.fraction() < worst.fraction()) {
+			worst = n
+		}
+	}
+	return worst
+}
+
+// bestSpare prefers healthy instances, then racks in which the pool has
+// little, then instances that few other pools could use.
+func (p *pass) bestSpare(pool *tw.Pool) *tw.Assignment {
+	racks := map[tw.RackID]int{}
+	var candidates []*tw.Assignment
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.Pool == pool.ID && a.Active() {
+			racks[a.Rack]++
+		}
+		if a.State == tw.Spare && p.eligible(a, pool) && p.doomed[a.Instance].Code == "" {
+			candidates = append(candidates, a)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return slices.MinFunc(candidates, func(a, b *tw.Assignment) int {
+		return cmp.Or(
+			cmp.Compare(a.Strikes, b.Strikes),
+			cmp.Compare(racks[a.Rack], racks[b.Rack]),
+			cmp.Compare(p.uses(a), p.uses(b)),
+			cmp.Compare(a.Instance, b.Instance),
+		)
+	})
+}
+
+func (p *pass) eligible(a *tw.Assignment, pool *tw.Pool) bool {
+	in, ok := p.listed[a.Instance]
+	return ok && in.Phase == tw.Live && pool.Instances.Matches(p.in.Config.LabelsOf(in))
+}
+
+// uses counts the pools that could take an instance.
+func (p *pass) uses(a *tw.Assignment) int {
+	n := 0
+	for _, need := range p.pools {
+		if p.eligible(a, need.pool) {
+			n++
+		}
+	}
+	return n
+}
+
+// takeFromSurplus asks pools that have more than they need for an instance
+// that fits a short one.
+func (p *pass) takeFromSurplus(short *poolNeed) {
+	lacks := short.need - short.active - p.onTheWay(short.pool.ID)
+	for _, n := range p.pools {
+		for i := range p.plan.Instances {
+			a := &p.plan.Instances[i]
+			if lacks <= 0 || n.active <= n.need {
+				break
+			}
+			if a.Pool != n.pool.ID || a.State != tw.Serving || !p.eligible(a, short.pool) || p.doomed[a.Instance].Code != "" {
+				continue
+			}
+			p.doomed[a.Instance] = tw.Reason{Code: tw.ReasonTaken, Detail: string(short.pool.ID)}
+			n.active--
+			lacks--
+		}
+	}
+}
+
+// onTheWay counts the instances that are draining towards a pool.
+func (p *pass) onTheWay(pool tw.PoolID) int {
+	n := 0
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.State == tw.Draining && a.Next == pool {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	id         string
+	in         *http.Request
+	job        tw.JobID
+	class      tw.Class
+	team       tw.TeamID
+	repeatable bool
+	timeout    time.Duration
+	key        string // idempotency key, or ""
+	relayed    bool   // came from another daemon
+	body       payload
+	tried      map[tw.InstanceID]bool
+}
+
+// accept routes a request and checks what its caller asked for.
+func (g *Gateway) accept(r *http.Request) (*exchange, *Refusal) {
+	ex := &exchange{id: requestID(r), in: r, tried: map[tw.InstanceID]bool{}}
+	if refusal := checkProtocol(r); refusal != nil {
+		return ex, refusal
+	}
+	config := g.config()
+	if config == nil {
+		return ex, notRunFor(ReasonNoConfiguration, retryAfterPromotion, "this daemon has no configuration yet")
+	}
+	route := findRoute(config, hostOf(r), r.URL.Path)
+	if route == nil {
+		return ex, notRun(ReasonUnknownRoute, "no service has a route for this host and path")
+	}
+	ex.job, ex.class, ex.timeout = route.Job, route.Class, route.Timeout.Std()
+	ex.repeatable = route.MayRepeat(r.Method)
+	ex.relayed = r.Header.Get(HeaderHop) != ""
+	return ex, ex.readHeaders(config)
+}
+
+func (ex *exchange) readHeaders(config *tw.FleetConfig) *Refusal {
+	h := ex.in.Header
+	if class := tw.Class(h.Get(HeaderClass)); class != "" {
+		if !class.Valid() {
+			return notRun(ReasonBadClass, HeaderClass+" must be quick, normal or long")
+		}
+		ex.class = slower(ex.class, class)
+	}
+	if text := h.Get(HeaderTimeout); text != "" {
+		timeout, err := time.ParseDuration(text)
+		if err != nil || timeout <= 0 {
+			return notRun(ReasonBadTimeout, HeaderTimeout+` must be a positive duration such as "800ms"`)
+		}
+		ex.timeout = min(ex.timeout, timeout)
+	}
+	ex.team = tw.TeamID(h.Get(HeaderTeam))
+	if ex.team != "" && findTeam(config, ex.team) == nil {
+		return notRun(ReasonBadTeam, "there is no such team")
+	}
+	keys := h.Values(HeaderKey)
+	if len(keys) > 1 || len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKey) {
+		return notRun(ReasonBadKey, HeaderKey+" must be there once, with 1 to 255 bytes")
+	}
+	if len(keys) == 1 {
+		ex.key = keys[0]
+	}
+	return nil
+}
+
+func checkProtocol(r *http.Request) *Refusal {
+	switch {
+	case r.Method == http.MethodConnect || r.Method == http.MethodTrace || r.Header.Get("Upgrade") != "":
+		return notRun(ReasonBadMethod, "CONNECT, TRACE and upgrades are not served")
+	case !r.ProtoAtLeast(1, 1):
+		// An HTTP/1.0 caller could not tell a cut answer from a whole one.
+		return notRun(ReasonBadVersion, "HTTP/1.1 is needed")
+	}
+	return nil
+}
+
+// findRoute is the route with the longest path; a named host goes before any.
+func findRoute(config *tw.FleetConfig, host, path string) *tw.Route {
+	var best *tw.Route
+	for i := range config.Services {
+		for j := range config.Services[i].Routes {
+			r := &config.Services[i].Routes[j]
+			if r.Matches(host, path) && (best == nil || closer(r, best)) {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+func closer(a, b *tw.Route) bool {
+	if (a.Host != "") != (b.Host != "") {
+		return a.Host != ""
+	}
+	return len(a.Path) > len(b.Path)
+}
+
+func findTeam(config *tw.FleetConfig, id tw.TeamID) *tw.Team {
+	for i := range config.Teams {
+		if config.Teams[i].ID == id {
+			return &config.Teams[i]
+		}
+	}
+	return nil
+}
+
+// slower keeps a caller from taking a more urgent class than the route's.
+func slower(a, b tw.Class) tw.Class {
+	if rank(a) > rank(b) {
+		return a
+	}
+	return b
+}
+
+func rank(c tw.Class) int {
+	switch c {
+	case tw.Quick:
+		return 0
+	case tw.Normal:
+		return 1
+	}
+	return 2
+}
+
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return host
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(HeaderRequest); id != "" && len(id) <= maxKey {
+		return id
+	}
+	return rand.Text()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Config configures a gateway.
+	Config struct {
+		Clock   tw.Clock
+		Log     *zap.Logger
+		Metrics *metrics.Set
+		Claims  tw.Claims // nil: idempotency keys are only passed on
+		Seed    uint64    // of the random choice
+
+		MaxBody          tw.Bytes // of a request
+		MaxHeldBody      tw.Bytes // that can be sent again
+		DialTimeout      time.Duration
+		IdlePerInstance  int // idle connections kept
+		ConnsPerInstance int // connections at most
+	}
+
+	// Gateway serves callers. It implements http.Handler and tw.Dispatcher.
+	Gateway struct {
+		cfg       Config
+		log       *zap.Logger
+		transport *http.Transport
+		scheduler *scheduler
+		retries   *retryBudget
+		stats     *stats
+		view      atomic.Pointer[tw.View]
+		stopping  atomic.Bool
+		active    sync.WaitGroup
+		relays    atomic.Int64
+		turns     atomic.Uint64
+	}
+)
+
+const (
+	defaultMaxBody     = 8 << 20
+	defaultMaxHeldBody = 64 << 10
+	defaultDialTimeout = 500 * time.Millisecond
+	defaultConns       = 8
+	// maxRelays bounds the requests that other daemons serve for this one.
+	maxRelays = 512
+)
+
+var (
+	_ http.Handler  = (*Gateway)(nil)
+	_ tw.Dispatcher = (*Gateway)(nil)
+)
+
+// New makes a gateway with an empty view: it refuses everything until Install.
+func (c Config) New() *Gateway {
+	c.defaults()
+	g := &Gateway{
+		cfg:       c,
+		log:       c.Log.Named("gateway"),
+		transport: newTransport(c),
+		retries:   newRetryBudget(),
+		stats:     newStats(c.Metrics),
+	}
+	g.scheduler = newScheduler(c)
+	return g
+}
+
+func (c *Config) defaults() {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.MaxBody == 0 {
+		c.MaxBody = defaultMaxBody
+	}
+	if c.MaxHeldBody == 0 {
+		c.MaxHeldBody = defaultMaxHeldBody
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.IdlePerInstance == 0 {
+		c.IdlePerInstance = defaultConns
+	}
+	if c.ConnsPerInstance == 0 {
+		c.ConnsPerInstance = defaultConns
+	}
+}
+
+// Install implements tw.Dispatcher.
+func (g *Gateway) Install(view tw.View) {
+	g.view.Store(&view)
+	g.scheduler.install(view)
+}
+
+// Loads implements tw.Dispatcher.
+func (g *Gateway) Loads() []tw.Load { return g.scheduler.loads() }
+
+// Demand implements tw.Dispatcher.
+func (g *Gateway) Demand() int { return g.scheduler.demand() }
+
+// Stop refuses new requests and waits until those in flight have ended, or
+// ctx has.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		g.active.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		g.transport.CloseIdleConnections()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Done()
+	start := g.cfg.Clock.Now()
+	ex, refusal := g.accept(r)
+	if refusal == nil && g.stopping.Load() {
+		refusal = notRunFor(ReasonStopping, retryAfterRestart, "this daemon is stopping")
+	}
+	if refusal == nil {
+		ex.body, refusal = g.readPayload(w, r)
+	}
+	if refusal == nil {
+		refusal = g.serve(w, ex)
+	}
+	if refusal != nil {
+		g.refuse(w, ex, refusal)
+	}
+	g.stats.ended(ex, refusal, g.cfg.Clock.Now().Sub(start))
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, ex *exchange, refusal *Refusal) {
+	g.log.Debug("refused", zap.String("request", ex.id), zap.String("reason", string(refusal.Reason)),
+		zap.String("outcome", string(refusal.Outcome)), zap.String("job", string(ex.job)))
+	if refusal.Reason == ReasonCallerGone {
+		return
+	}
+	refusal.write(w, ex.id)
+}
+
+// serve brings a request to an end: an answer passed on (nil), or a refusal.
+func (g *Gateway) serve(w http.ResponseWriter, ex *exchange) *Refusal {
+	ctx, cancel := context.WithTimeout(ex.in.Context(), ex.timeout)
+	defer cancel()
+	g.retries.earn()
+	if !g.scheduler.reach(ex.job) {
+		return g.relay(ctx, w, ex)
+	}
+	if ex.key != "" && !ex.repeatable && g.cfg.Claims != nil {
+		return g.serveClaimed(ctx, w, ex)
+	}
+	return g.serveHere(ctx, w, ex)
+}
+
+// serveHere gives the request to instances of this hall.
+func (g *Gateway) serveHere(ctx context.Context, w http.ResponseWriter, ex *exchange) *Refusal {
+	deadline, _ := ctx.Deadline()
+	var last *Refusal
+	for {
+		slot, refusal := g.scheduler.acquire(ctx, ask{
+			job:      ex.job,
+			class:    ex.class,
+			team:     ex.team,
+			deadline: deadline,
+			tried:    ex.tried,
+		})
+		if refusal != nil {
+			return worse(last, refusal)
+		}
+		ex.tried = with(ex.tried, slot.worker.id)
+		v := g.tryHere(ctx, w, ex, slot)
+		if v.refusal == nil && v.retry == "" {
+			return nil
+		}
+		last = v.refusal
+		if v.retry == "" || len(ex.tried) >= maxTries || !g.retries.spend() || !pause(ctx, g.scheduler) {
+			return last
+		}
+		g.stats.retried(v.retry)
+	}
+}
+
+// tryHere makes one attempt at one instance. A verdict without refusal and
+// retry means that the caller has its answer.
+func (g *Gateway) tryHere(ctx context.Context, w http.ResponseWriter, ex *exchange, slot *grant) verdict {
+	a := g.send(ctx, ex, target{address: slot.worker.address, grant: slot})
+	v := ex.judge(ctx, a)
+	mode := releaseOK
+	if v.blame {
+		mode = releaseFailed
+	}
+	defer func() { g.scheduler.release(slot, mode) }()
+	if a.resp != nil && (v.refusal != nil || v.retry != "") {
+		if v.refusal == nil {
+			v.refusal = &Refusal{Reason: ReasonUpstreamLost, Outcome: Unknown, RetryAfter: retryAfterUpstream}
+		}
+		a.resp.Body.Close()
+		return v
+	}
+	if v.refusal != nil {
+		return v
+	}
+	return g.finishAnswer(w, ex, a.resp, func() { g.scheduler.release(slot, mode) }, &mode)
+}
+
+// finishAnswer passes an answer on.
+func (g *Gateway) finishAnswer(w http.ResponseWriter, ex *exchange, resp *http.Response, free func(), mode *releaseMode) verdict {
+	setWriteDeadline(resp.Request.Context(), w)
+	switch passOn(w, resp, free) {
+	case answerNothing:
+		*mode = releaseFailed
+		return ex.judgeError(resp.Request.Context(), attempt{err: errAnswerCut, sent: true})
+	case answerCut:
+		*mode = releaseFailed
+		free()
+		g.stats.cutAnswer()
+		panic(http.ErrAbortHandler) // nothing short may look whole
+	}
+	return verdict{}
+}
+
+func (g *Gateway) config() *tw.FleetConfig {
+	if view := g.view.Load(); view != nil {
+		return view.Config
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/refusal.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type (
+	// Outcome says whether a request was run.
+	Outcome string
+
+	// Reason is the stable name of why a request was refused.
+	Reason string
+
+	// Refusal is the final answer to a request that was given up on.
+	Refusal struct {
+		Reason  Reason
+		Outcome Outcome
+		Detail  string
+		// RetryAfter is when to come back; 0 if coming back is no use.
+		RetryAfter time.Duration
+	}
+
+	// problem is the body of a refusal (RFC 9457).
+	problem struct {
+		Type    string  `json:"type"`
+		Title   string  `json:"title"`
+		Status  int     `json:"status"`
+		Detail  string  `json:"detail,omitempty"`
+		Reason  Reason  `json:"reason"`
+		Outcome Outcome `json:"outcome"`
+		Request string  `json:"request,omitempty"`
+	}
+)
+
+// Outcomes. NotRun is proved, never guessed.
+const (
+	Answered Outcome = "answered"
+	NotRun   Outcome = "not-run"
+	Unknown  Outcome = "unknown"
+)
+
+// Reasons.
+const (
+	ReasonUnknownRoute    Reason = "unknown-route"
+	ReasonBadMethod       Reason = "bad-method"
+	ReasonBadVersion      Reason = "bad-version"
+	ReasonBadTimeout      Reason = "bad-timeout"
+	ReasonBadClass        Reason = "bad-class"
+	ReasonBadTeam         Reason = "bad-team"
+	ReasonBadKey          Reason = "bad-key"
+	ReasonBadBody         Reason = "bad-body"
+	ReasonBodyTooLarge    Reason = "body-too-large"
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonNoInstance      Reason = "no-instance"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonWaitTooLong     Reason = "wait-too-long"
+	ReasonTeamQuota       Reason = "team-quota"
+	ReasonTeamShare       Reason = "team-share"
+	ReasonDeadlineQueued  Reason = "deadline-queued"
+	ReasonDeadline        Reason = "deadline"
+	ReasonStopping        Reason = "stopping"
+	ReasonUnreachable     Reason = "upstream-unreachable"
+	ReasonUpstreamRefused Reason = "upstream-refused"
+	ReasonUpstreamLost    Reason = "upstream-lost"
+	ReasonUnframed        Reason = "upstream-unframed"
+	ReasonKeyInProgress   Reason = "key-in-progress"
+	ReasonKeyAnswered     Reason = "key-answered"
+	ReasonKeyMismatch     Reason = "key-mismatch"
+	ReasonKeyUnavailable  Reason = "key-unavailable"
+	ReasonCallerGone      Reason = "caller-gone"
+)
+
+// statuses has the HTTP status of every reason. 499 is never seen by anyone,
+// as its caller has gone; it is there for the logs.
+var statuses = map[Reason]int{
+	ReasonUnknownRoute:    http.StatusNotFound,
+	ReasonBadMethod:       http.StatusMethodNotAllowed,
+	ReasonBadVersion:      http.StatusHTTPVersionNotSupported,
+	ReasonBadTimeout:      http.StatusBadRequest,
+	ReasonBadClass:        http.StatusBadRequest,
+	ReasonBadTeam:         http.StatusBadRequest,
+	ReasonBadKey:          http.StatusBadRequest,
+	ReasonBadBody:         http.StatusBadRequest,
+	ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
+	ReasonNoConfiguration: http.StatusServiceUnavailable,
+	ReasonNoInstance:      http.StatusServiceUnavailable,
+	ReasonQueueFull:       http.StatusServiceUnavailable,
+	ReasonWaitTooLong:     http.StatusServiceUnavailable,
+	ReasonTeamQuota:       http.StatusTooManyRequests,
+	ReasonTeamShare:       http.StatusServiceUnavailable,
+	ReasonDeadlineQueued:  http.StatusGatewayTimeout,
+	ReasonDeadline:        http.StatusGatewayTimeout,
+	ReasonStopping:        http.StatusServiceUnavailable,
+	ReasonUnreachable:     http.StatusBadGateway,
+	ReasonUpstreamRefused: http.StatusServiceUnavailable,
+	ReasonUpstreamLost:    http.StatusBadGateway,
+	ReasonUnframed:        http.StatusBadGateway,
+	ReasonKeyInProgress:   http.StatusConflict,
+	ReasonKeyAnswered:     http.StatusConflict,
+	ReasonKeyMismatch:     http.StatusUnprocessableEntity,
+	ReasonKeyUnavailable:  http.StatusServiceUnavailable,
+	ReasonCallerGone:      499,
+}
+
+// When to come back, for reasons whose end does not depend on a queue.
+const (
+	retryAfterPromotion = 2 * time.Second // a spare joins a pool within it
+	retryAfterRestart   = time.Second     // the balancer has another daemon
+	retryAfterUpstream  = time.Second     // an ejected instance is passed by
+	minRetryAfter       = time.Second     // the header counts whole seconds
+)
+
+// Reasons lists every reason, in no order.
+func Reasons() []Reason {
+	out := make([]Reason, 0, len(statuses))
+	for r := range statuses {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Status is the HTTP status of a refusal.
+func (r *Refusal) Status() int { return statuses[r.Reason] }
+
+// Error makes a refusal an error, for logs.
+func (r *Refusal) Error() string { return string(r.Reason) + " (" + string(r.Outcome) + ")" }
+
+// write answers the caller. It ends the exchange at once.
+func (r *Refusal) write(w http.ResponseWriter, request string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderOutcome, string(r.Outcome))
+	h.Set(HeaderReason, string(r.Reason))
+	if r.RetryAfter > 0 {
+		seconds := math.Ceil(max(r.RetryAfter, minRetryAfter).Seconds())
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(r.Status())
+	body := problem{
+		Type:    "urn:tamarindworks:" + string(r.Reason),
+		Title:   http.StatusText(r.Status()),
+		Status:  r.Status(),
+		Detail:  r.Detail,
+		Reason:  r.Reason,
+		Outcome: r.Outcome,
+		Request: request,
+	}
+	// The caller may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func notRun(reason Reason, detail string) *Refusal {
+	return &Refusal{Reason: reason, Outcome: NotRun, Detail: detail}
+}
+
+func notRunFor(reason Reason, after time.Duration, detail string) *Refusal {
+	return &Refusal{Reason: reason, Outcome: NotRun, RetryAfter: after, Detail: detail}
+}
--- /dev/null
+++ b/gateway/scheduler.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// scheduler gives requests to instances. One lock covers the view, the
+	// choice and the counts, so that after Install nothing is newly given
+	// under an older view.
+	scheduler struct {
+		clock tw.Clock
+
+		mu      sync.Mutex
+		rand    *rand.Rand
+		view    tw.View
+		workers map[tw.InstanceID]*worker
+		jobs    map[tw.JobID]*jobLine
+		pass    map[tw.Class]float64
+		teams   map[tw.TeamID]int // requests running and waiting
+		order   uint64
+		running int
+	}
+
+	// ask is a request for a slot.
+	ask struct {
+		job      tw.JobID
+		class    tw.Class
+		team     tw.TeamID
+		deadline time.Time
+		tried    map[tw.InstanceID]bool
+	}
+
+	// grant is a slot on an instance.
+	grant struct {
+		worker *worker
+		ask    ask
+		start  time.Time
+		once   sync.Once
+	}
+
+	// jobLine is the queues of one job.
+	jobLine struct {
+		id      tw.JobID
+		workers []*worker
+		queues  map[tw.Class]*fairQueue
+		service map[tw.Class]float64 // mean seconds in a slot
+	}
+)
+
+// classWeight is how the turns at a freed slot are divided between classes
+// that wait. Long work keeps a floor, so that it ends.
+var classWeight = map[tw.Class]float64{tw.Quick: 8, tw.Normal: 4, tw.Long: 1}
+
+func newScheduler(cfg Config) *scheduler {
+	return &scheduler{
+		clock:   cfg.Clock,
+		rand:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		workers: map[tw.InstanceID]*worker{},
+		jobs:    map[tw.JobID]*jobLine{},
+		pass:    map[tw.Class]float64{},
+		teams:   map[tw.TeamID]int{},
+	}
+}
+
+// install replaces the view.
+func (s *scheduler) install(view tw.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = view
+	for _, w := range s.workers {
+		w.share = 0
+		clear(w.jobs)
+	}
+	for _, line := range s.jobs {
+		line.workers = line.workers[:0]
+	}
+	if view.Registered && view.Plan != nil {
+		for i := range view.Plan.Instances {
+			s.installInstance(&view.Plan.Instances[i])
+		}
+	}
+	for id, w := range s.workers {
+		if w.share == 0 && w.total == 0 {
+			delete(s.workers, id)
+		}
+	}
+	s.dispatchAll()
+}
+
+func (s *scheduler) installInstance(a *tw.Assignment) {
+	if a.State != tw.Serving || s.view.Leaving[a.Instance] {
+		return
+	}
+	w := s.workers[a.Instance]
+	if w == nil {
+		w = &worker{
+			id:      a.Instance,
+			since:   s.clock.Now(),
+			jobs:    map[tw.JobID]bool{},
+			held:    map[tw.JobID]*tally{},
+			byClass: map[tw.Class]int{},
+		}
+		if len(s.workers) == 0 {
+			w.since = w.since.Add(-slowStart) // the daemon is new, not the instance
+		}
+		s.workers[a.Instance] = w
+	}
+	w.address = a.Address
+	w.share = share(s.view.Members, s.view.Self, a.Instance, a.Slots)
+	for _, at := range a.Jobs {
+		if a.Runs(at.Job) {
+			w.jobs[at.Job] = true
+			line := s.line(at.Job)
+			line.workers = append(line.workers, w)
+		}
+	}
+}
+
+func (s *scheduler) line(job tw.JobID) *jobLine {
+	line := s.jobs[job]
+	if line == nil {
+		line = &jobLine{id: job, queues: map[tw.Class]*fairQueue{}, service: map[tw.Class]float64{}}
+		for _, c := range tw.Classes {
+			line.queues[c] = newFairQueue()
+		}
+		s.jobs[job] = line
+	}
+	return line
+}
+
+// acquire gets a slot, waits for one, or refuses at once.
+func (s *scheduler) acquire(ctx context.Context, a ask) (*grant, *Refusal) {
+	s.mu.Lock()
+	g, w, refusal := s.admit(a)
+	s.mu.Unlock()
+	if g != nil || refusal != nil {
+		return g, refusal
+	}
+	select {
+	case out := <-w.ready:
+		return out.grant, out.refusal
+	case <-ctx.Done():
+		return nil, s.abandon(ctx, w)
+	}
+}
+
+// abandon takes a waiter back whose caller or time has gone. It may have been
+// granted a slot in the same moment.
+func (s *scheduler) abandon(ctx context.Context, w *waiter) *Refusal {
+	s.mu.Lock()
+	s.end(w)
+	s.mu.Unlock()
+	select {
+	case out := <-w.ready:
+		if out.grant != nil {
+			s.release(out.grant, releaseUnused)
+		}
+	default:
+	}
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return notRunFor(ReasonDeadlineQueued, retryAfterUpstream, "the deadline passed while the request waited")
+	}
+	return notRun(ReasonCallerGone, "")
+}
+
+// reach tells whether this daemon can give the job to an instance itself.
+func (s *scheduler) reach(job tw.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line := s.jobs[job]
+	return line != nil && len(line.workers) > 0
+}
+
+// loads lists what is in flight or ended of late.
+func (s *scheduler) loads() []tw.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	var out []tw.Load
+	for _, w := range s.workers {
+		for job, t := range w.held {
+			sum := t.recent.sum(now)
+			if t.inFlight > 0 || sum != (counts{}) {
+				out = append(out, tw.Load{Instance: w.id, Job: job, InFlight: t.inFlight, OK: sum.ok, Failed: sum.failed})
+			}
+		}
+	}
+	return out
+}
+
+func (s *scheduler) demand() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.running
+	for _, line := range s.jobs {
+		for _, q := range line.queues {
+			n += q.size
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/worker.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// worker is what this daemon has on one instance. The scheduler's lock
+	// guards it.
+	worker struct {
+		id      tw.InstanceID
+		address string
+		jobs    map[tw.JobID]bool // that may be sent here
+		share   int               // slots of the instance that are ours
+		since   time.Time         // first seen serving
+		held    map[tw.JobID]*tally
+		byClass map[tw.Class]int
+		total   int
+
+		failures int // in a row
+		ejected  time.Time
+		eject    time.Duration // of the last ejection
+		penalty  float64       // recent failures, decays with successes
+	}
+
+	// tally counts the requests of one job on an instance.
+	tally struct {
+		inFlight int
+		recent   window
+	}
+
+	// window counts ended requests over the last one to two spans.
+	window struct {
+		start     time.Time
+		now, last counts
+	}
+
+	counts struct{ ok, failed int }
+)
+
+const (
+	slowStart       = 5 * time.Second
+	ejectAfter      = 5 // failures in a row
+	minEjection     = 2 * time.Second
+	maxEjection     = 30 * time.Second
+	maxEjectedShare = 0.34 // of a job's instances
+	windowSpan      = 5 * time.Second
+	penaltyStep     = 1.0
+	penaltyDecay    = 0.8
+)
+
+// limit is how many requests of a class may be on the instance at once. An
+// instance that is new starts slowly. Part of the slots is kept for more
+// urgent classes, so that quick requests find a place among long ones.
+func (w *worker) limit(class tw.Class, now time.Time) int {
+	slots := w.share
+	if age := now.Sub(w.since); age < slowStart {
+		slots = max(1, int(float64(w.share)*float64(age)/float64(slowStart)))
+	}
+	switch class {
+	case tw.Normal:
+		return max(1, slots-slots/8)
+	case tw.Long:
+		return max(1, slots/2)
+	}
+	return slots
+}
+
+// room tells whether a request of a class fits now.
+func (w *worker) room(class tw.Class, now time.Time) bool {
+	if w.share == 0 || now.Before(w.ejected) {
+		return false
+	}
+	slots := w.limit(tw.Quick, now)
+	if w.total >= slots {
+		return false
+	}
+	less := 0
+	for _, c := range tw.Classes {
+		if rank(c) >= rank(class) {
+			less += w.byClass[c]
+		}
+	}
+	return less < w.limit(class, now)
+}
+
+// load orders instances for the choice; lower is better.
+func (w *worker) load() float64 {
+	return float64(w.total+1) / float64(max(w.share, 1)) * (1 + w.penalty)
+}
+
+func (w *worker) begin(job tw.JobID, class tw.Class) {
+	w.total++
+	w.byClass[class]++
+	w.tally(job).inFlight++
+}
+
+func (w *worker) finish(job tw.JobID, class tw.Class, failed bool, now time.Time) {
+	w.total--
+	w.byClass[class]--
+	t := w.tally(job)
+	t.inFlight--
+	t.recent.count(failed, now)
+	if !failed {
+		w.failures = 0
+		w.eject = 0
+		w.penalty *= penaltyDecay
+		return
+	}
+	w.failures++
+	w.penalty += penaltyStep
+}
+
+func (w *worker) tally(job tw.JobID) *tally {
+	t := w.held[job]
+	if t == nil {
+		t = &tally{}
+		w.held[job] = t
+	}
+	return t
+}
+
+// ejectNow keeps the instance out of the choice for a while, longer each time.
+func (w *worker) ejectNow(now time.Time) {
+	w.eject = min(max(2*w.eject, minEjection), maxEjection)
+	w.ejected = now.Add(w.eject)
+	w.failures = 0
+}
+
+func (w *window) count(failed bool, now time.Time) {
+	w.turn(now)
+	if failed {
+		w.now.failed++
+		return
+	}
+	w.now.ok++
+}
+
+func (w *window) sum(now time.Time) counts {
+	w.turn(now)
+	return counts{ok: w.now.ok + w.last.ok, failed: w.now.failed + w.last.failed}
+}
+
+func (w *window) turn(now time.Time) {
+	switch age := now.Sub(w.start); {
+	case age < windowSpan:
+	case age < 2*windowSpan:
+		w.last, w.now, w.start = w.now, counts{}, w.start.Add(windowSpan)
+	default:
+		w.last, w.now, w.start = counts{}, counts{}, now
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,212 @@
+package demo
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+// fleetSource is the demonstration's fleet configuration.
+//
+//go:embed fleet.toml
+var fleetSource string
+
+// waveSource asks for maintenance; it is appended to fleetSource.
+const waveSource = `
+[[waves]]
+id = "demo-wave"
+instances = "kind=general"
+at_once = 1
+`
+
+const (
+	requests = 1200
+	rate     = 200 // a second
+	lossAt   = time.Second
+	leaveAt  = 2 * time.Second
+	waveAt   = 3 * time.Second
+)
+
+// errBroken is a demonstration in which a promise was broken.
+var errBroken = errors.New("demo: a promise was broken")
+
+// Run runs the demonstration and writes what happens to out.
+func Run(ctx context.Context, out io.Writer, verbose bool) error {
+	fleet, err := FleetConfig{
+		Halls:            []tw.HallID{"h1", "h2"},
+		RacksPerHall:     3,
+		InstancesPerRack: 2,
+		DaemonsPerHall:   2,
+		Log:              logger(verbose),
+		Silence:          tw.Duration(500 * time.Millisecond),
+	}.New()
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	say(out, "started: 12 workers in 2 halls, 4 entry daemons, 1 platform")
+	if err := fleet.Configure(ctx, fleetSource, 0); err != nil {
+		return err
+	}
+	if err := fleet.WaitServing(ctx, "boards", "leases"); err != nil {
+		return err
+	}
+	say(out, "configuration in force, both pools serve in both halls")
+	report, err := fleet.runStory(ctx, out)
+	if err != nil {
+		return err
+	}
+	say(out, "%s", report.String())
+	if report.Faults() > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// Configure applies a configuration over base and waits until it is in force.
+func (f *Fleet) Configure(ctx context.Context, source string, base tw.Revision) error {
+	accepted, err := f.Operator.Apply(ctx, source, "demo", base)
+	if err != nil {
+		return err
+	}
+	_, err = f.Operator.WaitInForce(ctx, f.config.Halls, accepted.Revision)
+	return err
+}
+
+// WaitServing waits until the pools serve in every hall, and every daemon
+// there has said so.
+func (f *Fleet) WaitServing(ctx context.Context, pools ...tw.PoolID) error {
+	for !f.serving(ctx, pools) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for the pools to serve")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) serving(ctx context.Context, pools []tw.PoolID) bool {
+	for _, hall := range f.config.Halls {
+		plan, err := f.Operator.Plan(ctx, hall)
+		if err != nil {
+			return false
+		}
+		for _, pool := range pools {
+			if !settled(&plan, pool) {
+				return false
+			}
+		}
+		daemons, err := f.Operator.Daemons(ctx, []tw.HallID{hall})
+		if err != nil || len(daemons) < f.config.DaemonsPerHall {
+			return false
+		}
+		for _, d := range daemons {
+			if d.Acked < plan.Generation {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// settled tells whether a pool serves and nothing of it is still joining.
+func settled(plan *tw.Plan, pool tw.PoolID) bool {
+	serving := 0
+	for i := range plan.Instances {
+		a := &plan.Instances[i]
+		if a.Pool != pool {
+			continue
+		}
+		if a.State == tw.Joining {
+			return false
+		}
+		for _, at := range a.Jobs {
+			if at.State == tw.PlacementStarting {
+				return false
+			}
+		}
+		serving++
+	}
+	return serving > 0
+}
+
+// runStory sends requests while things go wrong.
+func (f *Fleet) runStory(ctx context.Context, out io.Writer) (standin.Report, error) {
+	story := make(chan error, 1)
+	go func() { story <- f.tell(ctx, out) }()
+	report, err := f.Load(requests, rate).Run(ctx)
+	return report, errors.CombineErrors(err, <-story)
+}
+
+// Load is a mix of requests for the demonstration's services.
+func (f *Fleet) Load(n int, perSecond float64) standin.LoadConfig {
+	return standin.LoadConfig{
+		Entries:  f.Entries(),
+		Requests: n,
+		Rate:     perSecond,
+		Timeout:  15 * time.Second,
+		Runs:     func() (standin.Runs, error) { return f.Recorder.Runs(), nil },
+		Streams: []standin.Stream{
+			{Name: "check", Method: http.MethodGet, Host: "boards.demo", Path: "/check", Work: 5 * time.Millisecond, Share: 6},
+			{Name: "record", Method: http.MethodPost, Host: "boards.demo", Path: "/records", Work: 10 * time.Millisecond, Share: 2},
+			{Name: "preview", Method: http.MethodGet, Host: "leases.demo", Path: "/preview", Work: 5 * time.Millisecond, Share: 3},
+			{Name: "bundle", Method: http.MethodPost, Host: "leases.demo", Path: "/bundle", Work: 100 * time.Millisecond, Share: 1},
+		},
+	}
+}
+
+func (f *Fleet) tell(ctx context.Context, out io.Writer) error {
+	start := time.Now()
+	until := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
+	until(lossAt)
+	lost := f.pick("h1", "boards")
+	say(out, "losing %s, which serves boards in h1", lost)
+	f.Upstreams[lost].Close()
+	until(leaveAt)
+	leaving := f.pick("h2", "leases")
+	say(out, "the platform reclaims %s, which serves leases in h2", leaving)
+	f.Platform.SetPhase(leaving, tw.Leaving)
+	until(waveAt)
+	say(out, "a maintenance wave over all instances begins")
+	return f.Configure(ctx, fleetSource+waveSource, 1)
+}
+
+// pick is an instance that serves a pool.
+func (f *Fleet) pick(hall tw.HallID, pool tw.PoolID) tw.InstanceID {
+	plan, err := f.Operator.Plan(context.Background(), hall)
+	if err != nil {
+		return ""
+	}
+	for i := range plan.Instances {
+		if a := &plan.Instances[i]; a.Pool == pool && a.State == tw.Serving {
+			return a.Instance
+		}
+	}
+	return ""
+}
+
+func say(out io.Writer, format string, args ...any) {
+	fmt.Fprintln(out, strings.TrimRight(fmt.Sprintf(format, args...), "\n"))
+}
+
+func logger(verbose bool) *zap.Logger {
+	if !verbose {
+		return zap.NewNop()
+	}
+	log, err := zap.NewDevelopment()
+	if err != nil {
+		return zap.NewNop()
+	}
+	return log
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,159 @@
+// Package demo runs a small fleet on the stand-ins in one process.
+package demo
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+	"github.com/tamarindworks/tamarindworks/daemon"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+type (
+	// FleetConfig says how large a fleet to run.
+	FleetConfig struct {
+		Halls            []tw.HallID
+		RacksPerHall     int
+		InstancesPerRack int
+		DaemonsPerHall   int
+		Log              *zap.Logger
+		Pace             control.Pace
+		Silence          tw.Duration // after which a lost upstream is not listed
+	}
+
+	// Fleet is a running one: all parts listen on loopback.
+	Fleet struct {
+		Platform  *standin.Platform
+		Recorder  *standin.Recorder
+		Upstreams map[tw.InstanceID]*standin.Upstream
+		Daemons   []*daemon.Daemon
+		Operator  *control.Operator
+		url       string
+		server    *http.Server
+		config    FleetConfig
+	}
+)
+
+// An instance as both users have them.
+const (
+	workerCores  = 16
+	workerMemory = 32_000
+	workerSlots  = 8
+	workerConns  = 64
+)
+
+// New starts a fleet without a configuration; Close ends it.
+func (c FleetConfig) New() (*Fleet, error) {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "demo.New")
+	}
+	f := &Fleet{
+		Platform:  standin.PlatformConfig{Silence: c.Silence.Std()}.New(),
+		Recorder:  standin.NewRecorder(nil),
+		Upstreams: map[tw.InstanceID]*standin.Upstream{},
+		url:       "http://" + at.Addr().String(),
+		config:    c,
+	}
+	f.server = &http.Server{Handler: f.Platform.Handler()}
+	go func() { _ = f.server.Serve(at) }() // ends with Close
+	f.Operator = control.OperatorConfig{
+		Documents: platform.DocumentsConfig{Store: f.client(), Clock: tw.SystemClock{}}.New(),
+		Peers:     control.PeerClientConfig{}.New(),
+		Clock:     tw.SystemClock{},
+	}.New()
+	for _, hall := range c.Halls {
+		if err := f.startHall(hall); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Entries lists the gateways' addresses.
+func (f *Fleet) Entries() []string {
+	var out []string
+	for _, d := range f.Daemons {
+		out = append(out, d.Gateway())
+	}
+	return out
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, d := range f.Daemons {
+		d.Kill()
+	}
+	for _, u := range f.Upstreams {
+		u.Close()
+	}
+	_ = f.server.Close() // nobody is left to tell
+}
+
+func (f *Fleet) client() *platform.Client { return platform.ClientConfig{URL: f.url}.New() }
+
+func (f *Fleet) startHall(hall tw.HallID) error {
+	for r := range f.config.RacksPerHall {
+		for i := range f.config.InstancesPerRack {
+			rack := tw.RackID(fmt.Sprintf("%s-r%d", hall, r+1))
+			id := tw.InstanceID(fmt.Sprintf("%s-w%d", rack, i+1))
+			if err := f.startUpstream(hall, rack, id); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range f.config.DaemonsPerHall {
+		if err := f.startDaemon(hall, tw.DaemonID(fmt.Sprintf("%s-entry%d", hall, i+1))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startUpstream(hall tw.HallID, rack tw.RackID, id tw.InstanceID) error {
+	u, err := standin.UpstreamConfig{
+		Listen:   "127.0.0.1:0",
+		Recorder: f.Recorder,
+		Register: standin.RegisterOver(f.url),
+		Instance: tw.Instance{
+			ID:          id,
+			Hall:        hall,
+			Rack:        rack,
+			Labels:      map[string]string{"kind": "general"},
+			Cores:       workerCores,
+			Memory:      workerMemory,
+			Slots:       workerSlots,
+			Connections: workerConns,
+		},
+	}.New()
+	if err != nil {
+		return errors.Wrap(err, "demo.startUpstream")
+	}
+	f.Upstreams[id] = u
+	return nil
+}
+
+func (f *Fleet) startDaemon(hall tw.HallID, id tw.DaemonID) error {
+	settings := daemon.Settings{
+		ID:       id,
+		Hall:     hall,
+		Instance: tw.InstanceID(id),
+		Listen:   daemon.ListenSettings{Gateway: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Platform: daemon.PlatformSettings{URL: f.url},
+	}
+	settings.Defaults()
+	d, err := daemon.Config{Settings: settings, Log: f.config.Log, Pace: f.config.Pace}.New()
+	if err != nil {
+		return err
+	}
+	f.Daemons = append(f.Daemons, d)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,248 @@
+package standin
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/gateway"
+)
+
+type (
+	// LoadConfig configures a bounded stream of requests.
+	LoadConfig struct {
+		Entries  []string // gateway addresses, in place of the balancer
+		Streams  []Stream
+		Requests int     // in all
+		Rate     float64 // a second; open loop
+		Timeout  time.Duration
+		// Runs tells the upstreams' own records once the stream has ended.
+		Runs func() (Runs, error)
+		// Repeat sends each keyed request this many more times, to whichever
+		// entry comes next.
+		Repeat int
+	}
+
+	// Stream is one kind of request in the mix.
+	Stream struct {
+		Name   string
+		Method string
+		Host   string
+		Path   string
+		Class  tw.Class
+		Team   tw.TeamID
+		Work   time.Duration
+		Keyed  bool // sends an Idempotency-Key
+		Share  int  // of the mix
+	}
+
+	// load is a stream under way.
+	load struct {
+		LoadConfig
+		client *http.Client
+		turn   atomic.Uint64
+
+		mu     sync.Mutex
+		report Report
+		fates  map[string]fate
+	}
+
+	// fate is what the caller of one request was told.
+	fate struct {
+		answered bool
+		notRun   bool // every answer it got said so
+		keyed    bool
+		once     bool // may not be repeated
+	}
+)
+
+// errLoad is a stream that could not be measured.
+var errLoad = errors.New("standin: load")
+
+// Run sends the stream and counts what became of it.
+func (c LoadConfig) Run(ctx context.Context) (Report, error) {
+	if len(c.Entries) == 0 || len(c.Streams) == 0 || c.Rate <= 0 {
+		return Report{}, errors.Mark(errors.New("load needs entries, streams and a rate"), errLoad)
+	}
+	l := &load{
+		LoadConfig: c,
+		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, Timeout: c.Timeout},
+		report:     newReport(),
+		fates:      map[string]fate{},
+	}
+	start := time.Now()
+	l.sendAll(ctx, start)
+	l.report.Took = time.Since(start)
+	l.client.CloseIdleConnections()
+	runs, err := c.Runs()
+	if err != nil {
+		return Report{}, err
+	}
+	l.settle(runs)
+	return l.report, nil
+}
+
+// sendAll keeps to the rate whatever the answers do.
+func (l *load) sendAll(ctx context.Context, start time.Time) {
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	mix := l.mix()
+	for i := range l.Requests {
+		due := start.Add(time.Duration(float64(i) / l.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(due)):
+		}
+		stream := mix[i%len(mix)]
+		sent.Go(func() { l.sendOne(ctx, stream) })
+	}
+}
+
+// mix lays the streams out by their shares.
+func (l *load) mix() []Stream {
+	var out []Stream
+	for _, s := range l.Streams {
+		for range max(1, s.Share) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// sendOne sends a request, and its repeats under the same key.
+func (l *load) sendOne(ctx context.Context, s Stream) {
+	id := rand.Text()
+	f := fate{notRun: true, keyed: s.Keyed, once: s.Method == http.MethodPost}
+	tries := 1
+	if s.Keyed {
+		tries += l.Repeat
+	}
+	for range tries {
+		l.exchange(ctx, s, id, &f)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fates[id] = f
+}
+
+func (l *load) exchange(ctx context.Context, s Stream, id string, f *fate) {
+	payload := "body of " + id
+	start := time.Now()
+	resp, body, err := l.do(ctx, s, id, payload)
+	took := time.Since(start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.Sent++
+	switch {
+	case errors.Is(err, errNotSent):
+		l.report.Refused["entry-unreachable"]++
+	case err != nil:
+		l.report.Cut++
+		f.notRun = false
+	case resp.Header.Get(gateway.HeaderReason) != "":
+		l.report.refusal(resp, took)
+		f.notRun = f.notRun && resp.Header.Get(gateway.HeaderOutcome) == string(gateway.NotRun)
+	default:
+		f.notRun, f.answered = false, true
+		l.report.answer(s, took)
+		if !matches(body, id, payload) {
+			l.report.Wrong++
+		}
+	}
+}
+
+// errNotSent is a request that reached no entry at all.
+var errNotSent = errors.New("standin: no entry took the connection")
+
+// do sends to the next entry, and on to another if the connection is refused,
+// as the balancer does.
+func (l *load) do(ctx context.Context, s Stream, id, payload string) (*http.Response, []byte, error) {
+	for range l.Entries {
+		entry := l.Entries[l.turn.Add(1)%uint64(len(l.Entries))]
+		req, err := l.request(ctx, s, entry, id, payload)
+		if err != nil {
+			return nil, nil, err
+		}
+		resp, err := l.client.Do(req)
+		if err != nil && strings.Contains(err.Error(), "connect: connection refused") {
+			continue
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return resp, body, err
+	}
+	return nil, nil, errNotSent
+}
+
+func (l *load) request(ctx context.Context, s Stream, entry, id, payload string) (*http.Request, error) {
+	// Not a *strings.Reader: the client would set GetBody and repeat.
+	body := io.NopCloser(io.MultiReader(strings.NewReader(payload)))
+	req, err := http.NewRequestWithContext(ctx, s.Method, fmt.Sprintf("http://%s%s", entry, s.Path), body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(payload))
+	req.Host = s.Host
+	req.Header.Set(gateway.HeaderRequest, id)
+	set := func(name, value string) {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	set(gateway.HeaderTeam, string(s.Team))
+	set(gateway.HeaderClass, string(s.Class))
+	if s.Keyed {
+		req.Header.Set(gateway.HeaderKey, id)
+	}
+	if s.Work > 0 {
+		req.Header.Set(HeaderWork, s.Work.String())
+	}
+	return req, nil
+}
+
+// settle compares what the callers were told with what the upstreams did.
+func (l *load) settle(runs Runs) {
+	for id, f := range l.fates {
+		n := runs[id]
+		switch {
+		case f.answered && n == 0:
+			l.report.Lost++
+		case f.notRun && n > 0:
+			l.report.FalseNotRun++
+		}
+		if n > 1 && f.once {
+			l.report.Doubled++
+		}
+	}
+}
+
+func matches(body []byte, id, payload string) bool {
+	var answer UpstreamAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return false
+	}
+	sum := sha256.Sum256([]byte(payload))
+	return answer.Request == id && answer.Digest == hex.EncodeToString(sum[:])
+}
+
+// newHistogram takes latencies from 1 microsecond to 10 minutes.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Minute).Microseconds(), 3)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,285 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// PlatformConfig configures a stand-in platform.
+	PlatformConfig struct {
+		Clock tw.Clock
+		// AutoRun lets tasks run as soon as they are started, without an
+		// upstream that takes them.
+		AutoRun bool
+		// Silence is how long an upstream may be silent before it is no
+		// longer listed. 0 means for ever.
+		Silence time.Duration
+	}
+
+	// Platform is an in-memory platform. It implements tw.Store,
+	// tw.InstanceList and tw.Workers, and fails on demand.
+	Platform struct {
+		config PlatformConfig
+
+		mu        sync.Mutex
+		faults    Faults
+		values    map[tw.Key]tw.Item
+		changed   chan struct{} // closed and replaced at each change
+		leases    map[tw.Key]lease
+		version   uint64 // of the instance list
+		instances map[tw.InstanceID]tw.Instance
+		heard     map[tw.InstanceID]time.Time
+		stale     map[tw.HallID]tw.InstanceSnapshot
+		tasks     map[tw.TaskID]tw.Task
+		ended     map[tw.TaskID]bool
+		calls     Calls
+	}
+
+	// Faults are what a platform does wrong from now on.
+	Faults struct {
+		Down        bool        `json:"down"`         // the store answers nothing
+		Delay       tw.Duration `json:"delay"`        // before each answer of the store
+		LoseAnswers int         `json:"lose_answers"` // of the next n writes, after taking effect
+		StaleList   bool        `json:"stale_list"`   // the instance list stands still
+		FailTasksOn []string    `json:"fail_tasks_on"`
+	}
+
+	// Calls counts the calls to the store.
+	Calls struct {
+		Writes int `json:"writes"`
+		Reads  int `json:"reads"`
+	}
+
+	lease struct {
+		tw.Lease
+		until time.Time
+	}
+)
+
+var (
+	_ tw.Store        = (*Platform)(nil)
+	_ tw.InstanceList = (*Platform)(nil)
+	_ tw.Workers      = (*Platform)(nil)
+)
+
+// New makes an empty platform.
+func (c PlatformConfig) New() *Platform {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	return &Platform{
+		config:    c,
+		values:    map[tw.Key]tw.Item{},
+		changed:   make(chan struct{}),
+		leases:    map[tw.Key]lease{},
+		instances: map[tw.InstanceID]tw.Instance{},
+		heard:     map[tw.InstanceID]time.Time{},
+		stale:     map[tw.HallID]tw.InstanceSnapshot{},
+		tasks:     map[tw.TaskID]tw.Task{},
+		ended:     map[tw.TaskID]bool{},
+	}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.StaleList && !p.faults.StaleList {
+		for _, hall := range p.halls() {
+			p.stale[hall] = p.snapshot(hall)
+		}
+	}
+	p.faults = f
+	p.wake()
+}
+
+// Faults tells the faults in force.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Calls tells how often the store was called.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Restore puts a value back as it was, as a store does that comes back older.
+func (p *Platform) Restore(key tw.Key, item tw.Item) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = item
+	p.wake()
+}
+
+// Get implements tw.Store.
+func (p *Platform) Get(ctx context.Context, key tw.Key) (tw.Item, error) {
+	if err := p.enter(ctx, false); err != nil {
+		return tw.Item{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	item, ok := p.values[key]
+	if !ok {
+		return tw.Item{}, tw.ErrNotFound
+	}
+	return item, nil
+}
+
+// Put implements tw.Store.
+func (p *Platform) Put(ctx context.Context, key tw.Key, value []byte, base tw.Version) (tw.Version, error) {
+	if err := p.enter(ctx, true); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.values[key].Version != base {
+		return 0, tw.ErrConflict
+	}
+	next := tw.Item{Value: slices.Clone(value), Version: base + 1}
+	p.values[key] = next
+	p.wake()
+	return next.Version, p.leave()
+}
+
+// Watch implements tw.Store.
+func (p *Platform) Watch(ctx context.Context, key tw.Key, seen tw.Version, wait time.Duration) (tw.Item, error) {
+	if err := p.enter(ctx, false); err != nil {
+		return tw.Item{}, err
+	}
+	timeout := p.config.Clock.After(wait)
+	for {
+		p.mu.Lock()
+		item, changed, down := p.values[key], p.changed, p.faults.Down
+		p.mu.Unlock()
+		if down {
+			return tw.Item{}, tw.ErrUnavailable
+		}
+		if item.Version != seen {
+			return item, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return tw.Item{}, tw.ErrNoChange
+		case <-ctx.Done():
+			return tw.Item{}, tw.ErrUnavailable
+		}
+	}
+}
+
+// Acquire implements tw.Store.
+func (p *Platform) Acquire(ctx context.Context, req tw.LeaseRequest) (tw.Lease, error) {
+	if err := p.enter(ctx, true); err != nil {
+		return tw.Lease{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Clock.Now()
+	l := p.leases[req.Name]
+	if l.Holder != req.Holder && now.Before(l.until) {
+		return l.Lease, tw.ErrHeld
+	}
+	if l.Holder != req.Holder || !now.Before(l.until) {
+		l.Epoch++
+	}
+	l.Holder, l.until = req.Holder, now.Add(req.TTL)
+	p.leases[req.Name] = l
+	return l.Lease, p.leave()
+}
+
+// Release implements tw.Store.
+func (p *Platform) Release(ctx context.Context, req tw.LeaseRequest) error {
+	if err := p.enter(ctx, true); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.leases[req.Name]; l.Holder == req.Holder {
+		l.until = time.Time{}
+		p.leases[req.Name] = l
+	}
+	return p.leave()
+}
+
+// Holder implements tw.Store.
+func (p *Platform) Holder(ctx context.Context, name tw.Key) (tw.Lease, error) {
+	if err := p.enter(ctx, false); err != nil {
+		return tw.Lease{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.leases[name]
+	if !ok || !p.config.Clock.Now().Before(l.until) {
+		return tw.Lease{}, tw.ErrNotFound
+	}
+	return l.Lease, nil
+}
+
+// enter counts a call to the store and fails it if the store is down.
+func (p *Platform) enter(ctx context.Context, writes bool) error {
+	p.mu.Lock()
+	if writes {
+		p.calls.Writes++
+	} else {
+		p.calls.Reads++
+	}
+	down, delay := p.faults.Down, p.faults.Delay
+	p.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-p.config.Clock.After(delay.Std()):
+		case <-ctx.Done():
+			return tw.ErrUnavailable
+		}
+	}
+	if down {
+		return tw.ErrUnavailable
+	}
+	return nil
+}
+
+// leave loses the answer of a write that has taken effect, if it should.
+func (p *Platform) leave() error {
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		return tw.ErrUnclear
+	}
+	return nil
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) halls() []tw.HallID {
+	var out []tw.HallID
+	for _, in := range p.instances {
+		if !slices.Contains(out, in.Hall) {
+			out = append(out, in.Hall)
+		}
+	}
+	return out
+}
+
+func (p *Platform) snapshot(hall tw.HallID) tw.InstanceSnapshot {
+	p.dropSilent()
+	out := tw.InstanceSnapshot{Version: p.version}
+	for _, in := range p.instances {
+		if in.Hall == hall {
+			out.Instances = append(out.Instances, in)
+		}
+	}
+	slices.SortFunc(out.Instances, func(a, b tw.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/standin/platform_http.go
@@ -0,0 +1,191 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+// Paths that only the stand-in has.
+const (
+	PathFaults   = "/standin/faults"   // GET, PUT
+	PathRegister = "/standin/register" // POST
+	PathPhase    = "/standin/phase"    // POST ?id=&phase=
+	PathCalls    = "/standin/calls"    // GET
+)
+
+// Handler serves the platform's protocol.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathValue, p.getValue)
+	mux.HandleFunc("PUT "+platform.PathValue, p.putValue)
+	mux.HandleFunc("GET "+platform.PathWatch, p.watch)
+	mux.HandleFunc("GET "+platform.PathLease, p.holder)
+	mux.HandleFunc("POST "+platform.PathLease, p.acquire)
+	mux.HandleFunc("DELETE "+platform.PathLease, p.release)
+	mux.HandleFunc("GET "+platform.PathInstances, p.list)
+	mux.HandleFunc("GET "+platform.PathTasks, p.listTasks)
+	mux.HandleFunc("POST "+platform.PathTasks, p.startTask)
+	mux.HandleFunc("DELETE "+platform.PathTasks, p.stopTask)
+	mux.HandleFunc("POST "+platform.PathReboot, p.reboot)
+	mux.HandleFunc("GET "+PathFaults, p.getFaults)
+	mux.HandleFunc("PUT "+PathFaults, p.putFaults)
+	mux.HandleFunc("POST "+PathRegister, p.register)
+	mux.HandleFunc("POST "+PathPhase, p.phase)
+	mux.HandleFunc("GET "+PathCalls, p.getCalls)
+	return mux
+}
+
+func (p *Platform) getValue(w http.ResponseWriter, r *http.Request) {
+	item, err := p.Get(r.Context(), tw.Key(r.FormValue("key")))
+	answer(w, platform.ValueMessage{Value: item.Value, Version: item.Version}, err)
+}
+
+func (p *Platform) putValue(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad base", http.StatusBadRequest)
+		return
+	}
+	// The call goes on when its caller has gone: that is what a lost answer is.
+	ctx := context.WithoutCancel(r.Context())
+	version, err := p.Put(ctx, tw.Key(r.URL.Query().Get("key")), value, tw.Version(base))
+	answer(w, platform.ValueMessage{Version: version}, err)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	seen, _ := strconv.ParseUint(r.FormValue("seen"), 10, 64)
+	wait, _ := time.ParseDuration(r.FormValue("wait"))
+	item, err := p.Watch(r.Context(), tw.Key(r.FormValue("key")), tw.Version(seen), wait)
+	answer(w, platform.ValueMessage{Value: item.Value, Version: item.Version}, err)
+}
+
+func (p *Platform) holder(w http.ResponseWriter, r *http.Request) {
+	lease, err := p.Holder(r.Context(), tw.Key(r.FormValue("name")))
+	answer(w, lease, err)
+}
+
+func (p *Platform) acquire(w http.ResponseWriter, r *http.Request) {
+	var req tw.LeaseRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	lease, err := p.Acquire(context.WithoutCancel(r.Context()), req)
+	answer(w, lease, err)
+}
+
+func (p *Platform) release(w http.ResponseWriter, r *http.Request) {
+	var req tw.LeaseRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	answer(w, nil, p.Release(context.WithoutCancel(r.Context()), req))
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	snapshot, err := p.List(r.Context(), tw.HallID(r.FormValue("hall")))
+	answer(w, snapshot, err)
+}
+
+func (p *Platform) listTasks(w http.ResponseWriter, r *http.Request) {
+	tasks, err := p.Tasks(r.Context(), tw.HallID(r.FormValue("hall")))
+	answer(w, tasks, err)
+}
+
+func (p *Platform) startTask(w http.ResponseWriter, r *http.Request) {
+	var task tw.Task
+	if decode(w, r, &task) {
+		answer(w, nil, p.Start(r.Context(), task))
+	}
+}
+
+func (p *Platform) stopTask(w http.ResponseWriter, r *http.Request) {
+	answer(w, nil, p.Stop(r.Context(), tw.TaskID(r.URL.Query().Get("id"))))
+}
+
+func (p *Platform) reboot(w http.ResponseWriter, r *http.Request) {
+	var m platform.RebootMessage
+	if decode(w, r, &m) {
+		answer(w, nil, p.Reboot(r.Context(), m.Instance, m.Boots))
+	}
+}
+
+func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) {
+	answer(w, p.Faults(), nil)
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if decode(w, r, &f) {
+		p.SetFaults(f)
+		answer(w, nil, nil)
+	}
+}
+
+func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
+	var in tw.Instance
+	if decode(w, r, &in) {
+		answer(w, p.Register(in), nil)
+	}
+}
+
+func (p *Platform) phase(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	p.SetPhase(tw.InstanceID(query.Get("id")), tw.Phase(query.Get("phase")))
+	answer(w, nil, nil)
+}
+
+func (p *Platform) getCalls(w http.ResponseWriter, _ *http.Request) {
+	answer(w, p.Calls(), nil)
+}
+
+// answer writes v, or the status that stands for err. A lost answer is a
+// connection that ends without one.
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, tw.ErrUnclear):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(status(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func status(err error) int {
+	switch {
+	case errors.Is(err, tw.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, tw.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, tw.ErrNoChange):
+		return http.StatusNotModified
+	case errors.Is(err, tw.ErrHeld):
+		return http.StatusLocked
+	}
+	return http.StatusServiceUnavailable
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/platform_instances.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// SetInstance adds or replaces an instance in the list.
+func (p *Platform) SetInstance(in tw.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if in.Phase == "" {
+		in.Phase = tw.Live
+	}
+	if old, ok := p.instances[in.ID]; ok {
+		in.Boots = max(in.Boots, old.Boots)
+	}
+	p.instances[in.ID] = in
+	p.version++
+}
+
+// SetPhase marks an instance live or leaving.
+func (p *Platform) SetPhase(id tw.InstanceID, phase tw.Phase) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if in, ok := p.instances[id]; ok {
+		in.Phase = phase
+		p.instances[id] = in
+		p.version++
+	}
+}
+
+// RemoveInstance loses an instance with all its tasks.
+func (p *Platform) RemoveInstance(id tw.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remove(id)
+}
+
+// Register is an upstream's report that it lives; it returns the jobs that it
+// has to run. A phase set by an operator is kept.
+func (p *Platform) Register(in tw.Instance) []tw.JobID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, known := p.instances[in.ID]
+	in.Phase = tw.Live
+	if known {
+		in.Phase, in.Boots = old.Phase, old.Boots
+	}
+	if !known || old.Address != in.Address {
+		p.version++
+	}
+	p.instances[in.ID] = in
+	p.heard[in.ID] = p.config.Clock.Now()
+	return p.take(in.ID)
+}
+
+// List implements tw.InstanceList.
+func (p *Platform) List(_ context.Context, hall tw.HallID) (tw.InstanceSnapshot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.StaleList {
+		return p.stale[hall], nil
+	}
+	return p.snapshot(hall), nil
+}
+
+// Tasks implements tw.Workers.
+func (p *Platform) Tasks(_ context.Context, hall tw.HallID) ([]tw.Task, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSilent()
+	var out []tw.Task
+	for _, t := range p.tasks {
+		if p.instances[t.Instance].Hall == hall {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b tw.Task) int { return cmp.Compare(a.ID, b.ID) })
+	return out, nil
+}
+
+// Start implements tw.Workers.
+func (p *Platform) Start(_ context.Context, task tw.Task) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, running := p.tasks[task.ID]
+	_, listed := p.instances[task.Instance]
+	if running || p.ended[task.ID] || !listed {
+		return nil
+	}
+	task.State = tw.TaskStarting
+	if p.config.AutoRun {
+		task.State = p.firstState(task.Instance)
+	}
+	p.tasks[task.ID] = task
+	return nil
+}
+
+// Stop implements tw.Workers.
+func (p *Platform) Stop(_ context.Context, id tw.TaskID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end(id)
+	return nil
+}
+
+// Reboot implements tw.Workers. It ends the instance's tasks at once.
+func (p *Platform) Reboot(_ context.Context, id tw.InstanceID, boots uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in, ok := p.instances[id]
+	if !ok || in.Boots != boots {
+		return nil
+	}
+	in.Boots++
+	p.instances[id] = in
+	p.version++
+	p.endAll(id)
+	return nil
+}
+
+// take starts the tasks of an instance and lists what it runs.
+func (p *Platform) take(id tw.InstanceID) []tw.JobID {
+	jobs := []tw.JobID{}
+	for key, t := range p.tasks {
+		if t.Instance != id {
+			continue
+		}
+		if t.State == tw.TaskStarting {
+			t.State = p.firstState(id)
+			p.tasks[key] = t
+		}
+		if t.State == tw.TaskRunning {
+			jobs = append(jobs, t.Job)
+		}
+	}
+	return jobs
+}
+
+func (p *Platform) firstState(id tw.InstanceID) tw.TaskState {
+	if slices.Contains(p.faults.FailTasksOn, string(id)) {
+		return tw.TaskFailed
+	}
+	return tw.TaskRunning
+}
+
+// dropSilent loses the upstreams that have not reported.
+func (p *Platform) dropSilent() {
+	if p.config.Silence == 0 {
+		return
+	}
+	now := p.config.Clock.Now()
+	for id, at := range p.heard {
+		if now.Sub(at) > p.config.Silence {
+			p.remove(id)
+		}
+	}
+}
+
+func (p *Platform) remove(id tw.InstanceID) {
+	delete(p.instances, id)
+	delete(p.heard, id)
+	p.endAll(id)
+	p.version++
+}
+
+func (p *Platform) endAll(id tw.InstanceID) {
+	for key, t := range p.tasks {
+		if t.Instance == id {
+			p.end(key)
+		}
+	}
+}
+
+func (p *Platform) end(id tw.TaskID) {
+	if _, ok := p.tasks[id]; ok {
+		delete(p.tasks, id)
+		p.ended[id] = true
+	}
+}
--- /dev/null
+++ b/internal/standin/recorder.go
@@ -0,0 +1,80 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Recorder notes each run of a request before its work begins, so that
+	// doubled and lost runs are counted at the source, also for an upstream
+	// that is killed.
+	Recorder struct {
+		mu   sync.Mutex
+		out  io.Writer // nil: memory only
+		runs Runs
+	}
+
+	// Runs counts the runs by request id.
+	Runs map[string]int
+)
+
+// NewRecorder makes a recorder that also appends lines to out, if not nil.
+func NewRecorder(out io.Writer) *Recorder { return &Recorder{out: out, runs: Runs{}} }
+
+// Note records a run.
+func (r *Recorder) Note(request string, instance tw.InstanceID, job tw.JobID) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[request]++
+	if r.out == nil {
+		return nil
+	}
+	_, err := fmt.Fprintf(r.out, "%s %s %s\n", request, instance, job)
+	return err
+}
+
+// Runs copies what was recorded.
+func (r *Recorder) Runs() Runs {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Runs{}
+	for id, n := range r.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// ReadRuns adds up record files, whole lines only.
+func ReadRuns(paths []string) (Runs, error) {
+	out := Runs{}
+	for _, path := range paths {
+		if err := out.read(path); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (r Runs) read(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "standin.ReadRuns")
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if id, _, ok := strings.Cut(lines.Text(), " "); ok {
+			r[id]++
+		}
+	}
+	return errors.Wrap(lines.Err(), "standin.ReadRuns")
+}
--- /dev/null
+++ b/internal/textdiff/textdiff.go
@@ -0,0 +1,53 @@
+// Package textdiff shows how two short texts differ, line by line.
+package textdiff
+
+import "strings"
+
+// Lines marks the lines that are only in before with "-" and those only in
+// after with "+"; common lines are left out. It follows a longest common
+// subsequence and is meant for files of a few thousand lines.
+func Lines(before, after string) string {
+	a, b := split(before), split(after)
+	length := table(a, b)
+	var out strings.Builder
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			i++
+			j++
+		case j == len(b) || i < len(a) && length[i+1][j] >= length[i][j+1]:
+			out.WriteString("-" + a[i] + "\n")
+			i++
+		default:
+			out.WriteString("+" + b[j] + "\n")
+			j++
+		}
+	}
+	return out.String()
+}
+
+// table has the length of the longest common subsequence of a[i:] and b[j:].
+func table(a, b []string) [][]int {
+	length := make([][]int, len(a)+1)
+	for i := range length {
+		length[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				length[i][j] = length[i+1][j+1] + 1
+			} else {
+				length[i][j] = max(length[i+1][j], length[i][j+1])
+			}
+		}
+	}
+	return length
+}
+
+func split(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+}
