--- a/cmd/tamarind/config.go
+++ b/cmd/tamarind/config.go
@@ -159,7 +159,7 @@
 func readConfig(path string) (string, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
-		return "", errors.Mark(err, errUsage)
+		return "", fmt.Errorf("%w: %w", errUsage, err)
 	}
 	return string(source), nil
 }
--- a/cmd/tamarind/connection.go
+++ b/cmd/tamarind/connection.go
@@ -28,7 +28,7 @@
 // use calls do with an operator, within the timeout.
 func (c *connection) use(do func(ctx context.Context, o *control.Operator) error) error {
 	if *c.platform == "" {
-		return errors.Mark(errors.New("give --platform or set TAMARIND_PLATFORM"), errUsage)
+		return errors.Wrap(errUsage, "give --platform or set TAMARIND_PLATFORM")
 	}
 	client := platform.ClientConfig{URL: *c.platform}.New()
 	peers := control.PeerClientConfig{}.New()
--- /dev/null
+++ b/control/node_test.go
@@ -0,0 +1,294 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+const patient = "10s" // for what must come, whenever
+
+// cutStore is a store that one daemon can be cut off from.
+type cutStore struct {
+	tw.Store
+	mu  sync.Mutex
+	cut bool
+}
+
+func (s *cutStore) set(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+func (s *cutStore) down() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		return tw.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *cutStore) Get(ctx context.Context, key tw.Key) (tw.Item, error) {
+	if err := s.down(); err != nil {
+		return tw.Item{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutStore) Put(ctx context.Context, key tw.Key, value []byte, base tw.Version) (tw.Version, error) {
+	if err := s.down(); err != nil {
+		return 0, err
+	}
+	return s.Store.Put(ctx, key, value, base)
+}
+
+func (s *cutStore) Watch(ctx context.Context, key tw.Key, seen tw.Version, wait time.Duration) (tw.Item, error) {
+	if err := s.down(); err != nil {
+		return tw.Item{}, err
+	}
+	item, err := s.Store.Watch(ctx, key, seen, wait)
+	if cut := s.down(); cut != nil {
+		return tw.Item{}, cut
+	}
+	return item, err
+}
+
+func (s *cutStore) Acquire(ctx context.Context, req tw.LeaseRequest) (tw.Lease, error) {
+	if err := s.down(); err != nil {
+		return tw.Lease{}, err
+	}
+	return s.Store.Acquire(ctx, req)
+}
+
+var _ = Describe("a configuration", func() {
+	It("reaches every daemon and becomes a plan that serves", func() {
+		b := newBed()
+		_, one := b.node("d1", b.platform)
+		_, two := b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		for _, r := range []*recorder{one, two} {
+			Eventually(func() tw.Revision { return r.seen().Revision }, patient).Should(Equal(tw.Revision(1)))
+		}
+	})
+
+	It("reaches a daemon that is cut off from the store, through a peer", func() {
+		b := newBed()
+		store := &cutStore{Store: b.platform}
+		b.node("d1", b.platform)
+		_, two := b.node("d2", store)
+		b.apply(0)
+		Eventually(func() tw.Revision { return two.seen().Revision }, patient).Should(Equal(tw.Revision(1)))
+		store.set(true)
+		b.apply(1)
+		Eventually(func() tw.Revision { return two.seen().Revision }, patient).Should(Equal(tw.Revision(2)))
+	})
+
+	It("does not revert when the store comes back older", func() {
+		b := newBed()
+		_, one := b.node("d1", b.platform)
+		b.apply(0)
+		older, err := b.platform.Get(GinkgoT().Context(), tw.ConfigKey)
+		Expect(err).NotTo(HaveOccurred())
+		b.apply(1)
+		Eventually(func() tw.Revision { return one.seen().Revision }, patient).Should(Equal(tw.Revision(2)))
+		b.platform.Restore(tw.ConfigKey, older)
+		Consistently(func() tw.Revision { return one.seen().Revision }, "300ms").Should(Equal(tw.Revision(2)))
+	})
+
+	It("is not lost on a fresh daemon that cannot reach the store", func() {
+		b := newBed()
+		b.node("d1", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		store := &cutStore{Store: b.platform, cut: true}
+		_, two := b.node("d2", store)
+		Eventually(func() tw.Revision { return two.seen().Revision }, patient).Should(Equal(tw.Revision(1)))
+		Expect(two.seen().Registered).To(BeFalse())
+		store.set(false)
+		Eventually(func() bool { return two.seen().Registered }, patient).Should(BeTrue())
+	})
+
+	It("is taken from one operator of two, and the other is told", func() {
+		b := newBed()
+		b.apply(0)
+		results := make(chan error, 2)
+		for _, who := range []string{"ama", "salim"} {
+			go func() {
+				_, err := b.operator.Apply(context.Background(), source+"# "+who+"\n", who, 1)
+				results <- err
+			}()
+		}
+		first, second := <-results, <-results
+		if first != nil {
+			first, second = second, first
+		}
+		Expect(first).NotTo(HaveOccurred())
+		var conflict *Conflict
+		Expect(second).To(BeAssignableToTypeOf(conflict))
+		current, err := b.operator.Get(GinkgoT().Context())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(current.Revision).To(Equal(tw.Revision(2)))
+	})
+})
+
+var _ = Describe("a move", func() {
+	// drained starts two daemons, and takes an instance that serves away.
+	drained := func() (b *bed, one, two *recorder, id tw.InstanceID) {
+		b = newBed()
+		_, one = b.node("d1", b.platform)
+		_, two = b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		plan := b.plan()
+		for i := range plan.Instances {
+			if plan.Instances[i].Runs("j") {
+				id = plan.Instances[i].Instance
+			}
+		}
+		return b, one, two, id
+	}
+
+	It("waits for work in flight at every daemon", func() {
+		b, _, two, id := drained()
+		two.setLoads(tw.Load{Instance: id, Job: "j", InFlight: 1})
+		b.platform.SetPhase(id, tw.Leaving)
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Draining))
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		two.setLoads()
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
+	})
+
+	It("waits for a daemon that is cut off, while a spare serves", func() {
+		b, _, _, id := drained()
+		planner := "d1"
+		if holder, err := b.platform.Holder(GinkgoT().Context(), tw.PlannerLease("h1")); err == nil && holder.Holder == "d1" {
+			planner = "d2"
+		}
+		b.network.setCut(planner, true) // the one that does not plan
+		b.platform.SetPhase(id, tw.Leaving)
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Draining))
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		b.network.setCut(planner, false)
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
+	})
+
+	It("waits no longer for a daemon that is attested to be gone", func() {
+		b, _, _, id := drained()
+		Expect(b.operator.documents.Update(GinkgoT().Context(), tw.RosterKey("h1"), addGhost)).To(Succeed())
+		b.platform.SetPhase(id, tw.Leaving)
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Draining))
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		Expect(b.operator.Forget(GinkgoT().Context(), "h1", "ghost")).To(Succeed())
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
+	})
+})
+
+// plannerFault is something that happens to the one that plans.
+var plannerFaults = map[string]func(b *bed, store *cutStore){
+	"loses the answers of its writes": func(b *bed, _ *cutStore) {
+		b.platform.SetFaults(standin.Faults{LoseAnswers: 30})
+	},
+	"finds the store slow": func(b *bed, _ *cutStore) {
+		b.platform.SetFaults(standin.Faults{Delay: tw.Duration(20 * time.Millisecond)})
+	},
+	"is cut off from the store past its lease": func(_ *bed, store *cutStore) {
+		store.set(true)
+	},
+	"finds the store down for a while": func(b *bed, _ *cutStore) {
+		b.platform.SetFaults(standin.Faults{Down: true})
+		time.Sleep(2 * fast.LeaseTTL)
+		b.platform.SetFaults(standin.Faults{})
+	},
+	"finds an older plan in the store": func(b *bed, _ *cutStore) {
+		key := tw.PlanKey("h1")
+		item, err := b.platform.Get(context.Background(), key)
+		Expect(err).NotTo(HaveOccurred())
+		b.platform.SetPhase("w3", tw.Leaving)
+		Eventually(func() tw.State { return b.state("w3") }, patient).Should(Equal(tw.Out))
+		b.platform.Restore(key, item)
+	},
+}
+
+var _ = Describe("the planner of a hall", func() {
+	for _, name := range slices.Sorted(maps.Keys(plannerFaults)) {
+		It(name+": losses are made good, generations only grow", func() {
+			b := newBed()
+			store := &cutStore{Store: b.platform}
+			_, one := b.node("d1", store)
+			b.apply(0)
+			Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+			_, two := b.node("d2", b.platform)
+			Eventually(func() bool { return two.seen().Registered }, patient).Should(BeTrue())
+			grows := watchGenerations(one, two)
+			plannerFaults[name](b, store)
+			b.platform.RemoveInstance(firstServing(b))
+			Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+			Eventually(func() tw.Generation { return two.seen().Plan.Generation }, patient).
+				Should(BeNumerically(">=", b.plan().Generation))
+			Expect(grows()).To(BeTrue())
+		})
+	}
+
+	It("is one daemon at a time", func() {
+		b := newBed()
+		one, _ := b.node("d1", b.platform)
+		two, _ := b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		for range 50 {
+			Expect(one.planner.held.Load() && two.planner.held.Load()).To(BeFalse())
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+})
+
+func firstServing(b *bed) tw.InstanceID {
+	plan := b.plan()
+	for i := range plan.Instances {
+		if plan.Instances[i].Runs("j") {
+			return plan.Instances[i].Instance
+		}
+	}
+	return ""
+}
+
+// watchGenerations looks on while something happens; the function it returns
+// tells whether no daemon went back.
+func watchGenerations(all ...*recorder) func() bool {
+	done := make(chan struct{})
+	result := make(chan bool, 1)
+	go func() {
+		last := make([]tw.Generation, len(all))
+		good := true
+		for {
+			for i, r := range all {
+				if plan := r.seen().Plan; plan != nil {
+					good = good && plan.Generation >= last[i]
+					last[i] = plan.Generation
+				}
+			}
+			select {
+			case <-done:
+				result <- good
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	return func() bool {
+		close(done)
+		return <-result
+	}
+}
--- /dev/null
+++ b/control/parts_test.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+func addGhost(body json.RawMessage) (any, error) {
+	var roster tw.Roster
+	if err := json.Unmarshal(body, &roster); err != nil {
+		return nil, err
+	}
+	return roster.With(tw.RosterMember{ID: "ghost", Instance: "ghost", Incarnation: 1, Address: "nowhere"}), nil
+}
+
+var _ = Describe("knowledge", func() {
+	It("never takes anything older, in any order", func() {
+		k := newKnowledge()
+		for _, step := range []struct {
+			revision tw.Revision
+			took     bool
+		}{{3, true}, {2, false}, {3, false}, {5, true}, {4, false}} {
+			took, err := k.offerConfig(accepted(step.revision))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(took).To(Equal(step.took), "revision %d", step.revision)
+		}
+		Expect(k.revisionNow()).To(Equal(tw.Revision(5)))
+	})
+
+	It("does not count as registered before the plan was read again", func() {
+		k := newKnowledge()
+		k.refreshed()
+		k.register(true)
+		var view tw.View
+		k.snapshot(&view)
+		Expect(view.Registered).To(BeFalse())
+		k.refreshed()
+		k.snapshot(&view)
+		Expect(view.Registered).To(BeTrue())
+	})
+})
+
+var _ = Describe("the table of members", func() {
+	type row struct {
+		first, second tw.Member
+		direct        bool
+		want          tw.Member
+	}
+	rows := map[string]row{
+		"a later beat counts":             {first: tw.Member{Incarnation: 1, Beat: 1, Acked: 1}, second: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}, direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}},
+		"an earlier beat does not":        {first: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}, second: tw.Member{Incarnation: 1, Beat: 1, Acked: 9}, direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}},
+		"an earlier life does not":        {first: tw.Member{Incarnation: 2, Beat: 1}, second: tw.Member{Incarnation: 1, Beat: 9, Acked: 9}, direct: true, want: tw.Member{Incarnation: 2, Beat: 1}},
+		"a new life has acked nothing":    {first: tw.Member{Incarnation: 1, Beat: 9, Acked: 9}, second: tw.Member{Incarnation: 2, Beat: 1, Acked: 9}, want: tw.Member{Incarnation: 2, Beat: 1}},
+		"hearsay acknowledges for nobody": {first: tw.Member{Incarnation: 1, Beat: 1, Acked: 1}, second: tw.Member{Incarnation: 1, Beat: 2, Acked: 9}, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 1}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		It(name, func() {
+			t := newMembers(standin.NewClock(), time.Second)
+			t.hear(rows[name].first, true)
+			t.hear(rows[name].second, rows[name].direct)
+			got, ok := t.get("", rows[name].want.Incarnation)
+			Expect(ok).To(BeTrue())
+			Expect(got.Member).To(Equal(rows[name].want))
+		})
+	}
+
+	It("counts a silent daemon as down", func() {
+		clock := standin.NewClock()
+		t := newMembers(clock, time.Second)
+		t.hear(tw.Member{ID: "a", Incarnation: 1, Beat: 1}, true)
+		all := func(tw.Member) bool { return true }
+		Expect(t.live(all)).To(HaveLen(1))
+		clock.Advance(2 * time.Second)
+		t.hear(tw.Member{ID: "a", Incarnation: 1, Beat: 1}, false) // old news
+		Expect(t.live(all)).To(BeEmpty())
+	})
+})
+
+// peerImplementations of tw.Peers, each in front of a handler.
+var peerImplementations = map[string]func(h tw.PeerHandler) (tw.Peers, string){
+	"in memory": func(h tw.PeerHandler) (tw.Peers, string) {
+		n := newNetwork()
+		n.set("peer", h)
+		return n, "peer"
+	},
+	"over connect-go": func(h tw.PeerHandler) (tw.Peers, string) {
+		at, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: NewPeerServer(h), Protocols: ServerProtocols()}
+		go func() { _ = server.Serve(at) }() // ends with Close
+		DeferCleanup(server.Close)
+		client := PeerClientConfig{}.New()
+		DeferCleanup(client.Close)
+		return client, at.Addr().String()
+	},
+}
+
+// echo answers with what it was asked.
+type echo struct{}
+
+func (echo) HandleSync(req tw.SyncRequest) tw.SyncResponse {
+	return tw.SyncResponse{Self: req.Self, Others: req.Others, Config: []byte("config"), Plan: []byte("plan")}
+}
+
+func (echo) HandleClaim(c tw.Claim) tw.Claim { return c }
+
+var _ = Describe("peers", func() {
+	member := tw.Member{
+		ID: "d1", Hall: "h1", Instance: "i1", Incarnation: 1 << 62, Beat: 7, Address: "a", Gateway: "g",
+		Revision: 3, Acked: 4, Demand: 5, Jobs: []tw.JobID{"j"},
+		Loads: []tw.Load{{Instance: "w", Job: "j", InFlight: 1, OK: 2, Failed: 3}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(peerImplementations)) {
+		It(name+": carry everything there and back", func() {
+			peers, address := peerImplementations[name](echo{})
+			got, err := peers.Sync(GinkgoT().Context(), address, tw.SyncRequest{Self: member, Others: []tw.Member{member}, Generation: 9})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Self).To(Equal(member))
+			Expect(got.Others).To(Equal([]tw.Member{member}))
+			Expect(string(got.Config)).To(Equal("config"))
+			claim := tw.Claim{Scope: "s", Body: "b", Holder: "d", Nonce: "n", State: tw.ClaimPending}
+			back, err := peers.Claim(GinkgoT().Context(), address, claim)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(back).To(Equal(claim))
+		})
+
+		It(name+": a peer that is not there is unavailable", func() {
+			peers, _ := peerImplementations[name](echo{})
+			_, err := peers.Sync(GinkgoT().Context(), "127.0.0.1:1", tw.SyncRequest{})
+			Expect(err).To(MatchError(tw.ErrUnavailable))
+			_, err = peers.Claim(GinkgoT().Context(), "127.0.0.1:1", tw.Claim{})
+			Expect(err).To(MatchError(tw.ErrUnavailable))
+		})
+	}
+})
+
+var _ = Describe("idempotency keys", func() {
+	// hall starts n keepers that know each other.
+	hall := func(n int) (*network, []*claims) {
+		network := newNetwork()
+		var members []tw.Member
+		var all []*claims
+		for i := range n {
+			id := fmt.Sprintf("d%d", i)
+			members = append(members, tw.Member{ID: tw.DaemonID(id), Address: id})
+		}
+		for _, m := range members {
+			c := newClaims(m.ID, network, func() []tw.Member { return members }, newClaimTable(standin.NewClock(), time.Minute, 100))
+			network.set(m.Address, claimsOnly{c})
+			all = append(all, c)
+		}
+		return network, all
+	}
+
+	for _, n := range []int{2, 3, 7} {
+		It(fmt.Sprintf("run once among %d daemons, also when the first is lost", n), func() {
+			network, all := hall(n)
+			for k := range 50 {
+				scope := fmt.Sprint("key", k)
+				holder := k % n
+				_, first := all[holder].Claim(GinkgoT().Context(), scope, "body")
+				Expect(first.Granted).To(BeTrue())
+				network.setCut(fmt.Sprintf("d%d", holder), true)
+				for i, c := range all {
+					if i != holder {
+						_, again := c.Claim(GinkgoT().Context(), scope, "body")
+						Expect(again.Granted).To(BeFalse(), "%s at d%d", scope, i)
+					}
+				}
+				network.setCut(fmt.Sprintf("d%d", holder), false)
+			}
+		})
+	}
+
+	It("are free again once released", func() {
+		_, all := hall(3)
+		claim, first := all[0].Claim(GinkgoT().Context(), "key", "body")
+		Expect(first.Granted).To(BeTrue())
+		all[0].Settle(claim, tw.ClaimReleased)
+		Eventually(func() bool {
+			again, result := all[1].Claim(GinkgoT().Context(), "key", "body")
+			if result.Granted {
+				all[1].Settle(again, tw.ClaimReleased)
+			}
+			return result.Granted
+		}, patient).Should(BeTrue())
+	})
+
+	It("are not granted if nobody else could keep them", func() {
+		network, all := hall(2)
+		network.setCut("d1", true)
+		_, result := all[0].Claim(GinkgoT().Context(), "key", "body")
+		Expect(result.Granted).To(BeFalse())
+		Expect(result.Standing.Holder).To(BeEmpty())
+	})
+
+	It("are granted to at most one of those who ask at the same time", func() {
+		_, all := hall(3)
+		for k := range 50 {
+			results := make(chan bool, len(all))
+			for _, c := range all {
+				go func() {
+					_, r := c.Claim(GinkgoT().Context(), fmt.Sprint("key", k), "body")
+					results <- r.Granted
+				}()
+			}
+			granted := 0
+			for range all {
+				if <-results {
+					granted++
+				}
+			}
+			Expect(granted).To(BeNumerically("<=", 1))
+		}
+	})
+
+	It("are held for their time, and no more than fit", func() {
+		clock := standin.NewClock()
+		t := newClaimTable(clock, time.Minute, 2)
+		one := tw.Claim{Scope: "1", Holder: "a", Nonce: "n"}
+		Expect(t.put(one)).To(Equal(one))
+		Expect(t.put(tw.Claim{Scope: "2", Holder: "a"}).Scope).To(Equal("2"))
+		Expect(t.put(tw.Claim{Scope: "3", Holder: "a"})).To(Equal(tw.Claim{}))
+		Expect(t.put(tw.Claim{Scope: "1", Holder: "b"})).To(Equal(one))
+		clock.Advance(time.Minute)
+		Expect(t.put(tw.Claim{Scope: "3", Holder: "a"}).Scope).To(Equal("3"))
+	})
+})
+
+// claimsOnly is a peer that only keeps claims.
+type claimsOnly struct{ *claims }
+
+func (claimsOnly) HandleSync(tw.SyncRequest) tw.SyncResponse { return tw.SyncResponse{} }
+
+func (c claimsOnly) HandleClaim(claim tw.Claim) tw.Claim { return c.table.put(claim) }
--- a/control/peer_client.go
+++ b/control/peer_client.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/control/peerpb"
@@ -110,5 +110,5 @@
 }
 
 func peerError(err error) error {
-	return errors.Mark(errors.Wrap(err, "control: peer"), tw.ErrUnavailable)
+	return fmt.Errorf("control: peer: %w: %w", tw.ErrUnavailable, err)
 }
--- /dev/null
+++ b/control/suite_test.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1 // the same order in every run
+	RunSpecs(t, "control", suite, reporter)
+}
+
+const source = `halls = ["h1"]
+[[pools]]
+id = "p"
+instances = "kind=general"
+jobs = "app=j"
+[[jobs]]
+id = "j"
+service = "s"
+labels = { app = "j" }
+replicas = 2
+[[services]]
+id = "s"
+`
+
+// network joins nodes in memory; it can be cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]tw.PeerHandler
+	cut   map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[string]tw.PeerHandler{}, cut: map[string]bool{}}
+}
+
+// reach finds a node; a node that is cut off neither hears nor is heard. Nodes
+// have their ids for addresses.
+func (n *network) reach(from tw.DaemonID, address string) (tw.PeerHandler, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if handler := n.nodes[address]; handler != nil && !n.cut[address] && !n.cut[string(from)] {
+		return handler, nil
+	}
+	return nil, tw.ErrUnavailable
+}
+
+func (n *network) set(address string, handler tw.PeerHandler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[address] = handler
+}
+
+func (n *network) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+// Sync implements tw.Peers.
+func (n *network) Sync(_ context.Context, address string, req tw.SyncRequest) (tw.SyncResponse, error) {
+	handler, err := n.reach(req.Self.ID, address)
+	if err != nil {
+		return tw.SyncResponse{}, err
+	}
+	return handler.HandleSync(req), nil
+}
+
+// Claim implements tw.Peers.
+func (n *network) Claim(_ context.Context, address string, claim tw.Claim) (tw.Claim, error) {
+	handler, err := n.reach(claim.Holder, address)
+	if err != nil {
+		return tw.Claim{}, err
+	}
+	return handler.HandleClaim(claim), nil
+}
+
+// recorder is a dispatcher that notes the views it was given.
+type recorder struct {
+	mu    sync.Mutex
+	view  tw.View
+	loads []tw.Load
+}
+
+func (r *recorder) Install(view tw.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view = view
+}
+
+func (r *recorder) Loads() []tw.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loads
+}
+
+func (r *recorder) setLoads(loads ...tw.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loads = loads
+}
+
+func (*recorder) Demand() int { return 0 }
+
+func (r *recorder) seen() tw.View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view
+}
+
+// bed is one or more nodes over a stand-in platform, in memory.
+type bed struct {
+	platform *standin.Platform
+	network  *network
+	operator *Operator
+}
+
+func newBed() *bed {
+	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork()}
+	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
+	for i := range 4 {
+		b.platform.SetInstance(tw.Instance{
+			ID:     tw.InstanceID(fmt.Sprintf("w%d", i)),
+			Role:   tw.Worker,
+			Hall:   "h1",
+			Rack:   tw.RackID(fmt.Sprintf("r%d", i/2)),
+			Labels: map[string]string{"kind": "general"},
+			Cores:  16,
+			Memory: 32_000,
+			Slots:  8,
+		})
+	}
+	return b
+}
+
+func (*bed) documents(store tw.Store) *platform.Documents {
+	return platform.DocumentsConfig{Store: store, Clock: tw.SystemClock{}, CallsPerSecond: 10_000, Burst: 1000}.New()
+}
+
+// fast is a pace for tests: what waits, waits little.
+var fast = Pace{
+	Sync:     20 * time.Millisecond,
+	List:     20 * time.Millisecond,
+	Plan:     20 * time.Millisecond,
+	Handover: 10 * time.Millisecond,
+	Watch:    time.Second,
+	Roster:   50 * time.Millisecond,
+	Lease:    50 * time.Millisecond,
+	LeaseTTL: 300 * time.Millisecond,
+	Dead:     time.Second,
+}
+
+// node starts a daemon's control over a store.
+func (b *bed) node(id tw.DaemonID, store tw.Store) (*Node, *recorder) {
+	r := &recorder{}
+	n := Config{
+		Self: tw.Member{
+			ID:          id,
+			Hall:        "h1",
+			Instance:    tw.InstanceID(id),
+			Address:     string(id),
+			Gateway:     "gateway of " + string(id),
+			Incarnation: 1,
+		},
+		Documents:  b.documents(store),
+		Instances:  b.platform,
+		Workers:    b.platform,
+		Peers:      b.network,
+		Dispatcher: r,
+		Seeds:      []string{"d1", "d2"},
+		Pace:       fast,
+	}.New()
+	b.network.set(string(id), n)
+	DeferCleanup(n.Close)
+	return n, r
+}
+
+func (b *bed) apply(base tw.Revision) {
+	GinkgoHelper()
+	_, err := b.operator.Apply(GinkgoT().Context(), source, "test", base)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (b *bed) plan() tw.Plan {
+	plan, err := b.operator.Plan(context.Background(), "h1")
+	Expect(err).NotTo(HaveOccurred())
+	return plan
+}
+
+func (b *bed) state(id tw.InstanceID) tw.State {
+	plan := b.plan()
+	if a := plan.Find(id); a != nil {
+		return a.State
+	}
+	return ""
+}
+
+func serving(plan tw.Plan) int {
+	n := 0
+	for i := range plan.Instances {
+		if plan.Instances[i].Runs("j") {
+			n++
+		}
+	}
+	return n
+}
+
+func accepted(revision tw.Revision) json.RawMessage {
+	body, err := json.Marshal(tw.AcceptedConfig{Revision: revision, Source: source})
+	Expect(err).NotTo(HaveOccurred())
+	return body
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -154,6 +154,7 @@
 	}
 	defer close(d.done)
 	d.log.Info("daemon: stopping")
+	d.gateway.Retire()
 	select {
 	case <-time.After(balancerNotice):
 	case <-ctx.Done():
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,257 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+// fleet is two halls of separate processes.
+type fleet struct {
+	dir       string
+	url       string
+	platform  *process
+	upstreams map[tw.InstanceID]*process
+	daemons   map[tw.DaemonID]*process
+	operator  *control.Operator
+}
+
+var halls = []tw.HallID{"h1", "h2"}
+
+const (
+	racks   = 3
+	perRack = 2
+	entries = 2
+	patient = "20s" // for what must come, whenever
+)
+
+func newFleet() *fleet {
+	GinkgoHelper()
+	f := &fleet{
+		dir:       GinkgoT().TempDir(),
+		upstreams: map[tw.InstanceID]*process{},
+		daemons:   map[tw.DaemonID]*process{},
+	}
+	DeferCleanup(f.end)
+	f.platform = start("platform", true, "tamarind-standin", "platform")
+	f.url = "http://" + f.platform.address
+	peers := control.PeerClientConfig{}.New()
+	f.operator = control.OperatorConfig{
+		Documents: platform.DocumentsConfig{
+			Store:          platform.ClientConfig{URL: f.url}.New(),
+			Clock:          tw.SystemClock{},
+			CallsPerSecond: 1000,
+		}.New(),
+		Peers: peers,
+		Clock: tw.SystemClock{},
+	}.New()
+	for _, hall := range halls {
+		for r := range racks {
+			for i := range perRack {
+				f.startUpstream(hall, r, i)
+			}
+		}
+		for i := range entries {
+			f.startDaemon(hall, tw.DaemonID(fmt.Sprintf("%s-e%d", hall, i)))
+		}
+	}
+	f.configure("fleet.toml", 0)
+	f.waitServing()
+	return f
+}
+
+func (f *fleet) end() {
+	for _, d := range f.daemons {
+		d.end()
+	}
+	for _, u := range f.upstreams {
+		u.end()
+	}
+	f.platform.end()
+}
+
+func (f *fleet) startUpstream(hall tw.HallID, rack, i int) {
+	id := fmt.Sprintf("%s-r%d-w%d", hall, rack, i)
+	f.upstreams[tw.InstanceID(id)] = start(id, true, "tamarind-standin", "upstream",
+		"--platform", f.url, "--id", id, "--hall", string(hall), "--rack", fmt.Sprintf("%s-r%d", hall, rack),
+		"--label", "kind=general", "--records", f.records(tw.InstanceID(id)))
+}
+
+func (f *fleet) records(id tw.InstanceID) string { return filepath.Join(f.dir, string(id)+".runs") }
+
+func (f *fleet) startDaemon(hall tw.HallID, id tw.DaemonID) {
+	path := filepath.Join(f.dir, string(id)+".toml")
+	settings := fmt.Sprintf(`id = %q
+hall = %q
+instance = %q
+[listen]
+gateway = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[platform]
+url = %q
+`, id, hall, id, f.url)
+	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	f.daemons[id] = start(string(id), false, "tamarindd", "--settings", path)
+}
+
+// configure applies a file of testdata through the command line.
+func (f *fleet) configure(file string, base tw.Revision) {
+	GinkgoHelper()
+	out, code := run("tamarind", "--platform", f.url, "config", "apply", filepath.Join("testdata", file),
+		"--base", fmt.Sprint(base), "--wait", patient)
+	Expect(code).To(Equal(0), out)
+}
+
+func (f *fleet) plan(hall tw.HallID) tw.Plan {
+	plan, err := f.operator.Plan(context.Background(), hall)
+	Expect(err).NotTo(HaveOccurred())
+	return plan
+}
+
+// waitServing waits until both pools serve in both halls, and all daemons act
+// on it.
+func (f *fleet) waitServing() {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		for _, hall := range halls {
+			plan := f.plan(hall)
+			g.Expect(f.serving(hall, "boards")).To(HaveLen(2))
+			g.Expect(f.serving(hall, "leases")).To(HaveLen(2))
+			daemons, err := f.operator.Daemons(context.Background(), []tw.HallID{hall})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(daemons).To(HaveLen(entries))
+			for _, d := range daemons {
+				g.Expect(d.Acked).To(BeNumerically(">=", plan.Generation))
+			}
+		}
+	}, patient, "50ms").Should(Succeed())
+}
+
+// serving lists the instances that serve a pool with all its jobs running.
+func (f *fleet) serving(hall tw.HallID, pool tw.PoolID) []tw.InstanceID {
+	plan := f.plan(hall)
+	var out []tw.InstanceID
+	for i := range plan.Instances {
+		a := &plan.Instances[i]
+		if a.Pool == pool && a.State == tw.Serving && len(a.Jobs) > 0 && a.Runs(a.Jobs[0].Job) {
+			out = append(out, a.Instance)
+		}
+	}
+	return out
+}
+
+// gateways lists where the registered daemons take requests.
+func (f *fleet) gateways() []string {
+	GinkgoHelper()
+	daemons, err := f.operator.Daemons(context.Background(), halls)
+	Expect(err).NotTo(HaveOccurred())
+	var out []string
+	for _, d := range daemons {
+		out = append(out, d.Gateway)
+	}
+	return out
+}
+
+// load is a mix of requests that may and may not be repeated.
+func (f *fleet) load(n int, rate float64, streams ...standin.Stream) *standin.LoadConfig {
+	if len(streams) == 0 {
+		streams = []standin.Stream{
+			{Name: "check", Method: "GET", Host: "boards.test", Path: "/check", Work: 5 * time.Millisecond, Share: 3},
+			{Name: "record", Method: "POST", Host: "boards.test", Path: "/records", Work: 20 * time.Millisecond, Share: 2},
+			{Name: "bundle", Method: "POST", Host: "leases.test", Path: "/bundle", Work: 50 * time.Millisecond, Share: 1},
+		}
+	}
+	return &standin.LoadConfig{
+		Entries:  f.gateways(),
+		Requests: n,
+		Rate:     rate,
+		Streams:  streams,
+		Timeout:  20 * time.Second,
+		Runs:     f.runs,
+	}
+}
+
+// runs reads the records of all upstreams, the dead included, once those that
+// live have had time to finish.
+func (f *fleet) runs() (standin.Runs, error) {
+	time.Sleep(300 * time.Millisecond)
+	var paths []string
+	for id := range f.upstreams {
+		if _, err := os.Stat(f.records(id)); err == nil {
+			paths = append(paths, f.records(id))
+		}
+	}
+	return standin.ReadRuns(paths)
+}
+
+// ranOn counts the runs on one instance.
+func (f *fleet) ranOn(id tw.InstanceID) int {
+	content, err := os.ReadFile(f.records(id))
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(content), "\n")
+}
+
+// underLoad sends the load while do makes something fail.
+func underLoad(l *standin.LoadConfig, do func()) standin.Report {
+	GinkgoHelper()
+	type result struct {
+		report standin.Report
+		err    error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		report, err := l.Run(context.Background())
+		ended <- result{report, err}
+	}()
+	time.Sleep(500 * time.Millisecond)
+	do()
+	out := <-ended
+	Expect(out.err).NotTo(HaveOccurred())
+	fmt.Fprintf(GinkgoWriter, "%s\n", out.report.String())
+	AddReportEntry("load", out.report.Line())
+	return out.report
+}
+
+// expectNoFaults is what must hold whatever fails.
+func expectNoFaults(r standin.Report) {
+	GinkgoHelper()
+	Expect(r.Faults()).To(BeZero(), r.Line())
+	Expect(r.Answered).To(BeNumerically(">", 0))
+}
+
+func (f *fleet) setFaults(faults standin.Faults) {
+	GinkgoHelper()
+	body, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPut, f.url+standin.PathFaults, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+}
+
+func (f *fleet) setPhase(id tw.InstanceID, phase tw.Phase) {
+	GinkgoHelper()
+	query := url.Values{"id": {string(id)}, "phase": {string(phase)}}
+	resp, err := http.Post(f.url+standin.PathPhase+"?"+query.Encode(), "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+}
--- /dev/null
+++ b/fleet/decide_test.go
@@ -0,0 +1,307 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// story is one thing that happens to a hall of 12 instances, two pools with
+// three replicas each, that has settled.
+type story struct {
+	happens func(h *hall)
+	then    func(h *hall)
+}
+
+var stories = map[string]story{
+	"an instance is lost: a spare takes its place": {
+		happens: func(h *hall) { h.lose(is("w000")) },
+		then: func(h *hall) {
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			Expect(h.serving("jp1")).To(HaveLen(3))
+			Expect(h.state("w000")).To(BeEmpty())
+		},
+	},
+	"a rack is lost: spares take its place": {
+		happens: func(h *hall) { h.lose(func(in tw.Instance) bool { return in.Rack == "r0" }) },
+		then: func(h *hall) {
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			Expect(h.serving("jp1")).To(HaveLen(3))
+		},
+	},
+	"an instance leaves and stays after all: it is a spare again": {
+		happens: func(h *hall) {
+			h.find("w000").Phase = tw.Leaving
+			h.settle()
+			Expect(h.state("w000")).To(Equal(tw.Out))
+			h.find("w000").Phase = tw.Live
+		},
+		then: func(h *hall) { Expect(h.state("w000")).To(Equal(tw.Spare)) },
+	},
+	"the list loses an instance for a moment: it drains before it is used again": {
+		happens: func(h *hall) {
+			h.paused["d1"] = true
+			lost := *h.find("w000")
+			h.lose(is("w000"))
+			h.settle()
+			h.in.Instances = append(h.in.Instances, lost)
+			h.settle()
+			Expect(h.state("w000")).To(Equal(tw.Draining))
+			h.paused["d1"] = false
+		},
+		then: func(h *hall) { Expect(h.state("w000")).To(Equal(tw.Spare)) },
+	},
+	"a daemon is paused: the move waits for it": {
+		happens: func(h *hall) {
+			h.paused["d2"] = true
+			h.find("w000").Phase = tw.Leaving
+			h.settle()
+		},
+		then: func(h *hall) {
+			Expect(h.state("w000")).To(Equal(tw.Draining))
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			h.paused["d2"] = false
+			h.settle()
+			Expect(h.state("w000")).To(Equal(tw.Out))
+		},
+	},
+	"the platform loses a task: it is started again under a new id": {
+		happens: func(h *hall) {
+			maps.DeleteFunc(h.tasks, func(_ tw.TaskID, t tw.Task) bool { return t.Instance == "w000" })
+			h.see()
+		},
+		then: func(h *hall) { Expect(h.serving("jp0")).To(ContainElement(tw.InstanceID("w000"))) },
+	},
+	"a job that fits nowhere is set aside and holds nothing up": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Jobs = append([]tw.Job{{ID: "huge", Service: "sp0", Labels: map[string]string{"pool": "p0"}, Replicas: 1, Cores: 64}}, c.Jobs...)
+			c.Jobs[1].Replicas = 4
+			h.configure(c)
+		},
+		then: func(h *hall) {
+			Expect(h.setAside("huge")).To(Equal(tw.ReasonTooLarge))
+			Expect(h.serving("jp0")).To(HaveLen(4))
+		},
+	},
+	"a job that no pool takes is set aside": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Jobs = append(c.Jobs, tw.Job{ID: "stray", Service: "sp0", Replicas: 1, Cores: 1})
+			h.configure(c)
+		},
+		then: func(h *hall) { Expect(h.setAside("stray")).To(Equal(tw.ReasonNoPool)) },
+	},
+	"a job that fails wherever it starts is set aside after three tries": {
+		happens: func(h *hall) {
+			for _, in := range h.in.Instances {
+				h.fails[in.ID] = true
+			}
+			c := pools(2, 3)
+			c.Jobs = append(c.Jobs, tw.Job{ID: "bad", Service: "sp0", Labels: map[string]string{"pool": "p0"}, Replicas: 3, Cores: 1})
+			h.configure(c)
+		},
+		then: func(h *hall) {
+			Expect(h.setAside("bad")).To(Equal(tw.ReasonFailing))
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			for _, a := range h.in.Plan.Instances {
+				Expect(a.State).NotTo(Equal(tw.Quarantined), "%s is not to blame", a.Instance)
+			}
+		},
+	},
+	"a worker that fails every task is quarantined, and used no more": {
+		happens: func(h *hall) {
+			h.fails["w006"] = true
+			h.fails["w007"] = true
+			h.lose(is("w000"))
+			h.lose(is("w001"))
+		},
+		then: func(h *hall) {
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			Expect(h.serving("jp1")).To(HaveLen(3))
+			Expect(h.serving("jp0")).NotTo(ContainElement(tw.InstanceID("w006")))
+			Expect(h.serving("jp1")).NotTo(ContainElement(tw.InstanceID("w006")))
+		},
+	},
+	"a worker that fails every request is quarantined if others do not": {
+		happens: func(h *hall) {
+			first := h.serving("jp0")[0]
+			h.in.Health = map[tw.InstanceID]Health{first: {Failed: 9}}
+			h.pass()
+			Expect(h.state(first)).To(Equal(tw.Draining))
+			h.in.Health = nil
+		},
+		then: func(h *hall) { Expect(h.serving("jp0")).To(HaveLen(3)) },
+	},
+	"all workers of a job fail: it is not the workers": {
+		happens: func(h *hall) {
+			h.in.Health = map[tw.InstanceID]Health{}
+			for _, id := range h.serving("jp0") {
+				h.in.Health[id] = Health{Failed: 9}
+			}
+		},
+		then: func(h *hall) { Expect(h.serving("jp0")).To(HaveLen(3)) },
+	},
+	"a pool is taken away: its instances become spares": {
+		happens: func(h *hall) { h.configure(pools(1, 3)) },
+		then: func(h *hall) {
+			Expect(h.serving("jp1")).To(BeEmpty())
+			for _, a := range h.in.Plan.Instances {
+				Expect(a.Pool).NotTo(Equal(tw.PoolID("p1")))
+			}
+		},
+	},
+	"a label takes an instance out of its pool: it is replaced": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Labels = map[tw.InstanceID]map[string]string{"w000": {"kind": "special"}}
+			h.configure(c)
+		},
+		then: func(h *hall) {
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			Expect(h.state("w000")).To(Equal(tw.Spare))
+		},
+	},
+	"measured use is above the declared size: the pool grows": {
+		happens: func(h *hall) { h.in.Busy = map[tw.JobID]float64{"jp0": 27} },
+		then: func(h *hall) {
+			n := 0
+			for _, a := range h.in.Plan.Instances {
+				if a.Pool == "p0" && a.Active() {
+					n++
+				}
+			}
+			Expect(n).To(Equal(5)) // 27 busy of 8 slots each, at most 0.7 full
+		},
+	},
+	"a wave maintains every instance once": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 2}}
+			h.configure(c)
+		},
+		then: func(h *hall) {
+			for _, a := range h.in.Plan.Instances {
+				Expect(a.Waves).To(Equal([]tw.WaveID{"w"}), string(a.Instance))
+				Expect(h.find(a.Instance).Boots).To(Equal(uint64(1)), string(a.Instance))
+			}
+		},
+	},
+	"a wave pauses while a pool is short": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 2}}
+			h.lose(func(in tw.Instance) bool { return in.Rack != "r0" })
+			h.configure(c)
+		},
+		then: func(h *hall) {
+			for _, a := range h.in.Plan.Instances {
+				Expect(a.Waves).To(BeEmpty())
+			}
+		},
+	},
+}
+
+var _ = Describe("Decide", func() {
+	for _, name := range slices.Sorted(maps.Keys(stories)) {
+		It(name, func() {
+			h := newHall(pools(2, 3), 12)
+			h.settle()
+			Expect(h.serving("jp0")).To(HaveLen(3))
+			Expect(h.serving("jp1")).To(HaveLen(3))
+			stories[name].happens(h)
+			h.settle()
+			stories[name].then(h)
+		})
+	}
+
+	It("keeps the budget and the bound on moves through a wave", func() {
+		h := newHall(pools(5, 10), 60)
+		h.settle()
+		c := pools(5, 10)
+		c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 8}}
+		h.configure(c)
+		for range 500 {
+			changed := h.pass().Changed
+			draining := 0
+			for _, a := range h.in.Plan.Instances {
+				if a.State == tw.Draining {
+					draining++
+				}
+			}
+			Expect(draining).To(BeNumerically("<=", h.in.Config.Spares.MaxMoves))
+			for _, j := range c.Jobs {
+				Expect(len(h.serving(j.ID))).To(BeNumerically(">=", 9), string(j.ID))
+			}
+			if !changed {
+				return
+			}
+		}
+		Fail("the wave does not end")
+	})
+
+	It("gives the same output for the same input", func() {
+		h := newHall(pools(5, 10), 60)
+		h.pass()
+		h.see()
+		Expect(Decide(h.in)).To(Equal(Decide(h.in)))
+	})
+
+	It("changes nothing when nothing has happened", func() {
+		h := newHall(pools(5, 10), 60)
+		h.settle()
+		before := h.in.Plan.Generation
+		moves := h.moves
+		Expect(h.settle()).To(BeZero())
+		Expect(h.in.Plan.Generation).To(Equal(before))
+		Expect(h.moves).To(Equal(moves))
+	})
+})
+
+var _ = Describe("Allowances", func() {
+	running := func(hall tw.HallID, n int) tw.Plan {
+		plan := tw.Plan{Hall: hall}
+		for i := range n {
+			plan.Instances = append(plan.Instances, tw.Assignment{
+				Instance: tw.InstanceID(string(hall) + string(instance(i))),
+				State:    tw.Serving,
+				Jobs:     []tw.Placement{{Job: "jp0", State: tw.PlacementRunning}},
+			})
+		}
+		return plan
+	}
+	type row struct {
+		plans  map[tw.HallID]tw.Plan
+		ledger tw.Ledger
+		budget int
+		want   int
+	}
+	rows := map[string]row{
+		"all available":               {plans: map[tw.HallID]tw.Plan{"h1": running("h1", 3), "h2": running("h2", 3)}, budget: 1, want: 1},
+		"a hall that cannot be read":  {plans: map[tw.HallID]tw.Plan{"h1": running("h1", 3)}, budget: 2, want: 0},
+		"a loss uses the budget up":   {plans: map[tw.HallID]tw.Plan{"h1": running("h1", 3), "h2": running("h2", 2)}, budget: 1, want: 0},
+		"another drain in the ledger": {plans: map[tw.HallID]tw.Plan{"h1": running("h1", 3), "h2": running("h2", 3)}, ledger: tw.Ledger{Disruptions: []tw.Disruption{{Instance: "h2w000"}}}, budget: 1, want: 0},
+		"more than wanted":            {plans: map[tw.HallID]tw.Plan{"h1": running("h1", 4), "h2": running("h2", 3)}, budget: 1, want: 2},
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		It(name, func() {
+			c := pools(1, 3)
+			c.Halls = []tw.HallID{"h1", "h2"}
+			c.Services[0].MaxUnavailable = rows[name].budget
+			got := Allowances(BudgetInput{
+				Config:  c,
+				Plans:   rows[name].plans,
+				Ledgers: map[tw.ServiceID]tw.Ledger{"sp0": rows[name].ledger},
+			})
+			Expect(got["sp0"]).To(Equal(rows[name].want))
+		})
+	}
+})
+
+func is(id tw.InstanceID) func(tw.Instance) bool {
+	return func(in tw.Instance) bool { return in.ID == id }
+}
--- /dev/null
+++ b/fleet/hall_test.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1 // the same order in every run
+	RunSpecs(t, "fleet decisions", suite, reporter)
+}
+
+// hall is a data hall in which every order is carried out at once, and every
+// daemon that is not paused acknowledges at once.
+type hall struct {
+	in     Input
+	tasks  map[tw.TaskID]tw.Task
+	paused map[tw.DaemonID]bool
+	fails  map[tw.InstanceID]bool // tasks that start there fail
+	acked  map[tw.DaemonID]tw.Generation
+	moves  int // placements started
+}
+
+// newHall has racks of four instances and two daemons.
+func newHall(config *tw.FleetConfig, instances int) *hall {
+	h := &hall{
+		tasks:  map[tw.TaskID]tw.Task{},
+		paused: map[tw.DaemonID]bool{},
+		fails:  map[tw.InstanceID]bool{},
+		acked:  map[tw.DaemonID]tw.Generation{"d1": 0, "d2": 0},
+	}
+	h.in = Input{Hall: "h1", Revision: 1, Epoch: 1, TasksKnown: true}
+	h.configure(config)
+	for i := range instances {
+		h.in.Instances = append(h.in.Instances, worker(i))
+	}
+	return h
+}
+
+const rackSize = 4
+
+func worker(i int) tw.Instance {
+	return tw.Instance{
+		ID:     instance(i),
+		Hall:   "h1",
+		Rack:   tw.RackID(fmt.Sprintf("r%d", i/rackSize)),
+		Labels: map[string]string{"kind": "general"},
+		Phase:  tw.Live,
+		Cores:  16,
+		Memory: 32_000,
+		Slots:  8,
+	}
+}
+
+func instance(i int) tw.InstanceID { return tw.InstanceID(fmt.Sprintf("w%03d", i)) }
+
+// pools makes a configuration of n pools with one job each.
+func pools(n, replicas int) *tw.FleetConfig {
+	c := &tw.FleetConfig{Halls: []tw.HallID{"h1"}}
+	for i := range n {
+		id := fmt.Sprintf("p%d", i)
+		c.Pools = append(c.Pools, tw.Pool{ID: tw.PoolID(id), Instances: selector("kind=general"), Jobs: selector("pool=" + id)})
+		c.Jobs = append(c.Jobs, tw.Job{
+			ID:       tw.JobID("j" + id),
+			Service:  tw.ServiceID("s" + id),
+			Labels:   map[string]string{"pool": id},
+			Replicas: replicas,
+			Cores:    8,
+		})
+		c.Services = append(c.Services, tw.Service{ID: tw.ServiceID("s" + id), MaxUnavailable: 1})
+	}
+	c.Defaults()
+	return c
+}
+
+func selector(text string) tw.Selector {
+	s, err := tw.ParseSelector(text)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func (h *hall) configure(config *tw.FleetConfig) {
+	if err := config.Validate(); err != nil {
+		panic(err)
+	}
+	h.in.Config = config
+	h.in.Revision++
+}
+
+// pass decides once, with the budget as the ledgers would allow, and carries
+// the orders out.
+func (h *hall) pass() Output {
+	h.see()
+	h.in.Allowance = Allowances(BudgetInput{Config: h.in.Config, Plans: map[tw.HallID]tw.Plan{"h1": h.in.Plan}})
+	out := Decide(h.in)
+	h.in.Plan = out.Plan
+	h.see()
+	h.carryOut(Actions(h.in))
+	return out
+}
+
+// see lets the daemons acknowledge, and lists the tasks.
+func (h *hall) see() {
+	h.in.Members = nil
+	for _, id := range slices.Sorted(maps.Keys(h.acked)) {
+		if !h.paused[id] {
+			h.acked[id] = h.in.Plan.Generation
+		}
+		h.in.Members = append(h.in.Members, Member{ID: id, Acked: h.acked[id]})
+	}
+	h.in.Tasks = slices.SortedFunc(maps.Values(h.tasks), func(a, b tw.Task) int {
+		return slices.Compare([]byte(a.ID), []byte(b.ID))
+	})
+}
+
+func (h *hall) carryOut(orders Orders) {
+	for _, id := range orders.Stop {
+		delete(h.tasks, id)
+	}
+	for _, t := range orders.Start {
+		t.State = tw.TaskRunning
+		if h.fails[t.Instance] {
+			t.State = tw.TaskFailed
+		}
+		h.tasks[t.ID] = t
+		h.moves++
+	}
+	for _, r := range orders.Reboot {
+		if in := h.find(r.Instance); in != nil && in.Boots == r.Boots {
+			in.Boots++
+		}
+	}
+}
+
+// settle passes until nothing changes any more, and returns how many passes
+// changed something. An order takes effect one pass later.
+func (h *hall) settle() int {
+	changes, quiet := 0, 0
+	for range 1000 {
+		if h.pass().Changed {
+			changes++
+			quiet = 0
+		} else if quiet++; quiet == 2 {
+			return changes
+		}
+	}
+	panic("the plan does not settle")
+}
+
+func (h *hall) find(id tw.InstanceID) *tw.Instance {
+	for i := range h.in.Instances {
+		if h.in.Instances[i].ID == id {
+			return &h.in.Instances[i]
+		}
+	}
+	return nil
+}
+
+// lose removes instances, with their tasks.
+func (h *hall) lose(gone func(tw.Instance) bool) {
+	h.in.Instances = slices.DeleteFunc(h.in.Instances, func(in tw.Instance) bool {
+		if !gone(in) {
+			return false
+		}
+		maps.DeleteFunc(h.tasks, func(_ tw.TaskID, t tw.Task) bool { return t.Instance == in.ID })
+		return true
+	})
+}
+
+// serving lists the instances that run a job for requests.
+func (h *hall) serving(job tw.JobID) []tw.InstanceID {
+	var out []tw.InstanceID
+	for i := range h.in.Plan.Instances {
+		if a := &h.in.Plan.Instances[i]; a.Runs(job) {
+			out = append(out, a.Instance)
+		}
+	}
+	return out
+}
+
+func (h *hall) state(id tw.InstanceID) tw.State {
+	if a := h.in.Plan.Find(id); a != nil {
+		return a.State
+	}
+	return ""
+}
+
+func (h *hall) setAside(job tw.JobID) tw.ReasonCode {
+	for _, s := range h.in.Plan.SetAside {
+		if s.Job == job {
+			return s.Reason.Code
+		}
+	}
+	return ""
+}
--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -75,10 +75,15 @@
 // maxStrikes is how often an instance comes back from quarantine.
 const maxStrikes = 2
 
-// advanceOut takes back an instance that was rebooted.
+// advanceOut takes back an instance that was rebooted, or that the platform
+// wanted back and has left to us after all.
 func (p *pass) advanceOut(a *tw.Assignment) {
 	in := p.listed[a.Instance]
-	if in.Phase != tw.Live || a.Reason.Code == tw.ReasonLeaving {
+	if in.Phase != tw.Live {
+		return
+	}
+	if a.Reason.Code == tw.ReasonLeaving {
+		p.set(a, tw.Spare, tw.ReasonNew, "not leaving after all")
 		return
 	}
 	if in.Boots <= a.Boots || a.Strikes >= maxStrikes {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -12,7 +13,8 @@
 // service time, so that what is admitted stays quick at any overload; the
 // others may wait as long as their deadline allows, up to a bound.
 const (
-	quickWaitShare  = 0.5 // of the mean service time
+	quickWaitShare  = 1.0                  // of the mean service time
+	quickWaitFloor  = 5 * time.Millisecond // a burst that nobody notices
 	maxNormalWait   = 2 * time.Second
 	maxLongWait     = 20 * time.Second
 	maxQueued       = 1024 // a job and class
@@ -27,6 +29,9 @@
 	if line == nil || len(line.workers) == 0 {
 		return nil, nil, notRunFor(ReasonNoInstance, retryAfterPromotion, "no instance carries the job now")
 	}
+	if !line.untried(a.tried) {
+		return nil, nil, notRunFor(ReasonNoInstance, retryAfterPromotion, "every instance of the job has been tried")
+	}
 	weight, refusal := s.checkTeam(a.team)
 	if refusal != nil {
 		return nil, nil, refusal
@@ -97,7 +102,7 @@
 func (s *scheduler) maxWait(line *jobLine, class tw.Class) time.Duration {
 	switch class {
 	case tw.Quick:
-		return seconds(quickWaitShare * line.mean(tw.Quick))
+		return max(quickWaitFloor, seconds(quickWaitShare*line.mean(tw.Quick)))
 	case tw.Normal:
 		return maxNormalWait
 	}
@@ -126,6 +131,11 @@
 	return seconds((work + line.mean(class)*0.5) / float64(slots))
 }
 
+// untried tells whether an instance is left for a retry.
+func (l *jobLine) untried(tried map[tw.InstanceID]bool) bool {
+	return slices.ContainsFunc(l.workers, func(w *worker) bool { return !tried[w.id] })
+}
+
 // mean is the mean time in a slot, in seconds.
 func (l *jobLine) mean(class tw.Class) float64 {
 	if v := l.service[class]; v > 0 {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -49,7 +49,7 @@
 	w.begin(a.job, a.class)
 	s.running++
 	s.teams[a.team]++
-	return &grant{worker: w, ask: a, start: now}
+	return &grant{worker: w, address: w.address, ask: a, start: now}
 }
 
 // release gives a slot back, once, and passes it to whoever waits for it.
--- /dev/null
+++ b/gateway/failure_test.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// upstreamFault is one way in which an upstream fails, what the caller is
+// told, and how often the request may have been run.
+type upstreamFault struct {
+	play    func(conn net.Conn, request int) bool
+	method  string
+	path    string
+	body    string
+	headers []string
+	second  bool // a good upstream stands beside
+
+	cut     bool // the caller's connection ends without a whole answer
+	status  int
+	reason  Reason
+	outcome Outcome
+	most    int // runs at most, on both upstreams
+}
+
+func goodbye(net.Conn, int) bool { return false }
+
+var upstreamFaults = map[string]upstreamFault{
+	"closes on a POST: unknown, run once": {
+		play: goodbye, method: "POST", path: "/", body: "x",
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"closes on a POST with a key: unknown, run once": {
+		play: goodbye, method: "POST", path: "/", body: "x", headers: []string{HeaderKey, "k"},
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"closes on a POST without a body: unknown, run once": {
+		play: goodbye, method: "POST", path: "/", headers: []string{HeaderKey, "k"},
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"closes on a GET that may not be repeated: unknown, run once": {
+		play: goodbye, method: "GET", path: "/once",
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"closes on a GET, another instance is there: answered": {
+		play: goodbye, method: "GET", path: "/", second: true,
+		status: 200, outcome: Answered, most: 2,
+	},
+	"says not run to a POST, another instance is there: answered once": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 503 Busy\r\nTamarind-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			return true
+		},
+		method: "POST", path: "/", body: "x", second: true,
+		status: 200, outcome: Answered, most: 2,
+	},
+	"says 503 to a POST: its answer is passed on, run once": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy")
+			return true
+		},
+		method: "POST", path: "/", body: "x", second: true,
+		status: 503, outcome: Answered, most: 1,
+	},
+	"is lost in a small answer to a POST: unknown": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+			return false
+		},
+		method: "POST", path: "/", body: "x",
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"is lost in a chunked answer to a POST: unknown": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+			return false
+		},
+		method: "POST", path: "/", body: "x",
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+	"is lost in a large answer: the caller's connection is cut": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 200_000))
+			return false
+		},
+		method: "POST", path: "/", body: "x", cut: true, most: 1,
+	},
+	"is lost in a large chunked answer: the caller's connection is cut": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n"+strings.Repeat("x", 200_000)+"\r\n")
+			return false
+		},
+		method: "POST", path: "/", body: "x", cut: true, most: 1,
+	},
+	"ends its answer with the connection: not passed as whole": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.0 200 OK\r\n\r\nmaybe all")
+			return false
+		},
+		method: "POST", path: "/", body: "x",
+		status: 502, reason: ReasonUnframed, outcome: Unknown, most: 1,
+	},
+	"answers nothing until the deadline: unknown": {
+		play:   func(net.Conn, int) bool { time.Sleep(time.Second); return false },
+		method: "POST", path: "/short", body: "x",
+		status: 504, reason: ReasonDeadline, outcome: Unknown, most: 1,
+	},
+	"talks no HTTP: unknown": {
+		play:   func(conn net.Conn, _ int) bool { say(conn, "what?\r\n\r\n"); return false },
+		method: "POST", path: "/", body: "x",
+		status: 502, reason: ReasonUpstreamLost, outcome: Unknown, most: 1,
+	},
+}
+
+var _ = Describe("an upstream that fails", func() {
+	for _, name := range slices.Sorted(maps.Keys(upstreamFaults)) {
+		for _, reused := range []bool{false, true} {
+			It(name+onConnection(reused), func() {
+				upstreamFaults[name].run(reused)
+			})
+		}
+	}
+})
+
+func onConnection(reused bool) string {
+	if reused {
+		return " (reused connection)"
+	}
+	return ""
+}
+
+func (f upstreamFault) run(reused bool) {
+	warmups := 0
+	if reused {
+		warmups = 1
+	}
+	bad := script(func(conn net.Conn, request int) bool {
+		if request <= warmups {
+			say(conn, ok("warm"))
+			return true
+		}
+		return f.play(conn, request)
+	})
+	g := serve(Config{}, viewOf(8, bad.address))
+	if reused {
+		Expect(g.ask("GET", "/", "").status).To(Equal(200))
+	}
+	good := script(func(conn net.Conn, _ int) bool { say(conn, ok("good")); return true })
+	got, tries := f.ask(g, bad, good, warmups)
+	if f.cut {
+		Expect(got.err).To(HaveOccurred())
+	} else {
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(f.status), got.body)
+		Expect(got.reason).To(Equal(f.reason))
+		Expect(got.outcome).To(Equal(f.outcome))
+	}
+	Expect(bad.ran() - warmups + good.ran()).To(BeNumerically("<=", f.most*tries))
+}
+
+// ask sends the request until the bad upstream has had it, as the choice
+// between two is random; it returns how often it asked.
+func (f upstreamFault) ask(g *served, bad, good *scripted, warmups int) (reply, int) {
+	if !f.second {
+		return g.ask(f.method, f.path, f.body, f.headers...), 1
+	}
+	g.Install(viewOf(8, bad.address, good.address))
+	for tries := 1; ; tries++ {
+		got := g.ask(f.method, f.path, f.body, f.headers...)
+		if bad.ran() > warmups || tries == 50 {
+			return got, tries
+		}
+	}
+}
+
+var _ = Describe("an instance that cannot be reached", func() {
+	It("is proved not run, for a POST too", func() {
+		g := serve(Config{}, viewOf(8, closedAddress()))
+		got := g.ask("POST", "/", "x")
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+		Expect(got.reason).To(Equal(ReasonUnreachable))
+		Expect(got.outcome).To(Equal(NotRun))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("is passed by when there is another", func() {
+		good := script(func(conn net.Conn, _ int) bool { say(conn, ok("good")); return true })
+		g := serve(Config{}, viewOf(8, closedAddress(), good.address))
+		for range 20 {
+			Expect(g.ask("POST", "/", "x").status).To(Equal(200))
+		}
+	})
+
+	It("is retried only from a budget", func() {
+		good := script(func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 503 Busy\r\nTamarind-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		g := serve(Config{}, viewOf(8, good.address, good.address, good.address, good.address))
+		const asked = 100
+		for range asked {
+			Expect(g.ask("POST", "/", "x").reason).To(Equal(ReasonUpstreamRefused))
+		}
+		Expect(good.ran()).To(BeNumerically("<=", asked+retryReserve+int(asked*retryShare)))
+	})
+})
+
+var _ = Describe("whole answers", func() {
+	It("reach their own caller, whatever comes late on the connection", func() {
+		u := script(func(conn net.Conn, request int) bool {
+			if request == 1 {
+				time.Sleep(400 * time.Millisecond) // after the deadline
+				say(conn, ok("late"))
+				return true
+			}
+			say(conn, ok("own"))
+			return true
+		})
+		g := serve(Config{}, viewOf(1, u.address))
+		Expect(g.ask("POST", "/short", "x").reason).To(Equal(ReasonDeadline))
+		for range 5 {
+			Expect(g.ask("POST", "/", "x").body).To(Equal("own"))
+		}
+	})
+
+	It("do not wait for a caller that has gone", func() {
+		g := serve(Config{}, viewOf(1, script(func(conn net.Conn, request int) bool {
+			if request == 1 {
+				time.Sleep(300 * time.Millisecond)
+			}
+			say(conn, ok("x"))
+			return true
+		}).address))
+		conn, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		say(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		conn.Close()
+		Eventually(g.Demand).Should(BeZero())
+		Expect(g.ask("GET", "/", "").body).To(Equal("x"))
+	})
+
+	It("come from the same connection in large numbers", func() {
+		u := script(func(conn net.Conn, _ int) bool { say(conn, ok("own")); return true })
+		g := serve(Config{}, viewOf(8, u.address))
+		for range 200 {
+			Expect(g.ask("POST", "/", "x", HeaderKey, "k").body).To(Equal("own"))
+		}
+		Expect(u.ran()).To(Equal(200))
+	})
+})
+
+var _ = Describe("an idempotency key", func() {
+	type row struct {
+		result  tw.ClaimResult
+		body    string
+		reason  Reason
+		status  int
+		outcome Outcome
+		runs    int
+	}
+	rows := map[string]row{
+		"granted":               {result: tw.ClaimResult{Granted: true}, status: 200, outcome: Answered, runs: 1},
+		"held by another":       {result: tw.ClaimResult{Standing: tw.Claim{Holder: "d2", State: tw.ClaimPending}}, status: 409, reason: ReasonKeyInProgress, outcome: Unknown},
+		"answered before":       {result: tw.ClaimResult{Standing: tw.Claim{Holder: "d2", State: tw.ClaimAnswered}}, status: 409, reason: ReasonKeyAnswered, outcome: Answered},
+		"used for another body": {result: tw.ClaimResult{Standing: tw.Claim{Holder: "d2", Body: "other"}}, status: 422, reason: ReasonKeyMismatch, outcome: NotRun},
+		"not kept by enough":    {result: tw.ClaimResult{}, status: 503, reason: ReasonKeyUnavailable, outcome: NotRun},
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		It(name, func() {
+			r := rows[name]
+			u := script(func(conn net.Conn, _ int) bool { say(conn, ok("own")); return true })
+			claims := &fixedClaims{result: r.result}
+			g := serve(Config{Claims: claims}, viewOf(8, u.address))
+			if r.result.Standing.Holder != "" && r.result.Standing.Body == "" {
+				ex := exchange{in: mustRequest("POST", g.url+"/"), body: payload{held: []byte("x")}}
+				claims.result.Standing.Body = ex.digest()
+			}
+			got := g.ask("POST", "/", "x", HeaderKey, "k")
+			Expect(got.status).To(Equal(r.status), got.body)
+			Expect(got.reason).To(Equal(r.reason))
+			Expect(got.outcome).To(Equal(r.outcome))
+			Expect(u.ran()).To(Equal(r.runs))
+		})
+	}
+
+	It("goes on to the upstream unchanged", func() {
+		seen := make(chan string, 1)
+		server := newUpstream(func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header.Get(HeaderKey) })
+		g := serve(Config{}, viewOf(8, server))
+		Expect(g.ask("POST", "/", "x", HeaderKey, "Ke y-1").status).To(Equal(200))
+		Expect(<-seen).To(Equal("Ke y-1"))
+	})
+
+	It("is free again after a refusal that proves that nothing ran", func() {
+		claims := &fixedClaims{result: tw.ClaimResult{Granted: true}}
+		g := serve(Config{Claims: claims}, viewOf(8, closedAddress()))
+		Expect(g.ask("POST", "/", "x", HeaderKey, "k").outcome).To(Equal(NotRun))
+		Expect(claims.states).To(Equal([]tw.ClaimState{tw.ClaimReleased}))
+	})
+
+	It("stays taken when the outcome is unknown", func() {
+		claims := &fixedClaims{result: tw.ClaimResult{Granted: true}}
+		g := serve(Config{Claims: claims}, viewOf(8, script(goodbye).address))
+		Expect(g.ask("POST", "/", "x", HeaderKey, "k").outcome).To(Equal(Unknown))
+		Expect(claims.states).To(Equal([]tw.ClaimState{tw.ClaimPending}))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +37,9 @@
 		retries   *retryBudget
 		stats     *stats
 		view      atomic.Pointer[tw.View]
+		retiring  atomic.Bool
 		stopping  atomic.Bool
-		active    sync.WaitGroup
+		active    activity
 		relays    atomic.Int64
 		turns     atomic.Uint64
 	}
@@ -112,17 +112,16 @@
 // Demand implements tw.Dispatcher.
 func (g *Gateway) Demand() int { return g.scheduler.demand() }
 
+// Retire asks callers to use other connections, ahead of Stop: one that is
+// closed while a request is on its way would cut it.
+func (g *Gateway) Retire() { g.retiring.Store(true) }
+
 // Stop refuses new requests and waits until those in flight have ended, or
 // ctx has.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.stopping.Store(true)
-	ended := make(chan struct{})
-	go func() {
-		g.active.Wait()
-		close(ended)
-	}()
 	select {
-	case <-ended:
+	case <-g.active.quiet():
 		g.transport.CloseIdleConnections()
 		return nil
 	case <-ctx.Done():
@@ -132,9 +131,15 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Done()
+	g.active.begin()
+	defer g.active.end()
 	start := g.cfg.Clock.Now()
+	if g.retiring.Load() || len(r.TransferEncoding) > 0 {
+		// RFC 9112, section 6.1, asks to close after a request that has both
+		// a length and chunks. net/http hides the length, so I close after
+		// each chunked one: nothing smuggled behind it is read.
+		w.Header().Set("Connection", "close")
+	}
 	ex, refusal := g.accept(r)
 	if refusal == nil && g.stopping.Load() {
 		refusal = notRunFor(ReasonStopping, retryAfterRestart, "this daemon is stopping")
@@ -187,7 +192,7 @@
 			tried:    ex.tried,
 		})
 		if refusal != nil {
-			return worse(last, refusal)
+			return firstOf(last, refusal)
 		}
 		ex.tried = with(ex.tried, slot.worker.id)
 		v := g.tryHere(ctx, w, ex, slot)
@@ -205,7 +210,7 @@
 // tryHere makes one attempt at one instance. A verdict without refusal and
 // retry means that the caller has its answer.
 func (g *Gateway) tryHere(ctx context.Context, w http.ResponseWriter, ex *exchange, slot *grant) verdict {
-	a := g.send(ctx, ex, target{address: slot.worker.address, grant: slot})
+	a := g.send(ctx, ex, target{address: slot.address, grant: slot})
 	v := ex.judge(ctx, a)
 	mode := releaseOK
 	if v.blame {
--- /dev/null
+++ b/gateway/refusal_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// badInput is a request that must not reach an upstream.
+type badInput struct {
+	method  string
+	path    string
+	body    string
+	headers []string
+	status  int
+	reason  Reason
+}
+
+var badInputs = map[string]badInput{
+	"a timeout that is no duration": {path: "/", headers: []string{HeaderTimeout, "soon"}, status: 400, reason: ReasonBadTimeout},
+	"a timeout below zero":          {path: "/", headers: []string{HeaderTimeout, "-1s"}, status: 400, reason: ReasonBadTimeout},
+	"an unknown class":              {path: "/", headers: []string{HeaderClass, "urgent"}, status: 400, reason: ReasonBadClass},
+	"an unknown team":               {path: "/", headers: []string{HeaderTeam, "nobody"}, status: 400, reason: ReasonBadTeam},
+	"an empty key":                  {path: "/", headers: []string{HeaderKey, ""}, status: 400, reason: ReasonBadKey},
+	"a key that is too long":        {path: "/", headers: []string{HeaderKey, strings.Repeat("k", 256)}, status: 400, reason: ReasonBadKey},
+	"a method that is not served":   {method: "TRACE", path: "/", status: 405, reason: ReasonBadMethod},
+	"an upgrade":                    {path: "/", headers: []string{"Upgrade", "websocket", "Connection", "upgrade"}, status: 405, reason: ReasonBadMethod},
+	"a body over the limit":         {method: "POST", path: "/", body: strings.Repeat("x", 2000), status: 413, reason: ReasonBodyTooLarge},
+	"a job that nothing carries":    {path: "/nowhere", status: 503, reason: ReasonNoInstance},
+}
+
+var _ = Describe("bad input", func() {
+	for _, name := range slices.Sorted(maps.Keys(badInputs)) {
+		It(name+" is refused and reaches no upstream", func() {
+			in := badInputs[name]
+			u := script(func(conn net.Conn, _ int) bool { say(conn, ok("own")); return true })
+			g := serve(Config{MaxBody: 1000, MaxHeldBody: 100}, viewOf(8, u.address))
+			got := g.ask(in.method, in.path, in.body, in.headers...)
+			Expect(got.status).To(Equal(in.status), got.body)
+			Expect(got.reason).To(Equal(in.reason))
+			Expect(got.outcome).To(Equal(NotRun))
+			Expect(got.header.Get("Content-Type")).To(Equal("application/problem+json"))
+			var body problem
+			Expect(json.Unmarshal([]byte(got.body), &body)).To(Succeed())
+			Expect(body.Status).To(Equal(in.status))
+			Expect(body.Reason).To(Equal(in.reason))
+			Expect(u.ran()).To(BeZero())
+		})
+	}
+
+	It("with a route for no host or path is refused", func() {
+		view := viewOf(8)
+		view.Config.Services[0].Routes = view.Config.Services[0].Routes[1:]
+		g := serve(Config{}, view)
+		Expect(g.ask("GET", "/other", "").reason).To(Equal(ReasonUnknownRoute))
+	})
+
+	raw := map[string]string{
+		"two lengths":            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+		"length and chunks":      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n",
+		"an unknown encoding":    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"a space in the header":  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+		"a line in a value":      "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\rc\r\n\r\n",
+		"no host":                "GET / HTTP/1.1\r\n\r\n",
+		"an old protocol":        "GET / HTTP/1.0\r\nHost: x\r\n\r\n",
+		"a body that ends early": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc",
+	}
+	for _, name := range slices.Sorted(maps.Keys(raw)) {
+		It(name+" does not get past the gateway as another request", func() {
+			var paths []string
+			u := newUpstream(func(_ http.ResponseWriter, r *http.Request) { paths = append(paths, r.URL.Path) })
+			g := serve(Config{}, viewOf(8, u))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			say(conn, raw[name])
+			Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			var answer bytes.Buffer
+			_, _ = answer.ReadFrom(conn)
+			Expect(paths).NotTo(ContainElement("/smuggled"))
+			if name == "length and chunks" {
+				// RFC 9112 lets chunks win, if the connection then ends.
+				Expect(strings.Count(answer.String(), "HTTP/1.1")).To(Equal(1), answer.String())
+				return
+			}
+			Expect(answer.String()).NotTo(HavePrefix("HTTP/1.1 200"), answer.String())
+		})
+	}
+})
+
+var _ = Describe("every reason", func() {
+	It("has a status, a counter, and a line on the operators' page", func() {
+		set := metrics.NewSet()
+		Config{Metrics: set}.New()
+		var page bytes.Buffer
+		set.WritePrometheus(&page)
+		manual, err := os.ReadFile("../docs/OPERATING.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, r := range Reasons() {
+			Expect(statuses[r]).To(BeNumerically(">=", 400), string(r))
+			Expect(page.String()).To(ContainSubstring(fmt.Sprintf("tamarind_refusals_total{reason=%q} 0", r)))
+			Expect(string(manual)).To(ContainSubstring("| `"+string(r)+"` |"), "docs/OPERATING.md")
+		}
+		for _, r := range RetryReasons {
+			Expect(page.String()).To(ContainSubstring(fmt.Sprintf("tamarind_retries_total{reason=%q} 0", r)))
+			Expect(string(manual)).To(ContainSubstring("| `"+string(r)+"` |"), "docs/OPERATING.md")
+		}
+	})
+
+	It("is counted when it is used", func() {
+		set := metrics.NewSet()
+		g := serve(Config{Metrics: set}, viewOf(8, closedAddress()))
+		g.ask("POST", "/", "x")
+		g.ask("GET", "/", "", HeaderClass, "urgent")
+		var page bytes.Buffer
+		set.WritePrometheus(&page)
+		Expect(page.String()).To(ContainSubstring(`tamarind_refusals_total{reason="upstream-unreachable"} 1`))
+		Expect(page.String()).To(ContainSubstring(`tamarind_refusals_total{reason="bad-class"} 1`))
+	})
+
+	It("is answered by a daemon that stops", func() {
+		g := serve(Config{}, viewOf(8))
+		Expect(g.Stop(GinkgoT().Context())).To(Succeed())
+		got := g.ask("POST", "/", "x")
+		Expect(got.reason).To(Equal(ReasonStopping))
+		Expect(got.outcome).To(Equal(NotRun))
+	})
+
+	It("is answered by a daemon without a configuration", func() {
+		g := serve(Config{}, tw.View{})
+		Expect(g.ask("POST", "/", "x").reason).To(Equal(ReasonNoConfiguration))
+	})
+})
+
+// newUpstream is an ordinary HTTP server; it returns its address.
+func newUpstream(handle http.HandlerFunc) string {
+	server := httptest.NewServer(handle)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func mustRequest(method, url string) *http.Request {
+	req, err := http.NewRequest(method, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return req
+}
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// worse is what to tell the caller if a retry found no slot: what came of the
-// tries before, if they may have run the request.
-func worse(before, now *Refusal) *Refusal {
-	if before != nil && before.Outcome != NotRun {
+// firstOf is what to tell the caller if a retry was refused a slot: what came
+// of the tries before, if there were any.
+func firstOf(before, now *Refusal) *Refusal {
+	if before != nil {
 		return before
 	}
 	return now
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -38,10 +38,11 @@
 
 	// grant is a slot on an instance.
 	grant struct {
-		worker *worker
-		ask    ask
-		start  time.Time
-		once   sync.Once
+		worker  *worker
+		address string // of the instance when the slot was given
+		ask     ask
+		start   time.Time
+		once    sync.Once
 	}
 
 	// jobLine is the queues of one job.
--- /dev/null
+++ b/gateway/suite_test.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1 // the same order in every run
+	RunSpecs(t, "gateway", suite, reporter)
+}
+
+// fleetFor is a configuration with a route of each kind.
+func fleetFor() *tw.FleetConfig {
+	no, yes := false, true
+	c := &tw.FleetConfig{
+		Halls: []tw.HallID{"h1"},
+		Jobs:  []tw.Job{{ID: "job", Service: "svc"}},
+		Teams: []tw.Team{{ID: "a"}, {ID: "b", Weight: 3}, {ID: "small", MaxInFlight: 1}},
+		Services: []tw.Service{{ID: "svc", Routes: []tw.Route{
+			{Path: "/", Job: "job"},
+			{Path: "/quick", Job: "job", Class: tw.Quick},
+			{Path: "/long", Job: "job", Class: tw.Long},
+			{Path: "/once", Job: "job", Repeatable: &no},
+			{Path: "/again", Job: "job", Repeatable: &yes},
+			{Path: "/short", Job: "job", Timeout: tw.Duration(200 * time.Millisecond)},
+			{Path: "/nowhere", Job: "unplaced"},
+		}}},
+	}
+	c.Defaults()
+	return c
+}
+
+// viewOf has one daemon and the given upstream addresses.
+func viewOf(slots tw.Slots, addresses ...string) tw.View {
+	plan := &tw.Plan{Hall: "h1", Generation: 1}
+	for i, address := range addresses {
+		plan.Instances = append(plan.Instances, tw.Assignment{
+			Instance: tw.InstanceID(fmt.Sprintf("w%d", i)),
+			Address:  address,
+			Slots:    slots,
+			Pool:     "p",
+			State:    tw.Serving,
+			Jobs:     []tw.Placement{{Job: "job", State: tw.PlacementRunning}},
+		})
+	}
+	return tw.View{
+		Hall:       "h1",
+		Self:       "d1",
+		Registered: true,
+		Revision:   1,
+		Config:     fleetFor(),
+		Plan:       plan,
+		Members:    []tw.Member{{ID: "d1", Hall: "h1"}},
+	}
+}
+
+// served is a gateway with a listener.
+type served struct {
+	*Gateway
+	url string
+}
+
+func serve(config Config, view tw.View) *served {
+	g := config.New()
+	g.Install(view)
+	server := httptest.NewServer(g)
+	DeferCleanup(server.Close)
+	return &served{Gateway: g, url: server.URL}
+}
+
+// reply is what a caller got; err is a cut or refused connection.
+type reply struct {
+	status  int
+	body    string
+	outcome Outcome
+	reason  Reason
+	header  http.Header
+	err     error
+}
+
+// ask sends one request and reads the answer to its end. It repeats nothing.
+func (s *served) ask(method, path, body string, headers ...string) reply {
+	var reader *onceBody
+	if body != "" {
+		reader = &onceBody{strings.NewReader(body)}
+	}
+	req, err := http.NewRequest(method, s.url+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	if reader != nil {
+		req.Body, req.ContentLength = reader, int64(len(body))
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	var text strings.Builder
+	_, err = bufio.NewReader(resp.Body).WriteTo(&text)
+	return reply{
+		status:  resp.StatusCode,
+		body:    text.String(),
+		outcome: Outcome(resp.Header.Get(HeaderOutcome)),
+		reason:  Reason(resp.Header.Get(HeaderReason)),
+		header:  resp.Header,
+		err:     err,
+	}
+}
+
+// scripted is an upstream that plays one connection at a time by hand.
+type scripted struct {
+	address  string
+	mu       sync.Mutex
+	requests int
+}
+
+// script starts an upstream; play gets each connection and the number of the
+// request that was just read from it, and returns whether to read another.
+func script(play func(conn net.Conn, request int) bool) *scripted {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(at.Close)
+	s := &scripted{address: at.Addr().String()}
+	go func() {
+		for {
+			conn, err := at.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, play)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(conn net.Conn, play func(net.Conn, int) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		var text strings.Builder
+		_, _ = bufio.NewReader(req.Body).WriteTo(&text) // a cut body is the test's matter
+		s.mu.Lock()
+		s.requests++
+		n := s.requests
+		s.mu.Unlock()
+		if !play(conn, n) {
+			return
+		}
+	}
+}
+
+func (s *scripted) ran() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// say writes raw bytes.
+func say(conn net.Conn, text string) { _, _ = conn.Write([]byte(text)) } // the other side may be gone
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// closedAddress is one where nobody listens.
+func closedAddress() string {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer at.Close()
+	return at.Addr().String()
+}
+
+// fixedClaims grants or refuses every claim the same way.
+type fixedClaims struct {
+	result tw.ClaimResult
+	mu     sync.Mutex
+	states []tw.ClaimState
+}
+
+func (f *fixedClaims) Claim(_ context.Context, scope, body string) (tw.Claim, tw.ClaimResult) {
+	return tw.Claim{Scope: scope, Body: body, Holder: "d1", State: tw.ClaimPending}, f.result
+}
+
+func (f *fixedClaims) Settle(_ tw.Claim, state tw.ClaimState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states = append(f.states, state)
+}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -69,13 +69,13 @@
 	}
 )
 
-// errLoad is a stream that could not be measured.
-var errLoad = errors.New("standin: load")
+// errLoad is a load that asks for nothing.
+var errLoad = errors.New("standin: load needs entries, streams and a rate")
 
 // Run sends the stream and counts what became of it.
 func (c LoadConfig) Run(ctx context.Context) (Report, error) {
 	if len(c.Entries) == 0 || len(c.Streams) == 0 || c.Rate <= 0 {
-		return Report{}, errors.Mark(errors.New("load needs entries, streams and a rate"), errLoad)
+		return Report{}, errLoad
 	}
 	l := &load{
 		LoadConfig: c,
--- a/internal/standin/recorder.go
+++ b/internal/standin/recorder.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,7 +39,7 @@
 	if r.out == nil {
 		return nil
 	}
-	_, err := fmt.Fprintf(r.out, "%s %s %s\n", request, instance, job)
+	_, err := fmt.Fprintf(r.out, "%s %s %s %d\n", request, instance, job, time.Now().UnixMilli())
 	return err
 }
 
