Keep quick requests quick at twice the capacity

Classes paid for turns that nobody else had wanted: a class that had been alone came back with a debt of thousands of turns. Two more faults found on the way: long requests could take the slot kept from normal ones, and a new daemon started slowly with all but its first instance.

Ruled out: the load (the scheduler's own queue sizes show the wait), the transport's connections (8 a worker, as many as slots).

Changed: start-time fair queueing by slot time, not turns; nested reserves that follow the measured arrivals and how long the others hold a slot; an estimate of the wait that counts the other classes' turns; shares of slots with a base for every daemon, and relaying where a daemon has none; an even hash (FNV's high bits left some daemons without any slot).

--- a/cmd/tamarind-standin/main.go
+++ b/cmd/tamarind-standin/main.go
@@ -23,5 +23,6 @@
 	addPlatform(app)
 	addUpstream(app)
 	addLoad(app)
+	addExperiment(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"crypto/rand"
-	"hash/fnv"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/spread"
 )
 
 // claims keeps idempotency keys: with this daemon, and with those of the hall
@@ -122,18 +122,11 @@
 func (c *claims) holders(scope string, hall []tw.Member) []tw.Member {
 	others := slices.DeleteFunc(slices.Clone(hall), func(m tw.Member) bool { return m.ID == c.self })
 	slices.SortFunc(others, func(a, b tw.Member) int {
-		return cmp.Compare(rank(scope, b.ID), rank(scope, a.ID))
+		return cmp.Compare(spread.Hash(scope, string(b.ID)), spread.Hash(scope, string(a.ID)))
 	})
 	return others[:min(len(others), claimHolders)]
 }
 
-func rank(scope string, id tw.DaemonID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(scope)) // a hash never fails
-	_, _ = h.Write([]byte(id))
-	return h.Sum64()
-}
-
 func (c *claims) count(result string) {
 	c.metrics.GetOrCreateCounter(`tamarind_claims_total{result="` + result + `"}`).Inc()
 }
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
-	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
 )
 
 func addGhost(body json.RawMessage) (any, error) {
@@ -66,7 +66,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(rows)) {
 		It(name, func() {
-			t := newMembers(standin.NewClock(), time.Second)
+			t := newMembers(fakeclock.New(), time.Second)
 			t.hear(rows[name].first, true)
 			t.hear(rows[name].second, rows[name].direct)
 			got, ok := t.get("", rows[name].want.Incarnation)
@@ -76,7 +76,7 @@
 	}
 
 	It("counts a silent daemon as down", func() {
-		clock := standin.NewClock()
+		clock := fakeclock.New()
 		t := newMembers(clock, time.Second)
 		t.hear(tw.Member{ID: "a", Incarnation: 1, Beat: 1}, true)
 		all := func(tw.Member) bool { return true }
@@ -156,7 +156,7 @@
 			members = append(members, tw.Member{ID: tw.DaemonID(id), Address: id})
 		}
 		for _, m := range members {
-			c := newClaims(m.ID, network, func() []tw.Member { return members }, newClaimTable(standin.NewClock(), time.Minute, 100))
+			c := newClaims(m.ID, network, func() []tw.Member { return members }, newClaimTable(fakeclock.New(), time.Minute, 100))
 			network.set(m.Address, claimsOnly{c})
 			all = append(all, c)
 		}
@@ -226,7 +226,7 @@
 	})
 
 	It("are held for their time, and no more than fit", func() {
-		clock := standin.NewClock()
+		clock := fakeclock.New()
 		t := newClaimTable(clock, time.Minute, 2)
 		one := tw.Claim{Scope: "1", Holder: "a", Nonce: "n"}
 		Expect(t.put(one)).To(Equal(one))
--- a/control/self.go
+++ b/control/self.go
@@ -14,29 +14,10 @@
 	m.Revision = n.know.revisionNow()
 	m.Loads = n.cfg.Dispatcher.Loads()
 	m.Demand = n.cfg.Dispatcher.Demand()
-	m.Jobs = n.runningJobs()
+	m.Jobs = n.cfg.Dispatcher.Jobs()
 	return m
 }
 
-// runningJobs lists the jobs that this daemon can give to an instance.
-func (n *Node) runningJobs() []tw.JobID {
-	var view tw.View
-	n.know.snapshot(&view)
-	if !view.Registered || view.Plan == nil || view.Config == nil {
-		return nil
-	}
-	var out []tw.JobID
-	for _, job := range view.Config.Jobs {
-		for i := range view.Plan.Instances {
-			if view.Plan.Instances[i].Runs(job.ID) {
-				out = append(out, job.ID)
-				break
-			}
-		}
-	}
-	return out
-}
-
 // hallMembers lists the hall's live daemons, this one included.
 func (n *Node) hallMembers() []tw.Member {
 	n.members.hear(n.brief(), true)
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -116,6 +116,8 @@
 
 func (*recorder) Demand() int { return 0 }
 
+func (*recorder) Jobs() []tw.JobID { return nil }
+
 func (r *recorder) seen() tw.View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/sync.go
+++ b/control/sync.go
@@ -138,7 +138,7 @@
 		live[i].Loads = nil
 		live[i].Acked = 0
 		if live[i].Hall == n.cfg.Self.Hall {
-			live[i].Jobs = nil
+			live[i].Jobs = nil // each hears them from the daemon itself
 		}
 	}
 	return live
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -13,7 +13,7 @@
 // service time, so that what is admitted stays quick at any overload; the
 // others may wait as long as their deadline allows, up to a bound.
 const (
-	quickWaitShare  = 1.0                  // of the mean service time
+	quickWaitShare  = 0.8                  // of the mean service time
 	quickWaitFloor  = 5 * time.Millisecond // a burst that nobody notices
 	maxNormalWait   = 2 * time.Second
 	maxLongWait     = 20 * time.Second
@@ -37,6 +37,7 @@
 		return nil, nil, refusal
 	}
 	now := s.clock.Now()
+	line.arrivals[a.class].count(false, now)
 	queue := line.queues[a.class]
 	if s.firstInLine(line, a.class) {
 		if w := s.choose(line, a, now); w != nil {
@@ -109,26 +110,30 @@
 	return maxLongWait
 }
 
-// wait estimates how long a new request of a class would wait: those before
-// it, through the slots that its class may use.
+// wait estimates how long a new request of a class would wait: for those of
+// its class, and for the turns that other classes get meanwhile.
 func (s *scheduler) wait(line *jobLine, class tw.Class) time.Duration {
 	now := s.clock.Now()
+	keep := line.reserve(now)
 	slots := 0
 	for _, w := range line.workers {
-		if w.share > 0 {
-			slots += w.limit(class, now)
+		if n := w.slots(now); n > 0 {
+			slots += keep.limit(class, n)
 		}
 	}
 	if slots == 0 {
 		return retryAfterPromotion
 	}
-	work := 0.0
+	ahead := float64(line.queues[class].size) + 0.5 // half a turn until a slot is freed
+	own := ahead * line.mean(class)
+	work := own
 	for _, c := range tw.Classes {
-		if rank(c) <= rank(class) {
-			work += float64(line.queues[c].size) * line.mean(c)
+		if c != class {
+			waiting := float64(line.queues[c].size) * line.mean(c)
+			work += min(waiting, own*classWeight[c]/classWeight[class])
 		}
 	}
-	return seconds((work + line.mean(class)*0.5) / float64(slots))
+	return seconds(work / float64(slots))
 }
 
 // untried tells whether an instance is left for a retry.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -19,9 +19,10 @@
 // The lock is held.
 func (s *scheduler) choose(line *jobLine, a ask, now time.Time) *worker {
 	var first, second *worker
+	keep := line.reserve(now)
 	seen := 0
 	for _, w := range line.workers {
-		if a.tried[w.id] || !w.room(a.class, now) {
+		if a.tried[w.id] || !w.room(a.class, keep, now) {
 			continue
 		}
 		// Reservoir sampling: both picks are uniform over those with room.
@@ -112,7 +113,8 @@
 		}
 		s.leave(line, next)
 		line.queues[next.ask.class].charge(next)
-		s.pass[next.ask.class] += 1 / classWeight[next.ask.class]
+		s.paid = s.pass[next.ask.class]
+		s.pass[next.ask.class] += line.mean(next.ask.class) / classWeight[next.ask.class]
 		next.ready <- outcome{grant: s.grant(w, next.ask, now)}
 	}
 }
@@ -124,8 +126,9 @@
 	var of *jobLine
 	for job := range w.jobs {
 		line := s.jobs[job]
+		keep := line.reserve(now)
 		for _, class := range tw.Classes {
-			if line.queues[class].size == 0 || !w.room(class, now) {
+			if line.queues[class].size == 0 || !w.room(class, keep, now) {
 				continue
 			}
 			head := line.queues[class].head()
@@ -147,20 +150,11 @@
 	return a.order < b.order
 }
 
-// joinTurns brings a class that nobody waited in up to the others, so that it
-// does not claim the turns it did not need.
+// joinTurns brings a class that nobody waited in up to the last turn, so that
+// it neither claims the turns it did not need nor pays for turns that nobody
+// else wanted (start-time fair queueing).
 func (s *scheduler) joinTurns(class tw.Class) {
-	least, found := 0.0, false
-	for _, line := range s.jobs {
-		for c, q := range line.queues {
-			if q.size > 0 && (!found || s.pass[c] < least) {
-				least, found = s.pass[c], true
-			}
-		}
-	}
-	if found {
-		s.pass[class] = max(s.pass[class], least)
-	}
+	s.pass[class] = max(s.pass[class], s.paid)
 }
 
 // dispatchAll serves all who wait after the view has changed, and refuses
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -261,7 +261,6 @@
 var _ = Describe("an idempotency key", func() {
 	type row struct {
 		result  tw.ClaimResult
-		body    string
 		reason  Reason
 		status  int
 		outcome Outcome
--- a/gateway/fair_queue.go
+++ b/gateway/fair_queue.go
@@ -7,11 +7,11 @@
 type (
 	// waiter is a request that waits for a slot.
 	waiter struct {
-		ask    ask
-		order  uint64 // of arrival
-		ready  chan outcome
-		ended  bool // granted, refused or given up
-		budget *teamLine
+		ask   ask
+		order uint64 // of arrival
+		ready chan outcome
+		ended bool // granted, refused or given up
+		line  *teamLine
 	}
 
 	// outcome ends a wait.
@@ -25,6 +25,7 @@
 	fairQueue struct {
 		teams map[tw.TeamID]*teamLine
 		size  int
+		paid  float64 // pass of the last turn
 	}
 
 	// teamLine is one team's part of a queue.
@@ -41,13 +42,13 @@
 func (q *fairQueue) push(w *waiter, weight int) {
 	line := q.teams[w.ask.team]
 	if line == nil {
-		line = &teamLine{pass: q.leastPass()}
+		line = &teamLine{pass: q.paid}
 		q.teams[w.ask.team] = line
 	}
 	line.weight = max(weight, 1)
 	line.waiters = append(line.waiters, w)
 	line.size++
-	w.budget = line
+	w.line = line
 	q.size++
 }
 
@@ -71,7 +72,10 @@
 }
 
 // charge lets a team pay for its turn.
-func (q *fairQueue) charge(w *waiter) { w.budget.pass += 1 / float64(w.budget.weight) }
+func (q *fairQueue) charge(w *waiter) {
+	q.paid = w.line.pass
+	w.line.pass += 1 / float64(w.line.weight)
+}
 
 // end takes a waiter out, wherever it stands.
 func (q *fairQueue) end(w *waiter) {
@@ -79,7 +83,7 @@
 		return
 	}
 	w.ended = true
-	w.budget.size--
+	w.line.size--
 	q.size--
 }
 
@@ -107,17 +111,6 @@
 	return nil
 }
 
-func (q *fairQueue) leastPass() float64 {
-	least := 0.0
-	first := true
-	for _, line := range q.teams {
-		if line.size > 0 && (first || line.pass < least) {
-			least, first = line.pass, false
-		}
-	}
-	return least
-}
-
 func (l *teamLine) share() float64 { return float64(l.size) / float64(l.weight) }
 
 func (l *teamLine) skipEnded() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,9 @@
 // Loads implements tw.Dispatcher.
 func (g *Gateway) Loads() []tw.Load { return g.scheduler.loads() }
 
+// Jobs implements tw.Dispatcher.
+func (g *Gateway) Jobs() []tw.JobID { return g.scheduler.reachable() }
+
 // Demand implements tw.Dispatcher.
 func (g *Gateway) Demand() int { return g.scheduler.demand() }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,8 +8,8 @@
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
-// relay passes a request to another daemon, one hop at most: to a peer of the
-// hall while this daemon is not registered, else to a hall that runs the job.
+// relay passes a request to another daemon, one hop at most: to one of the
+// hall that has slots of the job, else to a hall that runs it.
 func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, ex *exchange) *Refusal {
 	none := notRunFor(ReasonNoInstance, retryAfterPromotion, "no instance carries the job now")
 	if ex.relayed {
@@ -38,22 +38,30 @@
 // relayPeers lists the daemons to try, in turn so that none gets all.
 func (g *Gateway) relayPeers(job tw.JobID) []tw.Member {
 	view := g.view.Load()
+	turn := int(g.turns.Add(1))
+	hall := rotate(carriers(view.Members, view.Self, job), turn)
+	remote := rotate(carriers(view.Remote, view.Self, job), turn)
+	out := slices.Concat(hall, remote)
+	return out[:min(len(out), maxTries)]
+}
+
+// carriers are the daemons that can give a job to an instance themselves.
+func carriers(in []tw.Member, self tw.DaemonID, job tw.JobID) []tw.Member {
 	var out []tw.Member
-	candidates := view.Remote
-	if !view.Registered {
-		candidates = slices.Concat(view.Members, view.Remote)
-	}
-	for _, m := range candidates {
-		if m.ID != view.Self && slices.Contains(m.Jobs, job) {
+	for _, m := range in {
+		if m.ID != self && slices.Contains(m.Jobs, job) {
 			out = append(out, m)
 		}
 	}
-	if len(out) == 0 {
+	return out
+}
+
+func rotate(in []tw.Member, turn int) []tw.Member {
+	if len(in) == 0 {
 		return nil
 	}
-	at := int(g.turns.Add(1) % uint64(len(out)))
-	out = slices.Concat(out[at:], out[:at])
-	return out[:min(len(out), maxTries)]
+	at := turn % len(in)
+	return slices.Concat(in[at:], in[:at])
 }
 
 func (g *Gateway) tryPeer(ctx context.Context, w http.ResponseWriter, ex *exchange, m tw.Member) verdict {
--- /dev/null
+++ b/gateway/reserve.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// reserve is the part of a job's slots that less urgent classes leave free,
+// by the class that must leave it. It follows the measured arrivals, so that
+// quick requests find a place among long ones and no slot idles for nothing.
+type reserve map[tw.Class]float64
+
+// Bounds of a reserve. Long work keeps a floor of the slots.
+const (
+	minNormalReserve = 1.0 / 8
+	maxNormalReserve = 1.0 / 2
+	minLongReserve   = 1.0 / 4
+	maxLongReserve   = 3.0 / 4
+	reserveMargin    = 1.5 // arrivals come in bursts
+)
+
+// limit is how many of an instance's slots a class and those less urgent may
+// have together; at least one.
+func (r reserve) limit(class tw.Class, slots int) int {
+	kept := int(math.Floor(r[class]*float64(slots) + 0.5))
+	return max(1, slots-kept)
+}
+
+// reserve works out what the classes of a job must leave free.
+func (l *jobLine) reserve(now time.Time) reserve {
+	slots := 0
+	for _, w := range l.workers {
+		slots += w.share
+	}
+	if slots == 0 {
+		return reserve{}
+	}
+	part := func(urgent, class tw.Class) float64 {
+		return reserveMargin * l.busy(urgent, now) / float64(slots) * l.hold(urgent, class)
+	}
+	return reserve{
+		tw.Normal: min(max(part(tw.Quick, tw.Normal), minNormalReserve), maxNormalReserve),
+		tw.Long:   min(max(part(tw.Quick, tw.Long)+part(tw.Normal, tw.Long), minLongReserve), maxLongReserve),
+	}
+}
+
+// hold is how much an urgent class needs a reserve against another: nothing if
+// the other's slots are freed as fast as its own, all of it if far slower.
+func (l *jobLine) hold(urgent, class tw.Class) float64 {
+	return max(0, 1-l.mean(urgent)/l.mean(class))
+}
+
+// busy is how many slots a class would fill if all that comes were admitted.
+func (l *jobLine) busy(class tw.Class, now time.Time) float64 {
+	return l.arrivals[class].rate(now) * l.mean(class)
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,9 @@
 		view    tw.View
 		workers map[tw.InstanceID]*worker
 		jobs    map[tw.JobID]*jobLine
-		pass    map[tw.Class]float64
-		teams   map[tw.TeamID]int // requests running and waiting
+		pass    map[tw.Class]float64 // what each class has paid for its turns
+		paid    float64              // pass of the last turn
+		teams   map[tw.TeamID]int    // requests running and waiting
 		order   uint64
 		running int
 	}
@@ -51,11 +53,14 @@
 		workers []*worker
 		queues  map[tw.Class]*fairQueue
 		service map[tw.Class]float64 // mean seconds in a slot
+		// arrivals are all that asked, admitted or not.
+		arrivals map[tw.Class]*window
 	}
 )
 
-// classWeight is how the turns at a freed slot are divided between classes
-// that wait. Long work keeps a floor, so that it ends.
+// classWeight is how the time of the slots is divided between classes that
+// wait; by turns alone, long work would get most of it. Long work keeps a
+// floor, so that it ends.
 var classWeight = map[tw.Class]float64{tw.Quick: 8, tw.Normal: 4, tw.Long: 1}
 
 func newScheduler(cfg Config) *scheduler {
@@ -74,6 +79,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = view
+	// When all is new it is the daemon that is, not the instances.
+	since := s.clock.Now()
+	if len(s.workers) == 0 {
+		since = since.Add(-slowStart)
+	}
 	for _, w := range s.workers {
 		w.share = 0
 		clear(w.jobs)
@@ -83,7 +93,7 @@
 	}
 	if view.Registered && view.Plan != nil {
 		for i := range view.Plan.Instances {
-			s.installInstance(&view.Plan.Instances[i])
+			s.installInstance(&view.Plan.Instances[i], since)
 		}
 	}
 	for id, w := range s.workers {
@@ -94,7 +104,7 @@
 	s.dispatchAll()
 }
 
-func (s *scheduler) installInstance(a *tw.Assignment) {
+func (s *scheduler) installInstance(a *tw.Assignment, since time.Time) {
 	if a.State != tw.Serving || s.view.Leaving[a.Instance] {
 		return
 	}
@@ -102,14 +112,11 @@
 	if w == nil {
 		w = &worker{
 			id:      a.Instance,
-			since:   s.clock.Now(),
+			since:   since,
 			jobs:    map[tw.JobID]bool{},
 			held:    map[tw.JobID]*tally{},
 			byClass: map[tw.Class]int{},
 		}
-		if len(s.workers) == 0 {
-			w.since = w.since.Add(-slowStart) // the daemon is new, not the instance
-		}
 		s.workers[a.Instance] = w
 	}
 	w.address = a.Address
@@ -126,9 +133,15 @@
 func (s *scheduler) line(job tw.JobID) *jobLine {
 	line := s.jobs[job]
 	if line == nil {
-		line = &jobLine{id: job, queues: map[tw.Class]*fairQueue{}, service: map[tw.Class]float64{}}
+		line = &jobLine{
+			id:       job,
+			queues:   map[tw.Class]*fairQueue{},
+			service:  map[tw.Class]float64{},
+			arrivals: map[tw.Class]*window{},
+		}
 		for _, c := range tw.Classes {
 			line.queues[c] = newFairQueue()
+			line.arrivals[c] = &window{start: s.clock.Now()}
 		}
 		s.jobs[job] = line
 	}
@@ -170,12 +183,31 @@
 	return notRun(ReasonCallerGone, "")
 }
 
-// reach tells whether this daemon can give the job to an instance itself.
+// reach tells whether this daemon can give the job to an instance itself: it
+// has a slot of one. With more daemons than slots, some have none.
 func (s *scheduler) reach(job tw.JobID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	line := s.jobs[job]
-	return line != nil && len(line.workers) > 0
+	return line != nil && line.reached()
+}
+
+// reachable lists the jobs within reach.
+func (s *scheduler) reachable() []tw.JobID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []tw.JobID
+	for job, line := range s.jobs {
+		if line.reached() {
+			out = append(out, job)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (l *jobLine) reached() bool {
+	return slices.ContainsFunc(l.workers, func(w *worker) bool { return w.share > 0 })
 }
 
 // loads lists what is in flight or ended of late.
--- /dev/null
+++ b/gateway/scheduler_test.go
@@ -0,0 +1,353 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
+)
+
+// desk drives a scheduler by hand, with a clock that stands still.
+type desk struct {
+	*scheduler
+	clock *fakeclock.Clock
+}
+
+func newDesk(view tw.View) *desk {
+	clock := fakeclock.New()
+	c := Config{Clock: clock, Seed: 1}
+	c.defaults()
+	d := &desk{scheduler: newScheduler(c), clock: clock}
+	d.install(view)
+	return d
+}
+
+func (d *desk) want(class tw.Class, team tw.TeamID) ask {
+	return ask{job: "job", class: class, team: team, deadline: d.clock.Now().Add(time.Hour)}
+}
+
+// put admits an ask without waiting for its turn.
+func (d *desk) put(a ask) (*grant, *waiter, *Refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admit(a)
+}
+
+// fill takes all slots.
+func (d *desk) fill() []*grant {
+	var out []*grant
+	for {
+		g, w, _ := d.put(d.want(tw.Quick, ""))
+		if g == nil {
+			if w != nil {
+				d.mu.Lock()
+				d.end(w)
+				d.mu.Unlock()
+			}
+			return out
+		}
+		out = append(out, g)
+	}
+}
+
+// served lets n slots be freed one after the other, and counts who got them.
+func (d *desk) served(n int, held *[]*grant, waiters map[*waiter]string) map[string]int {
+	got := map[string]int{}
+	for range n {
+		d.clock.Advance(time.Millisecond)
+		d.release((*held)[0], releaseOK)
+		*held = (*held)[1:]
+		for w, name := range waiters {
+			select {
+			case out := <-w.ready:
+				*held = append(*held, out.grant)
+				got[name]++
+				delete(waiters, w)
+			default:
+			}
+		}
+	}
+	return got
+}
+
+var _ = Describe("turns", func() {
+	It("go to classes by weight, whatever they had before", func() {
+		d := newDesk(viewOf(8, "a"))
+		held := d.fill()
+		waiters := map[*waiter]string{}
+		for range 200 {
+			_, w, _ := d.put(d.want(tw.Normal, ""))
+			waiters[w] = "before"
+		}
+		// Normal requests have all turns for a while.
+		Expect(d.served(200, &held, waiters)["before"]).To(BeNumerically(">", 180))
+		waiters = map[*waiter]string{}
+		for range 300 {
+			for _, class := range []tw.Class{tw.Normal, tw.Long} {
+				_, w, refusal := d.put(d.want(class, ""))
+				Expect(refusal).To(BeNil())
+				waiters[w] = string(class)
+			}
+		}
+		got := d.served(200, &held, waiters)
+		Expect(got["normal"]).To(BeNumerically("~", 160, 10))
+		Expect(got["long"]).To(BeNumerically("~", 40, 10))
+	})
+
+	It("go to teams by weight", func() {
+		d := newDesk(viewOf(8, "a"))
+		held := d.fill()
+		waiters := map[*waiter]string{}
+		for range 200 {
+			for _, team := range []tw.TeamID{"a", "b"} {
+				_, w, _ := d.put(d.want(tw.Normal, team))
+				waiters[w] = string(team)
+			}
+		}
+		got := d.served(100, &held, waiters)
+		Expect(got["b"]).To(BeNumerically("~", 75, 2)) // b weighs 3
+		Expect(got["a"]).To(BeNumerically("~", 25, 2))
+	})
+
+	It("do not wait behind a team that floods the queue", func() {
+		d := newDesk(viewOf(8, "a"))
+		held := d.fill()
+		waiters := map[*waiter]string{}
+		for range maxQueued {
+			_, w, refusal := d.put(d.want(tw.Long, "a"))
+			Expect(refusal).To(BeNil())
+			waiters[w] = "flood"
+		}
+		_, w, refusal := d.put(d.want(tw.Long, "b"))
+		Expect(refusal).To(BeNil())
+		waiters[w] = "late"
+		_, _, refusal = d.put(d.want(tw.Long, "a"))
+		Expect(refusal.Reason).To(Equal(ReasonQueueFull))
+		refused := 0
+		for w := range waiters {
+			select {
+			case out := <-w.ready:
+				Expect(out.refusal.Reason).To(Equal(ReasonTeamShare))
+				delete(waiters, w)
+				refused++
+			default:
+			}
+		}
+		Expect(refused).To(Equal(1))
+		Expect(d.served(8, &held, waiters)["late"]).To(Equal(1))
+	})
+})
+
+var _ = Describe("admission", func() {
+	It("keeps quick requests quick: what would wait longer than its own work is refused", func() {
+		d := newDesk(viewOf(8, "a", "b"))
+		d.fill()
+		admitted := 0
+		for range 1000 {
+			if _, w, _ := d.put(d.want(tw.Quick, "")); w != nil {
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically(">", 0))
+		Expect(admitted).To(BeNumerically("<=", 2*16)) // one service time's worth
+	})
+
+	It("keeps a place for quick requests among long ones", func() {
+		d := newDesk(viewOf(8, "a"))
+		for range 100 {
+			d.put(d.want(tw.Long, ""))
+			d.put(d.want(tw.Normal, ""))
+		}
+		g, _, _ := d.put(d.want(tw.Quick, ""))
+		Expect(g).NotTo(BeNil())
+	})
+
+	It("keeps more places for quick requests the more of them come", func() {
+		d := newDesk(viewOf(8, "a", "b", "c", "d"))
+		for range 4000 { // 400 a second of 10 ms each: 4 of 32 slots
+			g, _, _ := d.put(d.want(tw.Quick, ""))
+			d.clock.Advance(2500 * time.Microsecond)
+			if g != nil {
+				d.release(g, releaseOK)
+			}
+		}
+		d.jobs["job"].service[tw.Quick] = 0.030 // 12 of 32 slots
+		d.jobs["job"].service[tw.Long] = 3
+		for range 100 {
+			d.put(d.want(tw.Long, ""))
+		}
+		free := 32 - d.running
+		Expect(free).To(BeNumerically(">=", 12))
+		Expect(free).To(BeNumerically("<=", 20))
+	})
+
+	It("refuses at once what would miss its deadline", func() {
+		d := newDesk(viewOf(8, "a"))
+		d.fill()
+		a := d.want(tw.Normal, "")
+		a.deadline = d.clock.Now().Add(time.Millisecond)
+		_, w, refusal := d.put(a)
+		Expect(w).To(BeNil())
+		Expect(refusal.Reason).To(Equal(ReasonWaitTooLong))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("bounds a team's requests", func() {
+		d := newDesk(viewOf(8, "a"))
+		g, _, _ := d.put(d.want(tw.Normal, "small"))
+		Expect(g).NotTo(BeNil())
+		_, _, refusal := d.put(d.want(tw.Normal, "small"))
+		Expect(refusal.Reason).To(Equal(ReasonTeamQuota))
+		d.release(g, releaseOK)
+		g, _, _ = d.put(d.want(tw.Normal, "small"))
+		Expect(g).NotTo(BeNil())
+	})
+
+	It("refuses at once when every instance has been tried", func() {
+		d := newDesk(viewOf(8, "a", "b"))
+		a := d.want(tw.Normal, "")
+		a.tried = map[tw.InstanceID]bool{"w0": true, "w1": true}
+		_, w, refusal := d.put(a)
+		Expect(w).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("leaves no trace of a caller that gave up", func() {
+		d := newDesk(viewOf(8, "a"))
+		held := d.fill()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, refusal := d.acquire(ctx, d.want(tw.Normal, ""))
+		Expect(refusal.Reason).To(Equal(ReasonCallerGone))
+		for _, g := range held {
+			d.release(g, releaseOK)
+		}
+		Expect(d.demand()).To(BeZero())
+		Expect(d.teams).To(BeEmpty())
+	})
+})
+
+// viewChange is a change of the view that must stop new work to w0.
+var viewChanges = map[string]func(v *tw.View){
+	"draining":            func(v *tw.View) { v.Plan.Instances[0].State = tw.Draining },
+	"listed as leaving":   func(v *tw.View) { v.Leaving = map[tw.InstanceID]bool{"w0": true} },
+	"in quarantine":       func(v *tw.View) { v.Plan.Instances[0].State = tw.Quarantined },
+	"stopping the job":    func(v *tw.View) { v.Plan.Instances[0].Jobs[0].State = tw.PlacementStopping },
+	"starting the job":    func(v *tw.View) { v.Plan.Instances[0].Jobs[0].State = tw.PlacementStarting },
+	"no longer planned":   func(v *tw.View) { v.Plan.Instances = v.Plan.Instances[1:] },
+	"not ours any longer": func(v *tw.View) { v.Registered = false },
+}
+
+var _ = Describe("a view in force", func() {
+	for _, name := range slices.Sorted(maps.Keys(viewChanges)) {
+		It("gives nothing new to an instance that is "+name, func() {
+			d := newDesk(viewOf(8, "a", "b"))
+			view := viewOf(8, "a", "b")
+			viewChanges[name](&view)
+			d.install(view)
+			for range 20 {
+				g, _, _ := d.put(d.want(tw.Normal, ""))
+				if g != nil {
+					Expect(g.worker.id).NotTo(Equal(tw.InstanceID("w0")))
+				}
+			}
+		})
+	}
+
+	It("still counts what is in flight on an instance that went", func() {
+		d := newDesk(viewOf(8, "a"))
+		g, _, _ := d.put(d.want(tw.Normal, ""))
+		d.install(viewOf(8))
+		Expect(d.loads()).To(ConsistOf(tw.Load{Instance: "w0", Job: "job", InFlight: 1}))
+		d.release(g, releaseOK)
+		Expect(d.loads()[0].InFlight).To(BeZero())
+	})
+
+	It("refuses those who wait for a job that nothing carries any more", func() {
+		d := newDesk(viewOf(8, "a"))
+		d.fill()
+		_, w, _ := d.put(d.want(tw.Normal, ""))
+		d.install(viewOf(8))
+		Expect((<-w.ready).refusal.Reason).To(Equal(ReasonNoInstance))
+	})
+})
+
+var _ = Describe("the choice of an instance", func() {
+	It("spreads evenly", func() {
+		d := newDesk(viewOf(8, "a", "b", "c", "d"))
+		counts := map[tw.InstanceID]int{}
+		for range 16 {
+			g, _, _ := d.put(d.want(tw.Quick, ""))
+			counts[g.worker.id]++
+		}
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("~", 4, 2))
+		}
+	})
+
+	It("passes by instances that fail, but never most of them", func() {
+		d := newDesk(viewOf(8, "a", "b", "c", "d", "e", "f"))
+		for range 100 {
+			g, _, _ := d.put(d.want(tw.Quick, ""))
+			if g == nil {
+				break
+			}
+			mode := releaseOK
+			if g.worker.id <= "w3" { // four of six fail
+				mode = releaseFailed
+			}
+			d.release(g, mode)
+		}
+		now := d.clock.Now()
+		ejected := 0
+		for _, w := range d.workers {
+			if now.Before(w.ejected) {
+				ejected++
+			}
+		}
+		Expect(ejected).To(Equal(2)) // a third of six
+	})
+
+	It("starts slowly with a new instance", func() {
+		d := newDesk(viewOf(8, "a"))
+		d.install(viewOf(8, "a", "b"))
+		now := d.clock.Now()
+		Expect(d.workers["w0"].slots(now)).To(Equal(8))
+		Expect(d.workers["w1"].slots(now)).To(Equal(1))
+		Expect(d.workers["w1"].slots(now.Add(slowStart / 2))).To(Equal(4))
+		Expect(d.workers["w1"].slots(now.Add(slowStart))).To(Equal(8))
+	})
+})
+
+var _ = Describe("shares of an instance's slots", func() {
+	for _, n := range []int{1, 2, 3, 7, 20} {
+		It(fmt.Sprintf("add up to the slots among %d daemons, and are fair", n), func() {
+			var members []tw.Member
+			for i := range n {
+				members = append(members, tw.Member{ID: tw.DaemonID(fmt.Sprintf("d%02d", i)), Demand: i * i})
+			}
+			totals := map[tw.DaemonID]int{}
+			for i := range 100 {
+				id := tw.InstanceID(fmt.Sprintf("w%d", i))
+				sum := 0
+				for _, m := range members {
+					s := share(members, m.ID, id, 8)
+					totals[m.ID] += s
+					sum += s
+				}
+				Expect(sum).To(BeNumerically("<=", 8))
+				Expect(sum).To(BeNumerically(">=", 7)) // rounding of the sum may leave one
+			}
+			for _, id := range totals {
+				Expect(id).To(BeNumerically(">", 0))
+			}
+		})
+	}
+})
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"math"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/spread"
 )
 
 // share divides the slots of an instance between the hall's live daemons by
@@ -14,11 +14,12 @@
 func share(members []tw.Member, self tw.DaemonID, instance tw.InstanceID, slots tw.Slots) int {
 	total := 0.0
 	for _, m := range members {
-		total += weight(m)
+		total += demand(m)
 	}
-	from := turn(instance)
+	from := spread.Fraction(string(instance))
 	for _, m := range members {
-		to := from + weight(m)/total*float64(slots)
+		part := baseShare/float64(len(members)) + (1-baseShare)*demand(m)/total
+		to := from + part*float64(slots)
 		if m.ID == self {
 			return int(math.Floor(to) - math.Floor(from))
 		}
@@ -27,17 +28,12 @@
 	return 0
 }
 
-// weight lets shares follow demand; a daemon without any keeps a base share,
-// as the next request may come to it. Demand is rounded up to a power of two,
-// so that shares don't change with every heartbeat.
-func weight(m tw.Member) float64 {
-	const base = 4
-	return base + math.Exp2(math.Ceil(math.Log2(float64(m.Demand+1))))
-}
+// baseShare is the part of the slots that is divided evenly: the next request
+// may come to any daemon. The rest follows demand.
+const baseShare = 0.5
 
-// turn is in [0, 1).
-func turn(instance tw.InstanceID) float64 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(instance)) // a hash never fails
-	return float64(h.Sum32()) / (1 << 32)
+// demand is rounded up to a power of two, so that shares don't change with
+// every heartbeat.
+func demand(m tw.Member) float64 {
+	return math.Exp2(math.Ceil(math.Log2(float64(m.Demand + 1))))
 }
--- a/gateway/worker.go
+++ b/gateway/worker.go
@@ -51,39 +51,33 @@
 	penaltyDecay    = 0.8
 )
 
-// limit is how many requests of a class may be on the instance at once. An
-// instance that is new starts slowly. Part of the slots is kept for more
-// urgent classes, so that quick requests find a place among long ones.
-func (w *worker) limit(class tw.Class, now time.Time) int {
-	slots := w.share
+// slots is how many requests may be on the instance at once; one that is new
+// starts slowly.
+func (w *worker) slots(now time.Time) int {
 	if age := now.Sub(w.since); age < slowStart {
-		slots = max(1, int(float64(w.share)*float64(age)/float64(slowStart)))
+		return max(1, int(float64(w.share)*float64(age)/float64(slowStart)))
 	}
-	switch class {
-	case tw.Normal:
-		return max(1, slots-slots/8)
-	case tw.Long:
-		return max(1, slots/2)
-	}
-	return slots
+	return w.share
 }
 
-// room tells whether a request of a class fits now.
-func (w *worker) room(class tw.Class, now time.Time) bool {
-	if w.share == 0 || now.Before(w.ejected) {
-		return false
-	}
-	slots := w.limit(tw.Quick, now)
-	if w.total >= slots {
+// room tells whether a request of a class fits now. For each class, those
+// less urgent together leave it its reserve.
+func (w *worker) room(class tw.Class, keep reserve, now time.Time) bool {
+	slots := w.slots(now)
+	if slots == 0 || now.Before(w.ejected) {
 		return false
 	}
-	less := 0
+	taken := w.total
 	for _, c := range tw.Classes {
-		if rank(c) >= rank(class) {
-			less += w.byClass[c]
+		if taken >= keep.limit(c, slots) {
+			return false
+		}
+		if c == class {
+			return true
 		}
+		taken -= w.byClass[c]
 	}
-	return less < w.limit(class, now)
+	return false
 }
 
 // load orders instances for the choice; lower is better.
@@ -138,6 +132,16 @@
 	w.now.ok++
 }
 
+// rate is events a second.
+func (w *window) rate(now time.Time) float64 {
+	sum := w.sum(now)
+	over := now.Sub(w.start)
+	if w.last != (counts{}) {
+		over += windowSpan
+	}
+	return float64(sum.ok+sum.failed) / max(over, time.Second).Seconds()
+}
+
 func (w *window) sum(now time.Time) counts {
 	w.turn(now)
 	return counts{ok: w.now.ok + w.last.ok, failed: w.now.failed + w.last.failed}
--- /dev/null
+++ b/internal/experiment/bench.go
@@ -0,0 +1,113 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/gateway"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+// bench is one gateway in front of stand-in upstreams, without control.
+type bench struct {
+	entry     string
+	addresses []string
+	gateway   *gateway.Gateway
+	recorder  *standin.Recorder
+	upstreams []*standin.Upstream
+	server    *http.Server
+}
+
+const (
+	benchJob  tw.JobID = "job"
+	benchHost string   = "bench"
+	slots     tw.Slots = 8
+)
+
+func newBench(instances int) (*bench, error) {
+	b := &bench{recorder: standin.NewRecorder(nil), gateway: gateway.Config{}.New()}
+	for i := range instances {
+		u, err := standin.UpstreamConfig{
+			Listen:   "127.0.0.1:0",
+			Recorder: b.recorder,
+			Instance: tw.Instance{ID: tw.InstanceID(fmt.Sprintf("w%d", i)), Slots: slots},
+			Register: func(context.Context, tw.Instance) ([]tw.JobID, error) { return []tw.JobID{benchJob}, nil },
+		}.New()
+		if err != nil {
+			b.close()
+			return nil, err
+		}
+		b.upstreams = append(b.upstreams, u)
+		b.addresses = append(b.addresses, u.Address())
+	}
+	b.gateway.Install(b.view())
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.close()
+		return nil, err
+	}
+	b.entry = at.Addr().String()
+	b.server = &http.Server{Handler: b.gateway}
+	go func() { _ = b.server.Serve(at) }() // ends with close
+	time.Sleep(registerTime)
+	return b, nil
+}
+
+// registerTime is how long upstreams take to learn their jobs.
+const registerTime = 300 * time.Millisecond
+
+func (b *bench) view() tw.View {
+	config := &tw.FleetConfig{
+		Halls: []tw.HallID{"h1"},
+		Jobs:  []tw.Job{{ID: benchJob, Service: "svc"}},
+		Teams: []tw.Team{{ID: "a"}, {ID: "b"}},
+		Services: []tw.Service{{ID: "svc", Routes: []tw.Route{
+			{Path: "/quick", Job: benchJob, Class: tw.Quick},
+			{Path: "/normal", Job: benchJob, Class: tw.Normal},
+			{Path: "/long", Job: benchJob, Class: tw.Long, Timeout: tw.Duration(30 * time.Second)},
+		}}},
+	}
+	config.Defaults()
+	plan := &tw.Plan{Hall: "h1", Generation: 1}
+	for i, address := range b.addresses {
+		plan.Instances = append(plan.Instances, tw.Assignment{
+			Instance: tw.InstanceID(fmt.Sprintf("w%d", i)),
+			Address:  address,
+			Slots:    slots,
+			State:    tw.Serving,
+			Jobs:     []tw.Placement{{Job: benchJob, State: tw.PlacementRunning}},
+		})
+	}
+	return tw.View{
+		Hall:       "h1",
+		Self:       "d1",
+		Registered: true,
+		Config:     config,
+		Plan:       plan,
+		Members:    []tw.Member{{ID: "d1", Hall: "h1"}},
+	}
+}
+
+func (b *bench) close() {
+	if b.server != nil {
+		_ = b.server.Close() // nobody is left to tell
+	}
+	for _, u := range b.upstreams {
+		u.Close()
+	}
+}
+
+func (b *bench) load(requests int, rate float64, streams []standin.Stream) standin.LoadConfig {
+	return standin.LoadConfig{
+		Entries:  []string{b.entry},
+		Requests: requests,
+		Rate:     rate,
+		Streams:  streams,
+		Timeout:  time.Minute,
+		Runs:     func() (standin.Runs, error) { return b.recorder.Runs(), nil },
+	}
+}
--- /dev/null
+++ b/internal/experiment/cost.go
@@ -0,0 +1,42 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+const (
+	costRequests = 4000
+	costRate     = 500
+)
+
+// Cost compares requests through the gateway with requests made directly to
+// the same upstream, one after the other in one run.
+func Cost(ctx context.Context, out io.Writer) error {
+	b, err := newBench(1)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	streams := []standin.Stream{{Name: "request", Method: http.MethodPost, Host: benchHost, Path: "/normal"}}
+	through := b.load(costRequests, costRate, streams)
+	direct := through
+	direct.Entries = b.addresses
+	direct.Job = benchJob
+	for _, run := range []struct {
+		name string
+		load standin.LoadConfig
+	}{{"direct", direct}, {"gateway", through}, {"direct", direct}, {"gateway", through}} {
+		report, err := run.load.Run(ctx)
+		if err != nil {
+			return err
+		}
+		p := report.Latency("request")
+		fmt.Fprintf(out, "%-8s n=%d p50=%v p99=%v faults=%d\n", run.name, p.N, p.P50, p.P99, report.Faults())
+	}
+	return nil
+}
--- a/internal/standin/clock.go
+++ b/internal/fakeclock/clock.go
@@ -1,4 +1,5 @@
-package standin
+// Package fakeclock has a clock that tests move by hand.
+package fakeclock
 
 import (
 	"sync"
@@ -17,8 +18,8 @@
 	c  chan time.Time
 }
 
-// NewClock starts at a fixed time.
-func NewClock() *Clock {
+// New starts at a fixed time.
+func New() *Clock {
 	return &Clock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), waiting: map[*alarm]bool{}}
 }
 
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -31,6 +31,8 @@
 		Timeout  time.Duration
 		// Runs tells the upstreams' own records once the stream has ended.
 		Runs func() (Runs, error)
+		// Job is for a load that goes to an upstream directly.
+		Job tw.JobID
 		// Repeat sends each keyed request this many more times, to whichever
 		// entry comes next.
 		Repeat int
@@ -54,6 +56,8 @@
 		LoadConfig
 		client *http.Client
 		turn   atomic.Uint64
+		// sending is true until the last request was sent.
+		sending atomic.Bool
 
 		mu     sync.Mutex
 		report Report
@@ -99,6 +103,8 @@
 func (l *load) sendAll(ctx context.Context, start time.Time) {
 	var sent sync.WaitGroup
 	defer sent.Wait()
+	defer l.sending.Store(false)
+	l.sending.Store(true)
 	mix := l.mix()
 	for i := range l.Requests {
 		due := start.Add(time.Duration(float64(i) / l.Rate * float64(time.Second)))
@@ -158,7 +164,7 @@
 		f.notRun = f.notRun && resp.Header.Get(gateway.HeaderOutcome) == string(gateway.NotRun)
 	default:
 		f.notRun, f.answered = false, true
-		l.report.answer(s, took)
+		l.report.answer(s, took, l.sending.Load())
 		if !matches(body, id, payload) {
 			l.report.Wrong++
 		}
@@ -207,6 +213,7 @@
 		}
 	}
 	set(gateway.HeaderTeam, string(s.Team))
+	set(gateway.HeaderJob, string(l.Job))
 	set(gateway.HeaderClass, string(s.Class))
 	if s.Keyed {
 		req.Header.Set(gateway.HeaderKey, id)
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -30,8 +30,10 @@
 		Doubled     int
 		FalseNotRun int
 		Took        time.Duration
-		answers     map[string]*hdrhistogram.Histogram // by stream
-		refusals    *hdrhistogram.Histogram
+		// Worked is the work answered while requests were still being sent.
+		Worked   time.Duration
+		answers  map[string]*hdrhistogram.Histogram // by stream
+		refusals *hdrhistogram.Histogram
 	}
 
 	// Percentiles are latencies.
@@ -112,8 +114,11 @@
 	_ = r.refusals.RecordValue(took.Microseconds()) // out of range is off the scale
 }
 
-func (r *Report) answer(s Stream, took time.Duration) {
+func (r *Report) answer(s Stream, took time.Duration, sending bool) {
 	r.Answered++
+	if sending {
+		r.Worked += s.Work
+	}
 	if r.answers[s.Name] == nil {
 		r.answers[s.Name] = newHistogram()
 	}
--- a/view.go
+++ b/view.go
@@ -27,6 +27,8 @@
 		Install(view View)
 		// Loads tells what is in flight, and what ended of late.
 		Loads() []Load
+		// Jobs lists what this daemon can give to an instance itself.
+		Jobs() []JobID
 		// Demand counts the requests running and waiting.
 		Demand() int
 	}
