Search the decisions in any order, and charge a pass for its own losses

A stateful property test (rapid) lets two planners with old looks, three daemons with old plans, late heartbeats, crashes, losses, lost answers and operators come in any order. Invariants: a dispatch finds its instance in the same pool in the store; no planned drain takes a service below its budget; no working task is stopped under a request; generations only grow.

Cause: the allowance is worked out from the plan before the pass; a loss that the same pass takes in was not charged. Ruled out: the ledgers (one hall), the check itself, which first used a newer configuration than the planner had (it now takes the planner's own), and tasks that had failed by themselves.

--- a/fleet/decide.go
+++ b/fleet/decide.go
@@ -29,6 +29,7 @@
 	p.observeTasks()
 	p.advanceHandovers()
 	p.quarantine()
+	p.chargeLosses()
 	p.needs()
 	p.findMisplaced()
 	p.findWaves()
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// chargeLosses takes out of the allowance what this pass itself found lost:
+// the allowance was worked out from the plan before it.
+func (p *pass) chargeLosses() {
+	was := map[tw.ServiceID]int{}
+	for i := range p.in.Plan.Instances {
+		for service, n := range p.replicas(&p.in.Plan.Instances[i]) {
+			was[service] += n
+		}
+	}
+	for i := range p.plan.Instances {
+		for service, n := range p.replicas(&p.plan.Instances[i]) {
+			was[service] -= n
+		}
+	}
+	for service, lost := range was {
+		p.allowance[service] -= max(0, lost)
+	}
+}
+
 // moving counts the instances on a planned way out.
 func (p *pass) moving() int {
 	n := 0
--- /dev/null
+++ b/fleet/property_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// TestAnyOrder lets pauses, crashes, losses, lost answers, racing planners and
+// operators come in any order.
+func TestAnyOrder(t *testing.T) {
+	// The same runs every time; change the seed to search further.
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.steps": "200"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		var generation tw.Generation
+		// Common steps come more often, so that plans get somewhere.
+		t.Repeat(map[string]func(*rapid.T){
+			"look": w.look, "look again": w.look,
+			"decide": w.decide, "decide again": w.decide,
+			"orders": w.carryOut, "orders again": w.carryOut,
+			"heartbeat": w.heartbeat, "heartbeat again": w.heartbeat,
+			"fetch": w.fetch, "fetch again": w.fetch,
+			"dispatch": w.dispatch, "dispatch again": w.dispatch,
+			"finish":    w.finish,
+			"crash":     w.crash,
+			"register":  w.register,
+			"lose":      w.lose,
+			"come":      w.come,
+			"phase":     w.phase,
+			"configure": w.configure,
+			"task runs": w.taskRuns,
+			"": func(t *rapid.T) {
+				if w.stored.Generation < generation {
+					t.Fatalf("generation fell from %d to %d", generation, w.stored.Generation)
+				}
+				generation = w.stored.Generation
+			},
+		})
+	})
+}
--- /dev/null
+++ b/fleet/world_test.go
@@ -0,0 +1,389 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"pgregory.net/rapid"
+)
+
+// world is a hall in which everything may be late: planners act on what they
+// saw some time ago, daemons on the plan they last fetched, and heartbeats
+// arrive whenever they like. Its methods are the steps that may come in any
+// order; each checks what must hold.
+type world struct {
+	config    *tw.FleetConfig
+	revision  tw.Revision
+	stored    tw.Plan
+	version   int
+	roster    map[tw.DaemonID]tw.Incarnation
+	instances map[tw.InstanceID]*tw.Instance
+	tasks     map[tw.TaskID]tw.Task
+	daemons   map[tw.DaemonID]*simDaemon
+	planners  []*simPlanner
+	flights   []flight
+}
+
+// simDaemon is what one daemon knows.
+type simDaemon struct {
+	life       tw.Incarnation
+	registered bool // and has read the plan since
+	plan       tw.Plan
+	revision   tw.Revision
+}
+
+// simPlanner is what one planner saw, and what it heard.
+type simPlanner struct {
+	version int
+	in      Input
+	order   *Orders
+	heard   map[tw.DaemonID]heard
+}
+
+type heard struct {
+	life   tw.Incarnation
+	member Member
+}
+
+// flight is a request that runs.
+type flight struct {
+	daemon tw.DaemonID
+	life   tw.Incarnation
+	held   Held
+	pool   tw.PoolID
+}
+
+const (
+	worldInstances = 8
+	worldDaemons   = 3
+)
+
+func newWorld() *world {
+	w := &world{
+		config:    pools(2, 2),
+		revision:  1,
+		roster:    map[tw.DaemonID]tw.Incarnation{},
+		instances: map[tw.InstanceID]*tw.Instance{},
+		tasks:     map[tw.TaskID]tw.Task{},
+		daemons:   map[tw.DaemonID]*simDaemon{},
+	}
+	w.stored.Hall = "h1"
+	for i := range worldInstances {
+		in := worker(i)
+		w.instances[in.ID] = &in
+	}
+	for i := range worldDaemons {
+		id := tw.DaemonID(fmt.Sprintf("d%d", i))
+		w.daemons[id] = &simDaemon{life: 1}
+		w.registerDaemon(id)
+	}
+	for range 2 {
+		w.planners = append(w.planners, &simPlanner{heard: map[tw.DaemonID]heard{}})
+	}
+	return w
+}
+
+// registerDaemon enters the roster, then reads the plan.
+func (w *world) registerDaemon(id tw.DaemonID) {
+	d := w.daemons[id]
+	w.roster[id] = d.life
+	d.registered = true
+	d.plan = w.stored.Clone()
+	d.revision = w.revision
+}
+
+// fetch brings some daemons up to the store's plan, or to another daemon's.
+func (w *world) fetch(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(w.daemons)) {
+		if rapid.Bool().Draw(t, "fetches") {
+			w.fetchOne(t, w.daemons[id])
+		}
+	}
+}
+
+func (w *world) fetchOne(t *rapid.T, d *simDaemon) {
+	from := w.stored
+	if rapid.Bool().Draw(t, "from a peer") {
+		from = w.daemons[w.drawDaemon(t)].plan
+	}
+	if from.Generation > d.plan.Generation {
+		d.plan = from.Clone()
+	}
+	d.revision = max(d.revision, w.revision)
+}
+
+// crash ends a daemon with its requests; its next life registers anew.
+func (w *world) crash(t *rapid.T) {
+	id := w.drawDaemon(t)
+	d := w.daemons[id]
+	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.daemon == id })
+	*d = simDaemon{life: d.life + 1}
+	if rapid.Bool().Draw(t, "back at once") {
+		w.registerDaemon(id)
+	}
+}
+
+func (w *world) register(t *rapid.T) {
+	id := w.drawDaemon(t)
+	if !w.daemons[id].registered {
+		w.registerDaemon(id)
+	}
+}
+
+// dispatch sends a request as a daemon's own view allows.
+func (w *world) dispatch(t *rapid.T) {
+	id := w.drawDaemon(t)
+	d := w.daemons[id]
+	if !d.registered {
+		return
+	}
+	for i := range d.plan.Instances {
+		a := &d.plan.Instances[i]
+		for _, at := range a.Jobs {
+			if !a.Runs(at.Job) || !rapid.Bool().Draw(t, "send") {
+				continue
+			}
+			w.checkPool(t, id, a)
+			w.flights = append(w.flights, flight{daemon: id, life: d.life, held: Held{a.Instance, at.Job}, pool: a.Pool})
+			return
+		}
+	}
+}
+
+// checkPool: an instance is in one pool at any moment, whoever asks.
+func (w *world) checkPool(t *rapid.T, id tw.DaemonID, a *tw.Assignment) {
+	now := w.stored.Find(a.Instance)
+	if now != nil && now.Pool != a.Pool {
+		t.Fatalf("%s sends to %s in pool %s (plan %d), but the store has it in %s (plan %d)",
+			id, a.Instance, a.Pool, w.daemons[id].plan.Generation, now.Pool, w.stored.Generation)
+	}
+}
+
+func (w *world) finish(t *rapid.T) {
+	if len(w.flights) > 0 {
+		i := rapid.IntRange(0, len(w.flights)-1).Draw(t, "flight")
+		w.flights = slices.Delete(w.flights, i, i+1)
+	}
+}
+
+// heartbeat tells a planner how far some daemons are; one may be held up by
+// not being drawn for long.
+func (w *world) heartbeat(t *rapid.T) {
+	p := w.drawPlanner(t)
+	for _, id := range slices.Sorted(maps.Keys(w.daemons)) {
+		if rapid.Bool().Draw(t, "is heard") {
+			p.heard[id] = w.beat(id)
+		}
+	}
+}
+
+func (w *world) beat(id tw.DaemonID) heard {
+	d := w.daemons[id]
+	m := Member{ID: id, Acked: d.plan.Generation, InFlight: map[Held]int{}}
+	for _, f := range w.flights {
+		if f.daemon == id {
+			m.InFlight[f.held]++
+		}
+	}
+	return heard{life: d.life, member: m}
+}
+
+// look is a planner reading everything: the plan, then the roster.
+func (w *world) look(t *rapid.T) {
+	p := w.drawPlanner(t)
+	p.version = w.version
+	p.in = Input{
+		Hall:       "h1",
+		Config:     w.config,
+		Revision:   w.revision,
+		Epoch:      1,
+		Plan:       w.stored.Clone(),
+		TasksKnown: rapid.IntRange(0, 4).Draw(t, "tasks known") > 0,
+		Members:    p.members(w.roster),
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.instances)) {
+		p.in.Instances = append(p.in.Instances, *w.instances[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		p.in.Tasks = append(p.in.Tasks, w.tasks[id])
+	}
+	p.in.Allowance = Allowances(BudgetInput{Config: w.config, Plans: map[tw.HallID]tw.Plan{"h1": w.stored}})
+	p.order = nil
+}
+
+// members is the roster with what this planner heard of it.
+func (p *simPlanner) members(roster map[tw.DaemonID]tw.Incarnation) []Member {
+	var out []Member
+	for _, id := range slices.Sorted(maps.Keys(roster)) {
+		m := Member{ID: id}
+		if h := p.heard[id]; h.life == roster[id] {
+			m = h.member
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// decide is a planner acting on what it saw, however long ago. The answer of
+// its write may be lost, so that it does not go on to give orders.
+func (w *world) decide(t *rapid.T) {
+	p := w.drawPlanner(t)
+	if p.in.Config == nil {
+		return
+	}
+	out := Decide(p.in)
+	if out.Changed {
+		if p.version != w.version {
+			return // the compare-and-swap fails
+		}
+		w.checkBudget(t, p.in.Config, out)
+		w.stored = out.Plan.Clone()
+		w.version++
+		p.version = w.version
+		if rapid.IntRange(0, 4).Draw(t, "answer lost") == 0 {
+			p.in.Config = nil
+			return
+		}
+	}
+	p.in.Plan = out.Plan
+	p.in.Members = p.members(w.roster)
+	orders := Actions(p.in)
+	p.order = &orders
+	p.in.Config = nil
+}
+
+// checkBudget: no planned drain takes a service below the budget of the
+// configuration that it was decided under.
+func (w *world) checkBudget(t *rapid.T, config *tw.FleetConfig, out Output) {
+	if len(out.Drains) == 0 {
+		return
+	}
+	for _, job := range config.Jobs {
+		before, after := 0, 0
+		for i := range w.stored.Instances {
+			if w.stored.Instances[i].Runs(job.ID) {
+				before++
+			}
+		}
+		for i := range out.Plan.Instances {
+			if out.Plan.Instances[i].Runs(job.ID) {
+				after++
+			}
+		}
+		most := config.Service(job.Service).MaxUnavailable
+		if after < before && w.drains(out, job.Service) && after < job.Replicas-most {
+			t.Fatalf("a planned drain leaves %d of %d replicas of %s", after, job.Replicas, job.ID)
+		}
+	}
+}
+
+func (*world) drains(out Output, service tw.ServiceID) bool {
+	return slices.ContainsFunc(out.Drains, func(d Drain) bool { return slices.Contains(d.Services, service) })
+}
+
+// carryOut gives a planner's orders to the platform, however late.
+func (w *world) carryOut(t *rapid.T) {
+	p := w.drawPlanner(t)
+	if p.order == nil {
+		return
+	}
+	for _, id := range p.order.Stop {
+		w.checkStop(t, id)
+		delete(w.tasks, id)
+	}
+	for _, task := range p.order.Start {
+		if w.instances[task.Instance] == nil {
+			continue
+		}
+		task.State = rapid.SampledFrom([]tw.TaskState{tw.TaskStarting, tw.TaskRunning, tw.TaskRunning, tw.TaskFailed}).Draw(t, "state")
+		if _, runs := w.tasks[task.ID]; !runs {
+			w.tasks[task.ID] = task
+		}
+	}
+	for _, r := range p.order.Reboot {
+		if in := w.instances[r.Instance]; in != nil && in.Boots == r.Boots {
+			in.Boots++
+		}
+	}
+	p.order = nil
+}
+
+// checkStop: no task that works is stopped under a request.
+func (w *world) checkStop(t *rapid.T, id tw.TaskID) {
+	task, runs := w.tasks[id]
+	if !runs || task.State == tw.TaskFailed || w.instances[task.Instance] == nil {
+		return
+	}
+	for _, f := range w.flights {
+		a := w.stored.Find(f.held.Instance)
+		if f.held.Instance != task.Instance || f.held.Job != task.Job || a == nil {
+			continue
+		}
+		at := a.Placement(task.Job)
+		if at != nil && tw.NewTaskID(task.Job, task.Instance, at.Placed) != id {
+			continue // an older task of the same job
+		}
+		t.Fatalf("task %s is stopped under a request of %s", id, f.daemon)
+	}
+}
+
+func (w *world) taskRuns(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		if task := w.tasks[id]; task.State == tw.TaskStarting && rapid.Bool().Draw(t, "runs") {
+			task.State = tw.TaskRunning
+			w.tasks[id] = task
+		}
+	}
+}
+
+// lose takes an instance away with its tasks and requests.
+func (w *world) lose(t *rapid.T) {
+	id := w.drawInstance(t)
+	delete(w.instances, id)
+	maps.DeleteFunc(w.tasks, func(_ tw.TaskID, task tw.Task) bool { return task.Instance == id })
+	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.held.Instance == id })
+}
+
+// come brings an instance back, or lists it again.
+func (w *world) come(t *rapid.T) {
+	id := w.drawInstance(t)
+	if w.instances[id] == nil {
+		in := worker(0)
+		in.ID = id
+		w.instances[id] = &in
+	}
+}
+
+func (w *world) phase(t *rapid.T) {
+	if in := w.instances[w.drawInstance(t)]; in != nil {
+		in.Phase = rapid.SampledFrom([]tw.Phase{tw.Live, tw.Live, tw.Leaving}).Draw(t, "phase")
+	}
+}
+
+// configure is an operator: waves, labels, replicas, pools.
+func (w *world) configure(t *rapid.T) {
+	c := pools(rapid.IntRange(1, 2).Draw(t, "pools"), rapid.IntRange(1, 3).Draw(t, "replicas"))
+	if rapid.Bool().Draw(t, "wave") {
+		id := tw.WaveID(fmt.Sprintf("wave%d", rapid.IntRange(0, 1).Draw(t, "which")))
+		c.Waves = []tw.Wave{{ID: id, Instances: selector("kind=general"), AtOnce: 2}}
+	}
+	if rapid.Bool().Draw(t, "label") {
+		c.Labels = map[tw.InstanceID]map[string]string{w.drawInstance(t): {"kind": "special"}}
+	}
+	w.config = c
+	w.revision++
+}
+
+func (w *world) drawDaemon(t *rapid.T) tw.DaemonID {
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(w.daemons))).Draw(t, "daemon")
+}
+
+func (w *world) drawPlanner(t *rapid.T) *simPlanner {
+	return w.planners[rapid.IntRange(0, len(w.planners)-1).Draw(t, "planner")]
+}
+
+func (*world) drawInstance(t *rapid.T) tw.InstanceID {
+	return instance(rapid.IntRange(0, worldInstances-1).Draw(t, "instance"))
+}
