Send less between daemons: reports on request, a few heartbeats, a list by version

Cause: by arithmetic, at 20 daemons and 112 workers a hall, a full instance list each second is 28 KB/s a daemon, and passing on all members with each heartbeat 15 KB/s; the bound is 5 KB/s for everything.

Changed: the instance list is asked for by the version seen; a heartbeat tells of the 6 daemons of the hall heard last and 2 others; loads and acknowledgements go only to who asks (the planner while a handover is pending, else every 10 s), and always together; tasks are listed every 10 s at rest. A fault found in writing: settings named a second fault that only followed from the first.

--- a/cmd/tamarind/plan.go
+++ b/cmd/tamarind/plan.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		list, err := client.List(ctx, hall)
+		list, err := client.List(ctx, hall, 0)
 		if err != nil {
 			return errors.Wrap(err, "instance list")
 		}
--- a/control/members.go
+++ b/control/members.go
@@ -22,8 +22,7 @@
 	// heardMember is a daemon's last heartbeat.
 	heardMember struct {
 		tw.Member
-		heard  time.Time // when its beat last grew
-		direct bool      // Loads are its own word
+		heard time.Time // when its beat last grew
 	}
 )
 
@@ -31,8 +30,8 @@
 	return &members{clock: clock, dead: dead, table: map[tw.DaemonID]heardMember{}}
 }
 
-// hear takes in a heartbeat. An earlier life or an older beat changes nothing;
-// hearsay changes no loads and no acknowledgement.
+// hear takes in a heartbeat, direct or by hearsay. An earlier life or an older
+// beat changes nothing; a report stands until the same life sends a new one.
 func (t *members) hear(m tw.Member, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,16 +43,15 @@
 	if same && (m.Beat < old.Beat || m.Beat == old.Beat && !direct) {
 		return
 	}
-	next := heardMember{Member: m, heard: t.clock.Now(), direct: direct}
+	next := heardMember{Member: m, heard: t.clock.Now()}
 	if !direct {
-		next.Loads, next.Acked = nil, 0
-		if same && old.direct {
-			next.Loads, next.Acked, next.direct = old.Loads, old.Acked, true
-		}
-		next.Jobs = m.Jobs
-		if same && len(m.Jobs) == 0 {
-			next.Jobs = old.Jobs
-		}
+		next.Report = nil
+	}
+	if same && next.Report == nil {
+		next.Report = old.Report
+	}
+	if same && len(next.Jobs) == 0 {
+		next.Jobs = old.Jobs
 	}
 	t.table[m.ID] = next
 }
@@ -66,6 +64,27 @@
 	return m, ok && m.Incarnation == incarnation
 }
 
+// freshest lists the daemons heard last, n at most.
+func (t *members) freshest(n int, keep func(tw.Member) bool) []tw.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []heardMember
+	now := t.clock.Now()
+	for _, m := range t.table {
+		if now.Sub(m.heard) <= t.dead && keep(m.Member) {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, func(a, b heardMember) int {
+		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.ID, b.ID))
+	})
+	var out []tw.Member
+	for _, m := range all[:min(n, len(all))] {
+		out = append(out, m.Member)
+	}
+	return out
+}
+
 // live lists the daemons heard of late, by id.
 func (t *members) live(keep func(tw.Member) bool) []tw.Member {
 	t.mu.Lock()
--- a/control/node.go
+++ b/control/node.go
@@ -56,6 +56,7 @@
 		List      time.Duration // instance list
 		Plan      time.Duration // planning at rest
 		Handover  time.Duration // planning while a handover is on its way
+		Look      time.Duration // at rest: tasks, and reports of the daemons
 		Watch     time.Duration // how long a watch waits
 		Roster    time.Duration // looking whether we are still in it
 		Lease     time.Duration // renewal of the planner's lease
@@ -70,12 +71,8 @@
 	}
 )
 
-const (
-	// syncPeers is how many daemons of the hall get each heartbeat.
-	syncPeers = 3
-	// claimLimit bounds the idempotency keys held by a daemon.
-	claimLimit = 100_000
-)
+// claimLimit bounds the idempotency keys held by a daemon.
+const claimLimit = 100_000
 
 var _ tw.PeerHandler = (*Node)(nil)
 
@@ -89,11 +86,12 @@
 		{&p.List, time.Second},
 		{&p.Plan, time.Second},
 		{&p.Handover, 200 * time.Millisecond},
+		{&p.Look, 10 * time.Second},
 		{&p.Watch, 25 * time.Second},
 		{&p.Roster, 15 * time.Second},
 		{&p.Lease, 3 * time.Second},
 		{&p.LeaseTTL, 10 * time.Second},
-		{&p.Dead, 4 * time.Second},
+		{&p.Dead, 6 * time.Second},
 		{&p.ClaimKeep, 10 * time.Minute},
 	} {
 		if *d.at == 0 {
@@ -189,6 +187,13 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*n.rand.rand.Float64()))
 }
 
+// oneIn is true once in n times on average.
+func (n *Node) oneIn(times int) bool {
+	n.rand.mu.Lock()
+	defer n.rand.mu.Unlock()
+	return n.rand.rand.IntN(times) == 0
+}
+
 func (n *Node) shuffle(in []tw.Member) {
 	n.rand.mu.Lock()
 	defer n.rand.mu.Unlock()
--- a/control/operator.go
+++ b/control/operator.go
@@ -178,11 +178,11 @@
 }
 
 func (o *Operator) ask(ctx context.Context, d *DaemonState) {
-	resp, err := o.peers.Sync(ctx, d.Address, tw.SyncRequest{Self: tw.Member{Revision: ^tw.Revision(0)}})
-	if err != nil || resp.Self.ID != d.ID {
+	resp, err := o.peers.Sync(ctx, d.Address, tw.SyncRequest{Self: tw.Member{Revision: ^tw.Revision(0)}, WantReport: true})
+	if err != nil || resp.Self.ID != d.ID || resp.Self.Report == nil {
 		return
 	}
-	d.Reached, d.Revision, d.Acked = true, resp.Self.Revision, resp.Self.Acked
+	d.Reached, d.Revision, d.Acked = true, resp.Self.Revision, resp.Self.Report.Acked
 }
 
 func (o *Operator) read(ctx context.Context) (tw.AcceptedConfig, platform.Stored, error) {
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -57,12 +57,32 @@
 		direct        bool
 		want          tw.Member
 	}
+	report := func(acked tw.Generation) *tw.Report { return &tw.Report{Acked: acked} }
 	rows := map[string]row{
-		"a later beat counts":             {first: tw.Member{Incarnation: 1, Beat: 1, Acked: 1}, second: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}, direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}},
-		"an earlier beat does not":        {first: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}, second: tw.Member{Incarnation: 1, Beat: 1, Acked: 9}, direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 2}},
-		"an earlier life does not":        {first: tw.Member{Incarnation: 2, Beat: 1}, second: tw.Member{Incarnation: 1, Beat: 9, Acked: 9}, direct: true, want: tw.Member{Incarnation: 2, Beat: 1}},
-		"a new life has acked nothing":    {first: tw.Member{Incarnation: 1, Beat: 9, Acked: 9}, second: tw.Member{Incarnation: 2, Beat: 1, Acked: 9}, want: tw.Member{Incarnation: 2, Beat: 1}},
-		"hearsay acknowledges for nobody": {first: tw.Member{Incarnation: 1, Beat: 1, Acked: 1}, second: tw.Member{Incarnation: 1, Beat: 2, Acked: 9}, want: tw.Member{Incarnation: 1, Beat: 2, Acked: 1}},
+		"a later beat counts": {
+			first: tw.Member{Incarnation: 1, Beat: 1, Report: report(1)}, second: tw.Member{Incarnation: 1, Beat: 2, Report: report(2)},
+			direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Report: report(2)},
+		},
+		"a beat without a report leaves the last one": {
+			first: tw.Member{Incarnation: 1, Beat: 1, Report: report(1)}, second: tw.Member{Incarnation: 1, Beat: 2},
+			direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Report: report(1)},
+		},
+		"an earlier beat does not count": {
+			first: tw.Member{Incarnation: 1, Beat: 2, Report: report(2)}, second: tw.Member{Incarnation: 1, Beat: 1, Report: report(9)},
+			direct: true, want: tw.Member{Incarnation: 1, Beat: 2, Report: report(2)},
+		},
+		"an earlier life does not count": {
+			first: tw.Member{Incarnation: 2, Beat: 1}, second: tw.Member{Incarnation: 1, Beat: 9, Report: report(9)},
+			direct: true, want: tw.Member{Incarnation: 2, Beat: 1},
+		},
+		"a new life has acked nothing": {
+			first: tw.Member{Incarnation: 1, Beat: 9, Report: report(9)}, second: tw.Member{Incarnation: 2, Beat: 1},
+			direct: true, want: tw.Member{Incarnation: 2, Beat: 1},
+		},
+		"hearsay acknowledges for nobody": {
+			first: tw.Member{Incarnation: 1, Beat: 1, Report: report(1)}, second: tw.Member{Incarnation: 1, Beat: 2, Report: report(9)},
+			want: tw.Member{Incarnation: 1, Beat: 2, Report: report(1)},
+		},
 	}
 	for _, name := range slices.Sorted(maps.Keys(rows)) {
 		It(name, func() {
@@ -118,8 +138,8 @@
 var _ = Describe("peers", func() {
 	member := tw.Member{
 		ID: "d1", Hall: "h1", Instance: "i1", Incarnation: 1 << 62, Beat: 7, Address: "a", Gateway: "g",
-		Revision: 3, Acked: 4, Demand: 5, Jobs: []tw.JobID{"j"},
-		Loads: []tw.Load{{Instance: "w", Job: "j", InFlight: 1, OK: 2, Failed: 3}},
+		Revision: 3, Demand: 5, Jobs: []tw.JobID{"j"},
+		Report: &tw.Report{Acked: 4, Loads: []tw.Load{{Instance: "w", Job: "j", InFlight: 1, OK: 2, Failed: 3}}},
 	}
 	for _, name := range slices.Sorted(maps.Keys(peerImplementations)) {
 		It(name+": carry everything there and back", func() {
--- a/control/peer_client.go
+++ b/control/peer_client.go
@@ -72,6 +72,7 @@
 		Self:       memberToWire(req.Self),
 		Others:     membersToWire(req.Others),
 		Generation: uint64(req.Generation),
+		WantReport: req.WantReport,
 	}))
 	if err != nil {
 		return tw.SyncResponse{}, peerError(err)
--- a/control/peer_convert.go
+++ b/control/peer_convert.go
@@ -15,17 +15,8 @@
 		Address:     m.Address,
 		Gateway:     m.Gateway,
 		Revision:    uint64(m.Revision),
-		Acked:       uint64(m.Acked),
 		Demand:      uint32(m.Demand),
-	}
-	for _, l := range m.Loads {
-		out.Loads = append(out.Loads, &peerpb.Load{
-			Instance: string(l.Instance),
-			Job:      string(l.Job),
-			InFlight: uint32(l.InFlight),
-			Ok:       uint32(l.OK),
-			Failed:   uint32(l.Failed),
-		})
+		Report:      reportToWire(m.Report),
 	}
 	for _, j := range m.Jobs {
 		out.Jobs = append(out.Jobs, string(j))
@@ -43,10 +34,38 @@
 		Address:     m.GetAddress(),
 		Gateway:     m.GetGateway(),
 		Revision:    tw.Revision(m.GetRevision()),
-		Acked:       tw.Generation(m.GetAcked()),
 		Demand:      int(m.GetDemand()),
+		Report:      reportFromWire(m.GetReport()),
+	}
+	for _, j := range m.GetJobs() {
+		out.Jobs = append(out.Jobs, tw.JobID(j))
+	}
+	return out
+}
+
+func reportToWire(r *tw.Report) *peerpb.Report {
+	if r == nil {
+		return nil
 	}
-	for _, l := range m.GetLoads() {
+	out := &peerpb.Report{Acked: uint64(r.Acked)}
+	for _, l := range r.Loads {
+		out.Loads = append(out.Loads, &peerpb.Load{
+			Instance: string(l.Instance),
+			Job:      string(l.Job),
+			InFlight: uint32(l.InFlight),
+			Ok:       uint32(l.OK),
+			Failed:   uint32(l.Failed),
+		})
+	}
+	return out
+}
+
+func reportFromWire(r *peerpb.Report) *tw.Report {
+	if r == nil {
+		return nil
+	}
+	out := &tw.Report{Acked: tw.Generation(r.GetAcked())}
+	for _, l := range r.GetLoads() {
 		out.Loads = append(out.Loads, tw.Load{
 			Instance: tw.InstanceID(l.GetInstance()),
 			Job:      tw.JobID(l.GetJob()),
@@ -55,9 +74,6 @@
 			Failed:   int(l.GetFailed()),
 		})
 	}
-	for _, j := range m.GetJobs() {
-		out.Jobs = append(out.Jobs, tw.JobID(j))
-	}
 	return out
 }
 
--- a/control/peer_server.go
+++ b/control/peer_server.go
@@ -36,6 +36,7 @@
 		Self:       memberFromWire(req.Msg.GetSelf()),
 		Others:     membersFromWire(req.Msg.GetOthers()),
 		Generation: tw.Generation(req.Msg.GetGeneration()),
+		WantReport: req.Msg.GetWantReport(),
 	})
 	return connect.NewResponse(&peerpb.SyncResponse{
 		Self:   memberToWire(resp.Self),
--- a/control/planner.go
+++ b/control/planner.go
@@ -26,6 +26,9 @@
 	stored  platform.Stored // the plan as last read or written
 	loaded  bool
 	plan    tw.Plan
+	tasks   []tw.Task
+	known   bool      // tasks are those of the platform
+	lookAt  time.Time // when to look closely though nothing is pending
 	busy    *busyMeter
 	absent  *absence
 	owed    map[tw.ServiceID]bool // ledgers that may have entries of this hall
@@ -103,7 +106,7 @@
 	p.held.Store(true)
 	p.epoch = epoch
 	p.loaded = false
-	p.askAt = time.Time{}
+	p.askAt, p.lookAt = time.Time{}, time.Time{}
 	p.log.Info("planning for the hall", zap.Uint64("epoch", uint64(epoch)))
 	var view tw.View
 	p.node.know.snapshot(&view)
--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -49,16 +49,20 @@
 	if view.Config == nil || !listed {
 		return fleet.Input{}, false, nil
 	}
-	tasks, err := n.cfg.Workers.Tasks(ctx, n.cfg.Self.Hall)
+	if p.pending() || !n.cfg.Clock.Now().Before(p.lookAt) {
+		p.lookAt = n.cfg.Clock.Now().Add(n.cfg.Pace.Look)
+		p.lookClosely(ctx)
+	}
 	in := fleet.Input{
 		Hall:       n.cfg.Self.Hall,
 		Config:     view.Config,
 		Revision:   view.Revision,
 		Epoch:      p.epoch,
 		Plan:       p.plan,
-		Tasks:      tasks,
-		TasksKnown: err == nil,
+		Tasks:      p.tasks,
+		TasksKnown: p.known,
 	}
+	var err error
 	for _, i := range list.Instances {
 		if i.Role != tw.Entry {
 			in.Instances = append(in.Instances, i)
@@ -71,6 +75,21 @@
 	return in, true, err
 }
 
+// lookClosely asks for what is costly: the tasks, and, at rest, the daemons'
+// reports. While something is pending, roster asks for these.
+func (p *planner) lookClosely(ctx context.Context) {
+	tasks, err := p.node.cfg.Workers.Tasks(ctx, p.node.cfg.Self.Hall)
+	p.tasks, p.known = tasks, err == nil
+	if p.pending() {
+		return
+	}
+	var addresses []string
+	for _, m := range p.node.others(p.node.hallMembers()) {
+		addresses = append(addresses, m.Address)
+	}
+	p.node.syncWith(ctx, addresses, true)
+}
+
 // roster reads the hall's roster and asks each daemon on it how far it is.
 func (p *planner) roster(ctx context.Context) ([]fleet.Member, error) {
 	n := p.node
@@ -88,7 +107,7 @@
 	for _, m := range roster.Members {
 		addresses = append(addresses, m.Address)
 	}
-	n.syncWith(ctx, addresses)
+	n.syncWith(ctx, addresses, true)
 	p.dropGone(ctx, roster)
 	out := make([]fleet.Member, 0, len(roster.Members))
 	for _, m := range roster.Members {
@@ -101,18 +120,16 @@
 // this life has acknowledged nothing.
 func (p *planner) member(m tw.RosterMember) fleet.Member {
 	out := fleet.Member{ID: m.ID, InFlight: map[fleet.Held]int{}}
-	var heard tw.Member
-	if m.ID == p.node.cfg.Self.ID {
-		heard = p.node.self()
-	} else {
-		state, ok := p.node.members.get(m.ID, m.Incarnation)
-		if !ok || !state.direct {
+	report := p.node.report()
+	if m.ID != p.node.cfg.Self.ID {
+		heard, ok := p.node.members.get(m.ID, m.Incarnation)
+		if !ok || heard.Report == nil {
 			return out
 		}
-		heard = state.Member
+		report = heard.Report
 	}
-	out.Acked = heard.Acked
-	for _, l := range heard.Loads {
+	out.Acked = report.Acked
+	for _, l := range report.Loads {
 		out.InFlight[fleet.Held{Instance: l.Instance, Job: l.Job}] = l.InFlight
 	}
 	return out
@@ -145,9 +162,14 @@
 func (p *planner) measure() (map[tw.InstanceID]fleet.Health, map[tw.JobID]float64) {
 	health := map[tw.InstanceID]fleet.Health{}
 	inFlight := map[tw.JobID]float64{}
-	members := p.node.others(p.node.hallMembers())
-	for _, m := range append(members, p.node.self()) {
-		for _, l := range m.Loads {
+	reports := []*tw.Report{p.node.report()}
+	for _, m := range p.node.others(p.node.hallMembers()) {
+		if m.Report != nil {
+			reports = append(reports, m.Report)
+		}
+	}
+	for _, r := range reports {
+		for _, l := range r.Loads {
 			h := health[l.Instance]
 			h.OK += l.OK
 			h.Failed += l.Failed
--- a/control/rosters.go
+++ b/control/rosters.go
@@ -37,7 +37,7 @@
 	}
 	for _, hall := range view.Config.Halls {
 		known := n.known(func(m tw.Member) bool { return m.Hall == hall && m.ID != n.cfg.Self.ID })
-		if len(known) > 0 || !n.lookNow() {
+		if len(known) > 0 || !n.oneIn(lookOneIn) {
 			continue
 		}
 		stored, err := n.cfg.Documents.Read(ctx, tw.RosterKey(hall))
@@ -55,11 +55,5 @@
 	}
 }
 
-// lookNow thins out the reads for halls that have no daemon yet.
-func (n *Node) lookNow() bool {
-	n.rand.mu.Lock()
-	defer n.rand.mu.Unlock()
-	return n.rand.rand.IntN(lookOneIn) == 0
-}
-
+// lookOneIn thins out the reads for halls that have no daemon yet.
 const lookOneIn = 4
--- a/control/status.go
+++ b/control/status.go
@@ -18,12 +18,11 @@
 
 // MemberInfo is a live daemon, as this one has heard of it.
 type MemberInfo struct {
-	ID       tw.DaemonID   `json:"id"`
-	Hall     tw.HallID     `json:"hall"`
-	Revision tw.Revision   `json:"revision"`
-	Acked    tw.Generation `json:"acked"`
-	Demand   int           `json:"demand"`
-	Jobs     []tw.JobID    `json:"jobs,omitempty"`
+	ID       tw.DaemonID `json:"id"`
+	Hall     tw.HallID   `json:"hall"`
+	Revision tw.Revision `json:"revision"`
+	Demand   int         `json:"demand"`
+	Jobs     []tw.JobID  `json:"jobs,omitempty"`
 }
 
 // Status tells what the node knows now.
@@ -44,7 +43,6 @@
 			ID:       m.ID,
 			Hall:     m.Hall,
 			Revision: m.Revision,
-			Acked:    m.Acked,
 			Demand:   m.Demand,
 			Jobs:     m.Jobs,
 		})
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -159,6 +159,7 @@
 	List:     20 * time.Millisecond,
 	Plan:     20 * time.Millisecond,
 	Handover: 10 * time.Millisecond,
+	Look:     50 * time.Millisecond,
 	Watch:    time.Second,
 	Roster:   50 * time.Millisecond,
 	Lease:    50 * time.Millisecond,
--- a/control/sync.go
+++ b/control/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -10,13 +11,25 @@
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
-// syncDuty sends heartbeats: to a few daemons of the hall and one of another
-// hall each time.
+const (
+	// syncPeers is how many daemons of the hall get each heartbeat.
+	syncPeers = 2
+	// remoteOneIn is in how many rounds a daemon of another hall gets one.
+	remoteOneIn = 2
+	// jobsOneIn is in how many messages the jobs are told.
+	jobsOneIn = 8
+	// gossipHall and gossipRemote bound the daemons that a message tells of.
+	gossipHall   = 6
+	gossipRemote = 2
+)
+
+// syncDuty sends heartbeats: to a few daemons of the hall each time, and to
+// one of another hall now and then.
 func (n *Node) syncDuty(ctx context.Context) {
 	for n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)) {
 		n.learnRosters(ctx)
 		n.beat.Add(1)
-		n.syncWith(ctx, n.pickPeers())
+		n.syncWith(ctx, n.pickPeers(), false)
 	}
 }
 
@@ -30,8 +43,8 @@
 	for _, m := range hall[:min(len(hall), syncPeers)] {
 		out = append(out, m.Address)
 	}
-	for _, m := range remote[:min(len(remote), 1)] {
-		out = append(out, m.Address)
+	if len(remote) > 0 && (len(hall) == 0 || n.oneIn(remoteOneIn)) {
+		out = append(out, remote[0].Address)
 	}
 	if len(out) == 0 {
 		return n.cfg.Seeds
@@ -64,9 +77,10 @@
 }
 
 // syncWith exchanges heartbeats with several daemons at the same time.
-func (n *Node) syncWith(ctx context.Context, addresses []string) {
+func (n *Node) syncWith(ctx context.Context, addresses []string, wantReport bool) {
 	req := tw.SyncRequest{
-		Self:       n.self(),
+		WantReport: wantReport,
+		Self:       n.selfAndJobs(),
 		Others:     n.gossip(),
 		Generation: n.know.generationNow(),
 	}
@@ -95,7 +109,10 @@
 	if req.Self.ID != "" { // an operator's command has no id
 		n.hear(req.Self, req.Others)
 	}
-	resp := tw.SyncResponse{Self: n.self(), Others: n.gossip()}
+	resp := tw.SyncResponse{Self: n.selfAndJobs(), Others: n.gossip()}
+	if req.WantReport {
+		resp.Self.Report = n.report()
+	}
 	config, plan := n.know.documents()
 	if req.Self.Revision < n.know.revisionNow() {
 		resp.Config = config
@@ -131,15 +148,27 @@
 	}
 }
 
-// gossip passes on what this daemon heard of others, without their loads.
+// selfAndJobs is the heartbeat, now and then with the jobs.
+func (n *Node) selfAndJobs() tw.Member {
+	m := n.self()
+	if n.oneIn(jobsOneIn) {
+		m.Jobs = n.cfg.Dispatcher.Jobs()
+	}
+	return m
+}
+
+// gossip passes on what this daemon heard of others last, without their
+// reports, and without the jobs of the hall's own, whom each hears directly.
 func (n *Node) gossip() []tw.Member {
-	live := n.members.live(func(m tw.Member) bool { return m.ID != n.cfg.Self.ID })
-	for i := range live {
-		live[i].Loads = nil
-		live[i].Acked = 0
-		if live[i].Hall == n.cfg.Self.Hall {
-			live[i].Jobs = nil // each hears them from the daemon itself
-		}
+	own := n.cfg.Self.Hall
+	hall := n.members.freshest(gossipHall, func(m tw.Member) bool { return m.Hall == own && m.ID != n.cfg.Self.ID })
+	for i := range hall {
+		hall[i].Jobs = nil
 	}
-	return live
+	remote := n.members.freshest(gossipRemote, func(m tw.Member) bool { return m.Hall != own })
+	out := slices.Concat(hall, remote)
+	for i := range out {
+		out[i].Report = nil
+	}
+	return out
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -52,7 +52,8 @@
 // listDuty polls the platform's instance list.
 func (n *Node) listDuty(ctx context.Context) {
 	for {
-		list, err := n.cfg.Instances.List(ctx, n.cfg.Self.Hall)
+		seen, _ := n.know.instances()
+		list, err := n.cfg.Instances.List(ctx, n.cfg.Self.Hall, seen.Version)
 		if err == nil {
 			n.know.offerList(list)
 		}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -127,7 +127,7 @@
 	positive(faults, "limits.dial_timeout", int64(s.Limits.DialTimeout))
 	positive(faults, "limits.stop_timeout", int64(s.Limits.StopTimeout))
 	positive(faults, "limits.key_lifetime", int64(s.Limits.KeyLifetime))
-	if s.Limits.HeldBody > s.Limits.Body {
+	if s.Limits.Body > 0 && s.Limits.HeldBody > s.Limits.Body {
 		faults.Add("limits.held_body", "is over limits.body")
 	}
 }
--- /dev/null
+++ b/internal/experiment/control.go
@@ -0,0 +1,234 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/control"
+	"github.com/tamarindworks/tamarindworks/daemon"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+type (
+	// hallSize is a data hall of daemons and workers.
+	hallSize struct {
+		daemons int
+		shape
+	}
+
+	// hallRun is such a hall under way, in this process.
+	hallRun struct {
+		size     hallSize
+		platform *standin.Platform
+		server   *http.Server
+		url      string
+		daemons  []*daemon.Daemon
+		operator *control.Operator
+		peers    meter
+		store    meter
+		revision tw.Revision
+	}
+)
+
+var hallSizes = []hallSize{
+	{daemons: 3, shape: shape{name: "today", workers: 20, pools: 5, replicas: 3, rack: 4}},
+	{daemons: 5, shape: shape{workers: 38, pools: 12, replicas: 3, rack: 4}},
+	{daemons: 10, shape: shape{workers: 60, pools: 25, replicas: 2, rack: 4}},
+	{daemons: 20, shape: shape{name: "900 workers in 8 halls", workers: 112, pools: 51, replicas: 2, rack: 4}},
+}
+
+const (
+	restTime = 20 * time.Second
+	changes  = 7
+)
+
+// Control measures what a daemon's duties cost at rest, and how long a change
+// takes to be in force, in halls of four sizes. The figures for a daemon are
+// those of this process divided by the daemons: the platform's stand-in is in
+// them, so they are upper bounds.
+func Control(ctx context.Context, out io.Writer) error {
+	for _, size := range hallSizes {
+		if err := size.measure(ctx, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s hallSize) measure(ctx context.Context, out io.Writer) error {
+	h, err := s.start()
+	if err != nil {
+		return err
+	}
+	defer h.close()
+	if err := h.change(ctx); err != nil {
+		return err
+	}
+	if err := h.settled(ctx); err != nil {
+		return err
+	}
+	h.rest(out)
+	return h.rollOut(ctx, out)
+}
+
+func (s hallSize) start() (*hallRun, error) {
+	h := &hallRun{size: s, platform: standin.PlatformConfig{AutoRun: true}.New()}
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "experiment.start")
+	}
+	h.url = "http://" + at.Addr().String()
+	h.server = &http.Server{Handler: h.platform.Handler()}
+	go func() { _ = h.server.Serve(meteredListener{at, &h.store}) }() // ends with close
+	for i := range s.workers {
+		w := s.worker(i)
+		w.Role = tw.Worker
+		w.Address = "127.0.0.1:9"
+		h.platform.SetInstance(w)
+	}
+	for i := range s.daemons {
+		if err := h.startDaemon(i); err != nil {
+			h.close()
+			return nil, err
+		}
+	}
+	h.operator = control.OperatorConfig{
+		Documents: platform.DocumentsConfig{Store: h.platform, Clock: tw.SystemClock{}, CallsPerSecond: 1000}.New(),
+		Peers:     control.PeerClientConfig{}.New(),
+		Clock:     tw.SystemClock{},
+	}.New()
+	return h, nil
+}
+
+func (h *hallRun) startDaemon(i int) error {
+	id := tw.DaemonID(fmt.Sprintf("entry-%02d", i))
+	settings := daemon.Settings{
+		ID:       id,
+		Hall:     modelHall,
+		Instance: tw.InstanceID(id),
+		Listen:   daemon.ListenSettings{Gateway: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Platform: daemon.PlatformSettings{URL: h.url},
+	}
+	settings.Defaults()
+	d, err := daemon.Config{Settings: settings, Peers: control.PeerClientConfig{Dial: h.peers.dial}.New()}.New()
+	if err == nil {
+		h.daemons = append(h.daemons, d)
+	}
+	return err
+}
+
+func (h *hallRun) close() {
+	for _, d := range h.daemons {
+		d.Kill()
+	}
+	_ = h.server.Close() // nobody is left to tell
+}
+
+// change applies a configuration and waits until it is in force.
+func (h *hallRun) change(ctx context.Context) error {
+	accepted, err := h.operator.Apply(ctx, h.size.source(h.revision), "experiment", h.revision)
+	if err != nil {
+		return err
+	}
+	h.revision = accepted.Revision
+	for {
+		daemons, err := h.operator.WaitInForce(ctx, []tw.HallID{modelHall}, accepted.Revision)
+		if err != nil || len(daemons) == h.size.daemons {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// settled waits until every replica runs.
+func (h *hallRun) settled(ctx context.Context) error {
+	for ctx.Err() == nil {
+		plan, err := h.operator.Plan(ctx, modelHall)
+		if err != nil {
+			return err
+		}
+		if plan.Revision == h.revision && running(&plan) == h.size.pools*h.size.replicas {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+func running(plan *tw.Plan) int {
+	n := 0
+	for i := range plan.Instances {
+		a := &plan.Instances[i]
+		for _, at := range a.Jobs {
+			if a.Runs(at.Job) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (h *hallRun) rest(out io.Writer) {
+	time.Sleep(2 * time.Second)
+	calls, peers, store, cpu := h.platform.Calls(), h.peers.bytes.Load(), h.store.bytes.Load(), processorTime()
+	time.Sleep(restTime)
+	seconds := restTime.Seconds()
+	n := float64(h.size.daemons)
+	after := h.platform.Calls()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	// Each byte between peers is sent by one daemon and received by another.
+	peerRate := 2 * float64(h.peers.bytes.Load()-peers) / seconds / n
+	storeRate := float64(h.store.bytes.Load()-store) / seconds / n
+	fmt.Fprintf(out, "daemons=%-3d workers=%-4d pools=%-3d a daemon: cpu=%.2f%% of a core, peers=%.0f B/s, platform=%.0f B/s, heap=%.1f MB; store: %.2f reads/s, %.2f writes/s\n",
+		h.size.daemons, h.size.workers, h.size.pools,
+		100*(processorTime()-cpu).Seconds()/seconds/n, peerRate, storeRate, float64(memory.HeapAlloc)/n/1e6,
+		float64(after.Reads-calls.Reads)/seconds, float64(after.Writes-calls.Writes)/seconds)
+}
+
+// rollOut times changes until the last daemon has them, and until the last
+// task runs.
+func (h *hallRun) rollOut(ctx context.Context, out io.Writer) error {
+	var inForce, tasks []time.Duration
+	for range changes {
+		start := time.Now()
+		if err := h.change(ctx); err != nil {
+			return err
+		}
+		inForce = append(inForce, time.Since(start).Round(time.Millisecond))
+		if err := h.settled(ctx); err != nil {
+			return err
+		}
+		tasks = append(tasks, time.Since(start).Round(time.Millisecond))
+	}
+	slices.Sort(inForce)
+	slices.Sort(tasks)
+	fmt.Fprintf(out, "daemons=%-3d workers=%-4d pools=%-3d a change: in force median %v, worst %v; last task median %v, worst %v (n=%d)\n",
+		h.size.daemons, h.size.workers, h.size.pools, inForce[changes/2], inForce[changes-1], tasks[changes/2], tasks[changes-1], changes)
+	return nil
+}
+
+// source is a configuration in TOML; each version differs in one job's label.
+func (s shape) source(version tw.Revision) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "halls = [%q]\n", modelHall)
+	for i := range s.pools {
+		id := fmt.Sprintf("p%02d", i)
+		fmt.Fprintf(&b, "[[pools]]\nid = %q\ninstances = \"kind=general\"\njobs = \"pool=%s\"\n", id, id)
+		fmt.Fprintf(&b, "[[jobs]]\nid = \"job-%s\"\nservice = \"svc-%s\"\nlabels = { pool = %q, version = \"%d\" }\nreplicas = %d\ncores = 8\n", id, id, id, version, s.replicas)
+		fmt.Fprintf(&b, "[[services]]\nid = \"svc-%s\"\n[[services.routes]]\nhost = \"%s.test\"\npath = \"/\"\njob = \"job-%s\"\n", id, id, id)
+	}
+	return b.String()
+}
--- a/internal/experiment/model.go
+++ b/internal/experiment/model.go
@@ -157,12 +157,3 @@
 	}
 	return out
 }
-
-// serving counts the replicas of each job that run.
-func (m *model) serving() map[tw.JobID]int {
-	out := map[tw.JobID]int{}
-	for held := range m.placements() {
-		out[held.Job]++
-	}
-	return out
-}
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -95,7 +95,8 @@
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	snapshot, err := p.List(r.Context(), tw.HallID(r.FormValue("hall")))
+	seen, _ := strconv.ParseUint(r.FormValue("seen"), 10, 64) // absent means none
+	snapshot, err := p.List(r.Context(), tw.HallID(r.FormValue("hall")), seen)
 	answer(w, snapshot, err)
 }
 
--- a/internal/standin/platform_instances.go
+++ b/internal/standin/platform_instances.go
@@ -59,13 +59,17 @@
 }
 
 // List implements tw.InstanceList.
-func (p *Platform) List(_ context.Context, hall tw.HallID) (tw.InstanceSnapshot, error) {
+func (p *Platform) List(_ context.Context, hall tw.HallID, seen uint64) (tw.InstanceSnapshot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	list := p.snapshot(hall)
 	if p.faults.StaleList {
-		return p.stale[hall], nil
+		list = p.stale[hall]
 	}
-	return p.snapshot(hall), nil
+	if seen != 0 && list.Version == seen {
+		return tw.InstanceSnapshot{}, tw.ErrNoChange
+	}
+	return list, nil
 }
 
 // Tasks implements tw.Workers.
--- a/peers.go
+++ b/peers.go
@@ -23,12 +23,21 @@
 		Address     string // IP:port of the peer service
 		Gateway     string // IP:port that takes requests
 		Revision    Revision
+		Demand   int // requests running and waiting, for slot shares
+		// Jobs that the daemon can give to an instance itself. They are sent
+		// now and then only; none means no news.
+		Jobs []JobID
+		// Report is sent to who asks for it.
+		Report *Report
+	}
+
+	// Report is how far a daemon is with a plan, in its own word.
+	Report struct {
 		// Acked is the plan generation after which the daemon sends nothing
-		// that the plan does not allow.
-		Acked  Generation
-		Demand int    // requests running and waiting, for slot shares
-		Loads  []Load // only from the daemon itself
-		Jobs   []JobID
+		// that the plan does not allow. Requests given out before that are in
+		// Loads until they end.
+		Acked Generation
+		Loads []Load
 	}
 
 	// SyncRequest is one exchange of heartbeats.
@@ -37,6 +46,8 @@
 		Others []Member // without loads
 		// Generation is the newest plan the sender holds for its hall.
 		Generation Generation
+		// WantReport asks for the receiver's report.
+		WantReport bool
 	}
 
 	// SyncResponse answers a heartbeat, with what the sender lacked.
