Spread active instances over racks; ask for the lease only when nobody plans

Causes: (1) 'experiment control' showed 1.00 store writes a second at rest in a hall of three: every daemon tried for the lease every 3 s; at 8 halls of 20 that is 53 of the store's 100. Heartbeats now say who plans, and others ask only when nobody does. (2) A change reached the plan after a median of 1.0 s, as the planner only looked once a second; news wakes it now. (3) Spares were left in one rack, and the fullest rack decides how many are needed.

Spares needed at today's size 4 -> 3 (per pool 5), by the new test. New e2e cases: commands and exit codes, hall cut off from the platform, keyed repeats while a daemon is killed, second operator, explain and plan.

--- a/cmd/tamarind-standin/experiment.go
+++ b/cmd/tamarind-standin/experiment.go
@@ -23,6 +23,7 @@
 }{
 	{"overload", "Latency and goodput at a tenth and at twice the capacity.", experiment.Overload},
 	{"cost", "What the gateway adds to a request.", experiment.Cost},
+	{"claims", "Requests that callers repeat, without and with a key.", experiment.Claims},
 	{"control", "What a daemon costs at rest, and how long a change takes, in halls of four sizes.", experiment.Control},
 	{"fleet", "Moves, spares and the time of a planning pass.", experiment.Fleet},
 }
--- a/cmd/tamarind-standin/load.go
+++ b/cmd/tamarind-standin/load.go
@@ -25,7 +25,7 @@
 	cmd.Flag("requests", "How many requests to send.").Default("1000").IntVar(&config.Requests)
 	cmd.Flag("rate", "Requests a second.").Default("200").Float64Var(&config.Rate)
 	cmd.Flag("timeout", "What a caller waits.").Default("15s").DurationVar(&config.Timeout)
-	cmd.Flag("repeat", "More tries of each keyed request.").IntVar(&config.Repeat)
+	cmd.Flag("repeat", "More tries of each request.").IntVar(&config.Repeat)
 	cmd.Flag("method", "HTTP method.").Default("POST").StringVar(&stream.Method)
 	cmd.Flag("host", "Host header.").Default("demo").StringVar(&stream.Host)
 	cmd.Flag("path", "Path.").Default("/").StringVar(&stream.Path)
--- a/control/knowledge.go
+++ b/control/knowledge.go
@@ -22,10 +22,13 @@
 	// plan from the store since.
 	registered bool
 	fresh      bool
-	changed    chan struct{} // holds one token
+	changed    chan struct{} // holds one token, for the installer
+	news       chan struct{} // holds one token, for the planner
 }
 
-func newKnowledge() *knowledge { return &knowledge{changed: make(chan struct{}, 1)} }
+func newKnowledge() *knowledge {
+	return &knowledge{changed: make(chan struct{}, 1), news: make(chan struct{}, 1)}
+}
 
 // offerConfig takes a configuration if it is newer; it tells whether it was.
 func (k *knowledge) offerConfig(body json.RawMessage) (bool, error) {
@@ -40,6 +43,7 @@
 	}
 	k.configBody, k.config, k.revision = body, config, accepted.Revision
 	k.signal()
+	token(k.news)
 	return true, nil
 }
 
@@ -68,6 +72,7 @@
 	}
 	k.list, k.listed = list, true
 	k.signal()
+	token(k.news)
 }
 
 // register notes that the daemon is in the roster. The plan must be read from
@@ -90,10 +95,13 @@
 	}
 }
 
-// signal wakes the installer; the lock is held.
-func (k *knowledge) signal() {
+// signal wakes the installer.
+func (k *knowledge) signal() { token(k.changed) }
+
+// token puts one token into a channel that may have it already.
+func token(c chan struct{}) {
 	select {
-	case k.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -138,7 +138,7 @@
 var _ = Describe("peers", func() {
 	member := tw.Member{
 		ID: "d1", Hall: "h1", Instance: "i1", Incarnation: 1 << 62, Beat: 7, Address: "a", Gateway: "g",
-		Revision: 3, Demand: 5, Jobs: []tw.JobID{"j"},
+		Revision: 3, Demand: 5, Planning: true, Jobs: []tw.JobID{"j"},
 		Report: &tw.Report{Acked: 4, Loads: []tw.Load{{Instance: "w", Job: "j", InFlight: 1, OK: 2, Failed: 3}}},
 	}
 	for _, name := range slices.Sorted(maps.Keys(peerImplementations)) {
--- a/control/peer_convert.go
+++ b/control/peer_convert.go
@@ -16,6 +16,7 @@
 		Gateway:     m.Gateway,
 		Revision:    uint64(m.Revision),
 		Demand:      uint32(m.Demand),
+		Planning:    m.Planning,
 		Report:      reportToWire(m.Report),
 	}
 	for _, j := range m.Jobs {
@@ -35,6 +36,7 @@
 		Gateway:     m.GetGateway(),
 		Revision:    tw.Revision(m.GetRevision()),
 		Demand:      int(m.GetDemand()),
+		Planning:    m.GetPlanning(),
 		Report:      reportFromWire(m.GetReport()),
 	}
 	for _, j := range m.GetJobs() {
--- a/control/planner.go
+++ b/control/planner.go
@@ -63,8 +63,11 @@
 				wait = pace.Handover
 			}
 		}
-		if !p.node.sleep(ctx, p.node.jitter(wait)) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-p.node.know.news:
+		case <-p.node.cfg.Clock.After(p.node.jitter(wait)):
 		}
 	}
 }
@@ -76,7 +79,7 @@
 	if p.held.Load() && asked.Before(p.renewAt) {
 		return true
 	}
-	if !p.node.ready() {
+	if !p.node.ready() || !p.held.Load() && p.anotherPlans() {
 		return false
 	}
 	lease, err := p.node.cfg.Documents.Acquire(ctx, p.request())
@@ -93,6 +96,17 @@
 	return p.holds()
 }
 
+// anotherPlans tells whether a live daemon of the hall says that it plans. Then
+// this one need not ask the store for the lease.
+func (p *planner) anotherPlans() bool {
+	for _, m := range p.node.others(p.node.hallMembers()) {
+		if m.Planning {
+			return true
+		}
+	}
+	return false
+}
+
 // holds tells whether the lease surely holds now: a process that was paused
 // finds out by its own clock before it does anything.
 func (p *planner) holds() bool {
--- a/control/self.go
+++ b/control/self.go
@@ -11,6 +11,7 @@
 	m.Beat = n.beat.Load()
 	m.Revision = n.know.revisionNow()
 	m.Demand = n.cfg.Dispatcher.Demand()
+	m.Planning = n.planner.held.Load()
 	return m
 }
 
--- /dev/null
+++ b/e2e/commands_test.go
@@ -0,0 +1,64 @@
+package e2e
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// command is one use of a program that needs no fleet.
+type command struct {
+	program string
+	file    string // written as "file.toml"
+	args    []string
+	code    int
+	says    []string
+}
+
+var commands = map[string]command{
+	"tamarindd with bad settings": {
+		program: "tamarindd", args: []string{"--settings", "file.toml"},
+		file: "id = \"x\"\nhalls = 1\n[listen]\ngateway = \"host\"\n",
+		code: 2, says: []string{"line 2: halls: is not a known key", "line 4: listen.gateway", "hall: is missing", "platform.url"},
+	},
+	"tamarindd without settings": {program: "tamarindd", code: 1, says: []string{"--settings"}},
+	"config check of a bad file": {
+		program: "tamarind", args: []string{"config", "check", "file.toml"},
+		file: "halls = [\"h\"]\n[[pools]]\nid = \"p\"\nsize = 3\njobs = \"a\"\n[[jobs]]\nid = \"j\"\nservice = \"s\"\n",
+		code: 2, says: []string{"line 4", "line 2: pools[0].instances: is missing", "line 8: jobs[0].service: there is no service \"s\""},
+	},
+	"config check of a good file": {program: "tamarind", args: []string{"config", "check", "file.toml"}, file: "halls = [\"h\"]\n", code: 0, says: []string{"is good"}},
+	"config check of no file":     {program: "tamarind", args: []string{"config", "check", "none.toml"}, code: 2, says: []string{"none.toml"}},
+	"status without a platform":   {program: "tamarind", args: []string{"status"}, code: 2, says: []string{"--platform"}},
+	"status of a platform not there": {
+		program: "tamarind", args: []string{"--platform", "http://127.0.0.1:1", "--timeout", "300ms", "status"},
+		code: 1, says: []string{"unavailable"},
+	},
+	"an unknown command": {program: "tamarind", args: []string{"move"}, code: 2, says: []string{"move"}},
+}
+
+var _ = Describe("the command line", func() {
+	for _, name := range slices.Sorted(maps.Keys(commands)) {
+		It(name, func() {
+			c := commands[name]
+			dir := GinkgoT().TempDir()
+			path := filepath.Join(dir, "file.toml")
+			Expect(os.WriteFile(path, []byte(c.file), 0o600)).To(Succeed())
+			args := slices.Clone(c.args)
+			for i := range args {
+				if args[i] == "file.toml" {
+					args[i] = path
+				}
+			}
+			out, code := run(c.program, args...)
+			Expect(code).To(Equal(c.code), out)
+			for _, says := range c.says {
+				Expect(out).To(ContainSubstring(says))
+			}
+		})
+	}
+})
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -109,6 +109,49 @@
 		Expect(r.Answered).To(Equal(r.Sent), r.Line())
 	})
 
+	It("goes on serving in a hall that is cut off from the platform, and takes the change after", func() {
+		r := underLoad(f.load(800, 150), func() {
+			f.cuts["h2"].setCut(true)
+			time.Sleep(2 * time.Second)
+			f.cuts["h2"].setCut(false)
+		})
+		expectNoFaults(r)
+		Expect(r.Answered).To(Equal(r.Sent), r.Line())
+	})
+
+	It("runs keyed requests once that callers repeat while a daemon is killed", func() {
+		l := f.load(300, 150, standin.Stream{
+			Name: "record", Method: "POST", Host: "boards.test", Path: "/records", Work: 20 * time.Millisecond, Keyed: true,
+		})
+		l.Repeat = 2
+		l.Entries = f.gatewaysOf("h1")
+		r := underLoad(l, func() {
+			f.daemons["h1-e1"].kill()
+			f.startDaemon("h1", "h1-e1")
+		})
+		expectNoFaults(r)
+		Expect(r.Refused["key-answered"]).To(BeNumerically(">", 0))
+	})
+
+	It("tells an operator who comes second of the first one's change", func() {
+		out, code := run("tamarind", "--platform", f.url, "config", "apply", "testdata/wave.toml", "--base", "0")
+		Expect(code).To(Equal(3), out)
+		Expect(out).To(ContainSubstring("+id = \"december\""))
+		Expect(out).To(ContainSubstring("revision 1"))
+	})
+
+	It("explains instances and jobs, and shows what a change would do", func() {
+		id := string(f.serving("h1", "boards")[0])
+		for _, c := range [][]string{
+			{"status"}, {"status", "--output", "json"}, {"explain", "instance", id},
+			{"explain", "job", "board-check"}, {"plan", "testdata/wave.toml"}, {"config", "get"},
+		} {
+			out, code := run("tamarind", append([]string{"--platform", f.url}, c...)...)
+			Expect(code).To(Equal(0), out)
+			Expect(out).NotTo(BeEmpty())
+		}
+	})
+
 	It("maintains every instance once, within the budget", func() {
 		r := underLoad(f.load(1200, 100), func() {
 			f.configure("wave.toml", 1)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -29,6 +29,8 @@
 	upstreams map[tw.InstanceID]*process
 	daemons   map[tw.DaemonID]*process
 	operator  *control.Operator
+	// cuts stand between each hall's daemons and the platform.
+	cuts map[tw.HallID]*relay
 }
 
 var halls = []tw.HallID{"h1", "h2"}
@@ -46,6 +48,7 @@
 		dir:       GinkgoT().TempDir(),
 		upstreams: map[tw.InstanceID]*process{},
 		daemons:   map[tw.DaemonID]*process{},
+		cuts:      map[tw.HallID]*relay{},
 	}
 	DeferCleanup(f.end)
 	f.platform = start("platform", true, "tamarind-standin", "platform")
@@ -61,6 +64,7 @@
 		Clock: tw.SystemClock{},
 	}.New()
 	for _, hall := range halls {
+		f.cuts[hall] = newRelay(f.platform.address)
 		for r := range racks {
 			for i := range perRack {
 				f.startUpstream(hall, r, i)
@@ -105,7 +109,7 @@
 admin = "127.0.0.1:0"
 [platform]
 url = %q
-`, id, hall, id, f.url)
+`, id, hall, id, "http://"+f.cuts[hall].address)
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	f.daemons[id] = start(string(id), false, "tamarindd", "--settings", path)
 }
@@ -157,7 +161,9 @@
 }
 
 // gateways lists where the registered daemons take requests.
-func (f *fleet) gateways() []string {
+func (f *fleet) gateways() []string { return f.gatewaysOf(halls...) }
+
+func (f *fleet) gatewaysOf(halls ...tw.HallID) []string {
 	GinkgoHelper()
 	daemons, err := f.operator.Daemons(context.Background(), halls)
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/e2e/relay_test.go
@@ -0,0 +1,79 @@
+package e2e
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// relay stands between a hall and the platform, and can cut them.
+type relay struct {
+	address string
+	target  string
+
+	mu    sync.Mutex
+	cut   bool
+	conns map[net.Conn]bool
+}
+
+func newRelay(target string) *relay {
+	GinkgoHelper()
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(at.Close)
+	r := &relay{address: at.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			conn, err := at.Accept()
+			if err != nil {
+				return
+			}
+			go r.pass(conn)
+		}
+	}()
+	return r
+}
+
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	for conn := range r.conns {
+		conn.Close()
+	}
+}
+
+func (r *relay) pass(in net.Conn) {
+	defer in.Close()
+	if !r.keep(in) {
+		return
+	}
+	defer r.drop(in)
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	var both sync.WaitGroup
+	both.Go(func() { _, _ = io.Copy(out, in); out.Close() }) // either end may go
+	both.Go(func() { _, _ = io.Copy(in, out); in.Close() })
+	both.Wait()
+}
+
+func (r *relay) keep(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.cut {
+		r.conns[conn] = true
+	}
+	return !r.cut
+}
+
+func (r *relay) drop(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, conn)
+}
--- a/fleet/decide_test.go
+++ b/fleet/decide_test.go
@@ -244,6 +244,25 @@
 		Fail("the wave does not end")
 	})
 
+	It("spreads pools over racks, and leaves the spares spread", func() {
+		h := newHall(pools(5, 3), 20)
+		h.settle()
+		active, spare := map[tw.RackID]int{}, map[tw.RackID]int{}
+		for _, a := range h.in.Plan.Instances {
+			if a.Active() {
+				active[a.Rack]++
+			} else {
+				spare[a.Rack]++
+			}
+		}
+		Expect(active).To(HaveLen(5))
+		for rack, n := range active {
+			Expect(n).To(Equal(3), string(rack))
+			Expect(spare[rack]).To(Equal(1), string(rack))
+		}
+		Expect(h.in.Plan.SparesNeeded).To(Equal(3))
+	})
+
 	It("gives the same output for the same input", func() {
 		h := newHall(pools(5, 10), 60)
 		h.pass()
--- a/fleet/pools.go
+++ b/fleet/pools.go
@@ -180,12 +180,18 @@
 }
 
 // bestSpare prefers healthy instances, then racks in which the pool has
-// little, then instances that few other pools could use.
+// little, then racks in which all pools have little (so that no rack's loss
+// costs much, and the spares that are left are spread), then instances that
+// few other pools could use.
 func (p *pass) bestSpare(pool *tw.Pool) *tw.Assignment {
 	racks := map[tw.RackID]int{}
+	all := map[tw.RackID]int{}
 	var candidates []*tw.Assignment
 	for i := range p.plan.Instances {
 		a := &p.plan.Instances[i]
+		if a.Active() {
+			all[a.Rack]++
+		}
 		if a.Pool == pool.ID && a.Active() {
 			racks[a.Rack]++
 		}
@@ -200,6 +206,7 @@
 		return cmp.Or(
 			cmp.Compare(a.Strikes, b.Strikes),
 			cmp.Compare(racks[a.Rack], racks[b.Rack]),
+			cmp.Compare(all[a.Rack], all[b.Rack]),
 			cmp.Compare(p.uses(a), p.uses(b)),
 			cmp.Compare(a.Instance, b.Instance),
 		)
--- a/internal/experiment/control.go
+++ b/internal/experiment/control.go
@@ -158,7 +158,7 @@
 		if err != nil {
 			return err
 		}
-		if plan.Revision == h.revision && running(&plan) == h.size.pools*h.size.replicas {
+		if plan.Revision == h.revision && running(&plan) == h.size.pools*h.size.replicas+extra(h.revision-1) {
 			return nil
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -220,14 +220,22 @@
 	return nil
 }
 
-// source is a configuration in TOML; each version differs in one job's label.
+// extra is one more replica of the first job in every other version, so that
+// each change starts or stops a task.
+func extra(version tw.Revision) int { return int(version % 2) }
+
+// source is a configuration in TOML.
 func (s shape) source(version tw.Revision) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "halls = [%q]\n", modelHall)
 	for i := range s.pools {
 		id := fmt.Sprintf("p%02d", i)
 		fmt.Fprintf(&b, "[[pools]]\nid = %q\ninstances = \"kind=general\"\njobs = \"pool=%s\"\n", id, id)
-		fmt.Fprintf(&b, "[[jobs]]\nid = \"job-%s\"\nservice = \"svc-%s\"\nlabels = { pool = %q, version = \"%d\" }\nreplicas = %d\ncores = 8\n", id, id, id, version, s.replicas)
+		replicas := s.replicas
+		if i == 0 {
+			replicas += extra(version)
+		}
+		fmt.Fprintf(&b, "[[jobs]]\nid = \"job-%s\"\nservice = \"svc-%s\"\nlabels = { pool = %q }\nreplicas = %d\ncores = 8\n", id, id, id, replicas)
 		fmt.Fprintf(&b, "[[services]]\nid = \"svc-%s\"\n[[services.routes]]\nhost = \"%s.test\"\npath = \"/\"\njob = \"job-%s\"\n", id, id, id)
 	}
 	return b.String()
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -33,8 +33,8 @@
 		Runs func() (Runs, error)
 		// Job is for a load that goes to an upstream directly.
 		Job tw.JobID
-		// Repeat sends each keyed request this many more times, to whichever
-		// entry comes next.
+		// Repeat sends each request this many more times under the same id,
+		// and key if it has one, to whichever entry comes next.
 		Repeat int
 	}
 
@@ -133,11 +133,7 @@
 func (l *load) sendOne(ctx context.Context, s Stream) {
 	id := rand.Text()
 	f := fate{notRun: true, keyed: s.Keyed, once: s.Method == http.MethodPost}
-	tries := 1
-	if s.Keyed {
-		tries += l.Repeat
-	}
-	for range tries {
+	for range 1 + l.Repeat {
 		l.exchange(ctx, s, id, &f)
 	}
 	l.mu.Lock()
