Put the configuration back into a store that has come back older

Cause: after such a return an operator could get revision 5, apply, and be told 'in force' for a revision 6 that daemons at 7 never take. Two tests first, red: the store is put right, and nothing is accepted on top of it. A planner now writes the newer configuration back; apply asks the daemons first.

An answer cut in the middle blames its instance.

--- a/control/knowledge.go
+++ b/control/knowledge.go
@@ -14,6 +14,7 @@
 	configBody json.RawMessage
 	config     *tw.FleetConfig
 	revision   tw.Revision
+	behind     bool // the store showed an older configuration last
 	planBody   json.RawMessage
 	plan       *tw.Plan
 	list       tw.InstanceSnapshot
@@ -47,6 +48,23 @@
 	return true, nil
 }
 
+// seeStored notes which revision the store has.
+func (k *knowledge) seeStored(revision tw.Revision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.behind = revision < k.revision
+	if k.behind {
+		token(k.news)
+	}
+}
+
+// storeBehind tells whether the store has an older configuration.
+func (k *knowledge) storeBehind() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.behind
+}
+
 // offerPlan takes a plan if it is newer.
 func (k *knowledge) offerPlan(body json.RawMessage) (bool, error) {
 	plan := &tw.Plan{}
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -104,6 +105,24 @@
 		Eventually(func() tw.Revision { return one.seen().Revision }, patient).Should(Equal(tw.Revision(2)))
 		b.platform.Restore(tw.ConfigKey, older)
 		Consistently(func() tw.Revision { return one.seen().Revision }, "300ms").Should(Equal(tw.Revision(2)))
+		Eventually(func() tw.Revision { return b.revision() }, patient).Should(Equal(tw.Revision(2)), "the planner puts it back")
+	})
+
+	It("is not accepted over a store that is behind the daemons", func() {
+		b := newBed()
+		_, one := b.node("d1", b.platform)
+		b.apply(0)
+		older, err := b.platform.Get(GinkgoT().Context(), tw.ConfigKey)
+		Expect(err).NotTo(HaveOccurred())
+		b.apply(1)
+		Eventually(func() tw.Revision { return one.seen().Revision }, patient).Should(Equal(tw.Revision(2)))
+		Eventually(func() bool { return one.seen().Registered }, patient).Should(BeTrue())
+		b.platform.Restore(tw.ConfigKey, older)
+		_, err = b.operator.Apply(GinkgoT().Context(), source+"# late\n", "test", 1)
+		var conflict *Conflict
+		if !errors.As(err, &conflict) { // the planner may have put it back already
+			Expect(err).To(MatchError(ErrStoreBehind))
+		}
 	})
 
 	It("is not lost on a fresh daemon that cannot reach the store", func() {
--- a/control/operator.go
+++ b/control/operator.go
@@ -79,6 +79,9 @@
 	if current.Revision != base {
 		return tw.AcceptedConfig{}, &Conflict{Base: base, Current: current}
 	}
+	if err := o.checkStore(ctx, current); err != nil {
+		return tw.AcceptedConfig{}, err
+	}
 	next := tw.AcceptedConfig{
 		Revision:  base + 1,
 		Source:    source,
@@ -96,6 +99,28 @@
 	return next, err
 }
 
+// checkStore refuses to build on a store that has come back older than what is
+// in force: the daemons would not take a revision that they have had.
+func (o *Operator) checkStore(ctx context.Context, current tw.AcceptedConfig) error {
+	if current.Revision == 0 {
+		return nil
+	}
+	config, err := ParseConfig(current.Source)
+	if err != nil {
+		return err
+	}
+	daemons, err := o.Daemons(ctx, config.Halls)
+	if err != nil {
+		return err
+	}
+	for _, d := range daemons {
+		if d.Reached && d.Revision > current.Revision {
+			return errors.Wrapf(ErrStoreBehind, "%s has revision %d, the store %d", d.ID, d.Revision, current.Revision)
+		}
+	}
+	return nil
+}
+
 // Daemons asks every registered daemon of the halls how far it is.
 func (o *Operator) Daemons(ctx context.Context, halls []tw.HallID) ([]DaemonState, error) {
 	var out []DaemonState
--- a/control/planner.go
+++ b/control/planner.go
@@ -172,6 +172,9 @@
 	if err := p.load(ctx); err != nil {
 		return err
 	}
+	if err := p.restoreConfig(ctx); err != nil {
+		return err
+	}
 	in, ok, err := p.look(ctx)
 	if err != nil || !ok {
 		return err
@@ -228,6 +231,26 @@
 	return nil
 }
 
+// restoreConfig puts the configuration in force back into a store that has
+// come back with an older one.
+func (p *planner) restoreConfig(ctx context.Context) error {
+	if !p.node.know.storeBehind() {
+		return nil
+	}
+	err := p.node.cfg.Documents.Update(ctx, tw.ConfigKey, func(body json.RawMessage) (any, error) {
+		ours, _ := p.node.know.documents()
+		if storedRevision(body) >= storedRevision(ours) {
+			return nil, nil
+		}
+		p.log.Warn("store is behind: configuration put back", zap.Uint64("revision", uint64(storedRevision(ours))))
+		return ours, nil
+	})
+	if err == nil {
+		p.node.know.seeStored(p.node.know.revisionNow())
+	}
+	return err
+}
+
 // write puts a plan into the store, if the lease still holds, and tells the
 // hall at once.
 func (p *planner) write(ctx context.Context, plan tw.Plan) error {
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -204,6 +204,12 @@
 	return plan
 }
 
+func (b *bed) revision() tw.Revision {
+	current, err := b.operator.Get(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	return current.Revision
+}
+
 func (b *bed) state(id tw.InstanceID) tw.State {
 	plan := b.plan()
 	if a := plan.Find(id); a != nil {
--- a/control/watch.go
+++ b/control/watch.go
@@ -14,6 +14,7 @@
 func (n *Node) configDuty(ctx context.Context) {
 	n.follow(ctx, tw.ConfigKey, func(body json.RawMessage) {
 		took, err := n.know.offerConfig(body)
+		n.know.seeStored(storedRevision(body))
 		switch {
 		case err != nil:
 			n.log.Error("stored configuration is unreadable", zap.Error(err))
@@ -23,6 +24,15 @@
 	})
 }
 
+// storedRevision is 0 for a document that cannot be read.
+func storedRevision(body json.RawMessage) tw.Revision {
+	var accepted tw.AcceptedConfig
+	if err := json.Unmarshal(body, &accepted); err != nil {
+		return 0
+	}
+	return accepted.Revision
+}
+
 // planDuty follows the hall's plan in the store, from the moment that this
 // daemon is registered.
 func (n *Node) planDuty(ctx context.Context) {
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -70,6 +70,14 @@
 		method: "POST", path: "/", body: "x", second: true,
 		status: 503, outcome: Answered, most: 1,
 	},
+	"says 503 to a GET, and no other instance is there: its answer is passed on": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy")
+			return true
+		},
+		method: "GET", path: "/",
+		status: 503, outcome: Answered, most: 1,
+	},
 	"is lost in a small answer to a POST: unknown": {
 		play: func(conn net.Conn, _ int) bool {
 			say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,7 +203,7 @@
 			return nil
 		}
 		last = v.refusal
-		if v.retry == "" || len(ex.tried) >= maxTries || !g.retries.spend() || !pause(ctx, g.scheduler) {
+		if v.retry == "" || !pause(ctx, g.scheduler) {
 			return last
 		}
 		g.stats.retried(v.retry)
@@ -220,31 +220,45 @@
 		mode = releaseFailed
 	}
 	defer func() { g.scheduler.release(slot, mode) }()
-	if a.resp != nil && (v.refusal != nil || v.retry != "") {
-		if v.refusal == nil {
-			v.refusal = &Refusal{Reason: ReasonUpstreamLost, Outcome: Unknown, RetryAfter: retryAfterUpstream}
+	if v.retry != "" && !g.mayRetry(ex) {
+		v.retry = ""
+	}
+	if v.refusal == nil && v.retry == "" {
+		v = g.finishAnswer(w, ex, a.resp, func() { g.scheduler.release(slot, mode) })
+		if v.blame {
+			mode = releaseFailed
 		}
-		a.resp.Body.Close()
+		v.abortIfCut()
 		return v
 	}
-	if v.refusal != nil {
-		return v
+	if a.resp != nil {
+		a.resp.Body.Close()
+	}
+	if v.refusal == nil {
+		v.refusal = &Refusal{Reason: ReasonUpstreamLost, Outcome: Unknown, RetryAfter: retryAfterUpstream}
 	}
-	return g.finishAnswer(w, ex, a.resp, func() { g.scheduler.release(slot, mode) }, &mode)
+	return v
 }
 
-// finishAnswer passes an answer on.
-func (g *Gateway) finishAnswer(w http.ResponseWriter, ex *exchange, resp *http.Response, free func(), mode *releaseMode) verdict {
+// mayRetry takes a retry from the budget, if an instance is left to try.
+func (g *Gateway) mayRetry(ex *exchange) bool {
+	return len(ex.tried) < maxTries && g.scheduler.left(ex.job, ex.tried) && g.retries.spend()
+}
+
+// finishAnswer passes an answer on; free is called when the upstream has said
+// all.
+func (g *Gateway) finishAnswer(w http.ResponseWriter, ex *exchange, resp *http.Response, free func()) verdict {
 	setWriteDeadline(resp.Request.Context(), w)
 	switch passOn(w, resp, free) {
 	case answerNothing:
-		*mode = releaseFailed
-		return ex.judgeError(resp.Request.Context(), attempt{err: errAnswerCut, sent: true})
+		v := ex.judgeError(resp.Request.Context(), attempt{err: errAnswerCut, sent: true})
+		if v.retry != "" && !g.mayRetry(ex) {
+			v.retry = ""
+		}
+		return v
 	case answerCut:
-		*mode = releaseFailed
-		free()
 		g.stats.cutAnswer()
-		panic(http.ErrAbortHandler) // nothing short may look whole
+		return verdict{blame: true, cut: true}
 	}
 	return verdict{}
 }
--- a/gateway/judge.go
+++ b/gateway/judge.go
@@ -20,6 +20,8 @@
 		retry RetryReason
 		// blame says that the instance failed.
 		blame bool
+		// cut says that the caller has a part of the answer.
+		cut bool
 	}
 )
 
@@ -34,6 +36,13 @@
 // RetryReasons lists every retry reason.
 var RetryReasons = []RetryReason{RetryUnreachable, RetryRefused, RetryLost, RetryStatus}
 
+// abortIfCut ends the caller's connection: nothing short may look whole.
+func (v verdict) abortIfCut() {
+	if v.cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // judge decides what an attempt means for the request.
 func (ex *exchange) judge(ctx context.Context, a attempt) verdict {
 	if a.err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -74,6 +74,7 @@
 		return v
 	}
 	// The peer has done its own retries: what it says is passed on.
-	mode := releaseOK
-	return g.finishAnswer(w, ex, a.resp, func() {}, &mode)
+	v := g.finishAnswer(w, ex, a.resp, func() {})
+	v.abortIfCut()
+	return v
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -192,6 +192,13 @@
 	return line != nil && line.reached()
 }
 
+// left tells whether an instance is left for a retry.
+func (s *scheduler) left(job tw.JobID, tried map[tw.InstanceID]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.line(job).untried(tried)
+}
+
 // reachable lists the jobs within reach.
 func (s *scheduler) reachable() []tw.JobID {
 	s.mu.Lock()
