Keep heartbeats bounded with more halls, and give silence more patience with more daemons

Cause: by arithmetic, telling of two remote daemons with their jobs in every message costs 7.6 KB/s a daemon at 51 pools; the experiment had only one hall and did not show it. Jobs are told between halls directly, one remote daemon is passed on without them, and 4 of the hall instead of 6. As news then takes longer, a daemon counts as down after 3 s and a tenth more for each known one.

Also: a list without any entry instance no longer proves that a daemon's instance is gone (it may run, frozen; four rows, red by reading: the stand-in lists none, so a daemon frozen for 30 s would have been dropped from the roster). The experiment now runs several halls and counts daemons falsely down.

--- a/control/install.go
+++ b/control/install.go
@@ -11,6 +11,8 @@
 // installDuty gives the gateway a new view whenever something has changed,
 // and with each heartbeat, as demand and membership move the slot shares.
 func (n *Node) installDuty(ctx context.Context) {
+	live := 0
+	down := n.cfg.Metrics.GetOrCreateCounter("tamarind_peers_down_total")
 	for {
 		select {
 		case <-ctx.Done():
@@ -18,13 +20,17 @@
 		case <-n.know.changed:
 		case <-n.cfg.Clock.After(n.cfg.Pace.Sync):
 		}
-		n.install()
+		now := n.install()
+		if now < live {
+			down.Add(live - now)
+		}
+		live = now
 	}
 }
 
 // install builds the view and, once the gateway obeys it, acknowledges the
-// plan in it.
-func (n *Node) install() {
+// plan in it. It returns how many daemons of the hall are live.
+func (n *Node) install() int {
 	view := tw.View{
 		Hall:    n.cfg.Self.Hall,
 		Self:    n.cfg.Self.ID,
@@ -34,10 +40,11 @@
 	n.know.snapshot(&view)
 	n.cfg.Dispatcher.Install(view)
 	if view.Plan == nil {
-		return
+		return len(view.Members)
 	}
 	before := n.acked.Swap(uint64(view.Plan.Generation))
 	if before != uint64(view.Plan.Generation) {
 		n.log.Debug("plan in force", zap.Uint64("generation", uint64(view.Plan.Generation)))
 	}
+	return len(view.Members)
 }
--- a/control/members.go
+++ b/control/members.go
@@ -13,7 +13,7 @@
 	// members is the table of daemons heard of.
 	members struct {
 		clock tw.Clock
-		dead  time.Duration // silence after which a daemon counts as down
+		dead  time.Duration // least silence after which a daemon counts as down
 
 		mu    sync.Mutex
 		table map[tw.DaemonID]heardMember
@@ -70,8 +70,9 @@
 	defer t.mu.Unlock()
 	var all []heardMember
 	now := t.clock.Now()
+	patience := t.patience()
 	for _, m := range t.table {
-		if now.Sub(m.heard) <= t.dead && keep(m.Member) {
+		if now.Sub(m.heard) <= patience && keep(m.Member) {
 			all = append(all, m)
 		}
 	}
@@ -90,6 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	patience := t.patience()
 	var out []tw.Member
 	for id, m := range t.table {
 		age := now.Sub(m.heard)
@@ -97,7 +99,7 @@
 			delete(t.table, id)
 			continue
 		}
-		if age <= t.dead && keep(m.Member) {
+		if age <= patience && keep(m.Member) {
 			out = append(out, m.Member)
 		}
 	}
@@ -105,6 +107,15 @@
 	return out
 }
 
+// patience is the silence after which a daemon counts as down. The more there
+// are, the longer news of one takes. The lock is held.
+func (t *members) patience() time.Duration {
+	return t.dead + time.Duration(float64(len(t.table))*patiencePerMember*float64(t.dead))
+}
+
+// patiencePerMember adds to patience, as a part of the least.
+const patiencePerMember = 0.1
+
 // silent tells whether a daemon has not been heard for d.
 func (t *members) silent(id tw.DaemonID, d time.Duration) bool {
 	t.mu.Lock()
--- a/control/node.go
+++ b/control/node.go
@@ -91,7 +91,7 @@
 		{&p.Roster, 15 * time.Second},
 		{&p.Lease, 3 * time.Second},
 		{&p.LeaseTTL, 10 * time.Second},
-		{&p.Dead, 6 * time.Second},
+		{&p.Dead, 3 * time.Second},
 		{&p.ClaimKeep, 10 * time.Minute},
 	} {
 		if *d.at == 0 {
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -107,6 +107,34 @@
 	})
 })
 
+var _ = Describe("an entry instance", func() {
+	entry := tw.Instance{ID: "e1", Role: tw.Entry}
+	other := tw.Instance{ID: "e2", Role: tw.Entry}
+	worker := tw.Instance{ID: "w1", Role: tw.Worker}
+	type row struct {
+		list []tw.Instance
+		gone bool
+	}
+	rows := map[string]row{
+		"is not gone while it is listed":             {list: []tw.Instance{entry, other}},
+		"is gone when it is unlisted for long":       {list: []tw.Instance{other, worker}, gone: true},
+		"is not gone if the list has no entries":     {list: []tw.Instance{worker}},
+		"is not gone if the list has nothing at all": {},
+	}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		It(name, func() {
+			clock := fakeclock.New()
+			a := newAbsence(clock)
+			list := tw.InstanceSnapshot{Instances: rows[name].list}
+			Expect(a.gone("e1", list)).To(BeFalse())
+			clock.Advance(absentFor - time.Second)
+			Expect(a.gone("e1", list)).To(BeFalse())
+			clock.Advance(time.Second)
+			Expect(a.gone("e1", list)).To(Equal(rows[name].gone))
+		})
+	}
+})
+
 // peerImplementations of tw.Peers, each in front of a handler.
 var peerImplementations = map[string]func(h tw.PeerHandler) (tw.Peers, string){
 	"in memory": func(h tw.PeerHandler) (tw.Peers, string) {
--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -20,7 +20,7 @@
 	// absence notes since when the platform has not listed an entry instance.
 	absence struct {
 		clock tw.Clock
-		since map[tw.DaemonID]time.Time
+		since map[tw.InstanceID]time.Time
 	}
 )
 
@@ -142,12 +142,8 @@
 	if !ok {
 		return
 	}
-	listed := map[tw.InstanceID]bool{}
-	for _, in := range list.Instances {
-		listed[in.ID] = true
-	}
 	for _, m := range roster.Members {
-		if m.Instance == "" || !p.absent.long(m.ID, listed[m.Instance]) || !p.node.members.silent(m.ID, absentFor) {
+		if !p.absent.gone(m.Instance, list) || !p.node.members.silent(m.ID, absentFor) {
 			continue
 		}
 		p.log.Info("daemon is gone with its instance", zapDaemon(m.ID))
@@ -206,12 +202,18 @@
 }
 
 func newAbsence(clock tw.Clock) *absence {
-	return &absence{clock: clock, since: map[tw.DaemonID]time.Time{}}
+	return &absence{clock: clock, since: map[tw.InstanceID]time.Time{}}
 }
 
-// long tells whether a daemon's instance has been unlisted for long.
-func (a *absence) long(id tw.DaemonID, listed bool) bool {
-	if listed {
+// gone tells whether an entry instance has been unlisted for long. A list
+// without any entry instance says nothing of them.
+func (a *absence) gone(id tw.InstanceID, list tw.InstanceSnapshot) bool {
+	entries, listed := false, false
+	for _, in := range list.Instances {
+		entries = entries || in.Role == tw.Entry
+		listed = listed || in.ID == id
+	}
+	if listed || !entries || id == "" {
 		delete(a.since, id)
 		return false
 	}
--- a/control/rosters.go
+++ b/control/rosters.go
@@ -23,7 +23,7 @@
 	}
 	n.members.table[m.ID] = heardMember{
 		Member: tw.Member{ID: m.ID, Hall: hall, Instance: m.Instance, Address: m.Address, Gateway: m.Gateway},
-		heard:  n.cfg.Clock.Now().Add(-2 * n.members.dead),
+		heard:  n.cfg.Clock.Now().Add(-forgetAfter / 2), // not live
 	}
 }
 
--- a/control/sync.go
+++ b/control/sync.go
@@ -15,12 +15,13 @@
 	// syncPeers is how many daemons of the hall get each heartbeat.
 	syncPeers = 2
 	// remoteOneIn is in how many rounds a daemon of another hall gets one.
-	remoteOneIn = 2
-	// jobsOneIn is in how many messages the jobs are told.
+	remoteOneIn = 4
+	// jobsOneIn is in how many messages within the hall the jobs are told;
+	// between halls they always are.
 	jobsOneIn = 8
 	// gossipHall and gossipRemote bound the daemons that a message tells of.
-	gossipHall   = 6
-	gossipRemote = 2
+	gossipHall   = 4
+	gossipRemote = 1
 )
 
 // syncDuty sends heartbeats: to a few daemons of the hall each time, and to
@@ -29,29 +30,35 @@
 	for n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)) {
 		n.learnRosters(ctx)
 		n.beat.Add(1)
-		n.syncWith(ctx, n.pickPeers(), false)
+		n.syncWith(ctx, n.pickHall(), false)
+		n.syncWith(ctx, n.pickRemote(), false)
 	}
 }
 
-// pickPeers chooses whom to tell this time.
-func (n *Node) pickPeers() []string {
+// pickHall chooses whom of the hall to tell this time.
+func (n *Node) pickHall() []string {
 	hall := n.others(n.known(func(m tw.Member) bool { return m.Hall == n.cfg.Self.Hall }))
-	remote := n.known(func(m tw.Member) bool { return m.Hall != n.cfg.Self.Hall })
+	if len(hall) == 0 {
+		return n.cfg.Seeds
+	}
 	n.shuffle(hall)
-	n.shuffle(remote)
 	var out []string
 	for _, m := range hall[:min(len(hall), syncPeers)] {
 		out = append(out, m.Address)
 	}
-	if len(remote) > 0 && (len(hall) == 0 || n.oneIn(remoteOneIn)) {
-		out = append(out, remote[0].Address)
-	}
-	if len(out) == 0 {
-		return n.cfg.Seeds
-	}
 	return out
 }
 
+// pickRemote chooses a daemon of another hall now and then.
+func (n *Node) pickRemote() []string {
+	remote := n.known(func(m tw.Member) bool { return m.Hall != n.cfg.Self.Hall })
+	if len(remote) == 0 || !n.oneIn(remoteOneIn) {
+		return nil
+	}
+	n.shuffle(remote)
+	return []string{remote[0].Address}
+}
+
 // known lists the daemons ever heard of, also those that are silent now: a
 // cut must be noticed to end.
 func (n *Node) known(keep func(tw.Member) bool) []tw.Member {
@@ -78,12 +85,16 @@
 
 // syncWith exchanges heartbeats with several daemons at the same time.
 func (n *Node) syncWith(ctx context.Context, addresses []string, wantReport bool) {
+	if len(addresses) == 0 {
+		return
+	}
 	req := tw.SyncRequest{
 		WantReport: wantReport,
-		Self:       n.selfAndJobs(),
+		Self:       n.self(),
 		Others:     n.gossip(),
 		Generation: n.know.generationNow(),
 	}
+	req.Self.Jobs = n.jobsFor(addresses[0])
 	var calls sync.WaitGroup
 	for _, address := range addresses {
 		if address == n.cfg.Self.Address {
@@ -109,7 +120,8 @@
 	if req.Self.ID != "" { // an operator's command has no id
 		n.hear(req.Self, req.Others)
 	}
-	resp := tw.SyncResponse{Self: n.selfAndJobs(), Others: n.gossip()}
+	resp := tw.SyncResponse{Self: n.self(), Others: n.gossip()}
+	resp.Self.Jobs = n.jobsFor(req.Self.Address)
 	if req.WantReport {
 		resp.Self.Report = n.report()
 	}
@@ -148,27 +160,26 @@
 	}
 }
 
-// selfAndJobs is the heartbeat, now and then with the jobs.
-func (n *Node) selfAndJobs() tw.Member {
-	m := n.self()
-	if n.oneIn(jobsOneIn) {
-		m.Jobs = n.cfg.Dispatcher.Jobs()
+// jobsFor lists the jobs, if it is time to tell them to the daemon at an
+// address.
+func (n *Node) jobsFor(address string) []tw.JobID {
+	remote := n.known(func(m tw.Member) bool { return m.Address == address && m.Hall != n.cfg.Self.Hall })
+	if len(remote) > 0 || n.oneIn(jobsOneIn) {
+		return n.cfg.Dispatcher.Jobs()
 	}
-	return m
+	return nil
 }
 
 // gossip passes on what this daemon heard of others last, without their
-// reports, and without the jobs of the hall's own, whom each hears directly.
+// reports and jobs, which each hears from them directly.
 func (n *Node) gossip() []tw.Member {
 	own := n.cfg.Self.Hall
 	hall := n.members.freshest(gossipHall, func(m tw.Member) bool { return m.Hall == own && m.ID != n.cfg.Self.ID })
-	for i := range hall {
-		hall[i].Jobs = nil
-	}
 	remote := n.members.freshest(gossipRemote, func(m tw.Member) bool { return m.Hall != own })
 	out := slices.Concat(hall, remote)
 	for i := range out {
 		out[i].Report = nil
+		out[i].Jobs = nil
 	}
 	return out
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,6 +143,11 @@
 // Admin is the address of the admin port.
 func (d *Daemon) Admin() string { return d.admin }
 
+// PeersDown counts the daemons of the hall that came to count as down.
+func (d *Daemon) PeersDown() int {
+	return int(d.metrics.GetOrCreateCounter("tamarind_peers_down_total").Get())
+}
+
 // Done is closed when the daemon has stopped.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
--- a/fleet/pools.go
+++ b/fleet/pools.go
@@ -207,7 +207,7 @@
 			cmp.Compare(a.Strikes, b.Strikes),
 			cmp.Compare(racks[a.Rack], racks[b.Rack]),
 			cmp.Compare(all[a.Rack], all[b.Rack]),
-			cmp.Compare(p.uses(a), p.uses(b)),
+			cmp.Compare(len(p.matches[a.Instance]), len(p.matches[b.Instance])),
 			cmp.Compare(a.Instance, b.Instance),
 		)
 	})
@@ -218,17 +218,6 @@
 	return ok && in.Phase == tw.Live && p.matches[in.ID][pool.ID]
 }
 
-// uses counts the pools that could take an instance.
-func (p *pass) uses(a *tw.Assignment) int {
-	n := 0
-	for _, need := range p.pools {
-		if p.eligible(a, need.pool) {
-			n++
-		}
-	}
-	return n
-}
-
 // takeFromSurplus asks pools that have more than they need for an instance
 // that fits a short one.
 func (p *pass) takeFromSurplus(short *poolNeed) {
--- a/internal/experiment/control.go
+++ b/internal/experiment/control.go
@@ -24,6 +24,7 @@
 	// hallSize is a data hall of daemons and workers.
 	hallSize struct {
 		daemons int
+		halls   int // all alike
 		shape
 	}
 
@@ -42,10 +43,10 @@
 )
 
 var hallSizes = []hallSize{
-	{daemons: 3, shape: shape{name: "today", workers: 20, pools: 5, replicas: 3, rack: 4}},
-	{daemons: 5, shape: shape{workers: 38, pools: 12, replicas: 3, rack: 4}},
-	{daemons: 10, shape: shape{workers: 60, pools: 25, replicas: 2, rack: 4}},
-	{daemons: 20, shape: shape{name: "900 workers in 8 halls", workers: 112, pools: 51, replicas: 2, rack: 4}},
+	{daemons: 3, halls: 3, shape: shape{name: "today", workers: 20, pools: 5, replicas: 3, rack: 4}},
+	{daemons: 5, halls: 2, shape: shape{workers: 38, pools: 12, replicas: 3, rack: 4}},
+	{daemons: 10, halls: 2, shape: shape{workers: 60, pools: 25, replicas: 2, rack: 4}},
+	{daemons: 20, halls: 2, shape: shape{name: "900 workers in 8 halls", workers: 112, pools: 51, replicas: 2, rack: 4}},
 }
 
 const (
@@ -91,14 +92,8 @@
 	h.url = "http://" + at.Addr().String()
 	h.server = &http.Server{Handler: h.platform.Handler()}
 	go func() { _ = h.server.Serve(meteredListener{at, &h.store}) }() // ends with close
-	for i := range s.workers {
-		w := s.worker(i)
-		w.Role = tw.Worker
-		w.Address = "127.0.0.1:9"
-		h.platform.SetInstance(w)
-	}
-	for i := range s.daemons {
-		if err := h.startDaemon(i); err != nil {
+	for _, hall := range s.hallIDs() {
+		if err := h.startHall(hall); err != nil {
 			h.close()
 			return nil, err
 		}
@@ -111,11 +106,36 @@
 	return h, nil
 }
 
-func (h *hallRun) startDaemon(i int) error {
-	id := tw.DaemonID(fmt.Sprintf("entry-%02d", i))
+func (s hallSize) hallIDs() []tw.HallID {
+	var out []tw.HallID
+	for i := range s.halls {
+		out = append(out, tw.HallID(fmt.Sprintf("h%d", i+1)))
+	}
+	return out
+}
+
+func (h *hallRun) startHall(hall tw.HallID) error {
+	for i := range h.size.workers {
+		w := h.size.worker(i)
+		w.ID = tw.InstanceID(string(hall) + "-" + string(w.ID))
+		w.Hall = hall
+		w.Role = tw.Worker
+		w.Address = "127.0.0.1:9"
+		h.platform.SetInstance(w)
+	}
+	for i := range h.size.daemons {
+		if err := h.startDaemon(hall, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *hallRun) startDaemon(hall tw.HallID, i int) error {
+	id := tw.DaemonID(fmt.Sprintf("%s-entry-%02d", hall, i))
 	settings := daemon.Settings{
 		ID:       id,
-		Hall:     modelHall,
+		Hall:     hall,
 		Instance: tw.InstanceID(id),
 		Listen:   daemon.ListenSettings{Gateway: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
 		Platform: daemon.PlatformSettings{URL: h.url},
@@ -143,8 +163,8 @@
 	}
 	h.revision = accepted.Revision
 	for {
-		daemons, err := h.operator.WaitInForce(ctx, []tw.HallID{modelHall}, accepted.Revision)
-		if err != nil || len(daemons) == h.size.daemons {
+		daemons, err := h.operator.WaitInForce(ctx, h.size.hallIDs(), accepted.Revision)
+		if err != nil || len(daemons) == h.size.daemons*h.size.halls {
 			return err
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -153,17 +173,21 @@
 
 // settled waits until every replica runs.
 func (h *hallRun) settled(ctx context.Context) error {
-	for ctx.Err() == nil {
-		plan, err := h.operator.Plan(ctx, modelHall)
-		if err != nil {
-			return err
-		}
-		if plan.Revision == h.revision && running(&plan) == h.size.pools*h.size.replicas+extra(h.revision-1) {
-			return nil
+	for _, hall := range h.size.hallIDs() {
+		for !h.hallSettled(ctx, hall) {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	return ctx.Err()
+	return nil
+}
+
+func (h *hallRun) hallSettled(ctx context.Context, hall tw.HallID) bool {
+	plan, err := h.operator.Plan(ctx, hall)
+	wanted := h.size.pools*h.size.replicas + extra(h.revision-1)
+	return err == nil && plan.Revision == h.revision && running(&plan) == wanted
 }
 
 func running(plan *tw.Plan) int {
@@ -184,7 +208,8 @@
 	calls, peers, store, cpu := h.platform.Calls(), h.peers.bytes.Load(), h.store.bytes.Load(), processorTime()
 	time.Sleep(restTime)
 	seconds := restTime.Seconds()
-	n := float64(h.size.daemons)
+	n := float64(h.size.daemons * h.size.halls)
+	halls := float64(h.size.halls)
 	after := h.platform.Calls()
 	runtime.GC()
 	var memory runtime.MemStats
@@ -192,10 +217,19 @@
 	// Each byte between peers is sent by one daemon and received by another.
 	peerRate := 2 * float64(h.peers.bytes.Load()-peers) / seconds / n
 	storeRate := float64(h.store.bytes.Load()-store) / seconds / n
-	fmt.Fprintf(out, "daemons=%-3d workers=%-4d pools=%-3d a daemon: cpu=%.2f%% of a core, peers=%.0f B/s, platform=%.0f B/s, heap=%.1f MB; store: %.2f reads/s, %.2f writes/s\n",
-		h.size.daemons, h.size.workers, h.size.pools,
+	fmt.Fprintf(out, "halls=%d daemons=%-3d workers=%-4d pools=%-3d a daemon: cpu=%.2f%% of a core, peers=%.0f B/s, platform=%.0f B/s, heap=%.1f MB; store, a hall: %.2f reads/s, %.2f writes/s; falsely down %d\n",
+		h.size.halls, h.size.daemons, h.size.workers, h.size.pools,
 		100*(processorTime()-cpu).Seconds()/seconds/n, peerRate, storeRate, float64(memory.HeapAlloc)/n/1e6,
-		float64(after.Reads-calls.Reads)/seconds, float64(after.Writes-calls.Writes)/seconds)
+		float64(after.Reads-calls.Reads)/seconds/halls, float64(after.Writes-calls.Writes)/seconds/halls, h.down())
+}
+
+// down counts the times that a daemon came to count as down; none was.
+func (h *hallRun) down() int {
+	n := 0
+	for _, d := range h.daemons {
+		n += d.PeersDown()
+	}
+	return n
 }
 
 // rollOut times changes until the last daemon has them, and until the last
@@ -215,8 +249,8 @@
 	}
 	slices.Sort(inForce)
 	slices.Sort(tasks)
-	fmt.Fprintf(out, "daemons=%-3d workers=%-4d pools=%-3d a change: in force median %v, worst %v; last task median %v, worst %v (n=%d)\n",
-		h.size.daemons, h.size.workers, h.size.pools, inForce[changes/2], inForce[changes-1], tasks[changes/2], tasks[changes-1], changes)
+	fmt.Fprintf(out, "halls=%d daemons=%-3d workers=%-4d pools=%-3d a change: in force median %v, worst %v; last task median %v, worst %v (n=%d)\n",
+		h.size.halls, h.size.daemons, h.size.workers, h.size.pools, inForce[changes/2], inForce[changes-1], tasks[changes/2], tasks[changes-1], changes)
 	return nil
 }
 
@@ -225,9 +259,13 @@
 func extra(version tw.Revision) int { return int(version % 2) }
 
 // source is a configuration in TOML.
-func (s shape) source(version tw.Revision) string {
+func (s hallSize) source(version tw.Revision) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "halls = [%q]\n", modelHall)
+	fmt.Fprintf(&b, "halls = [")
+	for _, hall := range s.hallIDs() {
+		fmt.Fprintf(&b, "%q, ", hall)
+	}
+	fmt.Fprintf(&b, "]\n")
 	for i := range s.pools {
 		id := fmt.Sprintf("p%02d", i)
 		fmt.Fprintf(&b, "[[pools]]\nid = %q\ninstances = \"kind=general\"\njobs = \"pool=%s\"\n", id, id)
--- a/peers.go
+++ b/peers.go
@@ -23,8 +23,8 @@
 		Address     string // IP:port of the peer service
 		Gateway     string // IP:port that takes requests
 		Revision    Revision
-		Planning bool // holds the lease of its hall's planner
-		Demand   int  // requests running and waiting, for slot shares
+		Planning    bool // holds the lease of its hall's planner
+		Demand      int  // requests running and waiting, for slot shares
 		// Jobs that the daemon can give to an instance itself. They are sent
 		// now and then only; none means no news.
 		Jobs []JobID
