--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -85,7 +85,7 @@
 }
 
 // mayEject keeps ejections under a ceiling: when most instances of a job fail,
-// it is not the instances.
+// it is not the instances. One of two may go, the only one may not.
 func (s *scheduler) mayEject(line *jobLine, now time.Time) bool {
 	out := 1
 	for _, w := range line.workers {
@@ -93,7 +93,8 @@
 			out++
 		}
 	}
-	return float64(out) <= maxEjectedShare*float64(len(line.workers))
+	n := len(line.workers)
+	return n > 1 && out <= max(1, int(maxEjectedShare*float64(n)))
 }
 
 func (s *scheduler) leaveTeam(team tw.TeamID) {
--- a/gateway/scheduler_test.go
+++ b/gateway/scheduler_test.go
@@ -315,6 +315,19 @@
 		Expect(ejected).To(Equal(2)) // a third of six
 	})
 
+	It("passes by one of two that fails, and never both", func() {
+		d := newDesk(viewOf(8, "a", "b"))
+		for range 40 {
+			g, _, _ := d.put(d.want(tw.Quick, ""))
+			if g == nil {
+				break
+			}
+			d.release(g, releaseFailed)
+		}
+		now := d.clock.Now()
+		Expect(now.Before(d.workers["w0"].ejected)).NotTo(Equal(now.Before(d.workers["w1"].ejected)))
+	})
+
 	It("starts slowly with a new instance", func() {
 		d := newDesk(viewOf(8, "a"))
 		d.install(viewOf(8, "a", "b"))
