Replace before draining, and mend four small faults

- A planned drain of the only replica of a job left it with none while its replacement was still joining, as the budget of one allowed it.
Planned drains wait for a replacement that is on its way (red first: a wave over three instances and one replica).
- An instance's 200 that said 'not-run' in our own header was passed on as a refusal would be (red first, fresh and reused connection).
- Waves that are no longer configured stayed in the plan for ever (red first).

--- a/control/node.go
+++ b/control/node.go
@@ -82,7 +82,7 @@
 		at   *time.Duration
 		rest time.Duration
 	}{
-		{&p.Sync, time.Second},
+		{&p.Sync, 1250 * time.Millisecond},
 		{&p.List, time.Second},
 		{&p.Plan, time.Second},
 		{&p.Handover, 200 * time.Millisecond},
--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -3,35 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
+
+	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/fleet"
 )
 
-type (
-	// busyMeter smooths the measured use of jobs: up at once, down slowly.
-	busyMeter struct {
-		clock tw.Clock
-		last  time.Time
-		slots map[tw.JobID]float64
-	}
-
-	// absence notes since when the platform has not listed an entry instance.
-	absence struct {
-		clock tw.Clock
-		since map[tw.InstanceID]time.Time
-	}
-)
-
-const (
-	busyHalfLife = 30 * time.Second
-	// absentFor is how long an entry instance must be unlisted, and its
-	// daemon silent, until nobody waits for its acknowledgement any more.
-	// The list lags, also for instances that are new.
-	absentFor = 30 * time.Second
-)
-
 // ready tells whether this daemon knows enough to plan.
 func (n *Node) ready() bool {
 	var view tw.View
@@ -146,7 +124,7 @@
 		if !p.absent.gone(m.Instance, list) || !p.node.members.silent(m.ID, absentFor) {
 			continue
 		}
-		p.log.Info("daemon is gone with its instance", zapDaemon(m.ID))
+		p.log.Info("daemon is gone with its instance", zap.String("daemon", string(m.ID)))
 		err := p.node.updateRoster(ctx, func(r tw.Roster) (tw.Roster, bool) { return r.Without(m.ID), true })
 		if err != nil {
 			return
@@ -175,52 +153,3 @@
 	}
 	return health, p.busy.observe(inFlight)
 }
-
-func newBusyMeter(clock tw.Clock) *busyMeter {
-	return &busyMeter{clock: clock, last: clock.Now(), slots: map[tw.JobID]float64{}}
-}
-
-func (b *busyMeter) observe(now map[tw.JobID]float64) map[tw.JobID]float64 {
-	at := b.clock.Now()
-	keep := decay(at.Sub(b.last), busyHalfLife)
-	b.last = at
-	out := map[tw.JobID]float64{}
-	for job, v := range b.slots {
-		b.slots[job] = v * keep
-	}
-	for job, v := range now {
-		b.slots[job] = max(b.slots[job], v)
-	}
-	for job, v := range b.slots {
-		if v < 0.01 {
-			delete(b.slots, job)
-			continue
-		}
-		out[job] = v
-	}
-	return out
-}
-
-func newAbsence(clock tw.Clock) *absence {
-	return &absence{clock: clock, since: map[tw.InstanceID]time.Time{}}
-}
-
-// gone tells whether an entry instance has been unlisted for long. A list
-// without any entry instance says nothing of them.
-func (a *absence) gone(id tw.InstanceID, list tw.InstanceSnapshot) bool {
-	entries, listed := false, false
-	for _, in := range list.Instances {
-		entries = entries || in.Role == tw.Entry
-		listed = listed || in.ID == id
-	}
-	if listed || !entries || id == "" {
-		delete(a.since, id)
-		return false
-	}
-	since, ok := a.since[id]
-	if !ok {
-		since = a.clock.Now()
-		a.since[id] = since
-	}
-	return a.clock.Now().Sub(since) >= absentFor
-}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -137,6 +137,7 @@
 			plan := f.plan(hall)
 			g.Expect(f.serving(hall, "boards")).To(HaveLen(2))
 			g.Expect(f.serving(hall, "leases")).To(HaveLen(2))
+			g.Expect(f.serving("h2", "maps")).To(HaveLen(1))
 			daemons, err := f.operator.Daemons(context.Background(), []tw.HallID{hall})
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(daemons).To(HaveLen(entries))
@@ -180,6 +181,7 @@
 		streams = []standin.Stream{
 			{Name: "check", Method: "GET", Host: "boards.test", Path: "/check", Work: 5 * time.Millisecond, Share: 3},
 			{Name: "record", Method: "POST", Host: "boards.test", Path: "/records", Work: 20 * time.Millisecond, Share: 2},
+			{Name: "map", Method: "POST", Host: "maps.test", Path: "/draw", Work: 10 * time.Millisecond, Share: 1},
 			{Name: "bundle", Method: "POST", Host: "leases.test", Path: "/bundle", Work: 50 * time.Millisecond, Share: 1},
 		}
 	}
--- a/fleet/decide_test.go
+++ b/fleet/decide_test.go
@@ -191,6 +191,20 @@
 			}
 		},
 	},
+	"a wave that is over is forgotten": {
+		happens: func(h *hall) {
+			c := pools(2, 3)
+			c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 4}}
+			h.configure(c)
+			h.settle()
+			h.configure(pools(2, 3))
+		},
+		then: func(h *hall) {
+			for _, a := range h.in.Plan.Instances {
+				Expect(a.Waves).To(BeEmpty())
+			}
+		},
+	},
 	"a wave pauses while a pool is short": {
 		happens: func(h *hall) {
 			c := pools(2, 3)
@@ -263,6 +277,21 @@
 		Expect(h.in.Plan.SparesNeeded).To(Equal(3))
 	})
 
+	It("never stops the only replica of a job before another one runs", func() {
+		h := newHall(pools(1, 1), 3)
+		h.settle()
+		c := pools(1, 1)
+		c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 2}}
+		h.configure(c)
+		for range 60 {
+			h.pass()
+			Expect(h.serving("jp0")).NotTo(BeEmpty())
+		}
+		for _, a := range h.in.Plan.Instances {
+			Expect(a.Waves).To(Equal([]tw.WaveID{"w"}), string(a.Instance))
+		}
+	})
+
 	It("gives the same output for the same input", func() {
 		h := newHall(pools(5, 10), 60)
 		h.pass()
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
@@ -39,6 +41,7 @@
 // findWaves marks the next instances of each maintenance wave. Losses that
 // leave a pool short pause the waves.
 func (p *pass) findWaves() {
+	p.forgetWaves()
 	if p.anyShort() {
 		return
 	}
@@ -47,6 +50,21 @@
 	}
 }
 
+// forgetWaves drops waves that are no longer configured.
+func (p *pass) forgetWaves() {
+	known := map[tw.WaveID]bool{}
+	for _, w := range p.in.Config.Waves {
+		known[w.ID] = true
+	}
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		a.Waves = slices.DeleteFunc(a.Waves, func(id tw.WaveID) bool { return !known[id] })
+		if len(a.Waves) == 0 {
+			a.Waves = nil
+		}
+	}
+}
+
 func (p *pass) findWave(w *tw.Wave) {
 	var serving []*tw.Assignment
 	room := w.AtOnce
@@ -94,7 +112,7 @@
 	for i := range p.plan.Instances {
 		a := &p.plan.Instances[i]
 		reason := p.doomed[a.Instance]
-		if reason.Code == "" || !a.Active() {
+		if reason.Code == "" || !a.Active() || p.replacing(a.Pool) {
 			continue
 		}
 		drain := Drain{Instance: a.Instance, Services: p.services(a), Reason: reason}
@@ -115,6 +133,19 @@
 	}
 }
 
+// replacing tells whether a pool has an instance that is still joining or a
+// job that is still starting. Planned drains wait for it: the budget is for
+// when there is no replacement.
+func (p *pass) replacing(pool tw.PoolID) bool {
+	for _, a := range p.members(pool) {
+		starting := slices.ContainsFunc(a.Jobs, func(at tw.Placement) bool { return at.State == tw.PlacementStarting })
+		if a.State == tw.Joining || starting {
+			return true
+		}
+	}
+	return false
+}
+
 // chargeLosses takes out of the allowance what this pass itself found lost:
 // the allowance was worked out from the plan before it.
 func (p *pass) chargeLosses() {
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -121,6 +121,14 @@
 		method: "POST", path: "/short", body: "x",
 		status: 504, reason: ReasonDeadline, outcome: Unknown, most: 1,
 	},
+	"answers, and claims that it did not run: its answer is an answer": {
+		play: func(conn net.Conn, _ int) bool {
+			say(conn, "HTTP/1.1 200 OK\r\nTamarind-Outcome: not-run\r\nTamarind-Reason: x\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		},
+		method: "POST", path: "/", body: "x",
+		status: 200, outcome: Answered, most: 1,
+	},
 	"talks no HTTP: unknown": {
 		play:   func(conn net.Conn, _ int) bool { say(conn, "what?\r\n\r\n"); return false },
 		method: "POST", path: "/", body: "x",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,6 +224,9 @@
 		v.retry = ""
 	}
 	if v.refusal == nil && v.retry == "" {
+		// An instance's answer is one, whatever it says in our own headers.
+		a.resp.Header.Set(HeaderOutcome, string(Answered))
+		a.resp.Header.Del(HeaderReason)
 		v = g.finishAnswer(w, ex, a.resp, func() { g.scheduler.release(slot, mode) })
 		if v.blame {
 			mode = releaseFailed
--- a/gateway/scheduler_test.go
+++ b/gateway/scheduler_test.go
@@ -328,6 +328,11 @@
 		Expect(now.Before(d.workers["w0"].ejected)).NotTo(Equal(now.Before(d.workers["w1"].ejected)))
 	})
 
+	It("uses no slot of a new instance that is another daemon's", func() {
+		w := worker{since: fakeclock.New().Now()}
+		Expect(w.slots(w.since.Add(time.Second))).To(BeZero())
+	})
+
 	It("starts slowly with a new instance", func() {
 		d := newDesk(viewOf(8, "a"))
 		d.install(viewOf(8, "a", "b"))
--- a/gateway/worker.go
+++ b/gateway/worker.go
@@ -54,7 +54,7 @@
 // slots is how many requests may be on the instance at once; one that is new
 // starts slowly.
 func (w *worker) slots(now time.Time) int {
-	if age := now.Sub(w.since); age < slowStart {
+	if age := now.Sub(w.since); w.share > 0 && age < slowStart {
 		return max(1, int(float64(w.share)*float64(age)/float64(slowStart)))
 	}
 	return w.share
