Waves use spares before budgets; halls find each other at once; relay before jobs are told

Causes, from an e2e run with a job that only one hall carries (six cases red): - h1 refused 22 of 43 requests for it as no-instance after its start, and some later: daemons of other halls were looked for in one round of four, heard each 5 s, and counted as down after 4.

--- a/cmd/tamarind/config.go
+++ b/cmd/tamarind/config.go
@@ -51,7 +51,7 @@
 func addCheck(config *kingpin.CmdClause) {
 	cmd := config.Command("check", checkHelp)
 	file := cmd.Arg("file", "Configuration, TOML.").Required().String()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		source, err := readConfig(*file)
 		if err != nil {
 			return err
@@ -62,7 +62,7 @@
 		}
 		fmt.Printf("%s is good: %d pools, %d jobs, %d services\n", *file, len(parsed.Pools), len(parsed.Jobs), len(parsed.Services))
 		return nil
-	})
+	}))
 }
 
 func addApply(config *kingpin.CmdClause, conn *connection) {
@@ -71,7 +71,7 @@
 	base := cmd.Flag("base", "Revision that the change was made from; 0 for the first.").Required().Uint64()
 	operator := cmd.Flag("operator", "Who applies it.").Envar("USER").String()
 	wait := cmd.Flag("wait", "Wait so long until it is in force everywhere.").Duration()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		source, err := readConfig(*file)
 		if err != nil {
 			return err
@@ -91,7 +91,7 @@
 			}
 			return waitInForce(o, accepted, *wait)
 		})
-	})
+	}))
 }
 
 func waitInForce(o *control.Operator, accepted tw.AcceptedConfig, wait time.Duration) error {
@@ -124,7 +124,7 @@
 
 func addGet(config *kingpin.CmdClause, conn *connection) {
 	cmd := config.Command("get", getHelp)
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			current, err := o.Get(ctx)
 			if err != nil {
@@ -134,13 +134,13 @@
 			fmt.Print(current.Source)
 			return nil
 		})
-	})
+	}))
 }
 
 func addDiff(config *kingpin.CmdClause, conn *connection) {
 	cmd := config.Command("diff", diffHelp)
 	file := cmd.Arg("file", "Configuration, TOML.").Required().String()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		source, err := readConfig(*file)
 		if err != nil {
 			return err
@@ -153,7 +153,7 @@
 			fmt.Print(textdiff.Lines(current.Source, source))
 			return nil
 		})
-	})
+	}))
 }
 
 func readConfig(path string) (string, error) {
--- a/cmd/tamarind/demo.go
+++ b/cmd/tamarind/demo.go
@@ -20,9 +20,9 @@
 func addDemo(app *kingpin.Application) {
 	cmd := app.Command("demo", demoHelp)
 	verbose := cmd.Flag("verbose", "Print the daemons' logs.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		return demo.Run(ctx, os.Stdout, *verbose)
-	})
+	}))
 }
--- a/cmd/tamarind/entry.go
+++ b/cmd/tamarind/entry.go
@@ -26,7 +26,7 @@
 	cmd := entry.Command("forget", forgetHelp)
 	id := cmd.Arg("id", "Daemon.").Required().String()
 	hall := cmd.Flag("hall", "Its data hall.").Required().String()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			if err := o.Forget(ctx, tw.HallID(*hall), tw.DaemonID(*id)); err != nil {
 				return err
@@ -34,5 +34,5 @@
 			fmt.Printf("daemon %s is forgotten\n", *id)
 			return nil
 		})
-	})
+	}))
 }
--- a/cmd/tamarind/explain.go
+++ b/cmd/tamarind/explain.go
@@ -27,18 +27,18 @@
 	explain := app.Command("explain", explainHelp)
 	instance := explain.Command("instance", explainInstanceHelp)
 	instanceID := instance.Arg("id", "Instance.").Required().String()
-	instance.Action(func(*kingpin.ParseContext) error {
+	instance.Action(action(func() error {
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			return explainInstance(ctx, o, tw.InstanceID(*instanceID))
 		})
-	})
+	}))
 	job := explain.Command("job", explainJobHelp)
 	jobID := job.Arg("id", "Job.").Required().String()
-	job.Action(func(*kingpin.ParseContext) error {
+	job.Action(action(func() error {
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			return explainJob(ctx, o, tw.JobID(*jobID))
 		})
-	})
+	}))
 }
 
 // plans reads the configuration and every hall's plan.
--- a/cmd/tamarind/main.go
+++ b/cmd/tamarind/main.go
@@ -54,9 +54,23 @@
 		return
 	}
 	fmt.Fprintf(os.Stderr, "tamarind: %v\n", err)
+	if !acted {
+		os.Exit(exitBadInput) // the library could make no sense of the line
+	}
 	os.Exit(exitCode(err))
 }
 
+// acted says that a command was understood and begun.
+var acted bool
+
+// action is what a command does.
+func action(do func() error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		acted = true
+		return do()
+	}
+}
+
 func exitCode(err error) int {
 	var faults tw.Faults
 	var conflict *control.Conflict
--- a/cmd/tamarind/plan.go
+++ b/cmd/tamarind/plan.go
@@ -21,7 +21,7 @@
 func addPlan(app *kingpin.Application, conn *connection) {
 	cmd := app.Command("plan", planHelp)
 	file := cmd.Arg("file", "Configuration, TOML.").Required().String()
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		source, err := readConfig(*file)
 		if err != nil {
 			return err
@@ -33,7 +33,7 @@
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			return dryRun(ctx, o, *conn.platform, config)
 		})
-	})
+	}))
 }
 
 func dryRun(ctx context.Context, o *control.Operator, url string, config *tw.FleetConfig) error {
--- a/cmd/tamarind/status.go
+++ b/cmd/tamarind/status.go
@@ -44,7 +44,7 @@
 func addStatus(app *kingpin.Application, conn *connection) {
 	cmd := app.Command("status", statusHelp)
 	output := cmd.Flag("output", "text or json.").Default("text").Enum("text", "json")
-	cmd.Action(func(*kingpin.ParseContext) error {
+	cmd.Action(action(func() error {
 		return conn.use(func(ctx context.Context, o *control.Operator) error {
 			status, err := gatherStatus(ctx, o)
 			if err != nil {
@@ -55,7 +55,7 @@
 			}
 			return printStatus(status)
 		})
-	})
+	}))
 }
 
 func gatherStatus(ctx context.Context, o *control.Operator) (fleetStatus, error) {
--- a/control/claims.go
+++ b/control/claims.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/rand"
 	"slices"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/spread"
@@ -23,6 +25,12 @@
 	metrics *metrics.Set
 }
 
+// claimAnswer is what a peer says to a claim.
+type claimAnswer struct {
+	claim tw.Claim
+	err   error
+}
+
 const (
 	// claimHolders is how many daemons keep a claim, besides the sender.
 	claimHolders = 3
@@ -45,18 +53,21 @@
 		return claim, tw.ClaimResult{Standing: standing}
 	}
 	hall := c.hall()
-	kept := 1
+	kept, gone := 1, 0
 	for answer := range c.ask(ctx, c.holders(scope, hall), claim) {
 		switch {
-		case answer == claim:
+		case errors.Is(answer.err, tw.ErrGone):
+			gone++ // and what it held is gone with it
+		case answer.err != nil:
+		case answer.claim == claim:
 			kept++
-		case answer.Holder != "":
+		case answer.claim.Holder != "":
 			c.count("standing")
 			c.release(claim, hall)
-			return claim, tw.ClaimResult{Standing: answer}
+			return claim, tw.ClaimResult{Standing: answer.claim}
 		}
 	}
-	if kept < min(claimQuorum, len(hall)) {
+	if kept < min(claimQuorum, len(hall)-gone) {
 		c.count("unavailable")
 		c.release(claim, hall)
 		return claim, tw.ClaimResult{}
@@ -89,29 +100,18 @@
 }
 
 // ask sends a claim to peers at the same time, and yields what they answer.
-// One that does not answer yields an empty claim.
-func (c *claims) ask(ctx context.Context, peers []tw.Member, claim tw.Claim) <-chan tw.Claim {
-	out := make(chan tw.Claim, len(peers))
+func (c *claims) ask(ctx context.Context, peers []tw.Member, claim tw.Claim) <-chan claimAnswer {
+	out := make(chan claimAnswer, len(peers))
+	var asked sync.WaitGroup
 	for _, m := range peers {
-		go func() {
-			answer, err := c.peers.Claim(ctx, m.Address, claim)
-			if err != nil {
-				answer = tw.Claim{}
-			}
-			out <- answer
-		}()
+		asked.Go(func() {
+			standing, err := c.peers.Claim(ctx, m.Address, claim)
+			out <- claimAnswer{claim: standing, err: err}
+		})
 	}
-	return collect(out, len(peers))
-}
-
-// collect passes n answers on and closes.
-func collect(in <-chan tw.Claim, n int) <-chan tw.Claim {
-	out := make(chan tw.Claim, n)
 	go func() {
-		defer close(out)
-		for range n {
-			out <- <-in
-		}
+		asked.Wait()
+		close(out)
 	}()
 	return out
 }
--- a/control/members.go
+++ b/control/members.go
@@ -13,6 +13,7 @@
 	// members is the table of daemons heard of.
 	members struct {
 		clock tw.Clock
+		hall  tw.HallID
 		dead  time.Duration // least silence after which a daemon counts as down
 
 		mu    sync.Mutex
@@ -26,8 +27,8 @@
 	}
 )
 
-func newMembers(clock tw.Clock, dead time.Duration) *members {
-	return &members{clock: clock, dead: dead, table: map[tw.DaemonID]heardMember{}}
+func newMembers(clock tw.Clock, hall tw.HallID, dead time.Duration) *members {
+	return &members{clock: clock, hall: hall, dead: dead, table: map[tw.DaemonID]heardMember{}}
 }
 
 // hear takes in a heartbeat, direct or by hearsay. An earlier life or an older
@@ -70,9 +71,8 @@
 	defer t.mu.Unlock()
 	var all []heardMember
 	now := t.clock.Now()
-	patience := t.patience()
 	for _, m := range t.table {
-		if now.Sub(m.heard) <= patience && keep(m.Member) {
+		if now.Sub(m.heard) <= t.patienceWith(m.Member) && keep(m.Member) {
 			all = append(all, m)
 		}
 	}
@@ -91,7 +91,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	patience := t.patience()
 	var out []tw.Member
 	for id, m := range t.table {
 		age := now.Sub(m.heard)
@@ -99,7 +98,7 @@
 			delete(t.table, id)
 			continue
 		}
-		if age <= patience && keep(m.Member) {
+		if age <= t.patienceWith(m.Member) && keep(m.Member) {
 			out = append(out, m.Member)
 		}
 	}
@@ -107,12 +106,20 @@
 	return out
 }
 
-// patience is the silence after which a daemon counts as down. The more there
-// are, the longer news of one takes. The lock is held.
-func (t *members) patience() time.Duration {
-	return t.dead + time.Duration(float64(len(t.table))*patiencePerMember*float64(t.dead))
+// patienceWith is the silence after which a daemon counts as down. The more
+// there are, the longer news of one takes. The lock is held.
+func (t *members) patienceWith(m tw.Member) time.Duration {
+	patience := t.dead + time.Duration(float64(len(t.table))*patiencePerMember*float64(t.dead))
+	if m.Hall != t.hall {
+		return remotePatience * patience
+	}
+	return patience
 }
 
+// remotePatience multiplies the patience with daemons of other halls: they are
+// heard seldom, and a relay that fails is tried elsewhere.
+const remotePatience = 10
+
 // patiencePerMember adds to patience, as a part of the least.
 const patiencePerMember = 0.1
 
--- a/control/node.go
+++ b/control/node.go
@@ -116,7 +116,7 @@
 		cfg:     c,
 		log:     c.Log.Named("control"),
 		know:    newKnowledge(),
-		members: newMembers(c.Clock, c.Pace.Dead),
+		members: newMembers(c.Clock, c.Self.Hall, c.Pace.Dead),
 		rand:    &lockedRand{rand: rand.New(rand.NewPCG(c.Seed, c.Seed))},
 		done:    make(chan struct{}),
 	}
--- a/control/peer_client.go
+++ b/control/peer_client.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/control/peerpb"
@@ -111,5 +113,8 @@
 }
 
 func peerError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("control: peer: %w: %w", tw.ErrGone, err)
+	}
 	return fmt.Errorf("control: peer: %w: %w", tw.ErrUnavailable, err)
 }
--- a/control/rosters.go
+++ b/control/rosters.go
@@ -37,7 +37,7 @@
 	}
 	for _, hall := range view.Config.Halls {
 		known := n.known(func(m tw.Member) bool { return m.Hall == hall && m.ID != n.cfg.Self.ID })
-		if len(known) > 0 || !n.oneIn(lookOneIn) {
+		if len(known) > 0 {
 			continue
 		}
 		stored, err := n.cfg.Documents.Read(ctx, tw.RosterKey(hall))
@@ -54,6 +54,3 @@
 		}
 	}
 }
-
-// lookOneIn thins out the reads for halls that have no daemon yet.
-const lookOneIn = 4
--- a/control/sync.go
+++ b/control/sync.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// eagerRounds is how long a new daemon looks for others in each round;
+	// after that it does so in one of lookOneIn.
+	eagerRounds = 10
+	lookOneIn   = 4
 	// syncPeers is how many daemons of the hall get each heartbeat.
 	syncPeers = 2
 	// remoteOneIn is in how many rounds a daemon of another hall gets one.
@@ -27,8 +31,10 @@
 // syncDuty sends heartbeats: to a few daemons of the hall each time, and to
 // one of another hall now and then.
 func (n *Node) syncDuty(ctx context.Context) {
-	for n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)) {
-		n.learnRosters(ctx)
+	for round := 0; n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)); round++ {
+		if round < eagerRounds || n.oneIn(lookOneIn) {
+			n.learnRosters(ctx)
+		}
 		n.beat.Add(1)
 		n.syncWith(ctx, n.pickHall(), false)
 		n.syncWith(ctx, n.pickRemote(), false)
@@ -52,10 +58,19 @@
 // pickRemote chooses a daemon of another hall now and then.
 func (n *Node) pickRemote() []string {
 	remote := n.known(func(m tw.Member) bool { return m.Hall != n.cfg.Self.Hall })
+	n.shuffle(remote)
+	heard := map[tw.HallID]bool{n.cfg.Self.Hall: true}
+	for _, m := range n.remoteMembers() {
+		heard[m.Hall] = true
+	}
+	for _, m := range remote {
+		if !heard[m.Hall] {
+			return []string{m.Address} // a hall that is not known yet goes first
+		}
+	}
 	if len(remote) == 0 || !n.oneIn(remoteOneIn) {
 		return nil
 	}
-	n.shuffle(remote)
 	return []string{remote[0].Address}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -77,7 +77,7 @@
 // Defaults fills what was left out.
 func (s *Settings) Defaults() {
 	set(&s.Platform.Timeout, tw.Duration(2*time.Second))
-	set(&s.Platform.CallsPerSecond, 20)
+	set(&s.Platform.CallsPerSecond, 10)
 	set(&s.Limits.Body, 8<<20)
 	set(&s.Limits.HeldBody, 64<<10)
 	set(&s.Limits.Header, 32<<10)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -145,9 +145,27 @@
 				g.Expect(d.Acked).To(BeNumerically(">=", plan.Generation))
 			}
 		}
+		for _, gateway := range f.gateways() {
+			g.Expect(answers(gateway, "maps.test")).To(BeTrue(), "%s relays", gateway)
+		}
 	}, patient, "50ms").Should(Succeed())
 }
 
+// answers tells whether a gateway answers requests for a host.
+func answers(gateway, host string) bool {
+	req, err := http.NewRequest(http.MethodGet, "http://"+gateway+"/", nil)
+	if err != nil {
+		return false
+	}
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // serving lists the instances that serve a pool with all its jobs running.
 func (f *fleet) serving(hall tw.HallID, pool tw.PoolID) []tw.InstanceID {
 	plan := f.plan(hall)
--- a/fleet/decide_test.go
+++ b/fleet/decide_test.go
@@ -292,6 +292,22 @@
 		}
 	})
 
+	It("uses no budget for a wave while a spare will be back", func() {
+		h := newHall(pools(2, 2), 5)
+		h.settle()
+		c := pools(2, 2)
+		c.Waves = []tw.Wave{{ID: "w", Instances: selector("kind=general"), AtOnce: 2}}
+		h.configure(c)
+		for range 100 {
+			h.pass()
+			Expect(h.serving("jp0")).To(HaveLen(2))
+			Expect(h.serving("jp1")).To(HaveLen(2))
+		}
+		for _, a := range h.in.Plan.Instances {
+			Expect(a.Waves).To(Equal([]tw.WaveID{"w"}), string(a.Instance))
+		}
+	})
+
 	It("gives the same output for the same input", func() {
 		h := newHall(pools(5, 10), 60)
 		h.pass()
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -65,37 +65,63 @@
 	}
 }
 
+// findWave sends the spares that are due out first, as they carry nothing. One
+// that serves follows when a spare can take its place; without any, the budget
+// decides, but not while an instance of the wave will be back as a spare.
 func (p *pass) findWave(w *tw.Wave) {
-	var serving []*tw.Assignment
 	room := w.AtOnce
 	for i := range p.plan.Instances {
-		a := &p.plan.Instances[i]
-		if a.Wave == w.ID {
+		if p.plan.Instances[i].Wave == w.ID {
 			room--
-			continue
 		}
-		in, listed := p.listed[a.Instance]
-		due := listed && in.Phase == tw.Live && !a.Maintained(w.ID) && w.Instances.Matches(p.in.Config.LabelsOf(in))
-		switch {
-		case !due || a.Wave != "":
-		case a.State == tw.Spare && room > 0:
-			// A spare carries nothing: it goes at once, and first.
-			a.Wave, a.Boots = w.ID, in.Boots
+	}
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.State == tw.Spare && room > 0 && p.due(a, w) {
+			a.Wave, a.Boots = w.ID, p.listed[a.Instance].Boots
 			p.set(a, tw.Out, tw.ReasonWave, string(w.ID))
 			room--
-		case a.State == tw.Serving:
-			serving = append(serving, a)
 		}
 	}
-	for _, a := range serving {
-		if room <= 0 {
-			return
+	away := room < w.AtOnce
+	taken := map[tw.InstanceID]bool{}
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if a.State != tw.Serving || room <= 0 || !p.due(a, w) {
+			continue
+		}
+		replacement := p.freeSpare(a.Pool, taken)
+		if replacement == nil && away {
+			continue
+		}
+		if replacement != nil {
+			taken[replacement.Instance] = true
 		}
 		p.doom(a, tw.Reason{Code: tw.ReasonWave, Detail: string(w.ID)})
+		away = true
 		room--
 	}
 }
 
+// due tells whether a wave still has to maintain an instance.
+func (p *pass) due(a *tw.Assignment, w *tw.Wave) bool {
+	in, listed := p.listed[a.Instance]
+	return listed && in.Phase == tw.Live && a.Wave == "" && !a.Maintained(w.ID) &&
+		w.Instances.Matches(p.in.Config.LabelsOf(in))
+}
+
+// freeSpare is a spare that fits a pool and is not taken, or nil.
+func (p *pass) freeSpare(id tw.PoolID, taken map[tw.InstanceID]bool) *tw.Assignment {
+	pool := p.in.Config.Pool(id)
+	for i := range p.plan.Instances {
+		a := &p.plan.Instances[i]
+		if pool != nil && a.State == tw.Spare && !taken[a.Instance] && p.eligible(a, pool) {
+			return a
+		}
+	}
+	return nil
+}
+
 func (p *pass) anyShort() bool {
 	for _, n := range p.pools {
 		if n.short() {
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -144,6 +144,25 @@
 	})
 })
 
+var _ = Describe("a request that another hall must serve", func() {
+	It("goes one hop, also to a daemon that has not told its jobs", func() {
+		u := script(func(conn net.Conn, _ int) bool { say(conn, ok("far")); return true })
+		far := serve(Config{}, viewOf(8, u.address))
+		near := serve(Config{}, relayView(strings.TrimPrefix(far.url, "http://")))
+		Expect(near.ask("POST", "/", "x").body).To(Equal("far"))
+		Expect(u.ran()).To(Equal(1))
+	})
+
+	It("never goes on, and is told not run", func() {
+		far := serve(Config{}, viewOf(8))
+		far.Install(relayView(strings.TrimPrefix(far.url, "http://"))) // would loop
+		near := serve(Config{}, relayView(strings.TrimPrefix(far.url, "http://")))
+		got := near.ask("POST", "/", "x")
+		Expect(got.outcome).To(Equal(NotRun))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	})
+})
+
 // newUpstream is an ordinary HTTP server; it returns its address.
 func newUpstream(handle http.HandlerFunc) string {
 	server := httptest.NewServer(handle)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,10 +41,23 @@
 	turn := int(g.turns.Add(1))
 	hall := rotate(carriers(view.Members, view.Self, job), turn)
 	remote := rotate(carriers(view.Remote, view.Self, job), turn)
-	out := slices.Concat(hall, remote)
+	out := slices.Concat(hall, remote, rotate(untold(view, job), turn))
 	return out[:min(len(out), maxTries)]
 }
 
+// untold are the daemons of halls that should run a job, but have not told
+// that they do. Asking costs a hop: one that does not says so, not run.
+func untold(view *tw.View, job tw.JobID) []tw.Member {
+	wanted := view.Config.Job(job)
+	var out []tw.Member
+	for _, m := range view.Remote {
+		if wanted != nil && wanted.In(m.Hall) && !slices.Contains(m.Jobs, job) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // carriers are the daemons that can give a job to an instance themselves.
 func carriers(in []tw.Member, self tw.DaemonID, job tw.JobID) []tw.Member {
 	var out []tw.Member
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -47,9 +47,11 @@
 }
 
 // hold is how much an urgent class needs a reserve against another: nothing if
-// the other's slots are freed as fast as its own, all of it if far slower.
+// the other's slots are freed as fast as its own, all of it if far slower. The
+// square keeps little against classes that are only somewhat slower.
 func (l *jobLine) hold(urgent, class tw.Class) float64 {
-	return max(0, 1-l.mean(urgent)/l.mean(class))
+	slower := max(0, 1-l.mean(urgent)/l.mean(class))
+	return slower * slower
 }
 
 // busy is how many slots a class would fill if all that comes were admitted.
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// relayView is a daemon without slots of its own, and a member of another hall
+// that has not told its jobs.
+func relayView(gateway string) tw.View {
+	view := viewOf(8)
+	view.Config.Halls = []tw.HallID{"h1", "h2"}
+	view.Remote = []tw.Member{{ID: "d2", Hall: "h2", Gateway: gateway}}
+	return view
+}
+
 // served is a gateway with a listener.
 type served struct {
 	*Gateway
--- a/peers.go
+++ b/peers.go
@@ -73,7 +73,8 @@
 
 	// Peers is how a daemon talks to another one.
 	Peers interface {
-		// Sync exchanges heartbeats; fails with ErrUnavailable.
+		// Sync exchanges heartbeats. Both calls fail with ErrGone if no
+		// process listens at the address, else with ErrUnavailable.
 		Sync(ctx context.Context, address string, req SyncRequest) (SyncResponse, error)
 		// Claim records a claim, or returns the one that stands before it.
 		Claim(ctx context.Context, address string, claim Claim) (Claim, error)
--- a/store.go
+++ b/store.go
@@ -60,7 +60,9 @@
 	ErrNoChange    = errors.New("no change")
 	ErrHeld        = errors.New("lease is held")
 	ErrUnavailable = errors.New("unavailable")
-	ErrUnclear     = errors.New("answer lost")
+	// ErrGone is a peer's address at which no process listens.
+	ErrGone    = errors.New("no process there")
+	ErrUnclear = errors.New("answer lost")
 )
 
 // Keys of the documents kept in the store.
