A duty of its own for heartbeats to other halls

Cause (by reading): with a hall cut off, each round waited up to a second for it before the next heartbeat within the hall.

--- a/control/node.go
+++ b/control/node.go
@@ -131,6 +131,7 @@
 	n.start(n.planDuty)
 	n.start(n.listDuty)
 	n.start(n.syncDuty)
+	n.start(n.remoteDuty)
 	n.start(n.installDuty)
 	n.start(n.planner.duty)
 	go func() {
--- a/control/sync.go
+++ b/control/sync.go
@@ -20,6 +20,8 @@
 	syncPeers = 2
 	// remoteOneIn is in how many rounds a daemon of another hall gets one.
 	remoteOneIn = 4
+	// unheardOneIn is in how many rounds a hall that is not heard is tried.
+	unheardOneIn = 2
 	// jobsOneIn is in how many messages within the hall the jobs are told;
 	// between halls they always are.
 	jobsOneIn = 8
@@ -28,15 +30,22 @@
 	gossipRemote = 1
 )
 
-// syncDuty sends heartbeats: to a few daemons of the hall each time, and to
-// one of another hall now and then.
+// syncDuty sends heartbeats to a few daemons of the hall each time.
 func (n *Node) syncDuty(ctx context.Context) {
+	for n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)) {
+		n.beat.Add(1)
+		n.syncWith(ctx, n.pickHall(), false)
+	}
+}
+
+// remoteDuty finds the daemons of other halls and sends one of them a
+// heartbeat now and then. It is a duty of its own, so that a hall that is cut
+// off does not hold up the heartbeats within this one.
+func (n *Node) remoteDuty(ctx context.Context) {
 	for round := 0; n.sleep(ctx, n.jitter(n.cfg.Pace.Sync)); round++ {
 		if round < eagerRounds || n.oneIn(lookOneIn) {
 			n.learnRosters(ctx)
 		}
-		n.beat.Add(1)
-		n.syncWith(ctx, n.pickHall(), false)
 		n.syncWith(ctx, n.pickRemote(), false)
 	}
 }
@@ -64,8 +73,10 @@
 		heard[m.Hall] = true
 	}
 	for _, m := range remote {
-		if !heard[m.Hall] {
-			return []string{m.Address} // a hall that is not known yet goes first
+		// A hall that is not known goes first, but not always: it may be
+		// cut off for long, and the others must not be forgotten for it.
+		if !heard[m.Hall] && n.oneIn(unheardOneIn) {
+			return []string{m.Address}
 		}
 	}
 	if len(remote) == 0 || !n.oneIn(remoteOneIn) {
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -53,6 +53,7 @@
 	It("loses and doubles nothing when a worker is killed", func() {
 		victim := f.serving("h2", "boards")[0]
 		r := underLoad(f.load(600, 200), func() { f.upstreams[victim].kill() })
+		f.replaceUpstream(victim) // or the hall would be left without a spare
 		expectNoFaults(r)
 		Expect(r.Cut).To(BeZero(), r.Line())
 	})
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -96,6 +96,16 @@
 		"--label", "kind=general", "--records", f.records(tw.InstanceID(id)))
 }
 
+// replaceUpstream starts a worker in place of one that was killed.
+func (f *fleet) replaceUpstream(id tw.InstanceID) {
+	GinkgoHelper()
+	var rack, i int
+	hall, place, _ := strings.Cut(string(id), "-")
+	_, err := fmt.Sscanf(place, "r%d-w%d", &rack, &i)
+	Expect(err).NotTo(HaveOccurred())
+	f.startUpstream(tw.HallID(hall), rack, i)
+}
+
 func (f *fleet) records(id tw.InstanceID) string { return filepath.Join(f.dir, string(id)+".runs") }
 
 func (f *fleet) startDaemon(hall tw.HallID, id tw.DaemonID) {
