Take the lease once when the store has forgotten its epochs

Cause (by reading): a planner whose stored plan had a higher epoch than its lease went above it, and at each renewal took the difference for a lost lease: it read the plan again each 3 s.

--- a/control/node_test.go
+++ b/control/node_test.go
@@ -10,9 +10,12 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/platform"
 )
 
 const patient = "10s" // for what must come, whenever
@@ -260,6 +263,21 @@
 		})
 	}
 
+	It("takes the lease once, also when the store has forgotten its epochs", func() {
+		b := newBed()
+		core, logs := observer.New(zap.InfoLevel)
+		b.log = zap.New(core)
+		b.apply(0)
+		_, err := b.operator.documents.Write(GinkgoT().Context(), tw.PlanKey("h1"), platform.Stored{}, tw.Plan{Hall: "h1", Generation: 5, Epoch: 50})
+		Expect(err).NotTo(HaveOccurred())
+		b.node("d1", b.platform)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Expect(b.plan().Epoch).To(Equal(tw.Epoch(51)))
+		before := b.platform.Calls().Writes
+		Eventually(func() int { return b.platform.Calls().Writes - before }, patient).Should(BeNumerically(">=", 5)) // renewals
+		Expect(logs.FilterMessage("planning for the hall").Len()).To(Equal(1))
+	})
+
 	It("is one daemon at a time", func() {
 		b := newBed()
 		one, _ := b.node("d1", b.platform)
--- a/control/planner.go
+++ b/control/planner.go
@@ -22,7 +22,8 @@
 	held    atomic.Bool
 	until   time.Time // the lease surely holds until then, by our own clock
 	renewAt time.Time
-	epoch   tw.Epoch
+	granted tw.Epoch // the lease's
+	epoch   tw.Epoch // the plans'; the same, unless the store has forgotten it
 	stored  platform.Stored // the plan as last read or written
 	loaded  bool
 	plan    tw.Plan
@@ -87,7 +88,7 @@
 	case err == nil:
 		p.until = asked.Add(p.node.cfg.Pace.LeaseTTL)
 		p.renewAt = asked.Add(p.node.cfg.Pace.Lease)
-		if !p.held.Load() || lease.Epoch != p.epoch {
+		if !p.held.Load() || lease.Epoch != p.granted {
 			p.take(lease.Epoch)
 		}
 	case errors.Is(err, tw.ErrHeld):
@@ -118,7 +119,7 @@
 
 func (p *planner) take(epoch tw.Epoch) {
 	p.held.Store(true)
-	p.epoch = epoch
+	p.granted, p.epoch = epoch, epoch
 	p.loaded = false
 	p.askAt, p.lookAt = time.Time{}, time.Time{}
 	p.log.Info("planning for the hall", zap.Uint64("epoch", uint64(epoch)))
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
@@ -133,6 +134,7 @@
 	platform *standin.Platform
 	network  *network
 	operator *Operator
+	log      *zap.Logger // of the nodes; nil for none
 }
 
 func newBed() *bed {
@@ -190,6 +192,7 @@
 		Dispatcher: r,
 		Seeds:      []string{"d1", "d2"},
 		Pace:       fast,
+		Log:        b.log,
 	}.New()
 	b.network.set(string(id), n)
 	DeferCleanup(n.Close)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -13,7 +13,7 @@
 // service time, so that what is admitted stays quick at any overload; the
 // others may wait as long as their deadline allows, up to a bound.
 const (
-	quickWaitShare  = 0.8                  // of the mean service time
+	quickWaitShare  = 0.7                  // of the mean service time
 	quickWaitFloor  = 5 * time.Millisecond // a burst that nobody notices
 	maxNormalWait   = 2 * time.Second
 	maxLongWait     = 20 * time.Second
