--- a/control/planner.go
+++ b/control/planner.go
@@ -22,8 +22,8 @@
 	held    atomic.Bool
 	until   time.Time // the lease surely holds until then, by our own clock
 	renewAt time.Time
-	granted tw.Epoch // the lease's
-	epoch   tw.Epoch // the plans'; the same, unless the store has forgotten it
+	granted tw.Epoch        // the lease's
+	epoch   tw.Epoch        // the plans'; the same, unless the store has forgotten it
 	stored  platform.Stored // the plan as last read or written
 	loaded  bool
 	plan    tw.Plan
