--- a/control/install.go
+++ b/control/install.go
@@ -4,8 +4,6 @@
 	"context"
 
 	"go.uber.org/zap"
-
-	tw "github.com/tamarindworks/tamarindworks"
 )
 
 // installDuty gives the gateway a new view whenever something has changed,
@@ -31,13 +29,11 @@
 // install builds the view and, once the gateway obeys it, acknowledges the
 // plan in it. It returns how many daemons of the hall are live.
 func (n *Node) install() int {
-	view := tw.View{
-		Hall:    n.cfg.Self.Hall,
-		Self:    n.cfg.Self.ID,
-		Members: n.hallMembers(),
-		Remote:  n.remoteMembers(),
-	}
-	n.know.snapshot(&view)
+	view := n.know.view()
+	view.Hall = n.cfg.Self.Hall
+	view.Self = n.cfg.Self.ID
+	view.Members = n.hallMembers()
+	view.Remote = n.remoteMembers()
 	n.cfg.Dispatcher.Install(view)
 	if view.Plan == nil {
 		return len(view.Members)
--- a/control/knowledge.go
+++ b/control/knowledge.go
@@ -124,20 +124,23 @@
 	}
 }
 
-// snapshot fills a view with what is known.
-func (k *knowledge) snapshot(view *tw.View) {
+// view is what is known; who the members are is for the caller to add.
+func (k *knowledge) view() tw.View {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	view.Revision = k.revision
-	view.Config = k.config
-	view.Plan = k.plan
-	view.Registered = k.registered && k.fresh
-	view.Leaving = map[tw.InstanceID]bool{}
+	view := tw.View{
+		Revision:   k.revision,
+		Config:     k.config,
+		Plan:       k.plan,
+		Registered: k.registered && k.fresh,
+		Leaving:    map[tw.InstanceID]bool{},
+	}
 	for _, in := range k.list.Instances {
 		if in.Phase == tw.Leaving {
 			view.Leaving[in.ID] = true
 		}
 	}
+	return view
 }
 
 func (k *knowledge) revisionNow() tw.Revision {
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -42,11 +42,10 @@
 		k := newKnowledge()
 		k.refreshed()
 		k.register(true)
-		var view tw.View
-		k.snapshot(&view)
+		view := k.view()
 		Expect(view.Registered).To(BeFalse())
 		k.refreshed()
-		k.snapshot(&view)
+		view = k.view()
 		Expect(view.Registered).To(BeTrue())
 	})
 })
--- a/control/planner.go
+++ b/control/planner.go
@@ -123,8 +123,7 @@
 	p.loaded = false
 	p.askAt, p.lookAt = time.Time{}, time.Time{}
 	p.log.Info("planning for the hall", zap.Uint64("epoch", uint64(epoch)))
-	var view tw.View
-	p.node.know.snapshot(&view)
+	view := p.node.know.view()
 	if view.Config != nil {
 		for _, s := range view.Config.Services {
 			p.owed[s.ID] = true
@@ -217,8 +216,7 @@
 			return errors.Wrap(err, "control: stored plan")
 		}
 	}
-	var view tw.View
-	p.node.know.snapshot(&view)
+	view := p.node.know.view()
 	if view.Plan != nil && view.Plan.Generation > plan.Generation {
 		plan = view.Plan.Clone()
 	}
--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -12,8 +12,7 @@
 
 // ready tells whether this daemon knows enough to plan.
 func (n *Node) ready() bool {
-	var view tw.View
-	n.know.snapshot(&view)
+	view := n.know.view()
 	_, listed := n.know.instances()
 	return view.Registered && view.Config != nil && listed
 }
@@ -21,8 +20,7 @@
 // look gathers what a decision is made from.
 func (p *planner) look(ctx context.Context) (fleet.Input, bool, error) {
 	n := p.node
-	var view tw.View
-	n.know.snapshot(&view)
+	view := n.know.view()
 	list, listed := n.know.instances()
 	if view.Config == nil || !listed {
 		return fleet.Input{}, false, nil
--- a/control/register.go
+++ b/control/register.go
@@ -50,8 +50,7 @@
 	if err != nil {
 		return err
 	}
-	var view tw.View
-	n.know.snapshot(&view)
+	view := n.know.view()
 	if view.Registered && !added {
 		return nil
 	}
--- a/control/rosters.go
+++ b/control/rosters.go
@@ -30,8 +30,7 @@
 // learnRosters reads the rosters of halls of which no daemon is known, own
 // hall included, so that the halls find each other.
 func (n *Node) learnRosters(ctx context.Context) {
-	var view tw.View
-	n.know.snapshot(&view)
+	view := n.know.view()
 	if view.Config == nil {
 		return
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -27,8 +27,7 @@
 
 // Status tells what the node knows now.
 func (n *Node) Status() Status {
-	var view tw.View
-	n.know.snapshot(&view)
+	view := n.know.view()
 	s := Status{
 		Self:       n.cfg.Self.ID,
 		Hall:       n.cfg.Self.Hall,
