--- a/control/claims.go
+++ b/control/claims.go
@@ -63,40 +63,33 @@
 			kept++
 		case answer.claim.Holder != "":
 			c.count("standing")
-			c.release(claim, hall)
+			c.tell(claim, tw.ClaimReleased, hall)
 			return claim, tw.ClaimResult{Standing: answer.claim}
 		}
 	}
 	if kept < min(claimQuorum, len(hall)-gone) {
 		c.count("unavailable")
-		c.release(claim, hall)
+		c.tell(claim, tw.ClaimReleased, hall)
 		return claim, tw.ClaimResult{}
 	}
 	c.count("granted")
 	return claim, tw.ClaimResult{Granted: true}
 }
 
-// Settle implements tw.Claims. The daemons that miss it keep the claim as
-// pending, which is the safe side.
+// Settle implements tw.Claims.
 func (c *claims) Settle(claim tw.Claim, state tw.ClaimState) {
-	if state == tw.ClaimPending {
-		return
+	if state != tw.ClaimPending {
+		c.tell(claim, state, c.hall())
 	}
-	claim.State = state
-	c.table.put(claim)
-	go func() {
-		for range c.ask(context.Background(), c.holders(claim.Scope, c.hall()), claim) {
-		}
-	}()
 }
 
-func (c *claims) release(claim tw.Claim, hall []tw.Member) {
-	claim.State = tw.ClaimReleased
+// tell records how a claim ended, here and with its holders. Those that miss it
+// keep the claim as pending, which is the safe side.
+func (c *claims) tell(claim tw.Claim, state tw.ClaimState, hall []tw.Member) {
+	claim.State = state
 	c.table.put(claim)
-	go func() {
-		for range c.ask(context.Background(), c.holders(claim.Scope, hall), claim) {
-		}
-	}()
+	// Nobody waits for this: it ends with the timeout of the calls.
+	c.ask(context.Background(), c.holders(claim.Scope, hall), claim)
 }
 
 // ask sends a claim to peers at the same time, and yields what they answer.
