Refuse a header over the limit with its reason

The server's own 431 has no reason, outcome or counter; the gateway now checks limits.header itself, and the server's bound is four times that. Row of the table of bad inputs, red first as it did not compile without the reason.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,9 @@
 	// headerTimeout bounds how long a caller may take to send its header.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// headerSlack lets the gateway refuse a header that is too large with a
+	// reason, before the server does without one.
+	headerSlack = 4
 	// balancerNotice is how long a stopping daemon still takes requests
 	// after it has said that it is not ready, so that the balancer sees it.
 	balancerNotice = time.Second
@@ -81,6 +84,7 @@
 		Metrics:          d.metrics,
 		Claims:           claims,
 		Seed:             uint64(d.member.Incarnation),
+		MaxHeader:        c.Settings.Limits.Header,
 		MaxBody:          c.Settings.Limits.Body,
 		MaxHeldBody:      c.Settings.Limits.HeldBody,
 		DialTimeout:      c.Settings.Limits.DialTimeout.Std(),
@@ -89,7 +93,7 @@
 	}.New()
 	d.node = c.node(d)
 	claims.Claims = d.node.Claims()
-	d.serve(gatewayAt, &http.Server{Handler: d.gateway, MaxHeaderBytes: int(c.Settings.Limits.Header)})
+	d.serve(gatewayAt, &http.Server{Handler: d.gateway, MaxHeaderBytes: headerSlack * int(c.Settings.Limits.Header)})
 	d.serve(peerAt, &http.Server{Handler: control.NewPeerServer(d.node), Protocols: control.ServerProtocols()})
 	d.serve(adminAt, &http.Server{Handler: d.adminHandler()})
 	d.log.Info("daemon: started", zap.String("gateway", d.member.Gateway),
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,6 +30,9 @@
 	if refusal := checkProtocol(r); refusal != nil {
 		return ex, refusal
 	}
+	if headerSize(r) > g.cfg.MaxHeader {
+		return ex, notRun(ReasonHeaderTooLarge, "the header is over the limit")
+	}
 	config := g.config()
 	if config == nil {
 		return ex, notRunFor(ReasonNoConfiguration, retryAfterPromotion, "this daemon has no configuration yet")
@@ -84,6 +87,19 @@
 	return nil
 }
 
+// headerSize is about what the header took on the wire. The server has a larger
+// bound of its own, over which it answers 431 without a reason.
+func headerSize(r *http.Request) tw.Bytes {
+	const separators = 4 // ": " and the line's end
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return tw.Bytes(size)
+}
+
 // findRoute is the route with the longest path; a named host goes before any.
 func findRoute(config *tw.FleetConfig, host, path string) *tw.Route {
 	var best *tw.Route
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 		Claims  tw.Claims // nil: idempotency keys are only passed on
 		Seed    uint64    // of the random choice
 
+		MaxHeader        tw.Bytes // of a request, its first line included
 		MaxBody          tw.Bytes // of a request
 		MaxHeldBody      tw.Bytes // that can be sent again
 		DialTimeout      time.Duration
@@ -46,6 +47,7 @@
 )
 
 const (
+	defaultMaxHeader   = 32 << 10
 	defaultMaxBody     = 8 << 20
 	defaultMaxHeldBody = 64 << 10
 	defaultDialTimeout = 500 * time.Millisecond
@@ -83,6 +85,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	if c.MaxHeader == 0 {
+		c.MaxHeader = defaultMaxHeader
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = defaultMaxBody
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -52,6 +52,7 @@
 	ReasonBadClass        Reason = "bad-class"
 	ReasonBadTeam         Reason = "bad-team"
 	ReasonBadKey          Reason = "bad-key"
+	ReasonHeaderTooLarge  Reason = "header-too-large"
 	ReasonBadBody         Reason = "bad-body"
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonNoConfiguration Reason = "no-configuration"
@@ -84,6 +85,7 @@
 	ReasonBadClass:        http.StatusBadRequest,
 	ReasonBadTeam:         http.StatusBadRequest,
 	ReasonBadKey:          http.StatusBadRequest,
+	ReasonHeaderTooLarge:  http.StatusRequestHeaderFieldsTooLarge,
 	ReasonBadBody:         http.StatusBadRequest,
 	ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
 	ReasonNoConfiguration: http.StatusServiceUnavailable,
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -36,6 +36,7 @@
 	"an unknown team":               {path: "/", headers: []string{HeaderTeam, "nobody"}, status: 400, reason: ReasonBadTeam},
 	"an empty key":                  {path: "/", headers: []string{HeaderKey, ""}, status: 400, reason: ReasonBadKey},
 	"a key that is too long":        {path: "/", headers: []string{HeaderKey, strings.Repeat("k", 256)}, status: 400, reason: ReasonBadKey},
+	"a header over the limit":       {path: "/", headers: []string{"X-Large", strings.Repeat("x", 5000)}, status: 431, reason: ReasonHeaderTooLarge},
 	"a method that is not served":   {method: "TRACE", path: "/", status: 405, reason: ReasonBadMethod},
 	"an upgrade":                    {path: "/", headers: []string{"Upgrade", "websocket", "Connection", "upgrade"}, status: 405, reason: ReasonBadMethod},
 	"a body over the limit":         {method: "POST", path: "/", body: strings.Repeat("x", 2000), status: 413, reason: ReasonBodyTooLarge},
@@ -47,7 +48,7 @@
 		It(name+" is refused and reaches no upstream", func() {
 			in := badInputs[name]
 			u := script(func(conn net.Conn, _ int) bool { say(conn, ok("own")); return true })
-			g := serve(Config{MaxBody: 1000, MaxHeldBody: 100}, viewOf(8, u.address))
+			g := serve(Config{MaxBody: 1000, MaxHeldBody: 100, MaxHeader: 4000}, viewOf(8, u.address))
 			got := g.ask(in.method, in.path, in.body, in.headers...)
 			Expect(got.status).To(Equal(in.status), got.body)
 			Expect(got.reason).To(Equal(in.reason))
