Read the whole change once more, and mend what stood twice

- members.live and members.freshest had the rule for who is live each for itself; heardOfLate is that rule now.
- what a worker is (16 cores, 32 GB, 8 slots, 64 connections) stood in the demonstration and in the stand-in's command; standin.Worker serves both.
- newClaims made a set of metrics that its only user in the product replaced; it is gone, and claims are made with theirs.
- each release of a slot worked out a reserve for every job of the instance, also with nobody waiting; jobs without waiters are passed by first.
Waiters are counted in one place (jobLine.waiting), for demand too.
Not measured.
- install returned the same count from two places.

Behaviour is as before; no assertion was changed.

--- a/cmd/tamarind-standin/upstream.go
+++ b/cmd/tamarind-standin/upstream.go
@@ -14,14 +14,6 @@
 gives it, and appends a line to its record before each run. The address is
 printed on the first line.`
 
-// What a worker of both users has.
-const (
-	workerCores  = 16
-	workerMemory = 32_000
-	workerSlots  = 8
-	workerConns  = 64
-)
-
 func addUpstream(app *kingpin.Application) {
 	cmd := app.Command("upstream", upstreamHelp)
 	listen := cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").String()
@@ -37,16 +29,7 @@
 			Listen:   *listen,
 			Work:     *work,
 			Register: standin.RegisterOver(*url),
-			Instance: tw.Instance{
-				ID:          tw.InstanceID(*id),
-				Hall:        tw.HallID(*hall),
-				Rack:        tw.RackID(*rack),
-				Labels:      *labels,
-				Cores:       workerCores,
-				Memory:      workerMemory,
-				Slots:       workerSlots,
-				Connections: workerConns,
-			},
+			Instance: standin.Worker(tw.HallID(*hall), tw.RackID(*rack), tw.InstanceID(*id), *labels),
 		}
 		return serveUpstream(config, *records)
 	})
--- a/control/claims.go
+++ b/control/claims.go
@@ -41,10 +41,6 @@
 
 var _ tw.Claims = (*claims)(nil)
 
-func newClaims(self tw.DaemonID, peers tw.Peers, hall func() []tw.Member, table *claimTable) *claims {
-	return &claims{table: table, peers: peers, self: self, hall: hall, metrics: metrics.NewSet()}
-}
-
 // Claim implements tw.Claims.
 func (c *claims) Claim(ctx context.Context, scope, body string) (tw.Claim, tw.ClaimResult) {
 	claim := tw.Claim{Scope: scope, Body: body, Holder: c.self, Nonce: rand.Text(), State: tw.ClaimPending}
--- a/control/install.go
+++ b/control/install.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
 )
 
 // installDuty gives the gateway a new view whenever something has changed,
@@ -26,6 +28,13 @@
 	}
 }
 
+// acknowledge notes the plan that the gateway obeys now.
+func (n *Node) acknowledge(gen tw.Generation) {
+	if before := n.acked.Swap(uint64(gen)); before != uint64(gen) {
+		n.log.Debug("plan in force", zap.Uint64("generation", uint64(gen)))
+	}
+}
+
 // install builds the view and, once the gateway obeys it, acknowledges the
 // plan in it. It returns how many daemons of the hall are live.
 func (n *Node) install() int {
@@ -35,12 +44,8 @@
 	view.Members = n.hallMembers()
 	view.Remote = n.remoteMembers()
 	n.cfg.Dispatcher.Install(view)
-	if view.Plan == nil {
-		return len(view.Members)
-	}
-	before := n.acked.Swap(uint64(view.Plan.Generation))
-	if before != uint64(view.Plan.Generation) {
-		n.log.Debug("plan in force", zap.Uint64("generation", uint64(view.Plan.Generation)))
+	if view.Plan != nil {
+		n.acknowledge(view.Plan.Generation)
 	}
 	return len(view.Members)
 }
--- a/control/members.go
+++ b/control/members.go
@@ -69,13 +69,7 @@
 func (t *members) freshest(n int, keep func(tw.Member) bool) []tw.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []heardMember
-	now := t.clock.Now()
-	for _, m := range t.table {
-		if now.Sub(m.heard) <= t.patienceWith(m.Member) && keep(m.Member) {
-			all = append(all, m)
-		}
-	}
+	all := t.heardOfLate(keep)
 	slices.SortFunc(all, func(a, b heardMember) int {
 		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.ID, b.ID))
 	})
@@ -90,8 +84,19 @@
 func (t *members) live(keep func(tw.Member) bool) []tw.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
 	var out []tw.Member
+	for _, m := range t.heardOfLate(keep) {
+		out = append(out, m.Member)
+	}
+	slices.SortFunc(out, func(a, b tw.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// heardOfLate lists the daemons that are not down, in no order, and drops those
+// silent for long. The lock is held.
+func (t *members) heardOfLate(keep func(tw.Member) bool) []heardMember {
+	now := t.clock.Now()
+	var out []heardMember
 	for id, m := range t.table {
 		age := now.Sub(m.heard)
 		if age > forgetAfter {
@@ -99,10 +104,9 @@
 			continue
 		}
 		if age <= t.patienceWith(m.Member) && keep(m.Member) {
-			out = append(out, m.Member)
+			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b tw.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -121,9 +121,13 @@
 		done:    make(chan struct{}),
 	}
 	n.life.Store(uint64(c.Self.Incarnation))
-	table := newClaimTable(c.Clock, c.Pace.ClaimKeep, claimLimit)
-	n.claims = newClaims(c.Self.ID, c.Peers, n.hallMembers, table)
-	n.claims.metrics = c.Metrics
+	n.claims = &claims{
+		table:   newClaimTable(c.Clock, c.Pace.ClaimKeep, claimLimit),
+		peers:   c.Peers,
+		self:    c.Self.ID,
+		hall:    n.hallMembers,
+		metrics: c.Metrics,
+	}
 	n.planner = newPlanner(n)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.start(n.registerDuty)
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -203,7 +204,13 @@
 			members = append(members, tw.Member{ID: tw.DaemonID(id), Address: id})
 		}
 		for _, m := range members {
-			c := newClaims(m.ID, network, func() []tw.Member { return members }, newClaimTable(fakeclock.New(), time.Minute, 100))
+			c := &claims{
+				table:   newClaimTable(fakeclock.New(), time.Minute, 100),
+				peers:   network,
+				self:    m.ID,
+				hall:    func() []tw.Member { return members },
+				metrics: metrics.NewSet(),
+			}
 			network.set(m.Address, claimsOnly{c})
 			all = append(all, c)
 		}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -127,6 +127,9 @@
 	var of *jobLine
 	for job := range w.jobs {
 		line := s.jobs[job]
+		if line.waiting() == 0 {
+			continue // by far the most releases: don't work out a reserve
+		}
 		keep := line.reserve(now)
 		for _, class := range tw.Classes {
 			if line.queues[class].size == 0 || !w.room(class, keep, now) {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -239,9 +239,16 @@
 	defer s.mu.Unlock()
 	n := s.running
 	for _, line := range s.jobs {
-		for _, q := range line.queues {
-			n += q.size
-		}
+		n += line.waiting()
+	}
+	return n
+}
+
+// waiting counts those who wait for the job.
+func (l *jobLine) waiting() int {
+	n := 0
+	for _, q := range l.queues {
+		n += q.size
 	}
 	return n
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -41,14 +41,6 @@
 	}
 )
 
-// An instance as both users have them.
-const (
-	workerCores  = 16
-	workerMemory = 32_000
-	workerSlots  = 8
-	workerConns  = 64
-)
-
 // New starts a fleet without a configuration; Close ends it.
 func (c FleetConfig) New() (*Fleet, error) {
 	at, err := net.Listen("tcp", "127.0.0.1:0")
@@ -123,16 +115,7 @@
 		Listen:   "127.0.0.1:0",
 		Recorder: f.Recorder,
 		Register: standin.RegisterOver(f.url),
-		Instance: tw.Instance{
-			ID:          id,
-			Hall:        hall,
-			Rack:        rack,
-			Labels:      map[string]string{"kind": "general"},
-			Cores:       workerCores,
-			Memory:      workerMemory,
-			Slots:       workerSlots,
-			Connections: workerConns,
-		},
+		Instance: standin.Worker(hall, rack, id, map[string]string{"kind": "general"}),
 	}.New()
 	if err != nil {
 		return errors.Wrap(err, "demo.startUpstream")
