--- a/cmd/tamarindd/main.go
+++ b/cmd/tamarindd/main.go
@@ -1,34 +1,28 @@
-// Command tamarindd is the entry daemon: it takes callers' requests and
-// brings each to an instance that carries its job.
+// Command tamarindd is the daemon of tamarindworks: it takes callers' requests
+// and brings each to an instance that carries its job, or takes submissions
+// and runs their subtasks on the platform's workers.
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
-	tw "github.com/tamarindworks/tamarindworks"
-	"github.com/tamarindworks/tamarindworks/daemon"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
-const help = `The entry daemon of tamarindworks.
+const help = `The daemon of tamarindworks.
 
 It reads its settings from one TOML file and needs no disk. SIGTERM or SIGINT
-is a planned stop: the daemon says that it is not ready, finishes what is in
-flight, gives back its lease and its place in the roster, and exits.
+is a planned stop: the daemon says that it is not ready, hands over what it
+owns, finishes what is in flight, and exits.
 
 Exit codes: 0 planned stop, 1 it could not start or stop in order, 2 bad
 settings (every fault is printed, with its line).
-
-Example:
-
-  tamarindd --settings /etc/tamarindd.toml
 `
 
 // Exit codes.
@@ -39,54 +33,36 @@
 
 func main() {
 	app := kingpin.New("tamarindd", help)
-	path := app.Flag("settings", "Settings file, TOML.").Required().String()
-	check := app.Flag("check", "Check the settings and exit.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	os.Exit(run(*path, *check))
+	serve := addServe(app)
+	queue := addQueue(app)
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case queue.name:
+		os.Exit(queue.run())
+	default:
+		os.Exit(serve.run())
+	}
 }
 
-func run(path string, check bool) int {
-	settings, err := daemon.LoadSettings(path)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "tamarindd: %s:\n%v\n", path, err)
-		return exitBadSettings
-	}
-	if check {
-		return 0
-	}
-	log, err := logger(settings.Log.Level)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "tamarindd: %v\n", err)
-		return exitFailed
-	}
-	d, err := daemon.Config{Settings: settings, Log: log, Clock: tw.SystemClock{}}.New()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "tamarindd: %v\n", err)
-		return exitFailed
-	}
-	return untilStopped(d, settings, log)
+// badSettings prints all faults of a settings file.
+func badSettings(path string, err error) int {
+	fmt.Fprintf(os.Stderr, "tamarindd: %s:\n%v\n", path, err)
+	return exitBadSettings
 }
 
-func untilStopped(d *daemon.Daemon, settings daemon.Settings, log *zap.Logger) int {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout.Std())
-	defer cancel()
-	if err := d.Stop(ctx); err != nil {
-		log.Error("daemon: planned stop failed", zap.Error(err))
-		return exitFailed
-	}
-	return 0
+func failed(err error) int {
+	fmt.Fprintf(os.Stderr, "tamarindd: %v\n", err)
+	return exitFailed
 }
 
-func logger(level string) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
+// logger writes structured lines to standard output, without ever blocking.
+func logger(level string) (*zap.Logger, *logsink.Sink, error) {
 	parsed, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, errors.Wrap(err, "logger")
+		return nil, nil, errors.Wrap(err, "logger")
 	}
-	config.Level = parsed
-	config.Sampling = nil
-	return config.Build()
+	sink := logsink.Config{Out: os.Stdout}.New()
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed)
+	return zap.New(core), sink, nil
 }
--- /dev/null
+++ b/cmd/tamarindd/queue.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"github.com/tamarindworks/tamarindworks/daemon"
+)
+
+const queueHelp = `Take submissions and run their subtasks on the platform's workers.
+
+The settings file is named by the flag, or by the variable TAMARINDWORKS_CONFIG
+in which the platform gives its path. It is read again on SIGHUP and when it
+has changed.
+
+Examples:
+
+  tamarindd queue --settings /etc/tamarindd-queue.toml
+  tamarindd queue --check --settings deploy/filled.toml
+`
+
+const (
+	// settingsVariable is where the platform puts the path of the settings.
+	settingsVariable = "TAMARINDWORKS_CONFIG"
+	// settingsPoll is how often the settings file is looked at for a change.
+	settingsPoll = time.Second
+	// stopMargin is left of the platform's grace when a planned stop gives up.
+	stopMargin = 500 * time.Millisecond
+)
+
+// queueCommand runs the daemon that takes submissions.
+type queueCommand struct {
+	name  string
+	path  *string
+	check *bool
+}
+
+func addQueue(app *kingpin.Application) *queueCommand {
+	c := app.Command("queue", queueHelp)
+	return &queueCommand{
+		name:  c.FullCommand(),
+		path:  c.Flag("settings", "Settings file, TOML.").Envar(settingsVariable).Required().String(),
+		check: c.Flag("check", "Check the settings and exit.").Bool(),
+	}
+}
+
+func (c *queueCommand) run() int {
+	settings, err := daemon.LoadQueueSettings(*c.path)
+	if err != nil {
+		return badSettings(*c.path, err)
+	}
+	if *c.check {
+		return 0
+	}
+	log, sink, err := logger(settings.Log.Level)
+	if err != nil {
+		return failed(err)
+	}
+	defer sink.Close()
+	d, err := daemon.QueueConfig{Settings: settings, Log: log}.New()
+	if err != nil {
+		return failed(err)
+	}
+	c.untilStopped(d, log)
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Bounds.StopGrace.Std()-stopMargin)
+	defer cancel()
+	if err := d.Stop(ctx); err != nil {
+		log.Error("daemon: planned stop failed", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
+
+// untilStopped takes up changes of the settings until the process is to stop.
+func (c *queueCommand) untilStopped(d *daemon.QueueDaemon, log *zap.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	written := c.written()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+			now := c.written()
+			if now.Equal(written) {
+				continue
+			}
+			written = now
+		}
+		c.reload(d, log)
+	}
+}
+
+func (c *queueCommand) reload(d *daemon.QueueDaemon, log *zap.Logger) {
+	settings, err := daemon.LoadQueueSettings(*c.path)
+	if err != nil {
+		log.Error("daemon: new settings are bad, the former ones stay in force", zap.Error(err))
+		return
+	}
+	d.Reload(settings)
+}
+
+// written is when the settings file was last written; zero if unknown.
+func (c *queueCommand) written() time.Time {
+	info, err := os.Stat(*c.path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/cmd/tamarindd/serve.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/daemon"
+)
+
+const serveHelp = `Stand between callers and instances (the default).
+
+Example:
+
+  tamarindd --settings /etc/tamarindd.toml
+`
+
+// serveCommand runs the entry daemon.
+type serveCommand struct {
+	path  *string
+	check *bool
+}
+
+func addServe(app *kingpin.Application) *serveCommand {
+	c := app.Command("serve", serveHelp).Default()
+	return &serveCommand{
+		path:  c.Flag("settings", "Settings file, TOML.").Required().String(),
+		check: c.Flag("check", "Check the settings and exit.").Bool(),
+	}
+}
+
+func (c *serveCommand) run() int {
+	settings, err := daemon.LoadSettings(*c.path)
+	if err != nil {
+		return badSettings(*c.path, err)
+	}
+	if *c.check {
+		return 0
+	}
+	log, sink, err := logger(settings.Log.Level)
+	if err != nil {
+		return failed(err)
+	}
+	defer sink.Close()
+	d, err := daemon.Config{Settings: settings, Log: log, Clock: tw.SystemClock{}}.New()
+	if err != nil {
+		return failed(err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout.Std())
+	defer cancel()
+	if err := d.Stop(ctx); err != nil {
+		log.Error("daemon: planned stop failed", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/daemon/directory.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/platform"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// directory follows what operators and workers write into the store.
+type directory struct {
+	clock    tw.Clock
+	log      *zap.Logger
+	operator *member.Watcher
+	workers  *member.Watcher
+	// workersChanged is called after a change of the list of workers.
+	workersChanged func()
+
+	mu       sync.Mutex
+	config   *tw.QueueConfig
+	raw      []byte // the configuration as written
+	waves    map[int64]tw.MaintenanceWave
+	listed   map[tw.WorkerID]listedWorker
+	byPool   map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
+	everRead bool
+}
+
+// listedWorker is a worker's entry, decoded once a revision.
+type listedWorker struct {
+	revision tw.KVRevision
+	entry    tw.WorkerEntry
+}
+
+const (
+	// operatorWait is how long one watch of the operators' keys waits. A
+	// connection on which an answer was lost says nothing any more, so that a
+	// short wait bounds how late a configuration can be.
+	operatorWait = 1200 * time.Millisecond
+	workersWait  = 3 * time.Second
+)
+
+func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, workersChanged func()) *directory {
+	d := &directory{
+		clock: clock, log: log, workersChanged: workersChanged,
+		waves: map[int64]tw.MaintenanceWave{}, listed: map[tw.WorkerID]listedWorker{},
+	}
+	d.operator = member.WatcherConfig{
+		KV: kv, Clock: clock, Log: log, Prefix: platform.OperatorPrefix, Wait: operatorWait, Changed: d.operatorChanged,
+	}.New()
+	d.workers = member.WatcherConfig{
+		KV: kv, Clock: clock, Log: log, Prefix: platform.WorkerPrefix, Wait: workersWait, Changed: d.workersWritten,
+	}.New()
+	return d
+}
+
+func (d *directory) close() {
+	d.operator.Close()
+	d.workers.Close()
+}
+
+// Config is the configuration in force, or nil.
+func (d *directory) Config() *tw.QueueConfig {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config
+}
+
+// version is that of the configuration in force, zero if there is none.
+func (d *directory) version() tw.Version {
+	if config := d.Config(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// rawConfig is the configuration as the operator wrote it.
+func (d *directory) rawConfig() []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.raw
+}
+
+// pools are the pools of the configuration.
+func (d *directory) pools() []tw.PoolID {
+	config := d.Config()
+	if config == nil {
+		return nil
+	}
+	var out []tw.PoolID
+	for _, p := range config.Pools {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
+// Waves are the maintenance waves that the operators asked for.
+func (d *directory) Waves() []tw.MaintenanceWave {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []tw.MaintenanceWave
+	for _, w := range d.waves {
+		out = append(out, w)
+	}
+	return out
+}
+
+// workerList is the pool's part of the list of workers; false before the
+// list was read.
+func (d *directory) workerList(pool tw.PoolID) (run.WorkerList, bool) {
+	settled := d.workers.Settled()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return run.WorkerList{Workers: d.byPool[pool], Settled: settled}, d.everRead
+}
+
+func (d *directory) operatorChanged(items map[tw.Key]tw.KVItem) {
+	for key, item := range items {
+		switch {
+		case key == platform.QueueConfigKey:
+			d.offerConfig(item.Value, "store")
+		case strings.HasPrefix(string(key), string(platform.WavePrefix)):
+			d.offerWave(item)
+		}
+	}
+}
+
+// offerConfig puts a configuration in force if it is newer.
+func (d *directory) offerConfig(value []byte, from string) {
+	config, err := platform.DecodeQueueConfig(value)
+	if err != nil {
+		d.log.Error("config: not readable", zap.String("from", from), zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config != nil && config.Version <= d.config.Version {
+		return
+	}
+	d.config, d.raw = config, value
+	d.log.Info("config: in force", zap.Uint64("version", uint64(config.Version)), zap.String("from", from),
+		zap.Int("routes", len(config.Routes)), zap.Int("pools", len(config.Pools)))
+}
+
+func (d *directory) offerWave(item tw.KVItem) {
+	wave, err := platform.DecodeWave(item.Value)
+	if err != nil {
+		d.log.Error("wave: not readable", zap.String("key", string(item.Key)), zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.waves[wave.Number]; !known {
+		d.log.Info("wave: asked for", zap.Int64("wave", wave.Number), zap.Int("machines", len(wave.Machines)),
+			zap.Duration("within", wave.Within), zap.Int("at_once", wave.AtOnce))
+	}
+	d.waves[wave.Number] = wave
+}
+
+func (d *directory) workersWritten(items map[tw.Key]tw.KVItem) {
+	d.mu.Lock()
+	listed := make(map[tw.WorkerID]listedWorker, len(items))
+	byPool := map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry{}
+	for key, item := range items {
+		id := platform.WorkerOfKey(key)
+		have, known := d.listed[id]
+		if !known || have.revision != item.Revision {
+			entry, err := platform.DecodeWorker(item)
+			if err != nil {
+				d.log.Error("worker: entry not readable", zap.String("key", string(key)), zap.Error(err))
+				continue
+			}
+			have = listedWorker{revision: item.Revision, entry: entry}
+		}
+		listed[id] = have
+		pool := byPool[have.entry.Pool]
+		if pool == nil {
+			pool = map[tw.WorkerID]tw.WorkerEntry{}
+			byPool[have.entry.Pool] = pool
+		}
+		pool[id] = have.entry
+	}
+	d.listed, d.byPool, d.everRead = listed, byPool, true
+	d.mu.Unlock()
+	d.workersChanged()
+}
--- /dev/null
+++ b/daemon/owners.go
@@ -0,0 +1,219 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// owners are the pools that this daemon owns.
+	owners struct {
+		d       *QueueDaemon
+		ctx     context.Context
+		cancel  context.CancelFunc
+		feeding sync.Mutex
+
+		mu       sync.Mutex
+		stopping bool
+		owned    map[tw.PoolID]*ownedPool
+		taking   map[tw.PoolID]bool
+	}
+
+	// ownedPool is an owner with the watch of its inbox.
+	ownedPool struct {
+		owner *run.Owner
+		inbox *member.Watcher
+	}
+)
+
+const (
+	// takeTimeout bounds a takeover; a slow store takes 240 ms for each of
+	// its calls.
+	takeTimeout = 8 * time.Second
+	inboxWait   = 5 * time.Second
+)
+
+func newOwners(d *QueueDaemon) *owners {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &owners{
+		d: d, ctx: ctx, cancel: cancel,
+		owned: map[tw.PoolID]*ownedPool{}, taking: map[tw.PoolID]bool{},
+	}
+}
+
+// Local implements queue.Pools.
+func (o *owners) Local(pool tw.PoolID) *run.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p := o.owned[pool]; p != nil {
+		return p.owner
+	}
+	return nil
+}
+
+// list names the pools that are owned or being taken.
+func (o *owners) list() []tw.PoolID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []tw.PoolID
+	for pool := range o.owned {
+		out = append(out, pool)
+	}
+	for pool := range o.taking {
+		out = append(out, pool)
+	}
+	return out
+}
+
+// take makes this daemon the owner of a pool; it returns at once.
+func (o *owners) take(pool tw.PoolID, why string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stopping || o.taking[pool] || o.owned[pool] != nil {
+		return
+	}
+	o.taking[pool] = true
+	go func() {
+		err := o.open(pool, why)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.taking, pool)
+		if err != nil {
+			o.d.log.Warn("owner: pool not taken", zap.String("pool", string(pool)), zap.Error(err))
+		}
+	}()
+}
+
+func (o *owners) open(pool tw.PoolID, why string) error {
+	d := o.d
+	d.log.Info("owner: takes pool", zap.String("pool", string(pool)), zap.String("why", why))
+	began := d.clock.Now()
+	ctx, cancel := context.WithTimeout(o.ctx, takeTimeout)
+	defer cancel()
+	self := ledger.Owner{Pool: pool, Daemon: d.self.Daemon, Address: d.self.Address, Life: d.self.Life}
+	book, err := ledger.Config{KV: d.kv, Clock: d.clock, Log: d.log, Owner: self}.Open(ctx)
+	if errors.Is(err, ledger.ErrDeposed) {
+		d.members.Yielded(pool)
+	}
+	if err != nil {
+		return err
+	}
+	loaded, err := book.Load(ctx)
+	if err != nil {
+		return err
+	}
+	self.Fence = book.Fence()
+	owned := &ownedPool{}
+	owned.owner = run.Config{
+		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
+		Clock: d.clock, Log: d.log, Metrics: d.metrics, Bounds: d.bounds(),
+		Deposed: func() { go o.drop(pool, owned) },
+	}.New()
+	o.mu.Lock()
+	o.owned[pool] = owned
+	o.mu.Unlock()
+	d.members.Took(self)
+	o.feed(pool, owned.owner)
+	owned.inbox = o.watchInbox(pool, owned.owner)
+	d.log.Info("owner: pool taken", zap.String("pool", string(pool)), zap.Int64("fence", int64(self.Fence)),
+		zap.Duration("took", d.clock.Now().Sub(began)))
+	return nil
+}
+
+// watchInbox hands over what other daemons leave in the store for the owner.
+func (o *owners) watchInbox(pool tw.PoolID, owner *run.Owner) *member.Watcher {
+	seen := map[tw.Key]tw.KVRevision{}
+	return member.WatcherConfig{
+		KV: o.d.kv, Clock: o.d.clock, Log: o.d.log, Prefix: ledger.InboxPrefix(pool), Wait: inboxWait,
+		Changed: func(items map[tw.Key]tw.KVItem) {
+			for key, item := range items {
+				if seen[key] == item.Revision {
+					continue
+				}
+				seen[key] = item.Revision
+				message, err := ledger.DecodeInbox(item)
+				if err != nil {
+					o.d.log.Error("inbox: message not readable", zap.Error(err))
+					continue
+				}
+				owner.Inbox(o.ctx, message)
+			}
+		},
+	}.New()
+}
+
+// feed hands the present list of workers to an owner. One call at a time, so
+// that an older list never follows a newer one.
+func (o *owners) feed(pool tw.PoolID, owner *run.Owner) {
+	o.feeding.Lock()
+	defer o.feeding.Unlock()
+	if list, read := o.d.directory.workerList(pool); read {
+		owner.SetWorkers(o.ctx, list)
+	}
+}
+
+// feedAll does so for all owners.
+func (o *owners) feedAll() {
+	o.mu.Lock()
+	all := make(map[tw.PoolID]*run.Owner, len(o.owned))
+	for pool, owned := range o.owned {
+		all[pool] = owned.owner
+	}
+	o.mu.Unlock()
+	for pool, owner := range all {
+		o.feed(pool, owner)
+	}
+}
+
+// drop forgets an owner that was deposed.
+func (o *owners) drop(pool tw.PoolID, owned *ownedPool) {
+	o.mu.Lock()
+	if o.owned[pool] == owned {
+		delete(o.owned, pool)
+	}
+	o.mu.Unlock()
+	o.d.members.Yielded(pool)
+	owned.owner.Close()
+	if owned.inbox != nil {
+		owned.inbox.Close()
+	}
+}
+
+// handOver gives all pools to other daemons, for a planned stop.
+func (o *owners) handOver(ctx context.Context) {
+	o.mu.Lock()
+	o.stopping = true
+	owned := o.owned
+	o.owned = map[tw.PoolID]*ownedPool{}
+	o.mu.Unlock()
+	var wg sync.WaitGroup
+	for pool, p := range owned {
+		wg.Go(func() {
+			p.owner.Drain(ctx)
+			p.inbox.Close()
+			o.passOn(ctx, pool)
+		})
+	}
+	wg.Wait()
+	o.cancel()
+}
+
+func (o *owners) passOn(ctx context.Context, pool tw.PoolID) {
+	successor, found := o.d.members.Successor(pool)
+	if !found {
+		o.d.log.Warn("owner: no successor", zap.String("pool", string(pool)))
+		return
+	}
+	err := o.d.peers.Take(ctx, successor.Address, pool)
+	o.d.log.Info("owner: pool handed over", zap.String("pool", string(pool)),
+		zap.String("to", string(successor.Daemon)), zap.Error(err))
+}
--- /dev/null
+++ b/daemon/peer_calls.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/queue"
+)
+
+var _ member.Handler = (*QueueDaemon)(nil)
+
+// Ping implements member.Handler.
+func (d *QueueDaemon) Ping(_ context.Context, _ *member.PingRequest) (*member.PingResponse, error) {
+	return &member.PingResponse{
+		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Pools: d.owners.list(),
+	}, nil
+}
+
+// Config implements member.Handler.
+func (d *QueueDaemon) Config(_ context.Context, _ *member.ConfigRequest) (*member.ConfigResponse, error) {
+	return &member.ConfigResponse{Value: d.directory.rawConfig()}, nil
+}
+
+// Submit implements member.Handler.
+func (d *QueueDaemon) Submit(ctx context.Context, m *member.SubmitRequest) (*member.SubmitResponse, error) {
+	owner := d.owners.Local(m.Submission.Policy.Pool)
+	if owner == nil {
+		return &member.SubmitResponse{Outcome: member.OutcomeNotOwner}, nil
+	}
+	return &member.SubmitResponse{Outcome: queue.OutcomeOf(owner.Submit(ctx, m.Submission))}, nil
+}
+
+// Cancel implements member.Handler.
+func (d *QueueDaemon) Cancel(ctx context.Context, m *member.SubmissionRequest) (*member.SubmissionResponse, error) {
+	owner := d.owners.Local(m.Pool)
+	if owner == nil {
+		return &member.SubmissionResponse{Outcome: member.OutcomeNotOwner}, nil
+	}
+	return &member.SubmissionResponse{Outcome: queue.OutcomeOf(owner.Cancel(ctx, m.ID))}, nil
+}
+
+// State implements member.Handler.
+func (d *QueueDaemon) State(ctx context.Context, m *member.SubmissionRequest) (*member.SubmissionResponse, error) {
+	owner := d.owners.Local(m.Pool)
+	if owner == nil {
+		return &member.SubmissionResponse{Outcome: member.OutcomeNotOwner}, nil
+	}
+	state, err := owner.State(ctx, m.ID)
+	return &member.SubmissionResponse{Outcome: queue.OutcomeOf(err), State: state}, nil
+}
+
+// Waiting implements member.Handler.
+func (d *QueueDaemon) Waiting(ctx context.Context, m *member.WaitingRequest) (*member.WaitingResponse, error) {
+	owner := d.owners.Local(m.Pool)
+	if owner == nil {
+		return &member.WaitingResponse{Outcome: member.OutcomeNotOwner}, nil
+	}
+	count, err := owner.Waiting(ctx, m.Route)
+	return &member.WaitingResponse{Outcome: queue.OutcomeOf(err), Count: count}, nil
+}
+
+// Take implements member.Handler.
+func (d *QueueDaemon) Take(_ context.Context, m *member.TakeRequest) (*member.TakeResponse, error) {
+	d.owners.take(m.Pool, "its owner hands it over")
+	return &member.TakeResponse{}, nil
+}
+
+// Report implements member.Handler.
+func (d *QueueDaemon) Report(ctx context.Context, m *member.ReportRequest) (*member.ReportResponse, error) {
+	owner := d.owners.Local(m.Pool)
+	if owner == nil {
+		return &member.ReportResponse{Outcome: member.OutcomeNotOwner}, nil
+	}
+	machines := make(map[tw.InstanceID]bool, len(m.Vacate))
+	for _, id := range m.Vacate {
+		machines[id] = true
+	}
+	owner.Vacate(ctx, machines)
+	report, err := owner.Report(ctx)
+	return &member.ReportResponse{Outcome: queue.OutcomeOf(err), Report: report}, nil
+}
--- /dev/null
+++ b/daemon/queue_daemon.go
@@ -0,0 +1,269 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/platform"
+	"github.com/tamarindworks/tamarindworks/queue"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// QueueConfig configures a QueueDaemon. What is nil is made from the
+	// settings.
+	QueueConfig struct {
+		Settings QueueSettings
+		Log      *zap.Logger
+		Clock    tw.Clock
+		KV       tw.KV
+		Orders   tw.WorkerOrders
+		Machines tw.Machines
+		Advisor  tw.Advisor
+	}
+
+	// QueueDaemon is a running daemon that takes submissions and owns pools.
+	QueueDaemon struct {
+		settings QueueSettings
+		log      *zap.Logger
+		clock    tw.Clock
+		metrics  *metrics.Set
+		kv       tw.KV
+		orders   tw.WorkerOrders
+		machines tw.Machines
+		advisor  tw.Advisor
+
+		self      member.Live
+		presence  *member.Presence
+		peers     *member.Peers
+		members   *member.Members
+		census    *run.Census
+		directory *directory
+		owners    *owners
+		servers   []*http.Server
+		callers   *http.Server
+		stopping  atomic.Bool
+		done      chan struct{}
+	}
+)
+
+const (
+	// memoryShare of the process's bound is the garbage collector's limit;
+	// the rest is for what it does not count, such as socket buffers.
+	memoryShare = 0.6
+	// callersHeaderTime and callersIdleTime bound idle callers; the
+	// configuration's own bounds are the same on present deployments.
+	callersHeaderTime = 3 * time.Second
+	callersIdleTime   = 15 * time.Second
+	// callersHeaderMost is above any limit that a configuration names.
+	callersHeaderMost = 64 << 10
+	// balancerTime is how long the platform's balancer still sends new
+	// connections after the daemon said that it is not ready: it asks each
+	// second and takes two misses.
+	balancerTime = 2500 * time.Millisecond
+)
+
+// New starts the daemon; Stop ends it.
+func (c QueueConfig) New() (*QueueDaemon, error) {
+	c.defaults()
+	s := c.Settings
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	d := &QueueDaemon{
+		settings: s, log: c.Log, clock: c.Clock, metrics: metrics.NewSet(),
+		kv: c.KV, orders: c.Orders, machines: c.Machines, advisor: c.Advisor,
+		peers: member.NewPeers(), done: make(chan struct{}),
+	}
+	listeners, err := listenAll(s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers, s.Listen.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	d.self = member.Live{
+		Daemon: s.ID, Life: tw.Incarnation(c.Clock.Now().UnixNano()), Hall: s.Hall,
+		Address: listeners[2].Addr().String(),
+	}
+	d.log.Info("daemon: started", zap.String("daemon", string(s.ID)), zap.String("hall", string(s.Hall)),
+		zap.Uint64("life", uint64(d.self.Life)), zap.String("callers", listeners[0].Addr().String()))
+	d.duties()
+	d.listen(listeners)
+	return d, nil
+}
+
+func (c *QueueConfig) defaults() {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.KV == nil {
+		c.KV = platform.KVConfig{Address: c.Settings.Platform.Store}.New()
+	}
+	if c.Orders == nil {
+		c.Orders = platform.OrderConfig{}.New()
+	}
+	if c.Machines == nil {
+		c.Machines = platform.MachineConfig{Address: c.Settings.Platform.Machines}.New()
+	}
+	if c.Advisor == nil {
+		c.Advisor = platform.AdvisorConfig{Address: c.Settings.Platform.Advice}.New()
+	}
+}
+
+// duties starts what runs beside the listeners.
+func (d *QueueDaemon) duties() {
+	d.owners = newOwners(d)
+	d.presence = member.PresenceConfig{
+		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, MinTTL: d.settings.Platform.MinLease.Std(),
+	}.New()
+	d.census = run.CensusConfig{Machines: d.machines, Clock: d.clock, Log: d.log}.New()
+	d.directory = newDirectory(d.kv, d.clock, d.log, d.owners.feedAll)
+	d.members = member.Config{
+		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, Peers: d.peers, Presence: d.presence,
+		Pools: d.directory.pools, Owned: d.owners.list, Version: d.directory.version,
+		Take: d.owners.take, NewerConfig: d.fetchConfig,
+	}.New()
+}
+
+// listen serves callers, the balancer, other daemons and metrics.
+func (d *QueueDaemon) listen(listeners []net.Listener) {
+	router := queue.RouterConfig{
+		Pools: d.owners, Members: d.members, Peers: d.peers, KV: d.kv, Clock: d.clock, Log: d.log,
+	}.New()
+	handler := queue.HandlerConfig{
+		Router: router, Codec: platform.Codec{}, Config: d.directory.Config, Clock: d.clock, Log: d.log, Metrics: d.metrics,
+	}.New()
+	d.callers = &http.Server{
+		Handler: handler, ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
+	}
+	readiness := http.NewServeMux()
+	readiness.HandleFunc("GET "+platform.ReadinessPath, d.ready)
+	figures := http.NewServeMux()
+	figures.HandleFunc("GET /metrics", d.figures)
+	d.serve(listeners[0], d.callers)
+	d.serve(listeners[1], &http.Server{Handler: readiness, ReadHeaderTimeout: callersHeaderTime})
+	d.serve(listeners[2], &http.Server{Handler: member.NewHandler(d), ReadHeaderTimeout: callersHeaderTime})
+	if listeners[3] != nil {
+		d.serve(listeners[3], &http.Server{Handler: figures, ReadHeaderTimeout: callersHeaderTime})
+	}
+}
+
+func (d *QueueDaemon) serve(at net.Listener, s *http.Server) {
+	s.ErrorLog = zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	d.servers = append(d.servers, s)
+	go func() {
+		if err := s.Serve(at); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("daemon: listener failed", zap.Error(err))
+		}
+	}()
+}
+
+// ready tells the balancer whether to send callers here: not before there is
+// a configuration, and not while stopping. A daemon that can't reach the
+// store serves through its peers.
+func (d *QueueDaemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.directory.Config() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *QueueDaemon) figures(w http.ResponseWriter, _ *http.Request) {
+	d.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// fetchConfig reads a newer configuration from a peer.
+func (d *QueueDaemon) fetchConfig(address string, version tw.Version) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
+	defer cancel()
+	resp, err := d.peers.Config(ctx, address)
+	if err != nil {
+		d.log.Warn("config: newer one not read from peer", zap.String("address", address),
+			zap.Uint64("version", uint64(version)), zap.Error(err))
+		return
+	}
+	d.directory.offerConfig(resp.Value, address)
+}
+
+// peerCallTime bounds a call to a peer that no caller waits for.
+const peerCallTime = time.Second
+
+func (d *QueueDaemon) bounds() run.Bounds {
+	b := d.settings.Bounds
+	return run.Bounds{
+		MaxHold: b.MaxHold.Std(), StopTime: b.StopTime.Std(), HarmTime: b.HarmTime.Std(), PaceTime: b.PaceTime.Std(),
+		KeepEnded: b.KeepEnded.Std(), FarFactor: b.FarFactor,
+	}
+}
+
+// Done is closed when the daemon has stopped.
+func (d *QueueDaemon) Done() <-chan struct{} { return d.done }
+
+// Stop is the planned stop: the balancer is told, the pools are handed over,
+// requests are served until the balancer sends none and those in flight are
+// answered.
+func (d *QueueDaemon) Stop(ctx context.Context) error {
+	if d.stopping.Swap(true) {
+		return nil
+	}
+	defer close(d.done)
+	d.log.Info("daemon: stopping")
+	quiet := d.clock.After(balancerTime)
+	d.presence.Close(ctx)
+	d.owners.handOver(ctx)
+	select {
+	case <-quiet:
+	case <-ctx.Done():
+	}
+	err := d.callers.Shutdown(ctx)
+	for _, s := range d.servers {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	d.members.Close()
+	d.directory.close()
+	d.census.Close()
+	d.log.Info("daemon: stopped")
+	return err
+}
+
+// Reload takes up a settings file that was written anew.
+func (d *QueueDaemon) Reload(s QueueSettings) {
+	if s == d.settings {
+		d.log.Info("daemon: settings read again, nothing has changed")
+		return
+	}
+	d.log.Info("daemon: settings have changed; addresses and bounds hold from the next start")
+}
+
+// listenAll opens listeners for all addresses, or none. An empty address
+// gives none.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	out := make([]net.Listener, len(addresses))
+	for i, at := range addresses {
+		if at == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			for _, open := range out {
+				if open != nil {
+					_ = open.Close() // the first error is what counts
+				}
+			}
+			return nil, errors.Wrap(err, "daemon.listenAll")
+		}
+		out[i] = l
+	}
+	return out, nil
+}
--- /dev/null
+++ b/daemon/queue_settings.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/tomlfile"
+)
+
+type (
+	// QueueSettings is the TOML file of a daemon that takes submissions on
+	// the platform. The platform fills deploy/settings.toml.tmpl to make it.
+	QueueSettings struct {
+		ID       tw.DaemonID        `toml:"id"`
+		Hall     tw.HallID          `toml:"hall"`
+		Listen   QueueListen        `toml:"listen"`
+		Platform QueuePlatform      `toml:"platform"`
+		Limits   QueueProcessLimits `toml:"limits"`
+		Bounds   QueueBounds        `toml:"bounds"`
+		Log      LogSettings        `toml:"log"`
+	}
+
+	// QueueListen says where the daemon listens, as IP:port.
+	QueueListen struct {
+		Callers   string `toml:"callers"`
+		Readiness string `toml:"readiness"`
+		Peers     string `toml:"peers"`
+		Metrics   string `toml:"metrics"`
+	}
+
+	// QueuePlatform says where the platform's services are, as IP:port.
+	QueuePlatform struct {
+		Store    string `toml:"store"`
+		Machines string `toml:"machines"`
+		// Advice may be empty where no route asks for it.
+		Advice string `toml:"advice"`
+		// MinLease is the shortest lease that the store grants.
+		MinLease tw.Duration `toml:"min_lease"`
+	}
+
+	// QueueProcessLimits bounds the process.
+	QueueProcessLimits struct {
+		MemoryMB int64 `toml:"memory_mb"`
+	}
+
+	// QueueBounds are the platform's figures; docs/SETTINGS.md explains each.
+	QueueBounds struct {
+		MaxHold         tw.Duration `toml:"max_hold"`
+		StopTime        tw.Duration `toml:"stop_time"`
+		HarmTime        tw.Duration `toml:"harm_time"`
+		PaceTime        tw.Duration `toml:"pace_time"`
+		KeepEnded       tw.Duration `toml:"keep_ended"`
+		FarFactor       float64     `toml:"far_factor"`
+		HolderTime      tw.Duration `toml:"holder_time"`
+		MoveTime        tw.Duration `toml:"move_time"`
+		MaintenanceTime tw.Duration `toml:"maintenance_time"`
+		StopGrace       tw.Duration `toml:"stop_grace"`
+	}
+)
+
+// LoadQueueSettings reads a settings file. Faults are of type tw.Faults.
+func LoadQueueSettings(path string) (QueueSettings, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return QueueSettings{}, errors.Wrap(err, "daemon.LoadQueueSettings")
+	}
+	var s QueueSettings
+	err = tomlfile.Decode(source, &s)
+	return s, err
+}
+
+// Defaults fills what was left out. The bounds are those of the platform's
+// present deployments.
+func (s *QueueSettings) Defaults() {
+	set(&s.Platform.MinLease, tw.Duration(time.Second))
+	set(&s.Limits.MemoryMB, 284)
+	set(&s.Bounds.MaxHold, tw.Duration(6*time.Second))
+	set(&s.Bounds.StopTime, tw.Duration(400*time.Millisecond))
+	set(&s.Bounds.HarmTime, tw.Duration(4*time.Second))
+	set(&s.Bounds.PaceTime, tw.Duration(100*time.Millisecond))
+	set(&s.Bounds.KeepEnded, tw.Duration(2*time.Minute))
+	set(&s.Bounds.FarFactor, 2)
+	set(&s.Bounds.HolderTime, tw.Duration(3*time.Second))
+	set(&s.Bounds.MoveTime, tw.Duration(1500*time.Millisecond))
+	set(&s.Bounds.MaintenanceTime, tw.Duration(2*time.Second))
+	set(&s.Bounds.StopGrace, tw.Duration(6*time.Second))
+	set(&s.Log.Level, "info")
+}
+
+// Validate gathers all faults; the error is of type tw.Faults.
+func (s *QueueSettings) Validate() error {
+	var faults tw.Faults
+	need(&faults, "id", string(s.ID))
+	need(&faults, "hall", string(s.Hall))
+	address(&faults, "listen.callers", s.Listen.Callers)
+	address(&faults, "listen.readiness", s.Listen.Readiness)
+	address(&faults, "listen.peers", s.Listen.Peers)
+	if s.Listen.Metrics != "" {
+		address(&faults, "listen.metrics", s.Listen.Metrics)
+	}
+	address(&faults, "platform.store", s.Platform.Store)
+	address(&faults, "platform.machines", s.Platform.Machines)
+	if s.Platform.Advice != "" {
+		address(&faults, "platform.advice", s.Platform.Advice)
+	}
+	s.validateBounds(&faults)
+	logLevel(&faults, s.Log.Level)
+	return faults.Err()
+}
+
+func (s *QueueSettings) validateBounds(faults *tw.Faults) {
+	for field, value := range map[string]tw.Duration{
+		"platform.min_lease":      s.Platform.MinLease,
+		"bounds.max_hold":         s.Bounds.MaxHold,
+		"bounds.stop_time":        s.Bounds.StopTime,
+		"bounds.harm_time":        s.Bounds.HarmTime,
+		"bounds.pace_time":        s.Bounds.PaceTime,
+		"bounds.keep_ended":       s.Bounds.KeepEnded,
+		"bounds.holder_time":      s.Bounds.HolderTime,
+		"bounds.move_time":        s.Bounds.MoveTime,
+		"bounds.maintenance_time": s.Bounds.MaintenanceTime,
+		"bounds.stop_grace":       s.Bounds.StopGrace,
+	} {
+		positive(faults, field, int64(value))
+	}
+	positive(faults, "limits.memory_mb", s.Limits.MemoryMB)
+	if s.Bounds.FarFactor < 1 {
+		faults.Add("bounds.far_factor", "is %v, must be at least 1", s.Bounds.FarFactor)
+	}
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -102,9 +102,7 @@
 		address(&faults, "peers", p)
 	}
 	s.validateLimits(&faults)
-	if !slices.Contains(logLevels, s.Log.Level) {
-		faults.Add("log.level", "is %q, must be one of %s", s.Log.Level, strings.Join(logLevels, ", "))
-	}
+	logLevel(&faults, s.Log.Level)
 	return faults.Err()
 }
 
@@ -151,6 +149,12 @@
 	}
 }
 
+func logLevel(faults *tw.Faults, level string) {
+	if !slices.Contains(logLevels, level) {
+		faults.Add("log.level", "is %q, must be one of %s", level, strings.Join(logLevels, ", "))
+	}
+}
+
 func address(faults *tw.Faults, field, value string) {
 	host, _, err := net.SplitHostPort(value)
 	switch {
--- /dev/null
+++ b/ledger/book.go
@@ -0,0 +1,221 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Config configures a Book.
+	Config struct {
+		KV    tw.KV
+		Clock tw.Clock
+		Log   *zap.Logger
+		// Owner is the daemon that opens the book. Its fence is set by Open.
+		Owner Owner
+	}
+
+	// Book is the ledger of one pool, open for writing. Its methods are for
+	// one goroutine at a time.
+	Book struct {
+		kv    tw.KV
+		clock tw.Clock
+		log   *zap.Logger
+		owner Owner
+		head  head
+		// revision of the head record, which the next write demands.
+		revision tw.KVRevision
+	}
+
+	// Change is what one submission contributes to a write.
+	Change struct {
+		// Create is a key that must not exist yet; empty for none. It stands
+		// among the puts.
+		Create  tw.Key
+		Puts    []tw.KVPut
+		Removes []tw.Key
+	}
+)
+
+const (
+	// MaxEntries is what the changes of one write may hold together: the
+	// head takes a condition and a put.
+	MaxEntries = tw.MaxTxnEntries - 2
+
+	// retryFirst and retryMost bound the pause before an unclear write is
+	// sent again: the store answers in 4 ms, and its outages last seconds.
+	retryFirst = 30 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// Errors of this package.
+var (
+	// ErrDeposed says that another daemon has opened the book.
+	ErrDeposed = errors.New("another daemon owns the pool")
+	// ErrExists says that a key that was to be created exists.
+	ErrExists = errors.New("exists already")
+)
+
+// Open makes the daemon the owner of the pool, whoever owned it before: from
+// then on the writes of the former owner fail. It fails with ErrDeposed if
+// another daemon opened the book at the same time.
+func (c Config) Open(ctx context.Context) (*Book, error) {
+	b := &Book{kv: c.KV, clock: c.Clock, log: c.Log, owner: c.Owner}
+	item, err := c.KV.Get(ctx, headKey(c.Owner.Pool))
+	if err != nil && !errors.Is(err, tw.ErrNotFound) {
+		return nil, errors.Wrap(err, "ledger.Open: read head")
+	}
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &b.head); err != nil {
+			return nil, errors.Wrap(err, "ledger.Open: head")
+		}
+		b.revision = item.Revision
+	}
+	b.head = head{Fence: b.head.Fence + 1, Daemon: c.Owner.Daemon, Life: c.Owner.Life}
+	b.owner.Fence = b.head.Fence
+	announce := tw.KVPut{Key: OwnerKey(c.Owner.Pool), Value: encode(b.owner)}
+	if _, err := b.Write(ctx, []Change{{Puts: []tw.KVPut{announce}}}); err != nil {
+		return nil, errors.Wrap(err, "ledger.Open")
+	}
+	return b, nil
+}
+
+// Fence is the number of this ownership.
+func (b *Book) Fence() tw.Fence { return b.head.Fence }
+
+// Size counts the entries that a change takes of a transaction.
+func (c Change) Size() int {
+	n := len(c.Puts) + len(c.Removes)
+	if c.Create != "" {
+		n++
+	}
+	return n
+}
+
+// Write makes changes durable, all at once but for those whose key to create
+// exists: these get ErrExists in the list that is returned. An error for the
+// whole is ErrUnavailable or ErrRateLimited (surely nothing was done),
+// ErrDeposed, or the context's: then it is unclear what was done, and the
+// book can't be used any more.
+func (b *Book) Write(ctx context.Context, changes []Change) ([]error, error) {
+	results := make([]error, len(changes))
+	for {
+		next := b.head
+		next.Count++
+		value := encode(next)
+		revision, conflict, err := b.settle(ctx, b.transaction(changes, results, value), value)
+		if err != nil {
+			return nil, err
+		}
+		if conflict == nil {
+			b.head, b.revision = next, revision
+			return results, nil
+		}
+		if err := b.sortOut(conflict, changes, results); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// sortOut marks the changes whose key exists. It fails with ErrDeposed if it
+// was the head that did not match.
+func (b *Book) sortOut(conflict *tw.KVConflict, changes []Change, results []error) error {
+	if conflict.Find(headKey(b.owner.Pool)).Revision != b.revision {
+		return ErrDeposed
+	}
+	found := false
+	for i, change := range changes {
+		if change.Create != "" && results[i] == nil && conflict.Find(change.Create).Revision != 0 {
+			results[i] = ErrExists
+			found = true
+		}
+	}
+	if !found {
+		return errors.Wrap(tw.ErrUnclear, "ledger.Write: the store names no condition that fails")
+	}
+	return nil
+}
+
+func (b *Book) transaction(changes []Change, results []error, value []byte) tw.KVTxn {
+	key := headKey(b.owner.Pool)
+	txn := tw.KVTxn{
+		Conditions: []tw.KVCondition{{Key: key, Revision: b.revision}},
+		Puts:       []tw.KVPut{{Key: key, Value: value}},
+	}
+	for i, change := range changes {
+		if results[i] != nil {
+			continue
+		}
+		if change.Create != "" {
+			txn.Conditions = append(txn.Conditions, tw.KVCondition{Key: change.Create})
+		}
+		txn.Puts = append(txn.Puts, change.Puts...)
+		txn.Removes = append(txn.Removes, change.Removes...)
+	}
+	return txn
+}
+
+// settle sends a transaction until it is known whether it was done: a lost
+// answer is followed by the same transaction, which finds either its own head
+// or the former one.
+func (b *Book) settle(ctx context.Context, txn tw.KVTxn, value []byte) (tw.KVRevision, *tw.KVConflict, error) {
+	unclear := false
+	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
+		revision, err := b.kv.Commit(ctx, txn)
+		var conflict *tw.KVConflict
+		switch {
+		case err == nil:
+			return revision, nil, nil
+		case errors.As(err, &conflict):
+			if present := conflict.Find(headKey(b.owner.Pool)); bytes.Equal(present.Value, value) {
+				return present.Revision, nil, nil
+			}
+			return 0, conflict, nil
+		case tw.SurelyNotDone(err) && !unclear:
+			return 0, nil, err
+		case !tw.SurelyNotDone(err):
+			unclear = true
+		}
+		b.log.Warn("ledger: write unanswered, sent again", zap.String("pool", string(b.owner.Pool)),
+			zap.Int64("count", b.head.Count+1), zap.Error(err))
+		select {
+		case <-b.clock.After(pause):
+		case <-ctx.Done():
+			return 0, nil, errors.Wrap(ctx.Err(), "ledger.Write: outcome unknown")
+		}
+	}
+}
+
+// Batch takes as many changes from the front as one write holds.
+func Batch(changes []Change) int {
+	size := 0
+	for i, change := range changes {
+		size += change.Size()
+		if size > MaxEntries {
+			return i
+		}
+	}
+	return len(changes)
+}
+
+// encode cannot fail for the types of this package.
+func encode(v any) []byte {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Has tells whether a list of errors holds one.
+func Has(list []error, target error) bool {
+	return slices.ContainsFunc(list, func(err error) bool { return errors.Is(err, target) })
+}
--- /dev/null
+++ b/ledger/changes.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// Accept is the change that keeps a new submission.
+func Accept(s *tw.Submission) Change {
+	key := SubmissionKey(s.ID)
+	record := Record{Pool: s.Policy.Pool, Submission: s}
+	return Change{Create: key, Puts: []tw.KVPut{{Key: key, Value: encode(record)}}}
+}
+
+// Advance is the change that keeps the progress of a submission.
+func Advance(pool tw.PoolID, id tw.SubmissionID, p *Progress) Change {
+	return Change{Puts: []tw.KVPut{{Key: ProgressKey(pool, id), Value: encode(p)}}}
+}
+
+// End is the change that ends a submission: its state replaces its steps, and
+// its progress is dropped.
+func End(pool tw.PoolID, id tw.SubmissionID, state tw.SubmissionState) Change {
+	record := Record{Pool: pool, Final: state}
+	return Change{
+		Puts:    []tw.KVPut{{Key: SubmissionKey(id), Value: encode(record)}},
+		Removes: []tw.Key{ProgressKey(pool, id)},
+	}
+}
+
+// Forget is the change that drops an ended submission for good.
+func Forget(id tw.SubmissionID) Change {
+	return Change{Removes: []tw.Key{SubmissionKey(id)}}
+}
+
+// Emptied is the change that takes a message out of the inbox.
+func Emptied(pool tw.PoolID, m InboxRecord) Change {
+	return Change{Removes: []tw.Key{InboxKey(pool, m)}}
+}
+
+// AcceptUnowned is the transaction by which a daemon that cannot reach the
+// pool's owner keeps a submission itself and leaves word for the owner.
+func AcceptUnowned(s *tw.Submission) tw.KVTxn {
+	accept := Accept(s)
+	message := InboxRecord{Kind: InboxSubmitted, ID: s.ID}
+	return tw.KVTxn{
+		Conditions: []tw.KVCondition{{Key: accept.Create}},
+		Puts:       append(accept.Puts, tw.KVPut{Key: InboxKey(s.Policy.Pool, message), Value: encode(message)}),
+	}
+}
+
+// AskCancel is the transaction by which a daemon that cannot reach the pool's
+// owner asks it to cancel a submission.
+func AskCancel(pool tw.PoolID, id tw.SubmissionID) tw.KVTxn {
+	message := InboxRecord{Kind: InboxCancel, ID: id}
+	return tw.KVTxn{Puts: []tw.KVPut{{Key: InboxKey(pool, message), Value: encode(message)}}}
+}
--- /dev/null
+++ b/ledger/load.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Loaded is a submission of a pool as it stands in the store.
+	Loaded struct {
+		ID       tw.SubmissionID
+		Record   Record
+		Progress Progress
+	}
+)
+
+// Load reads the submissions of the book's pool. What other daemons left in
+// the inbox is read last, by Inbox.
+func (b *Book) Load(ctx context.Context) ([]Loaded, error) {
+	progress, err := b.loadProgress(ctx)
+	if err != nil {
+		return nil, err
+	}
+	items, _, err := b.kv.Range(ctx, submissionPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "ledger.Load: submissions")
+	}
+	var out []Loaded
+	for _, item := range items {
+		record, err := decodeRecord(item)
+		if err != nil {
+			return nil, err
+		}
+		if record.Pool != b.owner.Pool {
+			continue
+		}
+		id := idOfKey(item.Key, submissionPrefix)
+		out = append(out, Loaded{ID: id, Record: record, Progress: progress[id]})
+	}
+	return out, nil
+}
+
+func (b *Book) loadProgress(ctx context.Context) (map[tw.SubmissionID]Progress, error) {
+	prefix := progressOf(b.owner.Pool)
+	items, _, err := b.kv.Range(ctx, prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "ledger.Load: progress")
+	}
+	out := make(map[tw.SubmissionID]Progress, len(items))
+	for _, item := range items {
+		var p Progress
+		if err := json.Unmarshal(item.Value, &p); err != nil {
+			return nil, errors.Wrapf(err, "ledger.Load: %s", item.Key)
+		}
+		out[idOfKey(item.Key, prefix)] = p
+	}
+	return out, nil
+}
+
+// Find reads one submission, of whatever pool. It fails with ErrNotFound.
+func Find(ctx context.Context, kv tw.KV, id tw.SubmissionID) (Record, error) {
+	item, err := kv.Get(ctx, SubmissionKey(id))
+	if err != nil {
+		return Record{}, err
+	}
+	return decodeRecord(item)
+}
+
+// FindProgress reads how far a submission is; none is no error.
+func FindProgress(ctx context.Context, kv tw.KV, pool tw.PoolID, id tw.SubmissionID) (Progress, error) {
+	var p Progress
+	item, err := kv.Get(ctx, ProgressKey(pool, id))
+	if errors.Is(err, tw.ErrNotFound) {
+		return p, nil
+	}
+	if err != nil {
+		return p, err
+	}
+	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
+}
+
+// DecodeInbox reads a message that a daemon left for an owner.
+func DecodeInbox(item tw.KVItem) (InboxRecord, error) {
+	var m InboxRecord
+	err := json.Unmarshal(item.Value, &m)
+	return m, errors.Wrapf(err, "ledger: %s", item.Key)
+}
+
+// DecodeOwner reads who owns a pool.
+func DecodeOwner(item tw.KVItem) (Owner, error) {
+	var o Owner
+	err := json.Unmarshal(item.Value, &o)
+	return o, errors.Wrapf(err, "ledger: %s", item.Key)
+}
+
+func decodeRecord(item tw.KVItem) (Record, error) {
+	var r Record
+	err := json.Unmarshal(item.Value, &r)
+	return r, errors.Wrapf(err, "ledger: %s", item.Key)
+}
--- /dev/null
+++ b/member/live.go
@@ -0,0 +1,145 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+type (
+	// Live is a daemon's record that it lives, kept under a lease.
+	Live struct {
+		Daemon  tw.DaemonID    `json:"daemon"`
+		Life    tw.Incarnation `json:"life"`
+		Address string         `json:"address"` // of its peer service
+		Hall    tw.HallID      `json:"hall"`
+	}
+
+	// PresenceConfig configures a Presence.
+	PresenceConfig struct {
+		KV    tw.KV
+		Clock tw.Clock
+		Log   *zap.Logger
+		Self  Live
+		// MinTTL is the shortest lease that the store grants.
+		MinTTL time.Duration
+	}
+
+	// Presence keeps this daemon's record in the store.
+	Presence struct {
+		config PresenceConfig
+		cancel context.CancelFunc
+		done   chan struct{}
+		again  chan struct{}
+
+		mu    sync.Mutex
+		lease tw.KVLeaseID
+	}
+)
+
+const (
+	// presenceTTL: a daemon that fell silent counts as gone after this. It
+	// bounds how long its pools are without an owner. A slow store answers
+	// in 240 ms, so a renewal every renewEvery has several tries.
+	presenceTTL = 1500 * time.Millisecond
+	renewEvery  = 400 * time.Millisecond
+)
+
+// New starts to keep the record; Close ends that and removes it.
+func (c PresenceConfig) New() *Presence {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Presence{config: c, cancel: cancel, done: make(chan struct{}), again: make(chan struct{}, 1)}
+	go func() {
+		defer close(p.done)
+		p.keep(ctx)
+	}()
+	return p
+}
+
+// Again has the record written anew, as it was found missing.
+func (p *Presence) Again() {
+	select {
+	case p.again <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// Close ends the duty and removes the record.
+func (p *Presence) Close(ctx context.Context) {
+	p.cancel()
+	<-p.done
+	if lease := p.current(); lease != 0 {
+		if err := p.config.KV.Revoke(ctx, lease); err != nil {
+			p.config.Log.Warn("presence: record not removed, its lease will run out", zap.Error(err))
+		}
+	}
+}
+
+func (p *Presence) current() tw.KVLeaseID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lease
+}
+
+func (p *Presence) set(lease tw.KVLeaseID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lease = lease
+}
+
+func (p *Presence) keep(ctx context.Context) {
+	for {
+		if p.current() == 0 {
+			p.announce(ctx)
+		} else {
+			p.renew(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.again:
+			p.set(0)
+		case <-p.config.Clock.After(renewEvery):
+		}
+	}
+}
+
+func (p *Presence) announce(ctx context.Context) {
+	lease, ttl, err := p.config.KV.Grant(ctx, max(presenceTTL, p.config.MinTTL))
+	if err != nil {
+		return // the watches say that the store does not answer
+	}
+	value, err := json.Marshal(p.config.Self)
+	if err != nil {
+		p.config.Log.Error("presence: record not written", zap.Error(err))
+		return
+	}
+	put := tw.KVPut{Key: ledger.LiveKey(p.config.Self.Daemon), Value: value, Lease: lease}
+	if _, err := p.config.KV.Commit(ctx, tw.KVTxn{Puts: []tw.KVPut{put}}); err != nil {
+		return
+	}
+	p.set(lease)
+	p.config.Log.Info("presence: announced", zap.Int64("lease", int64(lease)), zap.Duration("ttl", ttl))
+}
+
+func (p *Presence) renew(ctx context.Context) {
+	err := p.config.KV.Renew(ctx, p.current())
+	if errors.Is(err, tw.ErrNotFound) {
+		p.config.Log.Warn("presence: lease is over, announced anew")
+		p.set(0)
+		p.announce(ctx)
+	}
+}
+
+func decodeLive(item tw.KVItem) (Live, error) {
+	var l Live
+	err := json.Unmarshal(item.Value, &l)
+	return l, errors.Wrapf(err, "member: %s", item.Key)
+}
--- /dev/null
+++ b/member/members.go
@@ -0,0 +1,280 @@
+package member
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+type (
+	// Config configures Members.
+	Config struct {
+		KV    tw.KV
+		Clock tw.Clock
+		Log   *zap.Logger
+		Self  Live
+		Peers *Peers
+		// Presence is told when this daemon's record is missing.
+		Presence *Presence
+		// Pools lists the pools that need an owner.
+		Pools func() []tw.PoolID
+		// Owned lists the pools that this daemon owns.
+		Owned func() []tw.PoolID
+		// Version is the configuration that this daemon has in force.
+		Version func() tw.Version
+		// Take is called when this daemon should take a pool over. It must
+		// return at once.
+		Take func(pool tw.PoolID, why string)
+		// NewerConfig is called when a peer has a newer configuration.
+		NewerConfig func(address string, version tw.Version)
+	}
+
+	// Members knows the other daemons.
+	Members struct {
+		config  Config
+		watcher *Watcher
+		started time.Time
+		cancel  context.CancelFunc
+		done    chan struct{}
+
+		mu     sync.Mutex
+		live   map[tw.DaemonID]Live
+		owners map[tw.PoolID]ledger.Owner
+		// contacts are the daemons that this one pings.
+		contacts map[string]*contact
+		// lostAt is when a pool was first seen without a living owner.
+		lostAt map[tw.PoolID]time.Time
+		// yielded is when this daemon last lost a pool to another.
+		yielded map[tw.PoolID]time.Time
+	}
+
+	// contact is what pings say of a daemon at an address.
+	contact struct {
+		pinging    bool
+		answered   time.Time
+		silentFrom time.Time
+		refused    int
+	}
+)
+
+const (
+	// pingEvery is the pace of pings to owners; a killed owner is noticed
+	// after two that are refused.
+	pingEvery   = 250 * time.Millisecond
+	pingTimeout = 700 * time.Millisecond
+	// refusedMeansGone refused connections in a row.
+	refusedMeansGone = 2
+	// watchWait is how long one watch of the members waits.
+	watchWait = 3 * time.Second
+	// gatherMembers is how long after its start a daemon waits for the others
+	// to announce themselves; all start within 0.3 s.
+	gatherMembers = 1200 * time.Millisecond
+	// candidateGap is the head start of each candidate over the next one.
+	candidateGap = 500 * time.Millisecond
+	// yieldTime keeps a daemon that lost a pool from taking it back at once,
+	// so that two halls cut from each other do not take turns.
+	yieldTime = 5 * time.Second
+	// absentFor: a record must be missing for so long while the store
+	// answers before its daemon counts as gone; a daemon that lives writes
+	// it anew within renewEvery.
+	absentFor = 1200 * time.Millisecond
+)
+
+// New starts to follow the members; Close ends it.
+func (c Config) New() *Members {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Members{
+		config: c, started: c.Clock.Now(), cancel: cancel, done: make(chan struct{}),
+		live: map[tw.DaemonID]Live{}, owners: map[tw.PoolID]ledger.Owner{}, contacts: map[string]*contact{},
+		lostAt: map[tw.PoolID]time.Time{}, yielded: map[tw.PoolID]time.Time{},
+	}
+	m.watcher = WatcherConfig{
+		KV: c.KV, Clock: c.Clock, Log: c.Log, Prefix: ledger.MemberPrefix, Wait: watchWait, Changed: m.changed,
+	}.New()
+	go func() {
+		defer close(m.done)
+		m.run(ctx)
+	}()
+	return m
+}
+
+// Close ends the duty.
+func (m *Members) Close() {
+	m.cancel()
+	<-m.done
+	m.watcher.Close()
+}
+
+// Owner is who owns a pool, as far as known.
+func (m *Members) Owner(pool tw.PoolID) (ledger.Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, found := m.owners[pool]
+	return o, found
+}
+
+// Others are the live daemons but this one.
+func (m *Members) Others() []Live {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Live
+	for id, l := range m.live {
+		if id != m.config.Self.Daemon {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Yielded notes that this daemon has lost a pool to another.
+func (m *Members) Yielded(pool tw.PoolID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.yielded[pool] = m.config.Clock.Now()
+}
+
+// Took notes an ownership before the store's watch tells of it.
+func (m *Members) Took(o ledger.Owner) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setOwner(o)
+}
+
+// setOwner keeps the newer of two ownerships.
+func (m *Members) setOwner(o ledger.Owner) {
+	if have, found := m.owners[o.Pool]; found && have.Fence > o.Fence {
+		return
+	}
+	if m.owners[o.Pool].Fence != o.Fence {
+		m.config.Log.Info("member: pool has an owner", zap.String("pool", string(o.Pool)),
+			zap.String("daemon", string(o.Daemon)), zap.Int64("fence", int64(o.Fence)))
+		delete(m.lostAt, o.Pool)
+	}
+	m.owners[o.Pool] = o
+}
+
+// changed takes up the records in the store.
+func (m *Members) changed(items map[tw.Key]tw.KVItem) {
+	live := map[tw.DaemonID]Live{}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, item := range items {
+		switch {
+		case strings.HasPrefix(string(key), string(ledger.LivePrefix)):
+			l, err := decodeLive(item)
+			if err != nil {
+				m.config.Log.Error("member: unreadable record", zap.Error(err))
+				continue
+			}
+			live[l.Daemon] = l
+		case strings.HasPrefix(string(key), string(ledger.OwnerPrefix)):
+			o, err := ledger.DecodeOwner(item)
+			if err != nil {
+				m.config.Log.Error("member: unreadable record", zap.Error(err))
+				continue
+			}
+			m.setOwner(o)
+		}
+	}
+	m.logLive(live)
+	m.live = live
+}
+
+func (m *Members) logLive(live map[tw.DaemonID]Live) {
+	for id, l := range live {
+		if have, found := m.live[id]; !found || have.Life != l.Life {
+			m.config.Log.Info("member: daemon lives", zap.String("daemon", string(id)), zap.Uint64("life", uint64(l.Life)))
+		}
+	}
+	for id := range m.live {
+		if _, found := live[id]; !found {
+			m.config.Log.Info("member: daemon's record is gone", zap.String("daemon", string(id)))
+		}
+	}
+}
+
+func (m *Members) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.config.Clock.After(pingEvery):
+		}
+		now := m.config.Clock.Now()
+		m.pingOwners(ctx, now)
+		m.checkPresence(now)
+		for _, t := range m.toTake(now) {
+			m.config.Take(t.pool, t.why)
+		}
+	}
+}
+
+// checkPresence has this daemon's record written anew if the store has lost it.
+func (m *Members) checkPresence(now time.Time) {
+	settled := m.watcher.Settled()
+	if settled.IsZero() || now.Sub(settled) < absentFor {
+		return
+	}
+	m.mu.Lock()
+	_, found := m.live[m.config.Self.Daemon]
+	m.mu.Unlock()
+	if !found {
+		m.config.Presence.Again()
+	}
+}
+
+// pingOwners asks the owners of pools whether they live.
+func (m *Members) pingOwners(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	asked := map[string]bool{}
+	for _, o := range m.owners {
+		if o.Daemon == m.config.Self.Daemon || asked[o.Address] {
+			continue
+		}
+		asked[o.Address] = true
+		c := m.contacts[o.Address]
+		if c == nil {
+			c = &contact{answered: now}
+			m.contacts[o.Address] = c
+		}
+		if c.pinging {
+			continue
+		}
+		c.pinging = true
+		go m.ping(ctx, o.Address, c)
+	}
+}
+
+func (m *Members) ping(ctx context.Context, address string, c *contact) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	version := m.config.Version()
+	resp, err := m.config.Peers.Ping(ctx, address, PingRequest{From: m.config.Self.Daemon, Config: version})
+	now := m.config.Clock.Now()
+	m.mu.Lock()
+	c.pinging = false
+	switch {
+	case err == nil:
+		c.answered, c.silentFrom, c.refused = now, time.Time{}, 0
+	case errors.Is(err, tw.ErrGone):
+		c.refused++
+	default:
+		c.refused = 0
+	}
+	if err != nil && c.silentFrom.IsZero() {
+		c.silentFrom = now
+		m.config.Log.Info("member: owner does not answer", zap.String("address", address), zap.Error(err))
+	}
+	m.mu.Unlock()
+	if err == nil && resp.Config > version {
+		m.config.NewerConfig(address, resp.Config)
+	}
+}
--- /dev/null
+++ b/member/messages.go
@@ -0,0 +1,98 @@
+package member
+
+import (
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// Outcome says how a call to a pool's owner ended.
+type Outcome string
+
+// Outcomes of calls between daemons.
+const (
+	OutcomeDone     Outcome = "done"
+	OutcomeNotOwner Outcome = "not-owner"
+	// OutcomeNotTaken proves that nothing was done.
+	OutcomeNotTaken Outcome = "not-taken"
+	OutcomeUnclear  Outcome = "unclear"
+	OutcomeUnknown  Outcome = "unknown"
+)
+
+type (
+	// PingRequest asks whether a daemon lives.
+	PingRequest struct {
+		From   tw.DaemonID `json:"from"`
+		Config tw.Version  `json:"config"`
+	}
+
+	// PingResponse is a daemon's word of itself.
+	PingResponse struct {
+		Daemon tw.DaemonID    `json:"daemon"`
+		Life   tw.Incarnation `json:"life"`
+		Config tw.Version     `json:"config"`
+		Pools  []tw.PoolID    `json:"pools"`
+	}
+
+	// ConfigRequest asks for the configuration that a daemon has.
+	ConfigRequest struct{}
+
+	// ConfigResponse holds it as the operator wrote it.
+	ConfigResponse struct {
+		Value []byte `json:"value"`
+	}
+
+	// SubmitRequest hands a submission to the owner of its pool.
+	SubmitRequest struct {
+		Submission tw.Submission `json:"submission"`
+	}
+
+	// SubmitResponse says whether it is kept.
+	SubmitResponse struct {
+		Outcome Outcome `json:"outcome"`
+	}
+
+	// SubmissionRequest is about one submission of a pool.
+	SubmissionRequest struct {
+		Pool tw.PoolID       `json:"pool"`
+		ID   tw.SubmissionID `json:"id"`
+	}
+
+	// SubmissionResponse tells its state, or how a cancel ended.
+	SubmissionResponse struct {
+		Outcome Outcome            `json:"outcome"`
+		State   tw.SubmissionState `json:"state,omitempty"`
+	}
+
+	// WaitingRequest asks for the count of a route's waiting submissions.
+	WaitingRequest struct {
+		Pool  tw.PoolID    `json:"pool"`
+		Route tw.RouteName `json:"route"`
+	}
+
+	// WaitingResponse is the answer.
+	WaitingResponse struct {
+		Outcome Outcome `json:"outcome"`
+		Count   int     `json:"count"`
+	}
+
+	// TakeRequest asks a daemon to take a pool over.
+	TakeRequest struct {
+		Pool tw.PoolID `json:"pool"`
+	}
+
+	// TakeResponse says that it will.
+	TakeResponse struct{}
+
+	// ReportRequest asks a pool's owner how busy the pool is, and tells it
+	// which machines to empty.
+	ReportRequest struct {
+		Pool   tw.PoolID       `json:"pool"`
+		Vacate []tw.InstanceID `json:"vacate"`
+	}
+
+	// ReportResponse is the answer.
+	ReportResponse struct {
+		Outcome Outcome    `json:"outcome"`
+		Report  run.Report `json:"report"`
+	}
+)
--- /dev/null
+++ b/member/rpc.go
@@ -0,0 +1,203 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/tcp"
+)
+
+// Procedures of the service between daemons.
+const (
+	procedurePing    = "/tamarind.member.v1.MemberService/Ping"
+	procedureConfig  = "/tamarind.member.v1.MemberService/Config"
+	procedureSubmit  = "/tamarind.member.v1.MemberService/Submit"
+	procedureCancel  = "/tamarind.member.v1.MemberService/Cancel"
+	procedureState   = "/tamarind.member.v1.MemberService/State"
+	procedureWaiting = "/tamarind.member.v1.MemberService/Waiting"
+	procedureTake    = "/tamarind.member.v1.MemberService/Take"
+	procedureReport  = "/tamarind.member.v1.MemberService/Report"
+)
+
+type (
+	// jsonCodec lets connect carry plain structs. Messages between daemons
+	// are small, and all daemons of a deployment run the same program.
+	jsonCodec struct{}
+
+	// Handler answers the calls of other daemons.
+	Handler interface {
+		Ping(ctx context.Context, m *PingRequest) (*PingResponse, error)
+		Config(ctx context.Context, m *ConfigRequest) (*ConfigResponse, error)
+		Submit(ctx context.Context, m *SubmitRequest) (*SubmitResponse, error)
+		Cancel(ctx context.Context, m *SubmissionRequest) (*SubmissionResponse, error)
+		State(ctx context.Context, m *SubmissionRequest) (*SubmissionResponse, error)
+		Waiting(ctx context.Context, m *WaitingRequest) (*WaitingResponse, error)
+		Take(ctx context.Context, m *TakeRequest) (*TakeResponse, error)
+		Report(ctx context.Context, m *ReportRequest) (*ReportResponse, error)
+	}
+
+	// Peers calls other daemons. Calls fail with tw.ErrGone (no process
+	// listens there), tw.ErrUnavailable (surely not done) or tw.ErrUnclear.
+	Peers struct {
+		http *http.Client
+
+		mu      sync.Mutex
+		clients map[string]*peer
+	}
+
+	// peer holds the clients of one daemon.
+	peer struct {
+		ping    *connect.Client[PingRequest, PingResponse]
+		config  *connect.Client[ConfigRequest, ConfigResponse]
+		submit  *connect.Client[SubmitRequest, SubmitResponse]
+		cancel  *connect.Client[SubmissionRequest, SubmissionResponse]
+		state   *connect.Client[SubmissionRequest, SubmissionResponse]
+		waiting *connect.Client[WaitingRequest, WaitingResponse]
+		take    *connect.Client[TakeRequest, TakeResponse]
+		report  *connect.Client[ReportRequest, ReportResponse]
+	}
+)
+
+const (
+	// peerConns bounds the idle connections to one daemon.
+	peerConns     = 8
+	peerIdleLimit = 90 * time.Second
+	// maxPeerMessage is above the largest configuration in the store.
+	maxPeerMessage = 4 << 20
+)
+
+// Name implements connect.Codec.
+func (jsonCodec) Name() string { return "json" }
+
+// Marshal implements connect.Codec.
+func (jsonCodec) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
+
+// Unmarshal implements connect.Codec.
+func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+// NewHandler is the HTTP handler for the calls of other daemons.
+func NewHandler(h Handler) http.Handler {
+	mux := http.NewServeMux()
+	serve(mux, procedurePing, h.Ping)
+	serve(mux, procedureConfig, h.Config)
+	serve(mux, procedureSubmit, h.Submit)
+	serve(mux, procedureCancel, h.Cancel)
+	serve(mux, procedureState, h.State)
+	serve(mux, procedureWaiting, h.Waiting)
+	serve(mux, procedureTake, h.Take)
+	serve(mux, procedureReport, h.Report)
+	return mux
+}
+
+func serve[Req, Resp any](mux *http.ServeMux, procedure string, f func(context.Context, *Req) (*Resp, error)) {
+	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, f,
+		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage)))
+}
+
+// NewPeers makes a client for all daemons; it makes no call yet.
+func NewPeers() *Peers {
+	return &Peers{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         tcp.NewDialer().DialContext,
+			MaxIdleConnsPerHost: peerConns,
+			IdleConnTimeout:     peerIdleLimit,
+			DisableCompression:  true,
+		}},
+		clients: map[string]*peer{},
+	}
+}
+
+// Close drops idle connections.
+func (p *Peers) Close() { p.http.CloseIdleConnections() }
+
+func (p *Peers) at(address string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	have := p.clients[address]
+	if have == nil {
+		have = &peer{
+			ping:    newClient[PingRequest, PingResponse](p, address, procedurePing),
+			config:  newClient[ConfigRequest, ConfigResponse](p, address, procedureConfig),
+			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit),
+			cancel:  newClient[SubmissionRequest, SubmissionResponse](p, address, procedureCancel),
+			state:   newClient[SubmissionRequest, SubmissionResponse](p, address, procedureState),
+			waiting: newClient[WaitingRequest, WaitingResponse](p, address, procedureWaiting),
+			take:    newClient[TakeRequest, TakeResponse](p, address, procedureTake),
+			report:  newClient[ReportRequest, ReportResponse](p, address, procedureReport),
+		}
+		p.clients[address] = have
+	}
+	return have
+}
+
+func newClient[Req, Resp any](p *Peers, address, procedure string) *connect.Client[Req, Resp] {
+	return connect.NewClient[Req, Resp](p.http, "http://"+address+procedure,
+		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage))
+}
+
+// Ping asks whether a daemon lives.
+func (p *Peers) Ping(ctx context.Context, address string, m PingRequest) (*PingResponse, error) {
+	return call(ctx, p.at(address).ping, &m)
+}
+
+// Config asks for a daemon's configuration.
+func (p *Peers) Config(ctx context.Context, address string) (*ConfigResponse, error) {
+	return call(ctx, p.at(address).config, &ConfigRequest{})
+}
+
+// Submit hands a submission to the owner of its pool.
+func (p *Peers) Submit(ctx context.Context, address string, s tw.Submission) (*SubmitResponse, error) {
+	return call(ctx, p.at(address).submit, &SubmitRequest{Submission: s})
+}
+
+// Cancel asks the owner of a pool to cancel a submission.
+func (p *Peers) Cancel(ctx context.Context, address string, m SubmissionRequest) (*SubmissionResponse, error) {
+	return call(ctx, p.at(address).cancel, &m)
+}
+
+// State asks the owner of a pool for a submission's state.
+func (p *Peers) State(ctx context.Context, address string, m SubmissionRequest) (*SubmissionResponse, error) {
+	return call(ctx, p.at(address).state, &m)
+}
+
+// Waiting asks the owner of a pool for the count of waiting submissions.
+func (p *Peers) Waiting(ctx context.Context, address string, m WaitingRequest) (*WaitingResponse, error) {
+	return call(ctx, p.at(address).waiting, &m)
+}
+
+// Take asks a daemon to take a pool over.
+func (p *Peers) Take(ctx context.Context, address string, pool tw.PoolID) error {
+	_, err := call(ctx, p.at(address).take, &TakeRequest{Pool: pool})
+	return err
+}
+
+// Report asks the owner of a pool how busy it is.
+func (p *Peers) Report(ctx context.Context, address string, m ReportRequest) (*ReportResponse, error) {
+	return call(ctx, p.at(address).report, &m)
+}
+
+func call[Req, Resp any](ctx context.Context, client *connect.Client[Req, Resp], m *Req) (*Resp, error) {
+	resp, err := client.CallUnary(ctx, connect.NewRequest(m))
+	if err != nil {
+		return nil, sortError(err)
+	}
+	return resp.Msg, nil
+}
+
+// sortError turns errors of the transport into ours.
+func sortError(err error) error {
+	switch {
+	case tcp.Refused(err):
+		return errors.Mark(errors.Wrap(err, "member"), tw.ErrGone)
+	case tcp.NotConnected(err):
+		return errors.Mark(errors.Wrap(err, "member"), tw.ErrUnavailable)
+	}
+	return errors.Mark(errors.Wrap(err, "member"), tw.ErrUnclear)
+}
--- /dev/null
+++ b/member/succession.go
@@ -0,0 +1,140 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// takeover is a pool that this daemon should take.
+type takeover struct {
+	pool tw.PoolID
+	why  string
+}
+
+// toTake lists the pools that this daemon should take now: those without a
+// living owner for which it is the first candidate, or whose better
+// candidates have had their chance.
+func (m *Members) toTake(now time.Time) []takeover {
+	settled := m.watcher.Settled()
+	if settled.IsZero() || now.Sub(m.started) < gatherMembers {
+		return nil
+	}
+	owned := m.config.Owned()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loads := m.loads()
+	var out []takeover
+	pools := m.config.Pools()
+	slices.Sort(pools)
+	for _, pool := range pools {
+		if slices.Contains(owned, pool) {
+			continue
+		}
+		why := m.lost(pool, now, settled)
+		if why == "" {
+			delete(m.lostAt, pool)
+			continue
+		}
+		if m.lostAt[pool].IsZero() {
+			m.lostAt[pool] = now
+		}
+		candidates := m.candidates(pool, loads, now)
+		if len(candidates) > 0 {
+			loads[candidates[0]]++
+		}
+		rank := slices.Index(candidates, m.config.Self.Daemon)
+		if rank < 0 || now.Sub(m.lostAt[pool]) < time.Duration(rank)*candidateGap {
+			continue
+		}
+		if now.Sub(m.yielded[pool]) < yieldTime {
+			continue
+		}
+		out = append(out, takeover{pool: pool, why: why})
+	}
+	return out
+}
+
+// lost tells why a pool has no living owner; empty if it has one.
+func (m *Members) lost(pool tw.PoolID, now, settled time.Time) string {
+	o, found := m.owners[pool]
+	if !found {
+		return "it has no owner"
+	}
+	if o.Daemon == m.config.Self.Daemon {
+		return "a former life of this daemon owned it"
+	}
+	live, present := m.live[o.Daemon]
+	if present && live.Life != o.Life {
+		return "its owner has started anew"
+	}
+	c := m.contacts[o.Address]
+	if c == nil {
+		return ""
+	}
+	if c.refused >= refusedMeansGone {
+		return "its owner's process is gone"
+	}
+	if !present && now.Sub(settled) > absentFor && !c.silentFrom.IsZero() && now.Sub(c.answered) > absentFor {
+		return "its owner is silent and its record is gone"
+	}
+	return ""
+}
+
+// loads counts the pools of each live daemon.
+func (m *Members) loads() map[tw.DaemonID]int {
+	loads := map[tw.DaemonID]int{}
+	for _, o := range m.owners {
+		if l, present := m.live[o.Daemon]; present && l.Life == o.Life {
+			loads[o.Daemon]++
+		}
+	}
+	return loads
+}
+
+// candidates are the daemons that may take a pool, the first first: those
+// with the fewest pools, in an order that differs by pool. All daemons that
+// see the same members work out the same.
+func (m *Members) candidates(pool tw.PoolID, loads map[tw.DaemonID]int, now time.Time) []tw.DaemonID {
+	var out []tw.DaemonID
+	for id, l := range m.live {
+		c := m.contacts[l.Address]
+		if id != m.config.Self.Daemon && c != nil && !c.silentFrom.IsZero() && now.Sub(c.answered) > pingTimeout {
+			continue
+		}
+		if id == m.owners[pool].Daemon && id != m.config.Self.Daemon && l.Life == m.owners[pool].Life {
+			continue
+		}
+		out = append(out, id)
+	}
+	slices.SortFunc(out, func(a, b tw.DaemonID) int {
+		return cmp.Or(
+			cmp.Compare(loads[a], loads[b]),
+			cmp.Compare(mix(pool, a), mix(pool, b)),
+			cmp.Compare(a, b),
+		)
+	})
+	return out
+}
+
+// Successor is the daemon to which this one should give a pool; false if
+// there is none.
+func (m *Members) Successor(pool tw.PoolID) (Live, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.candidates(pool, m.loads(), m.config.Clock.Now()) {
+		if id != m.config.Self.Daemon {
+			return m.live[id], true
+		}
+	}
+	return Live{}, false
+}
+
+func mix(pool tw.PoolID, daemon tw.DaemonID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(pool) + "/" + string(daemon))) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/member/watcher.go
@@ -0,0 +1,154 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// WatcherConfig configures a Watcher.
+	WatcherConfig struct {
+		KV     tw.KV
+		Clock  tw.Clock
+		Log    *zap.Logger
+		Prefix tw.Key
+		// Wait is how long one watch waits for changes.
+		Wait time.Duration
+		// Changed is called with all items below the prefix after each change
+		// and at the first read. It must not keep the map.
+		Changed func(items map[tw.Key]tw.KVItem)
+	}
+
+	// Watcher follows the keys below a prefix. It never goes back: an item is
+	// replaced only by one of a higher revision.
+	Watcher struct {
+		config WatcherConfig
+		cancel context.CancelFunc
+		done   chan struct{}
+
+		mu sync.Mutex
+		// settled is since when every read has been answered; zero while not.
+		settled time.Time
+	}
+)
+
+const (
+	// watchRetryFirst and watchRetryMost bound the pause after a failed read;
+	// the pauses are jittered, so that daemons do not return all at once.
+	watchRetryFirst = 100 * time.Millisecond
+	watchRetryMost  = 500 * time.Millisecond
+)
+
+// New starts to watch; Close ends it.
+func (c WatcherConfig) New() *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{config: c, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		w.run(ctx)
+	}()
+	return w
+}
+
+// Close ends the duty.
+func (w *Watcher) Close() {
+	w.cancel()
+	<-w.done
+}
+
+// Settled is since when the store has answered without a break; zero if it
+// does not answer.
+func (w *Watcher) Settled() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.settled
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	pause := watchRetryFirst
+	for ctx.Err() == nil {
+		err := w.follow(ctx, func() { pause = watchRetryFirst })
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, tw.ErrHistoryGone) {
+			w.config.Log.Info("watch: history is gone, read anew", zap.String("prefix", string(w.config.Prefix)))
+			continue
+		}
+		w.unsettle(err)
+		jittered := pause/2 + rand.N(pause)
+		pause = min(2*pause, watchRetryMost)
+		select {
+		case <-ctx.Done():
+		case <-w.config.Clock.After(jittered):
+		}
+	}
+}
+
+// follow reads all items and then follows their changes until a call fails.
+func (w *Watcher) follow(ctx context.Context, answered func()) error {
+	list, at, err := w.config.KV.Range(ctx, w.config.Prefix)
+	if err != nil {
+		return err
+	}
+	answered()
+	w.settle()
+	items := make(map[tw.Key]tw.KVItem, len(list))
+	for _, item := range list {
+		items[item.Key] = item
+	}
+	w.config.Changed(items)
+	for {
+		events, next, err := w.config.KV.Watch(ctx, w.config.Prefix, at, w.config.Wait)
+		if err != nil {
+			return err
+		}
+		at = max(at, next)
+		if apply(items, events) {
+			w.config.Changed(items)
+		}
+	}
+}
+
+// apply takes events into the items; it tells whether anything changed.
+func apply(items map[tw.Key]tw.KVItem, events []tw.KVEvent) bool {
+	changed := false
+	for _, e := range events {
+		have, found := items[e.Item.Key]
+		if found && have.Revision >= e.Item.Revision {
+			continue
+		}
+		changed = true
+		if e.Removed {
+			delete(items, e.Item.Key)
+		} else {
+			items[e.Item.Key] = e.Item
+		}
+	}
+	return changed
+}
+
+func (w *Watcher) settle() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.settled.IsZero() {
+		w.settled = w.config.Clock.Now()
+		w.config.Log.Info("watch: store answers", zap.String("prefix", string(w.config.Prefix)))
+	}
+}
+
+func (w *Watcher) unsettle(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settled.IsZero() {
+		w.settled = time.Time{}
+		w.config.Log.Warn("watch: store does not answer", zap.String("prefix", string(w.config.Prefix)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/queue/handler.go
@@ -0,0 +1,220 @@
+package queue
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// Codec reads what callers send and writes what they are told. The
+	// platform's adapter implements it.
+	Codec interface {
+		ParseID(text string) (tw.SubmissionID, bool)
+		Decode(body []byte) (tw.Submission, error)
+		Deadline(r *http.Request) time.Duration
+		State(state tw.SubmissionState) []byte
+		Waiting(count int) []byte
+	}
+
+	// HandlerConfig configures a Handler.
+	HandlerConfig struct {
+		Router *Router
+		Codec  Codec
+		// Config is the configuration in force; nil if there is none yet.
+		Config  func() *tw.QueueConfig
+		Clock   tw.Clock
+		Log     *zap.Logger
+		Metrics *metrics.Set
+	}
+
+	// Handler serves callers.
+	Handler struct{ HandlerConfig }
+)
+
+const (
+	// answerMargin is left of a caller's time when a request is given up, for
+	// the way of the answer.
+	answerMargin = 200 * time.Millisecond
+	// leastTime is what a request is given however little its caller says.
+	leastTime = 100 * time.Millisecond
+	// retryAfter tells callers when to come back, in seconds: outages of the
+	// store and changes of owners last about so long.
+	retryAfter = "1"
+	// defaultBodyLimit holds until the configuration names one.
+	defaultBodyLimit = 1 << 20
+)
+
+// New makes the handler.
+func (c HandlerConfig) New() *Handler { return &Handler{HandlerConfig: c} }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	config := h.Config()
+	if config == nil {
+		h.refuse(w, r, http.StatusServiceUnavailable, "no configuration yet")
+		return
+	}
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	route := config.Route(host, r.URL.Path)
+	if route == nil {
+		h.refuse(w, r, http.StatusNotFound, "no such route")
+		return
+	}
+	if limit := config.Limits.Header; limit > 0 && headerBytes(r) > limit {
+		h.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, "header over the limit")
+		return
+	}
+	allowed := h.Codec.Deadline(r)
+	if route.Timeout > 0 {
+		allowed = min(allowed, route.Timeout)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), max(leastTime, allowed-answerMargin))
+	defer cancel()
+	h.serve(ctx, w, r, config, route)
+}
+
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute) {
+	rest := strings.TrimPrefix(r.URL.Path, route.Prefix)
+	if rest == "" && r.Method == http.MethodGet {
+		h.count(ctx, w, r, route)
+		return
+	}
+	id, valid := h.Codec.ParseID(rest)
+	if !valid {
+		h.refuse(w, r, http.StatusBadRequest, "the path does not end with an id of 16 hex digits")
+		return
+	}
+	switch r.Method {
+	case http.MethodPost:
+		h.submit(ctx, w, r, config, route, id)
+	case http.MethodGet:
+		h.state(ctx, w, r, route, id)
+	case http.MethodDelete:
+		h.cancel(ctx, w, r, route, id)
+	default:
+		w.Header().Set("Allow", "POST, GET, DELETE")
+		h.refuse(w, r, http.StatusMethodNotAllowed, "method not allowed")
+	}
+}
+
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute, id tw.SubmissionID) {
+	body, err := readBody(w, r, config.Limits.Body)
+	if err != nil {
+		h.refuseBody(w, r, err)
+		return
+	}
+	s, err := h.Codec.Decode(body)
+	if err != nil {
+		h.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.ID = id
+	s.Policy = route.Policy
+	s.Accepted = h.Clock.Now()
+	began := h.Clock.Now()
+	err = h.Router.Submit(ctx, s)
+	h.Metrics.GetOrCreateHistogram("tamarind_submit_seconds").Update(h.Clock.Now().Sub(began).Seconds())
+	switch {
+	case err == nil:
+		h.answer(w, r, h.Codec.State(tw.Waiting))
+	case notTaken(err):
+		h.refuse(w, r, http.StatusServiceUnavailable, "not taken: "+err.Error())
+	default:
+		h.refuse(w, r, http.StatusGatewayTimeout, "it is unclear whether it was taken: "+err.Error())
+	}
+}
+
+func (h *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, route *tw.QueueRoute, id tw.SubmissionID) {
+	state, err := h.Router.State(ctx, route.Policy.Pool, id)
+	switch {
+	case err == nil:
+		h.answer(w, r, h.Codec.State(state))
+	case errors.Is(err, run.ErrUnknown):
+		h.refuse(w, r, http.StatusGone, "no such submission")
+	default:
+		h.refuse(w, r, http.StatusServiceUnavailable, "state not known at present: "+err.Error())
+	}
+}
+
+func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, route *tw.QueueRoute, id tw.SubmissionID) {
+	err := h.Router.Cancel(ctx, route.Policy.Pool, id)
+	switch {
+	case err == nil:
+		h.answer(w, r, h.Codec.State(tw.Cancelled))
+	case errors.Is(err, run.ErrUnknown):
+		h.refuse(w, r, http.StatusGone, "no such submission")
+	default:
+		h.refuse(w, r, http.StatusGatewayTimeout, "it is unclear whether it is cancelled: "+err.Error())
+	}
+}
+
+func (h *Handler) count(ctx context.Context, w http.ResponseWriter, r *http.Request, route *tw.QueueRoute) {
+	count, err := h.Router.Waiting(ctx, route.Policy.Pool, route.Policy.Route)
+	if err != nil {
+		h.refuse(w, r, http.StatusServiceUnavailable, "count not known at present: "+err.Error())
+		return
+	}
+	h.answer(w, r, h.Codec.Waiting(count))
+}
+
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	h.Metrics.GetOrCreateCounter(`tamarind_requests_total{method="` + r.Method + `",status="200"}`).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // a caller that is gone needs no answer
+}
+
+// refuse answers that a request was not served, and says why.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, status int, why string) {
+	h.Metrics.GetOrCreateCounter(`tamarind_requests_total{method="` + r.Method + `",status="` + strconv.Itoa(status) + `"}`).Inc()
+	h.Log.Info("request: refused", zap.String("method", r.Method), zap.String("host", r.Host),
+		zap.String("path", r.URL.Path), zap.Int("status", status), zap.String("why", why))
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, `{"title":`+strconv.Quote(http.StatusText(status))+`,"detail":`+strconv.QuoteToASCII(why)+`}`)
+}
+
+func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		h.refuse(w, r, http.StatusRequestEntityTooLarge, "body over the limit")
+		return
+	}
+	h.refuse(w, r, http.StatusBadRequest, "body not readable")
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit tw.Bytes) ([]byte, error) {
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+}
+
+// headerBytes is about what the header took on the wire.
+func headerBytes(r *http.Request) tw.Bytes {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return tw.Bytes(n)
+}
--- /dev/null
+++ b/queue/router.go
@@ -0,0 +1,304 @@
+package queue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// Pools finds the owners that run in this daemon.
+	Pools interface {
+		// Local is the owner of a pool if it is this daemon, else nil.
+		Local(pool tw.PoolID) *run.Owner
+	}
+
+	// RouterConfig configures a Router.
+	RouterConfig struct {
+		Pools   Pools
+		Members *member.Members
+		Peers   *member.Peers
+		KV      tw.KV
+		Clock   tw.Clock
+		Log     *zap.Logger
+	}
+
+	// Router brings requests to the owner of their pool.
+	Router struct {
+		RouterConfig
+
+		mu sync.Mutex
+		// counts are the last counts of waiting submissions, by route.
+		counts map[tw.RouteName]int
+	}
+)
+
+const (
+	// peerTimeout bounds one call to an owner: a submission takes two round
+	// trips of 2 ms and a write of 4 ms, or of 240 ms in a slow store.
+	peerTimeout = 900 * time.Millisecond
+	// routeRetry is the pause before an owner is looked for again.
+	routeRetry = 60 * time.Millisecond
+)
+
+// New makes a router.
+func (c RouterConfig) New() *Router {
+	return &Router{RouterConfig: c, counts: map[tw.RouteName]int{}}
+}
+
+// Submit has a submission kept. ErrUnavailable proves that it was not taken
+// and never runs; after ErrUnclear it may have been.
+func (r *Router) Submit(ctx context.Context, s tw.Submission) error {
+	unclear := false
+	for {
+		err := r.submitToOwner(ctx, s)
+		if err == nil {
+			return nil
+		}
+		unclear = unclear || !notTaken(err)
+		err = r.submitToStore(ctx, s)
+		if err == nil {
+			return nil
+		}
+		unclear = unclear || !notTaken(err)
+		if !unclear {
+			return err
+		}
+		if !r.pause(ctx) {
+			return errors.Wrap(tw.ErrUnclear, "queue: submission")
+		}
+	}
+}
+
+// notTaken tells whether an error proves that nothing was done.
+func notTaken(err error) bool {
+	return tw.SurelyNotDone(err) || errors.Is(err, run.ErrNotOwner) || errors.Is(err, tw.ErrGone)
+}
+
+func (r *Router) submitToOwner(ctx context.Context, s tw.Submission) error {
+	pool := s.Policy.Pool
+	if local := r.Pools.Local(pool); local != nil {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		return local.Submit(ctx, s)
+	}
+	owner, found := r.Members.Owner(pool)
+	if !found {
+		return errors.Wrap(run.ErrNotOwner, "queue: the pool has no owner")
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	resp, err := r.Peers.Submit(ctx, owner.Address, s)
+	if err != nil {
+		return err
+	}
+	return outcomeError(resp.Outcome)
+}
+
+// submitToStore keeps a submission without the pool's owner, which finds it
+// in its inbox.
+func (r *Router) submitToStore(ctx context.Context, s tw.Submission) error {
+	_, err := r.KV.Commit(ctx, ledger.AcceptUnowned(&s))
+	var conflict *tw.KVConflict
+	if errors.As(err, &conflict) {
+		return nil // it is kept already
+	}
+	if err == nil {
+		r.Log.Info("submission: kept without the owner", zap.String("submission", string(s.ID)),
+			zap.String("pool", string(s.Policy.Pool)))
+	}
+	return err
+}
+
+// Cancel cancels a submission. It fails with run.ErrUnknown if there is none.
+func (r *Router) Cancel(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+	for {
+		err := r.cancelOnce(ctx, pool, id)
+		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
+			return err
+		}
+	}
+}
+
+func (r *Router) cancelOnce(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+	err := r.cancelAtOwner(ctx, pool, id)
+	if err == nil {
+		return nil
+	}
+	record, findErr := ledger.Find(ctx, r.KV, id)
+	switch {
+	case errors.Is(findErr, tw.ErrNotFound):
+		return run.ErrUnknown
+	case findErr != nil:
+		return findErr
+	case record.Final != "":
+		return nil
+	}
+	if record.Pool != pool {
+		if err := r.cancelAtOwner(ctx, record.Pool, id); err == nil {
+			return nil
+		}
+	}
+	_, err = r.KV.Commit(ctx, ledger.AskCancel(record.Pool, id))
+	return err
+}
+
+func (r *Router) cancelAtOwner(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if local := r.Pools.Local(pool); local != nil {
+		return local.Cancel(ctx, id)
+	}
+	owner, found := r.Members.Owner(pool)
+	if !found {
+		return run.ErrNotOwner
+	}
+	resp, err := r.Peers.Cancel(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
+	if err != nil {
+		return err
+	}
+	return outcomeError(resp.Outcome)
+}
+
+// State tells a submission's state. It fails with run.ErrUnknown if there is
+// none.
+func (r *Router) State(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+	for {
+		state, err := r.stateOnce(ctx, pool, id)
+		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
+			return state, err
+		}
+	}
+}
+
+func (r *Router) stateOnce(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+	state, err := r.stateAtOwner(ctx, pool, id)
+	if err == nil {
+		return state, nil
+	}
+	record, err := ledger.Find(ctx, r.KV, id)
+	switch {
+	case errors.Is(err, tw.ErrNotFound):
+		return "", run.ErrUnknown
+	case err != nil:
+		return "", err
+	case record.Final != "":
+		return record.Final, nil
+	}
+	if record.Pool != pool {
+		if state, err := r.stateAtOwner(ctx, record.Pool, id); err == nil {
+			return state, nil
+		}
+	}
+	return r.recordedState(ctx, record.Pool, id)
+}
+
+// recordedState is what the store tells of a submission that has not ended.
+func (r *Router) recordedState(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+	progress, err := ledger.FindProgress(ctx, r.KV, pool, id)
+	if err != nil {
+		return "", err
+	}
+	if progress.Finished > 0 || len(progress.Repetitions) > 0 {
+		return tw.Started, nil
+	}
+	return tw.Waiting, nil
+}
+
+func (r *Router) stateAtOwner(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if local := r.Pools.Local(pool); local != nil {
+		return local.State(ctx, id)
+	}
+	owner, found := r.Members.Owner(pool)
+	if !found {
+		return "", run.ErrNotOwner
+	}
+	resp, err := r.Peers.State(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
+	if err != nil {
+		return "", err
+	}
+	return resp.State, outcomeError(resp.Outcome)
+}
+
+// Waiting counts a route's waiting submissions; if the owner can't be
+// reached, it is the last count that it told.
+func (r *Router) Waiting(ctx context.Context, pool tw.PoolID, route tw.RouteName) (int, error) {
+	count, err := r.waitingAtOwner(ctx, pool, route)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.counts[route] = count
+		return count, nil
+	}
+	if last, known := r.counts[route]; known {
+		return last, nil
+	}
+	return 0, err
+}
+
+func (r *Router) waitingAtOwner(ctx context.Context, pool tw.PoolID, route tw.RouteName) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if local := r.Pools.Local(pool); local != nil {
+		return local.Waiting(ctx, route)
+	}
+	owner, found := r.Members.Owner(pool)
+	if !found {
+		return 0, run.ErrNotOwner
+	}
+	resp, err := r.Peers.Waiting(ctx, owner.Address, member.WaitingRequest{Pool: pool, Route: route})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Count, outcomeError(resp.Outcome)
+}
+
+// pause waits before the next try; false if there is no time for one.
+func (r *Router) pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.Clock.After(routeRetry):
+		return ctx.Err() == nil
+	}
+}
+
+// outcomeError is the error that an outcome stands for.
+func outcomeError(o member.Outcome) error {
+	switch o {
+	case member.OutcomeDone:
+		return nil
+	case member.OutcomeNotOwner:
+		return run.ErrNotOwner
+	case member.OutcomeNotTaken:
+		return tw.ErrUnavailable
+	case member.OutcomeUnknown:
+		return run.ErrUnknown
+	}
+	return tw.ErrUnclear
+}
+
+// OutcomeOf is the outcome that an error of an Owner stands for.
+func OutcomeOf(err error) member.Outcome {
+	switch {
+	case err == nil:
+		return member.OutcomeDone
+	case errors.Is(err, run.ErrNotOwner):
+		return member.OutcomeNotOwner
+	case tw.SurelyNotDone(err):
+		return member.OutcomeNotTaken
+	case errors.Is(err, run.ErrUnknown):
+		return member.OutcomeUnknown
+	}
+	return member.OutcomeUnclear
+}
--- /dev/null
+++ b/run/census.go
@@ -0,0 +1,122 @@
+package run
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// CensusConfig configures a Census.
+	CensusConfig struct {
+		Machines tw.Machines
+		Clock    tw.Clock
+		Log      *zap.Logger
+	}
+
+	// Census keeps the platform's list of machines for all parts of a daemon,
+	// and reads it when one of them wants it newer.
+	Census struct {
+		machines tw.Machines
+		clock    tw.Clock
+		log      *zap.Logger
+		wanted   chan struct{}
+		cancel   context.CancelFunc
+		done     chan struct{}
+
+		mu     sync.Mutex
+		latest *MachineList
+	}
+
+	// MachineList is the list of machines as of a moment.
+	MachineList struct {
+		Machines map[tw.InstanceID]tw.Machine
+		// Asked is when the list was asked for: it shows what was so then, or
+		// later.
+		Asked time.Time
+	}
+)
+
+// censusGap is the least time between two reads of the list: the platform
+// takes some tens a second of all daemons together, and prices each.
+const censusGap = 400 * time.Millisecond
+
+// New starts the duty that reads the list.
+func (c CensusConfig) New() *Census {
+	ctx, cancel := context.WithCancel(context.Background())
+	census := &Census{
+		machines: c.Machines, clock: c.Clock, log: c.Log, cancel: cancel,
+		wanted: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	go func() {
+		defer close(census.done)
+		census.read(ctx)
+	}()
+	return census
+}
+
+// Close ends the duty.
+func (c *Census) Close() {
+	c.cancel()
+	<-c.done
+}
+
+// Want asks for a list that is newer than the gap between two reads.
+func (c *Census) Want(now time.Time) {
+	if latest := c.Latest(); latest != nil && now.Sub(latest.Asked) < censusGap {
+		return
+	}
+	select {
+	case c.wanted <- struct{}{}:
+	default: // one is wanted already
+	}
+}
+
+// Latest is the last list, or nil.
+func (c *Census) Latest() *MachineList {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latest
+}
+
+func (c *Census) read(ctx context.Context) {
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wanted:
+		}
+		asked := c.clock.Now()
+		list, err := c.machines.List(ctx)
+		switch {
+		case err != nil && !failing:
+			c.log.Warn("census: list of machines not readable", zap.Error(err))
+		case err == nil && failing:
+			c.log.Info("census: list of machines readable again")
+		}
+		failing = err != nil
+		if err == nil {
+			c.set(asked, list)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.clock.After(censusGap):
+		}
+	}
+}
+
+func (c *Census) set(asked time.Time, list []tw.Machine) {
+	latest := &MachineList{Machines: make(map[tw.InstanceID]tw.Machine, len(list)), Asked: asked}
+	for _, m := range list {
+		latest.Machines[m.ID] = m
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.latest = latest
+}
--- /dev/null
+++ b/run/config.go
@@ -0,0 +1,89 @@
+package run
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+type (
+	// Bounds are the platform's figures that the owner's decisions rest on.
+	Bounds struct {
+		// MaxHold is the longest time for which a worker lets work run on
+		// without a new order.
+		MaxHold time.Duration
+		// StopTime is how long a stop may take at a worker.
+		StopTime time.Duration
+		// HarmTime is how long a subtask that serves users may stay over its
+		// tail target because of fillers.
+		HarmTime time.Duration
+		// PaceTime is how long a change of pace takes to show.
+		PaceTime time.Duration
+		// KeepEnded is how long the state of an ended submission is told.
+		KeepEnded time.Duration
+		// FarFactor times the run time is that of a subtask away from its data.
+		FarFactor float64
+	}
+
+	// Config configures an Owner.
+	Config struct {
+		Book *ledger.Book
+		// Loaded is what the book held when it was opened.
+		Loaded  []ledger.Loaded
+		Self    ledger.Owner
+		KV      tw.KV
+		Orders  tw.WorkerOrders
+		Advisor tw.Advisor
+		Census  *Census
+		Clock   tw.Clock
+		Log     *zap.Logger
+		Metrics *metrics.Set
+		Bounds  Bounds
+		// Deposed is told when another daemon has taken the pool.
+		Deposed func()
+	}
+)
+
+// Figures of the owner's duties. Those that follow from the platform's bounds
+// are worked out in the code.
+const (
+	// confirmEvery: an ownership that nothing else confirmed is confirmed by
+	// an empty write.
+	confirmEvery = 1500 * time.Millisecond
+	// permitTime is how long an owner gives orders after its ownership was
+	// last confirmed. It covers the outages of the store of about 5 s.
+	permitTime = 6 * time.Second
+	// flushGap gathers changes into one write; the store answers in 4 ms.
+	flushGap = 15 * time.Millisecond
+	// flushRetry is the pause after a write that the store refused.
+	flushRetry = 150 * time.Millisecond
+	// stalledAfter: a write that is not answered by then makes the owner
+	// refuse submissions. It is twice the slow store's 240 ms.
+	stalledAfter = 500 * time.Millisecond
+	// gatherEnds lets ends gather at a worker before the next look. Looks are
+	// priced; objectives are above 1 s.
+	gatherEnds = 150 * time.Millisecond
+	// longLook is how long a worker may wait for an end to report.
+	longLook = 2 * time.Second
+	// closeLook is the same where tails must be watched or a run is overdue.
+	closeLook = 600 * time.Millisecond
+	// lookRetry is the pause after a look that got no answer.
+	lookRetry = 300 * time.Millisecond
+	// confirmEndsAfter: an idle worker is told of recorded ends within this.
+	confirmEndsAfter = 700 * time.Millisecond
+	// clockDrift is how much slower a worker's clock may run.
+	clockDrift = 1.02
+	// grantMargin covers rounding and the way of an order to a worker.
+	grantMargin = 200 * time.Millisecond
+	// eventQueue bounds what waits for the loop; senders wait when it is full.
+	eventQueue = 1024
+	// sessionQueue bounds the orders that wait for a worker.
+	sessionQueue = 256
+	// goneAfter is how long an entry may be missing from the list of workers
+	// after the store was disturbed; the users' letter gives about 2 s.
+	goneAfter = 2500 * time.Millisecond
+)
--- /dev/null
+++ b/run/end.go
@@ -0,0 +1,189 @@
+package run
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// takeEnd takes up an end that a worker lists.
+func (o *Owner) takeEnd(w *worker, e tw.EndedSubtask) {
+	o.metrics.endedRun(e.Kind)
+	r := w.runs[runKey{task: e.Subtask, run: e.Run}]
+	var t *task
+	if r != nil {
+		t = r.task
+	} else if sub := o.submissions[e.Subtask.Submission]; sub != nil {
+		t = sub.task(e.Subtask)
+	}
+	o.logEnd(w, e, r)
+	if t == nil {
+		return
+	}
+	if r != nil {
+		o.judge(w, r, e.Kind)
+		delete(w.runs, w.key(r))
+		t.drop(r)
+	}
+	t.endedAt = o.now
+	o.placeSoon = true
+	if t.step.rep.sub.final != "" {
+		return
+	}
+	switch e.Kind {
+	case tw.EndDone:
+		o.taskDone(t, e.Run)
+	case tw.EndFailed:
+		o.taskFailed(w, t, e.Run)
+	default:
+		o.taskInterrupted(t, e)
+	}
+}
+
+func (o *Owner) logEnd(w *worker, e tw.EndedSubtask, r *runState) {
+	fields := []zap.Field{
+		zap.Stringer("subtask", e.Subtask), zap.Int64("run", int64(e.Run)), zap.String("worker", string(w.entry.ID)),
+		zap.String("kind", string(e.Kind)), zap.Int64("sequence", e.Sequence),
+	}
+	if r != nil {
+		fields = append(fields, zap.Duration("ran", o.now.Sub(r.startedAt)))
+		if r.why != "" {
+			fields = append(fields, zap.String("stopped_for", r.why))
+		}
+	}
+	o.log.Info("run: ended", fields...)
+}
+
+// taskDone records that a subtask is done. One member's end stands for a gang.
+func (o *Owner) taskDone(t *task, run tw.RunNumber) {
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	sub := t.step.rep.sub
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		m.done = true
+		m.step.done++
+		sub.progress.Step(m.id.Repetition, m.id.Step).Done.Add(m.id.Index)
+		for _, copied := range m.runs {
+			if copied.run != run {
+				o.stop(copied, "a copy of it is done")
+			}
+		}
+	}
+	o.writer.mark(sub)
+	if t.step.done == t.step.spec.Count {
+		o.stepDone(t.step)
+	}
+}
+
+func (o *Owner) stepDone(st *step) {
+	st.rep.open--
+	if st.rep.open == 0 {
+		o.settleFinished(st.rep.sub)
+	}
+}
+
+// settleFinished closes the repetitions that are done, and the submission
+// with the last of them.
+func (o *Owner) settleFinished(sub *submission) {
+	if sub.over() {
+		return
+	}
+	for k, rep := range sub.reps {
+		if rep.open == 0 {
+			delete(sub.reps, k)
+		}
+	}
+	for sub.progress.Finished < sub.nextRep && sub.reps[sub.progress.Finished] == nil {
+		delete(sub.progress.Repetitions, sub.progress.Finished)
+		sub.progress.Finished++
+	}
+	if sub.progress.Finished >= sub.Repetitions() {
+		o.conclude(sub, tw.Succeeded, "all subtasks are done")
+	}
+}
+
+// taskFailed counts a failure; with the last attempt the submission fails.
+func (o *Owner) taskFailed(w *worker, t *task, run tw.RunNumber) {
+	if t.done {
+		return
+	}
+	t.lastWorker = w.entry.ID
+	spec := t.step.spec
+	if !t.fail(run) || spec.Lasting {
+		return
+	}
+	sub := t.step.rep.sub
+	p := sub.progress.Step(t.id.Repetition, t.id.Step)
+	if p.Failures == nil {
+		p.Failures = map[int][]tw.RunNumber{}
+	}
+	p.Failures[t.id.Index] = append(p.Failures[t.id.Index], run)
+	o.writer.mark(sub)
+	if t.failed() >= sub.Policy.Attempts {
+		o.conclude(sub, tw.Failed, "subtask "+t.id.String()+" has failed in all its attempts")
+	}
+}
+
+// taskInterrupted keeps the checkpoint of a run that did not end by itself.
+func (o *Owner) taskInterrupted(t *task, e tw.EndedSubtask) {
+	if e.Saved == "" || t.done || !t.step.spec.Checkpoints {
+		return
+	}
+	t.saved = e.Saved
+	p := t.step.rep.sub.progress.Step(t.id.Repetition, t.id.Step)
+	if p.Saved == nil {
+		p.Saved = map[int]tw.Checkpoint{}
+	}
+	p.Saved[t.id.Index] = e.Saved
+	o.writer.mark(t.step.rep.sub)
+}
+
+// judge learns from the end of a run how its worker does.
+func (o *Owner) judge(w *worker, r *runState, kind tw.EndKind) {
+	took := o.now.Sub(r.startedAt)
+	switch kind {
+	case tw.EndDone:
+		w.health.failures = 0
+		w.tookTime(took, o.expected(r.task.step))
+		o.learn(r.task, took)
+	case tw.EndFailed:
+		o.judgeFailure(w, r.task)
+	}
+}
+
+// judgeFailure shuns a worker that fails several runs in a row, unless these
+// fail elsewhere too. Lasting subtasks may fail at any time.
+func (o *Owner) judgeFailure(w *worker, t *task) {
+	if t.failed() > 0 && t.lastWorker != w.entry.ID {
+		return
+	}
+	w.health.failures++
+	if w.health.failures >= failuresToShun {
+		w.health.failures = 0
+		o.shun(w, shunTime, "it fails what it starts")
+	}
+}
+
+// shun keeps new work away from a worker for a while, but never from more
+// than half of the workers.
+func (o *Owner) shun(w *worker, d time.Duration, why string) {
+	shunned := 0
+	for _, other := range o.workers {
+		if o.now.Before(other.health.shunUntil) {
+			shunned++
+		}
+	}
+	if 2*(shunned+1) > len(o.workers) {
+		return
+	}
+	w.health.shunUntil = o.now.Add(d)
+	o.log.Info("worker: given no work", zap.String("worker", string(w.entry.ID)),
+		zap.String("why", why), zap.Duration("for", d))
+}
--- /dev/null
+++ b/run/estimate.go
@@ -0,0 +1,115 @@
+package run
+
+import (
+	"math"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// learnKey is what run times are learned for.
+type learnKey struct {
+	route tw.RouteName
+	image string
+}
+
+const (
+	// learnWeight smooths over about the last ten subtasks of a route.
+	learnWeight = 0.1
+	// overdueFactor: a run that takes so many times what its step's other
+	// subtasks took is overdue. These differ by about 15%.
+	overdueFactor = 1.8
+	// overdueSlack is added, for short work and the way of its end here.
+	overdueSlack = 400 * time.Millisecond
+	// defaultEstimate stands in for a guess that the caller left out.
+	defaultEstimate = time.Second
+)
+
+func keyOf(st *step) learnKey {
+	return learnKey{route: st.rep.sub.Policy.Route, image: st.spec.Image}
+}
+
+func guess(spec *tw.Step) time.Duration {
+	if spec.Estimate > 0 {
+		return spec.Estimate
+	}
+	return defaultEstimate
+}
+
+// expected is how long a subtask of the step runs: what its siblings took,
+// else the caller's guess corrected by what was learned of the route.
+func (o *Owner) expected(st *step) time.Duration {
+	if st.tookRuns > 0 {
+		return st.took / time.Duration(st.tookRuns)
+	}
+	if factor, known := o.learned[keyOf(st)]; known {
+		return time.Duration(math.Exp(factor) * float64(guess(st.spec)))
+	}
+	return guess(st.spec)
+}
+
+// learn notes how long a subtask took. Guesses are off by a factor, so the
+// logarithm is what is averaged.
+func (o *Owner) learn(t *task, took time.Duration) {
+	st := t.step
+	if t.saved == "" { // else it did not run its whole time
+		st.took += took
+		st.tookRuns++
+	}
+	if took <= 0 {
+		return
+	}
+	ratio := math.Log(float64(took) / float64(guess(st.spec)))
+	key := keyOf(st)
+	if have, known := o.learned[key]; known {
+		o.learned[key] = have + learnWeight*(ratio-have)
+	} else {
+		o.learned[key] = ratio
+	}
+}
+
+// overdue tells whether a run takes far longer than its siblings took.
+func (o *Owner) overdue(r *runState) bool {
+	limit := time.Duration(overdueFactor*float64(o.expected(r.task.step))) + overdueSlack
+	return o.now.Sub(r.startedAt) > limit
+}
+
+// chain is the longest chain of run times from a step on, over the steps that
+// are not done, by step.
+func (o *Owner) chain(rep *repetition) []time.Duration {
+	ends := make([]time.Duration, len(rep.steps))
+	rest := make([]time.Duration, len(rep.steps))
+	for i, st := range rep.steps {
+		var from time.Duration
+		for _, earlier := range st.spec.After {
+			from = max(from, ends[earlier])
+		}
+		ends[i] = from + o.expected(st)
+	}
+	for i := len(rep.steps) - 1; i >= 0; i-- {
+		st := rep.steps[i]
+		if st.done < st.spec.Count {
+			rest[i] += o.expected(st)
+		}
+		for _, earlier := range st.spec.After {
+			rest[earlier] = max(rest[earlier], rest[i])
+		}
+	}
+	return rest
+}
+
+// objective is the time from a repetition's due time within which it should
+// end.
+func (o *Owner) objective(rep *repetition) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(rep.steps))
+	for i, st := range rep.steps {
+		for _, earlier := range st.spec.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += o.expected(st)
+		longest = max(longest, ends[i])
+	}
+	policy := rep.sub.Policy
+	return time.Duration(policy.Stretch*float64(longest)) + policy.Target
+}
--- /dev/null
+++ b/run/feed.go
@@ -0,0 +1,245 @@
+package run
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// WorkerList is the pool's part of the list of workers.
+type WorkerList struct {
+	Workers map[tw.WorkerID]tw.WorkerEntry
+	// Settled says since when the store has been reachable without a break;
+	// entries may be missing for a while after that.
+	Settled time.Time
+}
+
+// SetWorkers hands over a new list of workers.
+func (o *Owner) SetWorkers(ctx context.Context, list WorkerList) {
+	o.post(ctx, func() { o.setWorkers(list) })
+}
+
+// Vacate names the machines that are to be emptied for something else.
+func (o *Owner) Vacate(ctx context.Context, machines map[tw.InstanceID]bool) {
+	o.post(ctx, func() {
+		o.vacate = machines
+		for _, w := range o.workers {
+			w.leaving = machines[w.entry.Instance]
+		}
+		o.placeSoon = true
+	})
+}
+
+func (o *Owner) setWorkers(list WorkerList) {
+	o.feedAt = list.Settled
+	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
+		o.setWorker(list.Workers[id])
+	}
+	for id, w := range o.workers {
+		if _, listed := list.Workers[id]; listed {
+			continue
+		}
+		if w.listed {
+			w.listed = false
+			w.missingFrom = o.now
+			o.log.Info("worker: no longer listed", zap.String("worker", string(id)), zap.Int("runs", len(w.runs)))
+		}
+	}
+	o.placeSoon = true
+}
+
+func (o *Owner) setWorker(entry tw.WorkerEntry) {
+	w := o.workers[entry.ID]
+	if w == nil {
+		w = o.addWorker(entry)
+	}
+	if entry.Draining && !w.entry.Draining {
+		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
+			zap.Duration("remaining", entry.Remaining), zap.Int("runs", len(w.runs)))
+	}
+	w.entry = entry
+	w.listed = true
+	w.leaving = o.vacate[entry.Instance]
+	o.buryFormerLives(w)
+}
+
+func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
+	w := &worker{
+		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(),
+		// Whoever owned the pool before may have prolonged what runs there
+		// until its permit ended.
+		doubtUntil: o.takenAt.Add(permitTime + o.holdBound()),
+	}
+	w.inheritedDoubt = o.now.Sub(o.takenAt) < settleTime
+	w.session = newSession(o, entry.Ref())
+	o.workers[entry.ID] = w
+	o.log.Info("worker: listed", zap.String("worker", string(entry.ID)), zap.String("instance", string(entry.Instance)),
+		zap.String("rack", string(entry.Rack())), zap.Int64("cpu", int64(entry.Capacity.CPU)))
+	return w
+}
+
+// settleTime is how long after a takeover a worker that appears counts as one
+// that the former owner may have used. Workers that really are new answer
+// their first look at once, so that this costs nothing.
+const settleTime = 5 * time.Second
+
+// holdBound is the local time for which a hold can keep work alive.
+func (o *Owner) holdBound() time.Duration {
+	return time.Duration(float64(o.bounds.MaxHold)*clockDrift) + grantMargin
+}
+
+// freeRank is the lowest rank that no worker has, so that ranks stay stable.
+func (o *Owner) freeRank() int {
+	used := map[int]bool{}
+	for _, w := range o.workers {
+		used[w.rank] = true
+	}
+	rank := 0
+	for used[rank] {
+		rank++
+	}
+	return rank
+}
+
+// buryFormerLives ends the doubt about former workers of the same machine.
+func (o *Owner) buryFormerLives(w *worker) {
+	if w.entry.Instance == "" {
+		return
+	}
+	for _, other := range o.workers {
+		if other != w && other.entry.Instance == w.entry.Instance && !other.listed {
+			o.bury(other, "its machine has a new worker")
+		}
+	}
+}
+
+// bury drops a worker whose life has certainly ended, with all that ran there.
+func (o *Owner) bury(w *worker, why string) {
+	o.log.Info("worker: ended", zap.String("worker", string(w.entry.ID)), zap.String("why", why),
+		zap.Int("runs", len(w.runs)))
+	w.session.close()
+	delete(o.workers, w.entry.ID)
+	for _, r := range w.runs {
+		o.runGone(r, "its worker has ended")
+	}
+	o.placeSoon = true
+}
+
+// watchWorkers resolves doubts about workers that do not answer.
+func (o *Owner) watchWorkers() time.Time {
+	var next time.Time
+	for _, w := range o.workers {
+		if !w.listed && o.mayDrop(w) {
+			o.bury(w, "not listed any more, and nothing of it is left")
+			continue
+		}
+		if w.silentFrom.IsZero() && w.known && w.listed {
+			continue
+		}
+		if !w.silentFrom.IsZero() || !w.listed {
+			o.census.Want(o.now)
+		}
+		if !w.doubtUntil.IsZero() && !o.now.Before(w.doubtUntil) {
+			if !w.listed || w.unanswered > 0 {
+				o.expire(w)
+			}
+		}
+		next = earlier(next, o.now.Add(lookRetry))
+	}
+	o.consultCensus()
+	if next.IsZero() {
+		return o.now.Add(confirmEvery)
+	}
+	return next
+}
+
+// mayDrop tells whether an unlisted worker needs no more attention.
+func (o *Owner) mayDrop(w *worker) bool {
+	missing := o.now.Sub(w.missingFrom) > goneAfter && o.now.Sub(o.feedAt) > goneAfter
+	if !missing || len(w.runs) > 0 || w.inheritedDoubt {
+		return false
+	}
+	return w.told >= w.seen || w.unanswered > 2
+}
+
+// expire drops the runs of a worker that has not answered until everything
+// that was granted there has run out.
+func (o *Owner) expire(w *worker) {
+	if len(w.runs) == 0 && !w.inheritedDoubt {
+		return
+	}
+	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)),
+		zap.Duration("silent", o.now.Sub(w.silentFrom)), zap.Int("runs", len(w.runs)))
+	w.inheritedDoubt = false
+	w.known = false // it must be looked at before it is used again
+	for _, r := range w.runs {
+		o.runGone(r, "lapsed on a silent worker")
+	}
+	o.placeSoon = true
+}
+
+// consultCensus ends doubts by the platform's list of machines.
+func (o *Owner) consultCensus() {
+	list := o.census.Latest()
+	if list == nil {
+		return
+	}
+	if !o.counted && list.Asked.After(o.takenAt) {
+		o.counted = true
+		o.addUnlisted(list)
+	}
+	for _, w := range o.workers {
+		silent := !w.silentFrom.IsZero() && list.Asked.After(w.silentFrom)
+		unlisted := !w.listed && list.Asked.After(w.missingFrom)
+		if !silent && !unlisted {
+			continue
+		}
+		machine, found := list.Machines[w.entry.Instance]
+		switch {
+		case w.entry.Instance == "":
+		case !found:
+			o.bury(w, "its machine has left")
+		case machine.State != tw.MachineUp:
+			o.bury(w, "its machine is "+string(machine.State))
+		case machine.Worker != "" && machine.Worker != w.entry.ID:
+			o.bury(w, "its machine runs another worker")
+		}
+	}
+}
+
+// addUnlisted adds the workers of the pool that run without an entry in the
+// list of workers, as after an outage: the former owner may have used them.
+func (o *Owner) addUnlisted(list *MachineList) {
+	for _, machine := range list.Machines {
+		if machine.Pool != o.pool || machine.Worker == "" || o.workers[machine.Worker] != nil {
+			continue
+		}
+		w := o.addWorker(tw.WorkerEntry{
+			ID: machine.Worker, Pool: machine.Pool, Hall: machine.Hall, Instance: machine.ID,
+			Capacity: machine.Capacity, Labels: machine.Labels,
+		})
+		w.listed = false
+		w.missingFrom = o.now
+	}
+	o.placeSoon = true
+}
+
+// inheritedDoubts tells whether runs of the former owner may be on workers
+// that have not answered.
+func (o *Owner) inheritedDoubts() bool {
+	if !o.counted && o.now.Before(o.takenAt.Add(permitTime+o.holdBound())) {
+		o.census.Want(o.now)
+		return true
+	}
+	for _, w := range o.workers {
+		if w.inheritedDoubt {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/run/look.go
@@ -0,0 +1,241 @@
+package run
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// lookAround sends the looks that are due and returns when the next one is.
+func (o *Owner) lookAround() time.Time {
+	var next time.Time
+	if !o.permit.valid(o.now) {
+		return next
+	}
+	for _, w := range o.workers {
+		if w.looking || w.entry.Address == "" {
+			continue
+		}
+		at, wait, wanted := o.lookDue(w)
+		if !wanted {
+			continue
+		}
+		if o.now.Before(at) {
+			next = earlier(next, at)
+			continue
+		}
+		o.look(w, wait)
+	}
+	return next
+}
+
+// lookDue tells whether and when a worker is to be looked at next, and how
+// long it may wait for an end to report.
+func (o *Owner) lookDue(w *worker) (at time.Time, wait time.Duration, wanted bool) {
+	if w.unanswered > 0 || !w.known {
+		return w.nextLook, 0, true
+	}
+	if len(w.runs) == 0 {
+		return w.lookedAt.Add(confirmEndsAfter), 0, w.told < w.recorded
+	}
+	if w.recorded < w.seen {
+		// Until the ends are recorded, the worker would report them again at
+		// once.
+		return w.lookedAt.Add(confirmEvery), 0, true
+	}
+	return w.nextLook, o.lookWait(w), true
+}
+
+// lookWait is shorter where tails are to be watched or a run is overdue.
+func (o *Owner) lookWait(w *worker) time.Duration {
+	serving, fillers := false, false
+	for _, r := range w.runs {
+		if r.phase == unclear || r.phase == blocked {
+			return 0
+		}
+		if r.task == nil {
+			continue
+		}
+		spec := r.task.step.spec
+		serving = serving || spec.TailTarget > 0
+		fillers = fillers || spec.Filler
+		if spec.Lasting && r.percent < fullPace {
+			return closeLook
+		}
+		if !spec.Lasting && o.overdue(r) {
+			return closeLook
+		}
+	}
+	if serving && fillers {
+		return closeLook
+	}
+	return longLook
+}
+
+func (o *Owner) look(w *worker, wait time.Duration) {
+	o.lookSeq++
+	hold := tw.HoldOrder{Fence: o.self.Fence, Seen: w.recorded, Wait: wait}
+	if w.known && w.unanswered == 0 {
+		hold.Deadline = w.clockNow(o.now).Add(o.bounds.MaxHold)
+		w.doubtUntil = o.now.Add(o.holdBound())
+	}
+	w.looking = true
+	o.metrics.looks.Inc()
+	w.session.looks <- lookOrder{hold: hold, seq: o.lookSeq, done: func(result lookResult) {
+		o.looked(w, hold, result)
+	}}
+}
+
+// looked takes up the outcome of a look.
+func (o *Owner) looked(w *worker, hold tw.HoldOrder, result lookResult) {
+	w.looking = false
+	if o.workers[w.entry.ID] != w {
+		return
+	}
+	now := o.now
+	if result.err != nil {
+		o.lookFailed(w, result.err)
+		return
+	}
+	if w.unanswered > 0 {
+		o.log.Info("worker: answers again", zap.String("worker", string(w.entry.ID)),
+			zap.Duration("silent", now.Sub(w.silentFrom)))
+	}
+	w.heard(now, result.report.Clock)
+	w.lookedAt = now
+	w.told = max(w.told, hold.Seen)
+	w.nextLook = now.Add(gatherEnds)
+	first := !w.known
+	w.known, w.inheritedDoubt = true, false
+	o.takeEnds(w, result.report.Ended)
+	o.takeRunning(w, result)
+	if first {
+		w.nextLook = now
+		o.log.Info("worker: answers", zap.String("worker", string(w.entry.ID)),
+			zap.Int("running", len(result.report.Running)), zap.Int("ended", len(result.report.Ended)))
+	}
+	o.watchTails(w)
+	o.placeSoon = true
+}
+
+func (o *Owner) lookFailed(w *worker, err error) {
+	switch {
+	case tw.RefusedFor(err, tw.RefusedLife):
+		o.bury(w, "another worker answers at its address")
+		return
+	case tw.RefusedFor(err, tw.RefusedFence):
+		o.depose("a worker has a newer owner")
+		return
+	}
+	var refused *tw.OrderRefused
+	if !errors.As(err, &refused) {
+		if w.unanswered == 0 {
+			o.log.Info("worker: does not answer", zap.String("worker", string(w.entry.ID)),
+				zap.Int("runs", len(w.runs)), zap.Error(err))
+		}
+		w.unheard(o.now)
+	}
+	w.nextLook = o.now.Add(lookRetry)
+}
+
+// takeEnds takes up the ends that were not seen before.
+func (o *Owner) takeEnds(w *worker, ended []tw.EndedSubtask) {
+	for _, e := range ended {
+		if e.Sequence <= w.seen {
+			continue
+		}
+		w.seen = e.Sequence
+		o.takeEnd(w, e)
+	}
+}
+
+// takeRunning compares what runs with what is believed to run.
+func (o *Owner) takeRunning(w *worker, result lookResult) {
+	listed := make(map[runKey]bool, len(result.report.Running))
+	for _, running := range result.report.Running {
+		key := runKey{task: running.Subtask, run: running.Run}
+		listed[key] = true
+		r := w.runs[key]
+		if r == nil {
+			r = o.adopt(w, running)
+		}
+		o.takeProgress(r, running)
+	}
+	for key, r := range w.runs {
+		if listed[key] || r.visibleFrom > result.seq {
+			continue
+		}
+		o.missing(w, r)
+	}
+}
+
+// adopt takes up a run of a former owner, or one whose start was given up.
+func (o *Owner) adopt(w *worker, listed tw.RunningSubtask) *runState {
+	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, movedAt: o.now, pace: fullPace}
+	var t *task
+	if sub := o.submissions[listed.Subtask.Submission]; sub != nil {
+		t = sub.task(listed.Subtask)
+	}
+	if t == nil {
+		// Nothing is known of its needs: it is stopped, and takes the whole
+		// worker until it is gone.
+		t = strayTask(listed.Subtask)
+		r.claim = w.entry.Capacity
+	} else {
+		r.claim = t.step.spec.Claim()
+	}
+	r.task = t
+	t.runs = append(t.runs, r)
+	w.runs[w.key(r)] = r
+	sub := t.step.rep.sub
+	switch {
+	case sub.over() || t.done:
+		o.stop(r, "its submission has ended")
+	case len(t.runs) > 1 && !t.step.spec.Copies:
+		o.stop(r, "it runs elsewhere")
+	default:
+		o.begin(sub)
+	}
+	return r
+}
+
+// strayTask stands for a subtask of which nothing is known.
+func strayTask(id tw.SubtaskID) *task {
+	sub := &submission{Submission: tw.Submission{ID: id.Submission}, final: tw.Cancelled}
+	st := &step{rep: &repetition{sub: sub}, spec: &tw.Step{Count: 1}}
+	return &task{id: id, step: st}
+}
+
+func (o *Owner) takeProgress(r *runState, running tw.RunningSubtask) {
+	if r.phase == starting || r.phase == unclear {
+		o.confirmStart(r)
+	}
+	if running.Percent != r.percent {
+		r.percent, r.movedAt = running.Percent, o.now
+	}
+	if running.Saved != "" {
+		r.task.saved = running.Saved
+	}
+	r.tail = running.Tail
+}
+
+// missing handles a run that a look does not list though it should, if it
+// existed.
+func (o *Owner) missing(w *worker, r *runState) {
+	switch r.phase {
+	case starting:
+		return // its answer is still to come
+	case unclear:
+		// The order may still be carried out, unless a stop forbids it.
+		o.stop(r, "its start was not answered")
+	case stopping:
+		return // the stop has not been answered yet
+	default:
+		o.log.Warn("run: not there any more", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
+			zap.String("worker", string(w.entry.ID)), zap.Stringer("phase", r.phase))
+		o.runGone(r, "not listed by its worker")
+	}
+}
--- /dev/null
+++ b/run/metrics.go
@@ -0,0 +1,57 @@
+package run
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// ownerMetrics are the counters and histograms of a pool.
+type ownerMetrics struct {
+	set      *metrics.Set
+	pool     tw.PoolID
+	accepted *metrics.Counter
+	refused  *metrics.Counter
+	looks    *metrics.Counter
+	// toStart is from acceptance to the first order, in seconds.
+	toStart   *metrics.Histogram
+	toEnd     *metrics.Histogram
+	writeTime *metrics.Histogram
+	placeTime *metrics.Histogram
+}
+
+func newOwnerMetrics(set *metrics.Set, pool tw.PoolID) *ownerMetrics {
+	m := &ownerMetrics{set: set, pool: pool}
+	m.accepted = set.GetOrCreateCounter(m.name("submissions_accepted_total"))
+	m.refused = set.GetOrCreateCounter(m.name("submissions_refused_total"))
+	m.looks = set.GetOrCreateCounter(m.name("worker_looks_total"))
+	m.toStart = set.GetOrCreateHistogram(m.name("submission_start_seconds"))
+	m.toEnd = set.GetOrCreateHistogram(m.name("submission_end_seconds"))
+	m.writeTime = set.GetOrCreateHistogram(m.name("ledger_write_seconds"))
+	m.placeTime = set.GetOrCreateHistogram(m.name("placement_pass_seconds"))
+	return m
+}
+
+func (m *ownerMetrics) name(metric string) string {
+	return fmt.Sprintf("tamarind_%s{pool=%q}", metric, string(m.pool))
+}
+
+func (m *ownerMetrics) count(metric, label, value string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("tamarind_%s{pool=%q,%s=%q}", metric, string(m.pool), label, value)).Inc()
+}
+
+// started counts an order to start by its outcome.
+func (m *ownerMetrics) started(outcome string) { m.count("starts_total", "outcome", outcome) }
+
+// endedRun counts the end of a run by its kind.
+func (m *ownerMetrics) endedRun(kind tw.EndKind) { m.count("run_ends_total", "kind", string(kind)) }
+
+// stopped counts stops by their reason.
+func (m *ownerMetrics) stopped(reason string) { m.count("stops_total", "reason", reason) }
+
+// ended counts submissions by their final state.
+func (m *ownerMetrics) ended(state tw.SubmissionState) {
+	m.count("submissions_ended_total", "state", string(state))
+}
--- /dev/null
+++ b/run/owner.go
@@ -0,0 +1,290 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+// Owner owns a pool. Make one with Config.New, end it with Close.
+type Owner struct {
+	pool    tw.PoolID
+	self    ledger.Owner
+	kv      tw.KV
+	orders  tw.WorkerOrders
+	advisor *adviser
+	census  *Census
+	clock   tw.Clock
+	log     *zap.Logger
+	metrics *ownerMetrics
+	bounds  Bounds
+	deposed func()
+
+	events chan func()
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	permit permit
+
+	// What follows belongs to the loop.
+
+	now         time.Time
+	takenAt     time.Time
+	submissions map[tw.SubmissionID]*submission
+	// live are the submissions that have not ended.
+	live       map[tw.SubmissionID]*submission
+	waiting    map[tw.RouteName]int
+	workers    map[tw.WorkerID]*worker
+	lookSeq    int64
+	runCounter tw.RunNumber
+	// placeSoon asks for a placement pass.
+	placeSoon bool
+	writer    *writer
+	learned   map[learnKey]float64
+	vacate    map[tw.InstanceID]bool
+	feedAt    time.Time
+	// counted: the list of machines was read since the takeover.
+	counted bool
+	failed  bool
+}
+
+// Errors that callers of an Owner get. Further ones are those of tw.KV:
+// ErrUnavailable and ErrRateLimited prove that nothing was done.
+var (
+	ErrNotOwner = errors.New("this daemon does not own the pool")
+	ErrUnknown  = errors.New("no such submission")
+)
+
+// runBase spaces the run numbers of successive owners, so that a new owner's
+// are higher without a record of the last one. An owner starts fewer.
+const runBase = 10_000_000
+
+// New starts the owner's duties.
+func (c Config) New() *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := c.Clock.Now()
+	o := &Owner{
+		pool: c.Self.Pool, self: c.Self, kv: c.KV, orders: c.Orders,
+		census: c.Census, clock: c.Clock, bounds: c.Bounds, deposed: c.Deposed,
+		log:    c.Log.With(zap.String("pool", string(c.Self.Pool)), zap.Int64("fence", int64(c.Book.Fence()))),
+		events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		now: now, takenAt: now, feedAt: now,
+		submissions: map[tw.SubmissionID]*submission{},
+		live:        map[tw.SubmissionID]*submission{},
+		waiting:     map[tw.RouteName]int{},
+		workers:     map[tw.WorkerID]*worker{},
+		learned:     map[learnKey]float64{},
+		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
+		placeSoon:   true,
+	}
+	o.metrics = newOwnerMetrics(c.Metrics, c.Self.Pool)
+	o.advisor = newAdviser(o, c.Advisor)
+	o.writer = newWriter(o, c.Book)
+	o.permit.extend(now.Add(permitTime))
+	for _, l := range c.Loaded {
+		o.takeUp(l)
+	}
+	o.log.Info("owner: taken", zap.Int("submissions", len(o.submissions)))
+	go func() {
+		defer close(o.done)
+		o.loop()
+	}()
+	return o
+}
+
+// takeUp takes a submission as the store has it.
+func (o *Owner) takeUp(l ledger.Loaded) {
+	if l.Record.Final != "" {
+		o.submissions[l.ID] = &submission{
+			Submission: tw.Submission{ID: l.ID}, durable: true, final: l.Record.Final, endedAt: o.now,
+		}
+		return
+	}
+	if l.Record.Submission == nil {
+		o.log.Error("owner: record without a submission", zap.String("submission", string(l.ID)))
+		return
+	}
+	sub := newSubmission(*l.Record.Submission, l.Progress)
+	sub.durable = true
+	sub.inherited = true
+	o.add(sub)
+}
+
+func (o *Owner) add(sub *submission) {
+	o.submissions[sub.ID] = sub
+	o.live[sub.ID] = sub
+	o.waiting[sub.Policy.Route]++
+	if sub.ending != "" {
+		o.writer.mark(sub)
+	}
+	o.open(sub)
+}
+
+// begin notes that a subtask has been started.
+func (o *Owner) begin(sub *submission) {
+	if !sub.begun {
+		sub.begun = true
+		o.waiting[sub.Policy.Route]--
+	}
+}
+
+// open opens what is due.
+func (o *Owner) open(sub *submission) {
+	begun := sub.begun
+	sub.openDue(o.clock.Now())
+	if sub.begun && !begun {
+		o.waiting[sub.Policy.Route]--
+	}
+	o.settleFinished(sub)
+	o.placeSoon = true
+}
+
+// Pool is the pool that is owned.
+func (o *Owner) Pool() tw.PoolID { return o.pool }
+
+// Fence is the number of the ownership.
+func (o *Owner) Fence() tw.Fence { return o.self.Fence }
+
+// Done is closed when the owner has ended.
+func (o *Owner) Done() <-chan struct{} { return o.done }
+
+// Close ends the ownership without a word to anybody: a successor takes over
+// from the store and the workers.
+func (o *Owner) Close() {
+	o.cancel()
+	<-o.done
+}
+
+// Drain writes down what is not recorded yet and then ends the ownership, for
+// a planned stop.
+func (o *Owner) Drain(ctx context.Context) {
+	flushed := make(chan struct{})
+	o.post(ctx, func() { o.writer.whenIdle(func() { close(flushed) }) })
+	select {
+	case <-flushed:
+	case <-ctx.Done():
+	case <-o.done:
+	}
+	o.Close()
+}
+
+// post hands an event to the loop; false if the owner or the context ended.
+func (o *Owner) post(ctx context.Context, event func()) bool {
+	select {
+	case o.events <- event:
+		return true
+	case <-o.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (o *Owner) loop() {
+	defer o.end()
+	timer := (<-chan time.Time)(nil)
+	var armed time.Time
+	for {
+		next := o.step()
+		if timer == nil || next.Before(armed) || !armed.After(o.now) {
+			armed = next
+			timer = o.clock.After(max(0, next.Sub(o.now)))
+		}
+		select {
+		case <-o.ctx.Done():
+			return
+		case event := <-o.events:
+			o.now = o.clock.Now()
+			event()
+			o.drainEvents()
+		case <-timer:
+			timer = nil
+			o.now = o.clock.Now()
+		}
+	}
+}
+
+// drainEvents handles what has come meanwhile before the next step.
+func (o *Owner) drainEvents() {
+	for range eventQueue {
+		select {
+		case event := <-o.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// step does what is due and returns when something is due again.
+func (o *Owner) step() time.Time {
+	next := o.now.Add(confirmEvery)
+	if o.failed {
+		return next
+	}
+	next = earlier(next, o.openRepetitions())
+	next = earlier(next, o.watchWorkers())
+	if o.placeSoon {
+		o.placeSoon = false
+		o.place()
+	}
+	next = earlier(next, o.watchRuns())
+	next = earlier(next, o.lookAround())
+	return earlier(next, o.writer.flush())
+}
+
+func (o *Owner) end() {
+	o.cancel()
+	for _, w := range o.workers {
+		w.session.close()
+	}
+	for _, w := range o.workers {
+		<-w.session.done
+	}
+	o.writer.close()
+	o.advisor.close()
+	for _, sub := range o.writer.fresh {
+		sub.answer(ErrNotOwner) // it was not sent to the store
+	}
+	for _, sub := range o.submissions {
+		sub.answer(errors.Wrap(tw.ErrUnclear, "run: the ownership ended meanwhile"))
+	}
+	o.log.Info("owner: ended")
+}
+
+// depose ends the ownership because another daemon has it.
+func (o *Owner) depose(why string) {
+	if o.failed {
+		return
+	}
+	o.failed = true
+	o.log.Warn("owner: deposed", zap.String("why", why))
+	o.cancel()
+	if o.deposed != nil {
+		o.deposed()
+	}
+}
+
+// answer tells those who wait for the submission to be recorded.
+func (s *submission) answer(err error) {
+	for _, waiter := range s.waiters {
+		waiter <- err
+	}
+	for _, waiter := range s.enders {
+		waiter <- err
+	}
+	s.waiters, s.enders = nil, nil
+}
+
+// earlier is the earlier of two times; zero is never.
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/run/place.go
@@ -0,0 +1,210 @@
+package run
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+// openRepetitions opens what has become due and returns when the next is.
+func (o *Owner) openRepetitions() time.Time {
+	var next time.Time
+	for _, sub := range o.live {
+		if sub.over() || sub.nextRep >= sub.Repetitions() {
+			continue
+		}
+		if due := sub.Due(sub.nextRep); o.now.Before(due) {
+			next = earlier(next, due)
+			continue
+		}
+		o.open(sub)
+	}
+	return next
+}
+
+// place puts waiting subtasks on workers.
+func (o *Owner) place() {
+	if !o.permit.valid(o.now) {
+		return
+	}
+	began := o.clock.Now()
+	groups := o.groups()
+	if len(groups) == 0 {
+		return
+	}
+	var offers []*schedule.Worker
+	for _, w := range o.workers {
+		if w.usable(o.now) {
+			offers = append(offers, w.offer())
+		}
+	}
+	placements := schedule.Place(groups, offers)
+	gangRuns := map[*step]tw.RunNumber{}
+	for _, p := range placements {
+		t := o.submissions[p.Subtask.Submission].task(p.Subtask)
+		w := o.workers[p.Worker.ID]
+		run := gangRuns[t.step]
+		if run == 0 {
+			run = o.nextRun()
+		}
+		if t.step.spec.Gang {
+			gangRuns[t.step] = run
+		}
+		o.start(t, w, run, o.advisor.ticket(t.step, w.entry.ID))
+	}
+	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
+}
+
+// groups gathers the subtasks that wait for a worker, by step.
+func (o *Owner) groups() []*schedule.Group {
+	var out []*schedule.Group
+	blocked := o.inheritedDoubts()
+	for _, sub := range o.live {
+		if sub.over() || sub.inherited && blocked {
+			continue
+		}
+		for _, rep := range sub.reps {
+			out = o.groupsOf(rep, out)
+		}
+	}
+	return out
+}
+
+func (o *Owner) groupsOf(rep *repetition, out []*schedule.Group) []*schedule.Group {
+	var rest []time.Duration
+	for _, st := range rep.steps {
+		if st.done == st.spec.Count || !st.ready() {
+			continue
+		}
+		g := o.group(st)
+		if g == nil {
+			continue
+		}
+		if rest == nil {
+			rest = o.chain(rep)
+		}
+		g.Urgency = o.urgency(st, rest[st.index])
+		out = append(out, g)
+	}
+	return out
+}
+
+// group is the step's waiting subtasks, or nil.
+func (o *Owner) group(st *step) *schedule.Group {
+	g := &schedule.Group{Step: st.spec, OnWorker: map[tw.WorkerID]int{}}
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			g.OnWorker[r.w.entry.ID]++
+		}
+		switch {
+		case t.done:
+		case !t.active():
+			g.Subtasks = append(g.Subtasks, t.id)
+			o.avoidLast(g, t)
+		case o.wantsCopy(t):
+			g.Subtasks = append(g.Subtasks, t.id)
+			g.Avoid = avoiding(g.Avoid, t.id.Index, t.runs[0].w.entry.ID)
+		}
+	}
+	if len(g.Subtasks) == 0 {
+		return nil
+	}
+	if st.spec.Gang && len(g.Subtasks) < st.spec.Count {
+		return nil // members of the last run are still to end
+	}
+	if st.rep.sub.Policy.Advice.Asks() {
+		allowed, known := o.advisor.allowed(st)
+		if !known {
+			return nil
+		}
+		g.Allowed = allowed
+	}
+	return g
+}
+
+// avoidLast keeps a subtask away from the worker on which it failed, if there
+// are others.
+func (o *Owner) avoidLast(g *schedule.Group, t *task) {
+	if t.lastWorker == "" || len(o.workers) < 2 || o.now.Sub(t.endedAt) > avoidFor {
+		return
+	}
+	g.Avoid = avoiding(g.Avoid, t.id.Index, t.lastWorker)
+}
+
+func avoiding(avoid map[int]map[tw.WorkerID]bool, index int, id tw.WorkerID) map[int]map[tw.WorkerID]bool {
+	if avoid == nil {
+		avoid = map[int]map[tw.WorkerID]bool{}
+	}
+	avoid[index] = map[tw.WorkerID]bool{id: true}
+	return avoid
+}
+
+// wantsCopy tells whether a second run of a subtask is worth its cost.
+func (o *Owner) wantsCopy(t *task) bool {
+	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 {
+		return false
+	}
+	r := t.runs[0]
+	return r.phase != starting && (o.overdue(r) || r.w.unanswered > 0)
+}
+
+func (o *Owner) urgency(st *step, rest time.Duration) schedule.Urgency {
+	policy := st.rep.sub.Policy
+	switch {
+	case st.spec.Filler:
+		return schedule.Urgency{Grade: schedule.GradeFiller, Priority: policy.Priority, Deadline: st.rep.due}
+	case st.spec.Lasting:
+		return schedule.Urgency{Grade: schedule.GradeLasting, Priority: policy.Priority, Deadline: st.rep.due}
+	}
+	return schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
+}
+
+// watchRuns resolves runs that do not go on, and returns when to watch again.
+func (o *Owner) watchRuns() time.Time {
+	next := o.now.Add(watchEvery)
+	for _, w := range o.workers {
+		for _, r := range w.runs {
+			o.watchRun(w, r)
+		}
+	}
+	o.moveLasting()
+	return next
+}
+
+func (o *Owner) watchRun(w *worker, r *runState) {
+	switch {
+	case r.phase == stopping && o.now.Sub(r.paceSent) > stopRetry:
+		o.sendStop(r)
+	case r.phase == running && !r.task.step.spec.Lasting && w.unanswered == 0 && o.stuck(r):
+		o.log.Info("run: stands still", zap.Stringer("subtask", r.task.id), zap.String("worker", string(w.entry.ID)),
+			zap.Int("percent", r.percent), zap.Duration("since", o.now.Sub(r.movedAt)))
+		o.shun(w, shunStuck, "a run stands still there")
+		if o.wantsCopy(r.task) {
+			o.placeSoon = true
+			return
+		}
+		if !r.task.step.spec.Copies {
+			o.stop(r, "it stands still")
+		}
+	}
+}
+
+// stuck tells whether a run made no progress for far longer than it should.
+func (o *Owner) stuck(r *runState) bool {
+	still := o.now.Sub(r.movedAt)
+	return o.overdue(r) && still > stuckAfter && r.w.lookedAt.Sub(r.movedAt) > stuckAfter
+}
+
+const (
+	// avoidFor is how long a subtask waits for another worker than the one
+	// on which it failed.
+	avoidFor = time.Second
+	// watchEvery is the pace at which runs are watched.
+	watchEvery = 200 * time.Millisecond
+	// stuckAfter: the worker's progress report of a run of a second moves
+	// every 10 ms; nothing for so long, seen by looks, is a standstill.
+	stuckAfter = 1200 * time.Millisecond
+)
--- /dev/null
+++ b/run/report.go
@@ -0,0 +1,85 @@
+package run
+
+import (
+	"context"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Report is what the owner of a pool tells the one who moves machines.
+	Report struct {
+		Pool    tw.PoolID    `json:"pool"`
+		Workers []WorkerLoad `json:"workers"`
+		// Demand is the processor need of what runs and of what waits.
+		Running tw.Millicores `json:"running"`
+		Waiting tw.Millicores `json:"waiting"`
+		// Lasting is the part of Running that lasting subtasks take.
+		Lasting tw.Millicores `json:"lasting"`
+	}
+
+	// WorkerLoad is what runs on a worker.
+	WorkerLoad struct {
+		Instance tw.InstanceID `json:"instance"`
+		Worker   tw.WorkerID   `json:"worker"`
+		Capacity tw.Resources  `json:"capacity"`
+		Free     tw.Resources  `json:"free"`
+		Runs     int           `json:"runs"`
+		Lasting  int           `json:"lasting"`
+		// Sound: it answers and takes work.
+		Sound bool `json:"sound"`
+	}
+)
+
+// Report tells how busy the pool is.
+func (o *Owner) Report(ctx context.Context) (Report, error) {
+	reports := make(chan Report, 1)
+	result := make(chan error, 1)
+	err := o.ask(ctx, result, func() {
+		reports <- o.report()
+		result <- nil
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	return <-reports, nil
+}
+
+func (o *Owner) report() Report {
+	out := Report{Pool: o.pool}
+	for _, w := range o.workers {
+		free := w.free()
+		out.Workers = append(out.Workers, WorkerLoad{
+			Instance: w.entry.Instance, Worker: w.entry.ID, Capacity: w.entry.Capacity, Free: free,
+			Runs: len(w.runs), Lasting: w.hasLasting(), Sound: w.usable(o.now),
+		})
+		for _, r := range w.runs {
+			out.Running += r.claim.CPU
+			if r.task.step.spec.Lasting {
+				out.Lasting += r.claim.CPU
+			}
+		}
+	}
+	for _, sub := range o.live {
+		out.Waiting += waitingCPU(sub)
+	}
+	return out
+}
+
+// waitingCPU is the processor need of subtasks that could start now.
+func waitingCPU(sub *submission) tw.Millicores {
+	var need tw.Millicores
+	for _, rep := range sub.reps {
+		for _, st := range rep.steps {
+			if st.done == st.spec.Count || !st.ready() {
+				continue
+			}
+			for _, t := range st.tasks {
+				if !t.done && !t.active() {
+					need += st.spec.Claim().CPU
+				}
+			}
+		}
+	}
+	return need
+}
--- /dev/null
+++ b/run/requests.go
@@ -0,0 +1,260 @@
+package run
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+// Submit keeps a submission and returns when it is durable; that it was
+// already is no error. ErrUnavailable and ErrRateLimited prove that it was
+// not taken; after any other error that is unclear.
+func (o *Owner) Submit(ctx context.Context, s tw.Submission) error {
+	result := make(chan error, 1)
+	return o.ask(ctx, result, func() { o.submit(s, result) })
+}
+
+// Cancel cancels a submission and returns when that is durable.
+func (o *Owner) Cancel(ctx context.Context, id tw.SubmissionID) error {
+	result := make(chan error, 1)
+	return o.ask(ctx, result, func() { o.askCancel(id, result) })
+}
+
+// State tells a submission's state, or fails with ErrUnknown.
+func (o *Owner) State(ctx context.Context, id tw.SubmissionID) (tw.SubmissionState, error) {
+	state := make(chan tw.SubmissionState, 1)
+	result := make(chan error, 1)
+	err := o.ask(ctx, result, func() {
+		sub := o.submissions[id]
+		if sub == nil || !sub.durable {
+			result <- ErrUnknown
+			return
+		}
+		state <- sub.state()
+		result <- nil
+	})
+	if err != nil {
+		return "", err
+	}
+	return <-state, nil
+}
+
+// Waiting counts a route's submissions none of whose subtasks has begun.
+func (o *Owner) Waiting(ctx context.Context, route tw.RouteName) (int, error) {
+	count := make(chan int, 1)
+	result := make(chan error, 1)
+	err := o.ask(ctx, result, func() {
+		count <- o.waiting[route]
+		result <- nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return <-count, nil
+}
+
+// Inbox hands over what another daemon left in the store for this owner.
+func (o *Owner) Inbox(ctx context.Context, message ledger.InboxRecord) {
+	o.post(ctx, func() { o.takeMessage(message) })
+}
+
+func (o *Owner) ask(ctx context.Context, result chan error, event func()) error {
+	if !o.post(ctx, event) {
+		return errors.Mark(errors.New("run: owner is busy or has ended"), ErrNotOwner)
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-o.done:
+		select {
+		case err := <-result:
+			return err
+		default:
+			return errors.Wrap(tw.ErrUnclear, "run: the owner ended meanwhile")
+		}
+	case <-ctx.Done():
+		return errors.Wrap(tw.ErrUnclear, "run: no result in time")
+	}
+}
+
+func (o *Owner) submit(s tw.Submission, result chan<- error) {
+	if have := o.submissions[s.ID]; have != nil {
+		if have.durable {
+			result <- nil
+		} else {
+			have.waiters = append(have.waiters, result)
+		}
+		return
+	}
+	if err := o.writer.refuses(); err != nil {
+		o.metrics.refused.Inc()
+		o.log.Info("submission: refused, the store does not take it", zap.String("submission", string(s.ID)), zap.Error(err))
+		result <- err
+		return
+	}
+	sub := newSubmission(s, ledger.Progress{})
+	sub.waiters = append(sub.waiters, result)
+	o.submissions[s.ID] = sub
+	o.writer.accept(sub)
+}
+
+// accepted is called when a new submission is durable.
+func (o *Owner) accepted(sub *submission) {
+	sub.durable = true
+	o.metrics.accepted.Inc()
+	o.log.Info("submission: accepted", zap.String("submission", string(sub.ID)),
+		zap.String("route", string(sub.Policy.Route)), zap.Int("steps", len(sub.Steps)))
+	o.add(sub)
+	sub.answer(nil)
+}
+
+// refusedByStore is called when a new submission was surely not kept.
+func (o *Owner) refusedByStore(sub *submission, err error) {
+	delete(o.submissions, sub.ID)
+	o.metrics.refused.Inc()
+	o.log.Info("submission: not taken", zap.String("submission", string(sub.ID)), zap.Error(err))
+	sub.answer(err)
+}
+
+// existsAlready is called when another daemon has kept the same id.
+func (o *Owner) existsAlready(sub *submission) {
+	delete(o.submissions, sub.ID)
+	sub.answer(nil)
+	o.fetch(sub.ID)
+}
+
+// fetch reads a submission that another daemon has kept.
+func (o *Owner) fetch(id tw.SubmissionID) {
+	go func() {
+		loaded, err := o.read(id)
+		if err != nil {
+			o.log.Warn("submission: not readable", zap.String("submission", string(id)), zap.Error(err))
+			return
+		}
+		o.post(o.ctx, func() { o.fetched(loaded) })
+	}()
+}
+
+func (o *Owner) read(id tw.SubmissionID) (ledger.Loaded, error) {
+	record, err := ledger.Find(o.ctx, o.kv, id)
+	if err != nil {
+		return ledger.Loaded{}, err
+	}
+	progress, err := ledger.FindProgress(o.ctx, o.kv, record.Pool, id)
+	return ledger.Loaded{ID: id, Record: record, Progress: progress}, err
+}
+
+func (o *Owner) fetched(l ledger.Loaded) {
+	if o.submissions[l.ID] != nil || l.Record.Pool != o.pool {
+		return
+	}
+	o.takeUp(l)
+	o.log.Info("submission: taken up from the store", zap.String("submission", string(l.ID)))
+}
+
+func (o *Owner) takeMessage(m ledger.InboxRecord) {
+	switch m.Kind {
+	case ledger.InboxSubmitted:
+		if o.submissions[m.ID] != nil {
+			break
+		}
+		o.fetchThen(m)
+		return
+	case ledger.InboxCancel:
+		sub := o.submissions[m.ID]
+		if sub == nil {
+			o.fetchThen(m)
+			return
+		}
+		o.cancelSubmission(sub)
+	}
+	o.writer.emptied(m)
+}
+
+// fetchThen takes up the submission that a message is about, then the message.
+func (o *Owner) fetchThen(m ledger.InboxRecord) {
+	go func() {
+		loaded, err := o.read(m.ID)
+		if err != nil && !errors.Is(err, tw.ErrNotFound) {
+			o.log.Warn("inbox: submission not readable, tried again", zap.String("submission", string(m.ID)), zap.Error(err))
+			select {
+			case <-o.clock.After(flushRetry):
+			case <-o.ctx.Done():
+				return
+			}
+			o.post(o.ctx, func() { o.takeMessage(m) })
+			return
+		}
+		o.post(o.ctx, func() {
+			if err == nil {
+				o.fetched(loaded)
+			}
+			if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel {
+				o.cancelSubmission(sub)
+			}
+			o.writer.emptied(m)
+		})
+	}()
+}
+
+func (o *Owner) askCancel(id tw.SubmissionID, result chan<- error) {
+	sub := o.submissions[id]
+	switch {
+	case sub == nil:
+		result <- ErrUnknown
+	case sub.final != "":
+		result <- nil
+	default:
+		sub.enders = append(sub.enders, result)
+		o.cancelSubmission(sub)
+	}
+}
+
+// cancelSubmission stops all runs and has the end recorded.
+func (o *Owner) cancelSubmission(sub *submission) {
+	if sub.over() {
+		return
+	}
+	o.conclude(sub, tw.Cancelled, "asked by the caller")
+}
+
+// conclude ends a submission: nothing of it is started any more, what runs is
+// stopped, and the state is shown once it is recorded.
+func (o *Owner) conclude(sub *submission, state tw.SubmissionState, why string) {
+	if sub.over() {
+		return
+	}
+	sub.ending = state
+	if !sub.begun {
+		sub.begun = true
+		o.waiting[sub.Policy.Route]--
+	}
+	o.log.Info("submission: ends", zap.String("submission", string(sub.ID)),
+		zap.String("state", string(state)), zap.String("why", why))
+	for _, rep := range sub.reps {
+		for _, st := range rep.steps {
+			for _, t := range st.tasks {
+				for _, r := range t.runs {
+					o.stop(r, "submission "+string(state))
+				}
+			}
+		}
+	}
+	o.writer.mark(sub)
+}
+
+// concluded is called when the end is recorded.
+func (o *Owner) concluded(sub *submission) {
+	sub.final = sub.ending
+	sub.endedAt = o.now
+	delete(o.live, sub.ID)
+	sub.Steps, sub.Spec = nil, ""
+	sub.answer(nil)
+	o.metrics.ended(sub.final)
+	o.log.Info("submission: recorded as ended", zap.String("submission", string(sub.ID)),
+		zap.String("state", string(sub.final)), zap.Duration("after", o.now.Sub(sub.Accepted)))
+}
--- /dev/null
+++ b/run/session.go
@@ -0,0 +1,127 @@
+package run
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// session talks to one life of a worker: one goroutine looks, another
+	// gives orders one after the other. Both end with the session's context.
+	session struct {
+		ref    tw.WorkerRef
+		orders tw.WorkerOrders
+		clock  tw.Clock
+		permit *permit
+		looks  chan lookOrder
+		work   chan workOrder
+		events chan<- func()
+		cancel context.CancelFunc
+		done   chan struct{}
+	}
+
+	// permit tells sessions until when the owner may give orders. A daemon
+	// that was paused meanwhile finds it expired.
+	permit struct{ until atomic.Pointer[time.Time] }
+
+	lookOrder struct {
+		hold tw.HoldOrder
+		seq  int64
+		done func(look lookResult)
+	}
+
+	lookResult struct {
+		seq    int64
+		sent   time.Time
+		report tw.HoldReport
+		err    error
+	}
+
+	// workOrder is a start, a stop or a pace; send gives it.
+	workOrder struct {
+		send func(ctx context.Context) (tw.WorkerClock, error)
+		done func(clock tw.WorkerClock, err error)
+	}
+)
+
+func (p *permit) extend(until time.Time) { p.until.Store(&until) }
+
+func (p *permit) valid(now time.Time) bool {
+	until := p.until.Load()
+	return until != nil && now.Before(*until)
+}
+
+// newSession starts a session; close ends it.
+func newSession(o *Owner, ref tw.WorkerRef) *session {
+	ctx, cancel := context.WithCancel(o.ctx)
+	s := &session{
+		ref: ref, orders: o.orders, clock: o.clock, permit: &o.permit, events: o.events, cancel: cancel,
+		looks: make(chan lookOrder, 1), work: make(chan workOrder, sessionQueue), done: make(chan struct{}),
+	}
+	lookerDone := make(chan struct{})
+	go func() {
+		defer close(lookerDone)
+		s.look(ctx)
+	}()
+	go func() {
+		defer close(s.done)
+		s.order(ctx)
+		<-lookerDone
+	}()
+	return s
+}
+
+func (s *session) close() { s.cancel() }
+
+func (s *session) look(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-s.looks:
+			result := lookResult{seq: l.seq, sent: s.clock.Now()}
+			if s.permit.valid(result.sent) {
+				result.report, result.err = s.orders.Hold(ctx, s.ref, l.hold)
+			} else {
+				result.err = tw.ErrUnavailable
+			}
+			s.report(ctx, func() { l.done(result) })
+		}
+	}
+}
+
+func (s *session) order(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-s.work:
+			clock, err := tw.WorkerClock(0), error(tw.ErrUnavailable)
+			if s.permit.valid(s.clock.Now()) {
+				clock, err = w.send(ctx)
+			}
+			s.report(ctx, func() { w.done(clock, err) })
+		}
+	}
+}
+
+// report hands a result to the loop.
+func (s *session) report(ctx context.Context, event func()) {
+	select {
+	case s.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// give queues an order. It returns false if too many wait already.
+func (s *session) give(w workOrder) bool {
+	select {
+	case s.work <- w:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/run/start.go
@@ -0,0 +1,205 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// fullPace is the pace, in percent, at which a subtask starts.
+const fullPace = 100
+
+// nextRun is a run number that no owner has used.
+func (o *Owner) nextRun() tw.RunNumber {
+	o.runCounter++
+	return o.runCounter
+}
+
+// start gives the order to start a subtask on a worker.
+func (o *Owner) start(t *task, w *worker, run tw.RunNumber, ticket string) {
+	r := &runState{
+		task: t, run: run, w: w, phase: starting, claim: t.step.spec.Claim(),
+		startedAt: o.now, movedAt: o.now, pace: fullPace,
+	}
+	sub := t.step.rep.sub
+	order := tw.StartOrder{
+		Subtask: t.id, Run: run, Spec: sub.Spec, Checkpoint: t.checkpoint(), Ticket: ticket,
+		Deadline: w.clockNow(o.now).Add(o.bounds.MaxHold), Fence: o.self.Fence,
+	}
+	sent := w.session.give(workOrder{
+		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.entry.Ref(), order) },
+		done: func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
+	})
+	if !sent {
+		o.metrics.started("queue full")
+		return
+	}
+	w.doubtUntil = o.now.Add(o.holdBound())
+	t.runs = append(t.runs, r)
+	w.runs[w.key(r)] = r
+	if !sub.begun {
+		o.metrics.toStart.Update(o.now.Sub(sub.Accepted).Seconds())
+	}
+	o.begin(sub)
+	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(run)),
+		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
+		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
+}
+
+// checkpoint is what a start goes on from. All members of a gang bring the
+// same, which may be any member's.
+func (t *task) checkpoint() tw.Checkpoint {
+	if !t.step.spec.Gang {
+		return t.saved
+	}
+	for _, member := range t.step.tasks {
+		if member.saved != "" {
+			return member.saved
+		}
+	}
+	return ""
+}
+
+// startAnswered takes up the answer to the order to start.
+func (o *Owner) startAnswered(r *runState, clock tw.WorkerClock, err error) {
+	w := r.w
+	if o.workers[w.entry.ID] != w || w.runs[w.key(r)] != r {
+		return // the run was given up meanwhile
+	}
+	var refused *tw.OrderRefused
+	switch {
+	case err == nil:
+		o.metrics.started("started")
+		w.heard(o.now, clock)
+		o.confirmStart(r)
+	case errors.As(err, &refused):
+		o.startRefused(r, refused)
+	case tw.SurelyNotDone(err):
+		o.metrics.started("not sent")
+		w.unheard(o.now)
+		o.logStart(r, err)
+		o.runGone(r, "not sent")
+	default:
+		o.metrics.started("unanswered")
+		w.unheard(o.now)
+		w.nextLook = o.now
+		o.logStart(r, err)
+		if r.phase == starting {
+			r.phase = unclear
+			r.visibleFrom = o.lookSeq + 1
+		}
+	}
+}
+
+func (o *Owner) logStart(r *runState, err error) {
+	o.log.Info("run: start not confirmed", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
+		zap.String("worker", string(r.w.entry.ID)), zap.Error(err))
+}
+
+// confirmStart notes that a run exists on its worker.
+func (o *Owner) confirmStart(r *runState) {
+	if r.phase != starting && r.phase != unclear {
+		return
+	}
+	r.phase = running
+	r.visibleFrom = o.lookSeq + 1
+	if r.w.nextLook.Before(r.w.lookedAt) {
+		r.w.nextLook = o.now
+	}
+}
+
+// startRefused handles an order that the worker surely did not carry out.
+func (o *Owner) startRefused(r *runState, refused *tw.OrderRefused) {
+	w := r.w
+	o.metrics.started(string(refused.Reason))
+	o.logStart(r, refused)
+	w.heard(o.now, refused.Clock)
+	switch refused.Reason {
+	case tw.RefusedFence:
+		o.depose("a worker has a newer owner")
+		return
+	case tw.RefusedLife:
+		o.bury(w, "another worker answers at its address")
+		return
+	case tw.RefusedRoom, tw.RefusedUnhealthy:
+		w.roomFrom = o.now.Add(roomPause)
+		w.nextLook = o.now
+	case tw.RefusedTicket:
+		o.advisor.invalidate(r.task.step)
+	}
+	o.runGone(r, "refused: "+string(refused.Reason))
+}
+
+// stop tells a worker to stop a run, or never to start it.
+func (o *Owner) stop(r *runState, why string) {
+	if r.phase == stopping || r.phase == blocked {
+		return
+	}
+	r.phase = stopping
+	r.why = why
+	o.metrics.stopped(why)
+	o.log.Info("run: stopped", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
+		zap.String("worker", string(r.w.entry.ID)), zap.String("why", why), zap.Int("percent", r.percent))
+	o.sendStop(r)
+}
+
+func (o *Owner) sendStop(r *runState) {
+	w := r.w
+	order := tw.StopOrder{Subtask: r.task.id, Run: r.run, Fence: o.self.Fence}
+	r.paceSent = o.now
+	w.session.give(workOrder{
+		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Stop(ctx, w.entry.Ref(), order) },
+		done: func(clock tw.WorkerClock, err error) { o.stopAnswered(r, clock, err) },
+	})
+}
+
+func (o *Owner) stopAnswered(r *runState, clock tw.WorkerClock, err error) {
+	w := r.w
+	if o.workers[w.entry.ID] != w || w.runs[w.key(r)] != r {
+		return
+	}
+	switch {
+	case err == nil, tw.RefusedFor(err, tw.RefusedOldRun):
+		w.heard(o.now, clock)
+		r.phase = blocked
+		r.visibleFrom = o.lookSeq + 1
+		w.nextLook = earlier(w.nextLook, o.now.Add(o.bounds.StopTime/2))
+	case tw.RefusedFor(err, tw.RefusedFence):
+		o.depose("a worker has a newer owner")
+	case tw.RefusedFor(err, tw.RefusedLife):
+		o.bury(w, "another worker answers at its address")
+	default:
+		var refused *tw.OrderRefused
+		if !errors.As(err, &refused) {
+			w.unheard(o.now)
+		}
+	}
+}
+
+// stopRetry is the pause after a stop that was not answered.
+const stopRetry = 400 * time.Millisecond
+
+// runGone forgets a run that certainly does not exist any more.
+func (o *Owner) runGone(r *runState, why string) {
+	delete(r.w.runs, r.w.key(r))
+	t := r.task
+	t.drop(r)
+	t.endedAt = o.now
+	o.placeSoon = true
+	if t.step.spec.Gang {
+		o.breakGang(t, r.run, why)
+	}
+}
+
+// breakGang stops the other members of a gang's run.
+func (o *Owner) breakGang(t *task, run tw.RunNumber, why string) {
+	for _, member := range t.step.tasks {
+		if r := member.find(run); r != nil && r.phase != starting {
+			o.stop(r, "a member of its gang is gone: "+why)
+		}
+	}
+}
--- /dev/null
+++ b/run/submission.go
@@ -0,0 +1,271 @@
+package run
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+type (
+	// submission is the owner's view of a submission.
+	submission struct {
+		tw.Submission
+		// inherited submissions were accepted before this ownership: the
+		// former owner may have started their subtasks anywhere.
+		inherited bool
+		// durable: it stands in the store.
+		durable  bool
+		progress ledger.Progress
+		reps     map[int]*repetition
+		// nextRep is the first repetition that has not been opened yet.
+		nextRep int
+		begun   bool
+		// ending is the final state that is to be recorded, final the one
+		// that is recorded.
+		ending  tw.SubmissionState
+		final   tw.SubmissionState
+		endedAt time.Time
+		waiters []chan<- error
+		enders  []chan<- error
+	}
+
+	// repetition is one repetition of a submission's steps.
+	repetition struct {
+		sub   *submission
+		index int
+		due   time.Time
+		steps []*step
+		open  int // steps that are not done
+	}
+
+	// step is one step of a repetition.
+	step struct {
+		rep   *repetition
+		index int
+		spec  *tw.Step
+		tasks []*task
+		done  int
+		// took gathers the run times of subtasks that are done.
+		took     time.Duration
+		tookRuns int
+		// gangFailures are the runs in which the gang failed.
+		gangFailures map[tw.RunNumber]bool
+		advice       *stepAdvice
+	}
+
+	// task is one subtask.
+	task struct {
+		id       tw.SubtaskID
+		step     *step
+		done     bool
+		failures map[tw.RunNumber]bool
+		saved    tw.Checkpoint
+		// runs are those that may exist on a worker.
+		runs []*runState
+		// lastWorker is where it failed last.
+		lastWorker tw.WorkerID
+		// endedAt is when a lasting subtask last ended.
+		endedAt time.Time
+	}
+
+	// phase is what is known of a run.
+	phase int
+
+	// runState is a run that may exist on a worker.
+	runState struct {
+		task  *task
+		run   tw.RunNumber
+		w     *worker
+		phase phase
+		claim tw.Resources
+		// visibleFrom is the first look that must list the run, if it exists.
+		visibleFrom int64
+		startedAt   time.Time
+		percent     int
+		// movedAt is when percent last changed.
+		movedAt  time.Time
+		tail     time.Duration
+		pace     int
+		paceSent time.Time
+		overFrom time.Time
+		// why the run was told to stop.
+		why string
+	}
+)
+
+const (
+	// starting: the order is under way.
+	starting phase = iota
+	// running: the worker has confirmed it.
+	running
+	// unclear: the order to start it was not answered.
+	unclear
+	// stopping: it was told to stop, or never to start.
+	stopping
+	// blocked: the worker has confirmed the stop.
+	blocked
+)
+
+func (p phase) String() string {
+	return [...]string{"starting", "running", "unclear", "stopping", "blocked"}[p]
+}
+
+// newSubmission takes up a submission with the progress that is recorded.
+func newSubmission(s tw.Submission, progress ledger.Progress) *submission {
+	sub := &submission{Submission: s, progress: progress, reps: map[int]*repetition{}}
+	sub.nextRep = progress.Finished
+	if progress.CancelAsked {
+		sub.ending = tw.Cancelled
+	}
+	return sub
+}
+
+// openDue opens the repetitions that are due.
+func (s *submission) openDue(now time.Time) {
+	for s.nextRep < s.Repetitions() && !s.Due(s.nextRep).After(now) {
+		s.openRepetition(s.nextRep)
+		s.nextRep++
+	}
+}
+
+// finishedEarly tells whether a repetition beyond the first open one is done.
+func (s *submission) finishedEarly(k int) bool {
+	recorded := s.progress.Repetitions[k]
+	if recorded == nil || len(recorded.Steps) < len(s.Steps) {
+		return false
+	}
+	for i := range s.Steps {
+		p := recorded.Steps[i]
+		if p == nil || !p.Done.All(s.Steps[i].Count) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *submission) openRepetition(k int) {
+	if s.finishedEarly(k) {
+		return
+	}
+	r := &repetition{sub: s, index: k, due: s.Due(k), open: len(s.Steps)}
+	for i := range s.Steps {
+		r.steps = append(r.steps, r.newStep(i))
+	}
+	s.reps[k] = r
+}
+
+func (r *repetition) newStep(i int) *step {
+	spec := &r.sub.Steps[i]
+	st := &step{rep: r, index: i, spec: spec, gangFailures: map[tw.RunNumber]bool{}}
+	var recorded *ledger.StepProgress
+	if rep := r.sub.progress.Repetitions[r.index]; rep != nil {
+		recorded = rep.Steps[i]
+	}
+	for n := range spec.Count {
+		t := &task{
+			id:   tw.SubtaskID{Submission: r.sub.ID, Repetition: r.index, Step: i, Index: n},
+			step: st,
+		}
+		if recorded != nil {
+			t.restore(recorded)
+		}
+		st.tasks = append(st.tasks, t)
+	}
+	if st.done == spec.Count {
+		r.open--
+	}
+	return st
+}
+
+func (t *task) restore(recorded *ledger.StepProgress) {
+	if recorded.Done.Has(t.id.Index) {
+		t.done = true
+		t.step.done++
+		t.step.rep.sub.begun = true
+	}
+	for _, run := range recorded.Failures[t.id.Index] {
+		t.fail(run)
+	}
+	t.saved = recorded.Saved[t.id.Index]
+}
+
+// fail counts a failed run once.
+func (t *task) fail(run tw.RunNumber) (first bool) {
+	if t.failures == nil {
+		t.failures = map[tw.RunNumber]bool{}
+	}
+	first = !t.failures[run]
+	t.failures[run] = true
+	if t.step.spec.Gang {
+		t.step.gangFailures[run] = true
+	}
+	return first
+}
+
+// failed counts the failures that go against the subtask's attempts.
+func (t *task) failed() int {
+	if t.step.spec.Gang {
+		return len(t.step.gangFailures)
+	}
+	return len(t.failures)
+}
+
+// ready tells whether the steps that the step waits for are done.
+func (st *step) ready() bool {
+	for _, earlier := range st.spec.After {
+		if dep := st.rep.steps[earlier]; dep.done < dep.spec.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// state is what callers are told.
+func (s *submission) state() tw.SubmissionState {
+	switch {
+	case s.final != "":
+		return s.final
+	case s.begun:
+		return tw.Started
+	}
+	return tw.Waiting
+}
+
+// over tells whether nothing more is to be started.
+func (s *submission) over() bool { return s.final != "" || s.ending != "" }
+
+// task finds a subtask, or nil.
+func (s *submission) task(id tw.SubtaskID) *task {
+	r := s.reps[id.Repetition]
+	if r == nil || id.Step < 0 || id.Step >= len(r.steps) {
+		return nil
+	}
+	tasks := r.steps[id.Step].tasks
+	if id.Index < 0 || id.Index >= len(tasks) {
+		return nil
+	}
+	return tasks[id.Index]
+}
+
+// active tells whether a run of the subtask may exist.
+func (t *task) active() bool { return len(t.runs) > 0 }
+
+// find is the run with a number, or nil.
+func (t *task) find(run tw.RunNumber) *runState {
+	for _, r := range t.runs {
+		if r.run == run {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *task) drop(r *runState) {
+	for i, have := range t.runs {
+		if have == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/run/worker.go
@@ -0,0 +1,160 @@
+package run
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+type (
+	// worker is the owner's view of one life of a worker.
+	worker struct {
+		entry  tw.WorkerEntry
+		rank   int
+		listed bool
+		// missingFrom is when the entry went from the list of workers.
+		missingFrom time.Time
+		session     *session
+		// known: it has answered to this owner's fence, so what runs there
+		// is known.
+		known bool
+		// doubtUntil is when everything that any owner may have started there
+		// has ended, if nothing is heard of it before.
+		doubtUntil time.Time
+		// inheritedDoubt: it was there before this ownership and has not
+		// answered yet; runs of the former owner may be on it.
+		inheritedDoubt bool
+
+		runs map[runKey]*runState
+		// seen is the last end that was taken up, recorded the last whose
+		// effect is in the store, told the last that the worker was told of.
+		seen, recorded, told int64
+
+		clock   tw.WorkerClock // as of clockAt
+		clockAt time.Time
+
+		looking    bool
+		lookSeq    int64
+		lookedAt   time.Time // of the last answer
+		nextLook   time.Time // not before
+		unanswered int       // orders in a row without an answer
+		silentFrom time.Time
+
+		health   workerHealth
+		leaving  bool // its machine is wanted for something else
+		roomFrom time.Time
+	}
+
+	// runKey names a run on a worker.
+	runKey struct {
+		task tw.SubtaskID
+		run  tw.RunNumber
+	}
+
+	// workerHealth is how a worker did of late.
+	workerHealth struct {
+		failures    int // in a row, of subtasks that have not failed elsewhere
+		shunUntil   time.Time
+		slowness    float64 // run time over what was expected, smoothed
+		slowSamples int
+	}
+)
+
+const (
+	// slownessWeight smooths slowness over about the last four runs, so that
+	// a worker is known as slow after few.
+	slownessWeight = 0.25
+	// slowWorker: a worker that takes so much longer is used last. Siblings
+	// of a step differ by about 15%.
+	slowWorker = 1.6
+	// failuresToShun in a row keep work away from a worker.
+	failuresToShun = 2
+	// shunTime is how long a worker is kept without work; grey workers of
+	// the platform's pages stay so for about 5 s.
+	shunTime = 5 * time.Second
+	// shunStuck is the same after a run stood still there.
+	shunStuck = 4 * time.Second
+	// roomPause keeps work away from a worker that said it is full.
+	roomPause = 300 * time.Millisecond
+)
+
+// clockNow is an estimate of the worker's clock that does not run ahead by
+// more than the way of an order.
+func (w *worker) clockNow(now time.Time) tw.WorkerClock {
+	return w.clock.Add(now.Sub(w.clockAt))
+}
+
+// heard notes the worker's clock as read from an answer.
+func (w *worker) heard(now time.Time, clock tw.WorkerClock) {
+	if clock != 0 {
+		w.clock, w.clockAt = clock, now
+	}
+	w.unanswered = 0
+	w.silentFrom = time.Time{}
+}
+
+// unheard notes an order without an answer.
+func (w *worker) unheard(now time.Time) {
+	w.unanswered++
+	if w.silentFrom.IsZero() {
+		w.silentFrom = now
+	}
+}
+
+// usable tells whether new work may be put there.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.known && !w.entry.Draining && w.unanswered == 0 &&
+		!now.Before(w.health.shunUntil) && !now.Before(w.roomFrom)
+}
+
+// free is the capacity that no run takes.
+func (w *worker) free() tw.Resources {
+	free := w.entry.Capacity
+	for _, r := range w.runs {
+		free = free.Minus(r.claim)
+	}
+	return free
+}
+
+// offer is the worker as the scheduler sees it.
+func (w *worker) offer() *schedule.Worker {
+	out := &schedule.Worker{
+		ID:      w.entry.ID,
+		Rack:    w.entry.Rack(),
+		Labels:  w.entry.Labels,
+		Free:    w.free(),
+		Rank:    w.rank,
+		Leaving: w.leaving,
+	}
+	if w.health.slowness > slowWorker {
+		out.Distrust = 1
+	}
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		if r.task.step.spec.Filler {
+			out.Fillers++
+		}
+		if r.task.step.spec.TailTarget > 0 {
+			out.Serving++
+		}
+	}
+	return out
+}
+
+// tookTime notes how long a run took against what was expected.
+func (w *worker) tookTime(took, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(expected)
+	if w.health.slowSamples == 0 {
+		w.health.slowness = 1
+	}
+	w.health.slowSamples++
+	w.health.slowness += slownessWeight * (ratio - w.health.slowness)
+}
+
+func (w *worker) key(r *runState) runKey { return runKey{task: r.task.id, run: r.run} }
--- /dev/null
+++ b/run/writer.go
@@ -0,0 +1,295 @@
+package run
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+type (
+	// writer brings changes into the ledger, one write at a time, each with
+	// what has gathered since the last. Its goroutine only waits for the
+	// store; all else belongs to the loop.
+	writer struct {
+		o    *Owner
+		book *ledger.Book
+		jobs chan writeJob
+		done chan struct{}
+
+		fresh    []*submission
+		dirty    map[*submission]bool
+		messages []ledger.InboxRecord
+		forget   []tw.SubmissionID
+
+		busyFrom  time.Time // zero when no write is under way
+		lastSent  time.Time
+		confirmed time.Time // when the last successful write was sent
+		retryAt   time.Time
+		lastError error
+		idle      []func()
+	}
+
+	// writeJob is one write with what its success means.
+	writeJob struct {
+		changes []ledger.Change
+		effects []func(err error)
+		// seen are the ends whose effects are in the store with this write.
+		seen map[*worker]int64
+		sent time.Time
+	}
+)
+
+func newWriter(o *Owner, book *ledger.Book) *writer {
+	w := &writer{
+		o: o, book: book, jobs: make(chan writeJob, 1), done: make(chan struct{}),
+		dirty: map[*submission]bool{}, confirmed: o.now, lastSent: o.now,
+	}
+	go func() {
+		defer close(w.done)
+		w.write()
+	}()
+	return w
+}
+
+func (w *writer) close() { <-w.done }
+
+// write sends jobs until the owner ends.
+func (w *writer) write() {
+	for {
+		select {
+		case <-w.o.ctx.Done():
+			return
+		case job := <-w.jobs:
+			results, err := w.book.Write(w.o.ctx, job.changes)
+			if !w.o.post(w.o.ctx, func() { w.finished(job, results, err) }) {
+				return
+			}
+		}
+	}
+}
+
+// accept has a new submission recorded.
+func (w *writer) accept(sub *submission) { w.fresh = append(w.fresh, sub) }
+
+// mark has the progress or the end of a submission recorded.
+func (w *writer) mark(sub *submission) { w.dirty[sub] = true }
+
+// emptied has a message taken out of the inbox.
+func (w *writer) emptied(m ledger.InboxRecord) { w.messages = append(w.messages, m) }
+
+// whenIdle calls f once nothing waits to be written.
+func (w *writer) whenIdle(f func()) { w.idle = append(w.idle, f) }
+
+// refuses tells why new submissions can't be kept at present.
+func (w *writer) refuses() error {
+	now := w.o.now
+	if now.Before(w.retryAt) {
+		return w.lastError
+	}
+	if !w.busyFrom.IsZero() && now.Sub(w.busyFrom) > stalledAfter {
+		return errors.Wrap(tw.ErrUnavailable, "run: the store does not answer")
+	}
+	return nil
+}
+
+// flush sends what has gathered, if it may, and returns when it may next.
+func (w *writer) flush() time.Time {
+	now := w.o.now
+	if !w.busyFrom.IsZero() {
+		w.dropStalled()
+		return now.Add(stalledAfter)
+	}
+	if w.empty() {
+		w.allRecorded()
+		for _, f := range w.idle {
+			f()
+		}
+		w.idle = nil
+		if at := w.confirmed.Add(confirmEvery); now.Before(at) {
+			return at
+		}
+	}
+	if at := w.lastSent.Add(flushGap); now.Before(at) {
+		return at
+	}
+	if now.Before(w.retryAt) {
+		return w.retryAt
+	}
+	job := w.compose()
+	job.sent = now
+	w.busyFrom, w.lastSent = now, now
+	w.jobs <- job
+	return now.Add(stalledAfter)
+}
+
+// dropStalled refuses the submissions that wait behind a write which the
+// store does not answer: they were surely not sent.
+func (w *writer) dropStalled() {
+	if w.o.now.Sub(w.busyFrom) <= stalledAfter || len(w.fresh) == 0 {
+		return
+	}
+	fresh := w.fresh
+	w.fresh = nil
+	for _, sub := range fresh {
+		w.o.refusedByStore(sub, errors.Wrap(tw.ErrUnavailable, "run: the store does not answer"))
+	}
+}
+
+func (w *writer) empty() bool {
+	return len(w.fresh) == 0 && len(w.dirty) == 0 && len(w.messages) == 0 && len(w.forget) == 0
+}
+
+// allRecorded notes that no end that was seen waits for the store.
+func (w *writer) allRecorded() {
+	for _, worker := range w.o.workers {
+		worker.recorded = worker.seen
+	}
+}
+
+// compose gathers what fits into one write.
+func (w *writer) compose() writeJob {
+	var job writeJob
+	size := 0
+	add := func(change ledger.Change, effect func(err error)) bool {
+		if size+change.Size() > ledger.MaxEntries {
+			return false
+		}
+		size += change.Size()
+		job.changes = append(job.changes, change)
+		job.effects = append(job.effects, effect)
+		return true
+	}
+	for len(w.fresh) > 0 && w.addFresh(w.fresh[0], add) {
+		w.fresh = w.fresh[1:]
+	}
+	for sub := range w.dirty {
+		if !w.addDirty(sub, add) {
+			break
+		}
+		delete(w.dirty, sub)
+	}
+	for len(w.messages) > 0 && add(ledger.Emptied(w.o.pool, w.messages[0]), w.again(w.messages[0])) {
+		w.messages = w.messages[1:]
+	}
+	for len(w.forget) > 0 && add(ledger.Forget(w.forget[0]), func(error) {}) {
+		w.forget = w.forget[1:]
+	}
+	if len(w.dirty) == 0 {
+		job.seen = map[*worker]int64{}
+		for _, worker := range w.o.workers {
+			if worker.seen > worker.recorded {
+				job.seen[worker] = worker.seen
+			}
+		}
+	}
+	return job
+}
+
+type addChange func(change ledger.Change, effect func(err error)) bool
+
+func (w *writer) addFresh(sub *submission, add addChange) bool {
+	return add(ledger.Accept(&sub.Submission), func(err error) {
+		switch {
+		case err == nil:
+			w.o.accepted(sub)
+		case errors.Is(err, ledger.ErrExists):
+			w.o.existsAlready(sub)
+		default:
+			w.o.refusedByStore(sub, err)
+		}
+	})
+}
+
+func (w *writer) addDirty(sub *submission, add addChange) bool {
+	if sub.final != "" {
+		return true
+	}
+	if sub.ending == "" {
+		return add(ledger.Advance(w.o.pool, sub.ID, &sub.progress), func(err error) {
+			if err != nil {
+				w.mark(sub)
+			}
+		})
+	}
+	return add(ledger.End(w.o.pool, sub.ID, sub.ending), func(err error) {
+		if err != nil {
+			w.mark(sub)
+			return
+		}
+		w.o.concluded(sub)
+	})
+}
+
+func (w *writer) again(m ledger.InboxRecord) func(error) {
+	return func(err error) {
+		if err != nil {
+			w.messages = append(w.messages, m)
+		}
+	}
+}
+
+// finished takes up the outcome of a write.
+func (w *writer) finished(job writeJob, results []error, err error) {
+	o := w.o
+	o.now = o.clock.Now()
+	o.metrics.writeTime.Update(o.now.Sub(job.sent).Seconds())
+	w.busyFrom = time.Time{}
+	switch {
+	case errors.Is(err, ledger.ErrDeposed):
+		o.depose("the ledger has a new owner")
+		return
+	case err != nil && !tw.SurelyNotDone(err):
+		// Only the end of the owner leaves a write in doubt.
+		o.log.Warn("owner: a write stays in doubt", zap.Error(err))
+		return
+	case err != nil:
+		if w.lastError == nil {
+			o.log.Warn("owner: the store takes no writes", zap.Error(err))
+		}
+		w.lastError = err
+		w.retryAt = o.now.Add(flushRetry)
+		for _, effect := range job.effects {
+			effect(err)
+		}
+		return
+	}
+	if w.lastError != nil {
+		o.log.Info("owner: the store takes writes again")
+		w.lastError = nil
+	}
+	w.confirmed = job.sent
+	o.permit.extend(job.sent.Add(permitTime))
+	for i, effect := range job.effects {
+		effect(results[i])
+	}
+	for worker, seen := range job.seen {
+		worker.recorded = max(worker.recorded, seen)
+	}
+	o.forgetOld()
+}
+
+// forgetOld drops submissions that ended long ago.
+func (o *Owner) forgetOld() {
+	if len(o.writer.forget) > 0 || len(o.submissions) < forgetAbove {
+		return
+	}
+	for id, sub := range o.submissions {
+		if sub.final != "" && o.now.Sub(sub.endedAt) > o.bounds.KeepEnded+forgetSlack {
+			delete(o.submissions, id)
+			o.writer.forget = append(o.writer.forget, id)
+		}
+	}
+	slices.Sort(o.writer.forget)
+}
+
+const (
+	// forgetAbove spares the search while there is little to forget.
+	forgetAbove = 2000
+	// forgetSlack covers repeated requests, which come seconds after an answer.
+	forgetSlack = 30 * time.Second
+)
--- /dev/null
+++ b/schedule/group.go
@@ -0,0 +1,77 @@
+package schedule
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Group is the subtasks of one step that wait for a worker.
+	Group struct {
+		Step     *tw.Step
+		Subtasks []tw.SubtaskID
+		Urgency  Urgency
+		// OnWorker counts the step's subtasks that are on a worker already.
+		OnWorker map[tw.WorkerID]int
+		// Avoid are workers that must not be used, by subtask index: for
+		// example those on which a copy runs.
+		Avoid map[int]map[tw.WorkerID]bool
+		// Allowed are the workers that may run the step; nil allows all.
+		Allowed map[tw.WorkerID]bool
+	}
+
+	// Grade sorts groups by what is at stake.
+	Grade int
+
+	// Urgency orders groups: by grade, by priority, by deadline.
+	Urgency struct {
+		Grade    Grade
+		Priority int
+		Deadline time.Time
+	}
+)
+
+// Grades, the most urgent first.
+const (
+	// GradeLasting is work that counts for every second that it runs.
+	GradeLasting Grade = iota
+	// GradeOnTime can still end within its objective.
+	GradeOnTime
+	// GradeLate can still end within three times its objective.
+	GradeLate
+	// GradeOverdue ends too late to count; it is done when nothing else waits.
+	GradeOverdue
+	// GradeFiller takes what is left.
+	GradeFiller
+)
+
+// lateFactor times the objective is when late work stops counting; it is the
+// platform's figure.
+const lateFactor = 3
+
+// UrgencyOf grades work that was handed in at start with an objective and has
+// remaining run time ahead of it.
+func UrgencyOf(now, start time.Time, objective, remaining time.Duration, priority int) Urgency {
+	end := now.Add(remaining)
+	deadline := start.Add(objective)
+	latest := start.Add(lateFactor * objective)
+	switch {
+	case !end.After(deadline):
+		return Urgency{Grade: GradeOnTime, Priority: priority, Deadline: deadline}
+	case !end.After(latest):
+		return Urgency{Grade: GradeLate, Priority: priority, Deadline: latest}
+	}
+	return Urgency{Grade: GradeOverdue, Priority: priority, Deadline: latest}
+}
+
+// Before tells whether u goes before other.
+func (u Urgency) Before(other Urgency) bool {
+	if u.Grade != other.Grade {
+		return u.Grade < other.Grade
+	}
+	if u.Priority != other.Priority {
+		return u.Priority < other.Priority
+	}
+	return u.Deadline.Before(other.Deadline)
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,174 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// Place puts waiting subtasks on workers: the most urgent group first, and of
+// a group as many as fit, but a gang as a whole or not at all.
+func Place(groups []*Group, workers []*Worker) []Placement {
+	slices.SortStableFunc(groups, func(a, b *Group) int {
+		switch {
+		case a.Urgency.Before(b.Urgency):
+			return -1
+		case b.Urgency.Before(a.Urgency):
+			return 1
+		}
+		return 0
+	})
+	var out []Placement
+	for _, g := range groups {
+		out = append(out, g.place(workers)...)
+	}
+	return out
+}
+
+func (g *Group) place(workers []*Worker) []Placement {
+	candidates := g.candidates(workers)
+	if g.Step.Gang && g.Step.SameRack {
+		return g.placeInOneRack(candidates)
+	}
+	placed := g.fill(candidates)
+	if g.Step.Gang && len(placed) < len(g.Subtasks) {
+		g.undo(placed)
+		return nil
+	}
+	return placed
+}
+
+// placeInOneRack puts a gang into the first rack that holds it, or anywhere.
+func (g *Group) placeInOneRack(candidates []*Worker) []Placement {
+	tried := map[tw.RackLabel]bool{}
+	for _, w := range candidates {
+		if tried[w.Rack] {
+			continue
+		}
+		tried[w.Rack] = true
+		inRack := slices.DeleteFunc(slices.Clone(candidates), func(c *Worker) bool { return c.Rack != w.Rack })
+		placed := g.fill(inRack)
+		if len(placed) == len(g.Subtasks) {
+			return placed
+		}
+		g.undo(placed)
+	}
+	placed := g.fill(candidates)
+	if len(placed) < len(g.Subtasks) {
+		g.undo(placed)
+		return nil
+	}
+	return placed
+}
+
+// candidates are the workers that may run the step, the best first.
+func (g *Group) candidates(workers []*Worker) []*Worker {
+	claim := g.Step.Claim()
+	var out []*Worker
+	for _, w := range workers {
+		allowed := g.Allowed == nil || g.Allowed[w.ID]
+		if allowed && w.Free.Fits(claim) && w.HasLabel(g.Step.Label) {
+			out = append(out, w)
+		}
+	}
+	slices.SortStableFunc(out, g.compare)
+	return out
+}
+
+// compare orders workers for the step.
+func (g *Group) compare(a, b *Worker) int {
+	return cmp.Or(
+		compareBool(a.Leaving, b.Leaving),
+		cmp.Compare(a.Distrust, b.Distrust),
+		compareBool(g.far(a), g.far(b)),
+		g.compareSharing(a, b),
+		cmp.Compare(a.Rank, b.Rank),
+	)
+}
+
+// compareSharing keeps fillers away from subtasks that serve users, as they
+// lengthen the tails of these.
+func (g *Group) compareSharing(a, b *Worker) int {
+	switch {
+	case g.Step.Filler:
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Fillers, b.Fillers))
+	case g.Step.TailTarget > 0:
+		return cmp.Or(cmp.Compare(a.Fillers, b.Fillers), cmp.Compare(a.Serving, b.Serving))
+	}
+	return 0
+}
+
+// far tells whether the step's data lies on another rack.
+func (g *Group) far(w *Worker) bool { return g.Step.Near != "" && g.Step.Near != w.Rack }
+
+// fill places subtasks one by one. Lasting ones are dealt out in turn, so
+// that the loss of a worker takes few of a step; others fill up a worker.
+func (g *Group) fill(candidates []*Worker) []Placement {
+	var out []Placement
+	rest := g.Subtasks
+	for len(rest) > 0 {
+		before := len(rest)
+		for _, w := range candidates {
+			for len(rest) > 0 && g.put(w, rest[0]) {
+				out = append(out, Placement{Subtask: rest[0], Worker: w})
+				rest = rest[1:]
+				if g.Step.Lasting {
+					break
+				}
+			}
+		}
+		if len(rest) == before {
+			if len(g.Avoid[rest[0].Index]) == 0 {
+				break
+			}
+			rest = rest[1:] // this one only lacks a worker that it need not avoid
+		}
+	}
+	return out
+}
+
+// put takes the subtask's claim out of the worker, if it may run there.
+func (g *Group) put(w *Worker, id tw.SubtaskID) bool {
+	claim := g.Step.Claim()
+	if !w.Free.Fits(claim) || g.Avoid[id.Index][w.ID] {
+		return false
+	}
+	if g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker {
+		return false
+	}
+	if g.OnWorker == nil {
+		g.OnWorker = map[tw.WorkerID]int{}
+	}
+	g.OnWorker[w.ID]++
+	w.Free = w.Free.Minus(claim)
+	g.count(w, 1)
+	return true
+}
+
+func (g *Group) undo(placed []Placement) {
+	for _, p := range placed {
+		g.OnWorker[p.Worker.ID]--
+		p.Worker.Free = p.Worker.Free.Plus(g.Step.Claim())
+		g.count(p.Worker, -1)
+	}
+}
+
+func (g *Group) count(w *Worker, n int) {
+	if g.Step.Filler {
+		w.Fillers += n
+	}
+	if g.Step.TailTarget > 0 {
+		w.Serving += n
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/schedule/worker.go
@@ -0,0 +1,39 @@
+package schedule
+
+import (
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Worker is what the scheduler knows of a worker. Place takes what it
+	// places out of Free and counts it in Serving and Fillers.
+	Worker struct {
+		ID     tw.WorkerID
+		Rack   tw.RackLabel
+		Labels []string
+		Free   tw.Resources
+		// Distrust is how doubtful the worker is; 0 is sound. Less distrusted
+		// workers come first.
+		Distrust int
+		// Rank orders workers that are alike. Work is packed onto the lowest.
+		Rank int
+		// Leaving workers are used only where no other has room.
+		Leaving bool
+		// Serving counts subtasks with a tail target, Fillers those that take
+		// what the others leave.
+		Serving int
+		Fillers int
+	}
+
+	// Placement puts a subtask on a worker.
+	Placement struct {
+		Subtask tw.SubtaskID
+		Worker  *Worker
+	}
+)
+
+// HasLabel tells whether the worker may run steps that ask for the label.
+func (w *Worker) HasLabel(label string) bool {
+	entry := tw.WorkerEntry{Labels: w.Labels}
+	return entry.HasLabel(label)
+}
