--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/maintenance"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -43,6 +44,8 @@
 	// short wait bounds how late a configuration can be.
 	operatorWait = 1200 * time.Millisecond
 	workersWait  = 3 * time.Second
+	// workersGap: some tens of workers write their status reports each second.
+	workersGap = 250 * time.Millisecond
 )
 
 func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, workersChanged func()) *directory {
@@ -54,7 +57,8 @@
 		KV: kv, Clock: clock, Log: log, Prefix: platform.OperatorPrefix, Wait: operatorWait, Changed: d.operatorChanged,
 	}.New()
 	d.workers = member.WatcherConfig{
-		KV: kv, Clock: clock, Log: log, Prefix: platform.WorkerPrefix, Wait: workersWait, Changed: d.workersWritten,
+		KV: kv, Clock: clock, Log: log, Prefix: platform.WorkerPrefix, Wait: workersWait, Gap: workersGap,
+		Changed: d.workersWritten,
 	}.New()
 	return d
 }
@@ -86,13 +90,13 @@
 	return d.raw
 }
 
-// pools are the pools of the configuration.
+// pools are the pools of the configuration, and that of the machines' manager.
 func (d *directory) pools() []tw.PoolID {
 	config := d.Config()
 	if config == nil {
 		return nil
 	}
-	var out []tw.PoolID
+	out := []tw.PoolID{maintenance.ManagerPool}
 	for _, p := range config.Pools {
 		out = append(out, p.ID)
 	}
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,7 +11,9 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/maintenance"
 	"github.com/tamarindworks/tamarindworks/member"
+	"github.com/tamarindworks/tamarindworks/platform"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -25,6 +28,7 @@
 		mu       sync.Mutex
 		stopping bool
 		owned    map[tw.PoolID]*ownedPool
+		manager  *maintenance.Manager
 		taking   map[tw.PoolID]bool
 	}
 
@@ -71,6 +75,9 @@
 	for pool := range o.taking {
 		out = append(out, pool)
 	}
+	if o.manager != nil {
+		out = append(out, maintenance.ManagerPool)
+	}
 	return out
 }
 
@@ -78,7 +85,8 @@
 func (o *owners) take(pool tw.PoolID, why string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.stopping || o.taking[pool] || o.owned[pool] != nil {
+	managing := pool == maintenance.ManagerPool && o.manager != nil
+	if o.stopping || o.taking[pool] || o.owned[pool] != nil || managing {
 		return
 	}
 	o.taking[pool] = true
@@ -107,11 +115,16 @@
 	if err != nil {
 		return err
 	}
+	self.Fence = book.Fence()
+	if pool == maintenance.ManagerPool {
+		o.manage(book)
+		d.members.Took(self)
+		return nil
+	}
 	loaded, err := book.Load(ctx)
 	if err != nil {
 		return err
 	}
-	self.Fence = book.Fence()
 	owned := &ownedPool{}
 	owned.owner = run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
@@ -129,6 +142,32 @@
 	return nil
 }
 
+// manage starts to manage the machines.
+func (o *owners) manage(book *ledger.Book) {
+	d := o.d
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.manager = maintenance.Config{
+		Book: book, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Life), KV: d.kv, Machines: d.machines,
+		Census: d.census, Owners: d, Clock: d.clock, Log: d.log, Metrics: d.metrics,
+		Waves: d.directory.Waves, Queue: d.directory.Config, WaveStatus: platform.WaveStatus,
+		HolderTime: d.settings.Bounds.HolderTime.Std(),
+		Deposed:    func() { go o.dropManager() },
+	}.New()
+}
+
+// dropManager forgets a manager that was deposed.
+func (o *owners) dropManager() {
+	o.mu.Lock()
+	manager := o.manager
+	o.manager = nil
+	o.mu.Unlock()
+	o.d.members.Yielded(maintenance.ManagerPool)
+	if manager != nil {
+		manager.Close()
+	}
+}
+
 // watchInbox hands over what other daemons leave in the store for the owner.
 func (o *owners) watchInbox(pool tw.PoolID, owner *run.Owner) *member.Watcher {
 	seen := map[tw.Key]tw.KVRevision{}
@@ -194,8 +233,16 @@
 	o.stopping = true
 	owned := o.owned
 	o.owned = map[tw.PoolID]*ownedPool{}
+	manager := o.manager
+	o.manager = nil
 	o.mu.Unlock()
 	var wg sync.WaitGroup
+	if manager != nil {
+		wg.Go(func() {
+			manager.Close()
+			o.passOn(ctx, maintenance.ManagerPool)
+		})
+	}
 	for pool, p := range owned {
 		wg.Go(func() {
 			p.owner.Drain(ctx)
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -6,6 +6,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/queue"
+	"github.com/tamarindworks/tamarindworks/run"
 )
 
 var _ member.Handler = (*QueueDaemon)(nil)
@@ -72,11 +73,32 @@
 	if owner == nil {
 		return &member.ReportResponse{Outcome: member.OutcomeNotOwner}, nil
 	}
-	machines := make(map[tw.InstanceID]bool, len(m.Vacate))
-	for _, id := range m.Vacate {
+	report, err := d.reportHere(ctx, owner, m.Vacate)
+	return &member.ReportResponse{Outcome: queue.OutcomeOf(err), Report: report}, nil
+}
+
+func (d *QueueDaemon) reportHere(ctx context.Context, owner *run.Owner, vacate []tw.InstanceID) (run.Report, error) {
+	machines := make(map[tw.InstanceID]bool, len(vacate))
+	for _, id := range vacate {
 		machines[id] = true
 	}
 	owner.Vacate(ctx, machines)
-	report, err := owner.Report(ctx)
-	return &member.ReportResponse{Outcome: queue.OutcomeOf(err), Report: report}, nil
+	return owner.Report(ctx)
+}
+
+// ReportOf asks the owner of a pool how busy it is, and tells it which
+// machines to empty.
+func (d *QueueDaemon) ReportOf(ctx context.Context, pool tw.PoolID, vacate []tw.InstanceID) (run.Report, error) {
+	if owner := d.owners.Local(pool); owner != nil {
+		return d.reportHere(ctx, owner, vacate)
+	}
+	owner, found := d.members.Owner(pool)
+	if !found {
+		return run.Report{}, run.ErrNotOwner
+	}
+	resp, err := d.peers.Report(ctx, owner.Address, member.ReportRequest{Pool: pool, Vacate: vacate})
+	if err != nil {
+		return run.Report{}, err
+	}
+	return resp.Report, queue.ErrorOf(resp.Outcome)
 }
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -91,6 +91,9 @@
 // Fence is the number of this ownership.
 func (b *Book) Fence() tw.Fence { return b.head.Fence }
 
+// First tells whether nobody has opened the book before.
+func (b *Book) First() bool { return b.head.Fence == 1 }
+
 // Size counts the entries that a change takes of a transaction.
 func (c Change) Size() int {
 	n := len(c.Puts) + len(c.Removes)
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -36,6 +36,11 @@
 	return Change{Removes: []tw.Key{InboxKey(pool, m)}}
 }
 
+// AdvanceWave is the change that keeps the progress of a maintenance wave.
+func AdvanceWave(wave int64, p WaveProgress) Change {
+	return Change{Puts: []tw.KVPut{{Key: waveKey(wave), Value: encode(p)}}}
+}
+
 // AcceptUnowned is the transaction by which a daemon that cannot reach the
 // pool's owner keeps a submission itself and leaves word for the owner.
 func AcceptUnowned(s *tw.Submission) tw.KVTxn {
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -83,6 +83,19 @@
 	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
 }
 
+// FindWave reads the progress of a maintenance wave; none is no error.
+func FindWave(ctx context.Context, kv tw.KV, wave int64) (WaveProgress, error) {
+	var p WaveProgress
+	item, err := kv.Get(ctx, waveKey(wave))
+	if errors.Is(err, tw.ErrNotFound) {
+		return p, nil
+	}
+	if err != nil {
+		return p, err
+	}
+	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
+}
+
 // DecodeInbox reads a message that a daemon left for an owner.
 func DecodeInbox(item tw.KVItem) (InboxRecord, error) {
 	var m InboxRecord
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strconv"
 	"strings"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -19,6 +20,7 @@
 	submissionPrefix tw.Key = "tw/submission/"
 	progressPrefix   tw.Key = "tw/progress/"
 	inboxPrefix      tw.Key = "tw/inbox/"
+	wavePrefix       tw.Key = "tw/wave/"
 )
 
 type (
@@ -81,6 +83,12 @@
 		Saved    map[int]tw.Checkpoint  `json:"saved,omitempty"`
 	}
 
+	// WaveProgress is what has come of a maintenance wave.
+	WaveProgress struct {
+		Done     []tw.InstanceID `json:"done"`
+		Finished bool            `json:"finished"`
+	}
+
 	// Bits is a set of small numbers.
 	Bits []byte
 )
@@ -118,6 +126,8 @@
 
 func headKey(pool tw.PoolID) tw.Key { return headPrefix + tw.Key(pool) }
 
+func waveKey(wave int64) tw.Key { return wavePrefix + tw.Key(strconv.FormatInt(wave, 10)) }
+
 func idOfKey(key, prefix tw.Key) tw.SubmissionID {
 	return tw.SubmissionID(strings.TrimPrefix(string(key), string(prefix)))
 }
--- /dev/null
+++ b/maintenance/manager.go
@@ -0,0 +1,345 @@
+package maintenance
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// ManagerPool names the ownership of the manager among those of pools.
+const ManagerPool tw.PoolID = "~machines"
+
+type (
+	// Owners reaches the owners of pools.
+	Owners interface {
+		// ReportOf asks the owner of a pool how busy it is, and tells it which
+		// machines to empty.
+		ReportOf(ctx context.Context, pool tw.PoolID, vacate []tw.InstanceID) (run.Report, error)
+	}
+
+	// Config configures a Manager.
+	Config struct {
+		Book     *ledger.Book
+		Holder   string
+		KV       tw.KV
+		Machines tw.Machines
+		Census   *run.Census
+		Owners   Owners
+		Clock    tw.Clock
+		Log      *zap.Logger
+		Metrics  *metrics.Set
+		// Waves lists the waves that the operators asked for.
+		Waves func() []tw.MaintenanceWave
+		// Queue is the configuration in force, or nil.
+		Queue func() *tw.QueueConfig
+		// WaveStatus is the record by which operators learn of a wave.
+		WaveStatus func(wave int64, done bool) tw.KVPut
+		// HolderTime must pass between the orders of two holders.
+		HolderTime time.Duration
+		// Deposed is told when another daemon manages the machines.
+		Deposed func()
+	}
+
+	// Manager manages machines.
+	Manager struct {
+		Config
+		fence  tw.Fence
+		from   time.Time // no orders before
+		ctx    context.Context
+		cancel context.CancelFunc
+		done   chan struct{}
+
+		// What follows belongs to the duty.
+		waves     map[int64]*Wave
+		ordered   map[tw.InstanceID]Order
+		vacating  map[tw.InstanceID]Order
+		reports   map[tw.PoolID]report
+		confirmed time.Time
+	}
+
+	report struct {
+		run.Report
+		at time.Time
+		// told are the machines that the owner was asked to empty with it.
+		told map[tw.InstanceID]bool
+	}
+)
+
+const (
+	// managePace is the pace of decisions.
+	managePace = 200 * time.Millisecond
+	// reportAge is how old a report may be to act on it.
+	reportAge = 500 * time.Millisecond
+	// reportTimeout bounds the call for a report.
+	reportTimeout = 400 * time.Millisecond
+	// orderShown is how long an order may take to show in the list of
+	// machines before it counts as not done.
+	orderShown = 4 * time.Second
+	// holderMargin is added to the time between two holders.
+	holderMargin = 700 * time.Millisecond
+	// confirmManager: orders are given only for so long after the ownership
+	// was last confirmed in the store.
+	confirmManager = 2 * time.Second
+)
+
+// New starts the duty; Close ends it.
+func (c Config) New() *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := c.Clock.Now()
+	m := &Manager{
+		Config: c, fence: c.Book.Fence(), from: now.Add(c.HolderTime + holderMargin),
+		ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		waves: map[int64]*Wave{}, ordered: map[tw.InstanceID]Order{}, vacating: map[tw.InstanceID]Order{},
+		reports: map[tw.PoolID]report{}, confirmed: now,
+	}
+	if c.Book.First() {
+		m.from = now // nobody gave orders before
+	}
+	m.Log = c.Log.With(zap.Int64("machine_fence", int64(m.fence)))
+	m.Log.Info("maintenance: this daemon manages the machines")
+	go func() {
+		defer close(m.done)
+		m.run()
+	}()
+	return m
+}
+
+// Close ends the duty.
+func (m *Manager) Close() {
+	m.cancel()
+	<-m.done
+}
+
+func (m *Manager) run() {
+	for m.ctx.Err() == nil {
+		if err := m.pass(); errors.Is(err, ledger.ErrDeposed) {
+			m.Log.Warn("maintenance: another daemon manages the machines")
+			m.Deposed()
+			return
+		}
+		select {
+		case <-m.ctx.Done():
+		case <-m.Clock.After(managePace):
+		}
+	}
+}
+
+// pass looks, decides and orders once.
+func (m *Manager) pass() error {
+	config := m.Queue()
+	if config == nil {
+		return nil
+	}
+	m.takeWaves()
+	m.Census.Want(m.Clock.Now())
+	m.collect(config)
+	list := m.Census.Latest()
+	if list == nil {
+		return nil
+	}
+	m.settleOrders(list)
+	state := m.state(config, list)
+	decision := Decide(state)
+	m.logDecision(decision)
+	m.vacating = decision.Vacate
+	if err := m.confirm(); err != nil {
+		return err
+	}
+	if err := m.carryOut(decision.Orders); err != nil {
+		return err
+	}
+	return m.finishWaves(list)
+}
+
+// takeWaves takes up the waves that the operators asked for.
+func (m *Manager) takeWaves() {
+	for _, wave := range m.Waves() {
+		have := m.waves[wave.Number]
+		if have == nil {
+			m.waves[wave.Number] = m.newWave(wave)
+			continue
+		}
+		have.MaintenanceWave = wave
+	}
+}
+
+func (m *Manager) newWave(wave tw.MaintenanceWave) *Wave {
+	w := &Wave{MaintenanceWave: wave, Seen: m.Clock.Now(), Done: map[tw.InstanceID]bool{}}
+	progress, err := ledger.FindWave(m.ctx, m.KV, wave.Number)
+	if err != nil {
+		m.Log.Warn("wave: progress not readable, machines are asked about again", zap.Int64("wave", wave.Number), zap.Error(err))
+		return w
+	}
+	for _, id := range progress.Done {
+		w.Done[id] = true
+	}
+	w.Finished = progress.Finished
+	return w
+}
+
+// collect asks the owners of all pools for reports, at the same time.
+func (m *Manager) collect(config *tw.QueueConfig) {
+	vacate := map[tw.PoolID][]tw.InstanceID{}
+	if list := m.Census.Latest(); list != nil {
+		for id := range m.vacating {
+			pool := list.Machines[id].Pool
+			vacate[pool] = append(vacate[pool], id)
+		}
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
+	defer cancel()
+	for _, pool := range config.Pools {
+		wg.Go(func() {
+			asked := m.Clock.Now()
+			got, err := m.Owners.ReportOf(ctx, pool.ID, vacate[pool.ID])
+			if err != nil {
+				return // an old report is not acted upon
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			m.reports[pool.ID] = report{Report: got, at: asked, told: setOf(vacate[pool.ID])}
+		})
+	}
+	wg.Wait()
+}
+
+func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
+	out := make(map[tw.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		out[id] = true
+	}
+	return out
+}
+
+// settleOrders forgets the orders whose effect the list shows.
+func (m *Manager) settleOrders(list *run.MachineList) {
+	for id, order := range m.ordered {
+		machine, found := list.Machines[id]
+		if !list.Asked.After(order.Since) {
+			continue
+		}
+		if !found || machine.State == tw.MachineUp || m.Clock.Now().Sub(order.Since) > orderShown {
+			delete(m.ordered, id)
+		}
+	}
+}
+
+func (m *Manager) state(config *tw.QueueConfig, list *run.MachineList) *State {
+	now := m.Clock.Now()
+	s := &State{
+		Now: now, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
+		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{},
+	}
+	for _, pool := range config.Pools {
+		last := m.reports[pool.ID]
+		s.Pools[pool.ID] = &Pool{
+			ID: pool.ID, Parking: pool.Parking, Known: now.Sub(last.at) <= reportAge, Report: last.Report,
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
+		s.Waves = append(s.Waves, m.waves[number])
+	}
+	for id, order := range m.vacating {
+		if m.reports[list.Machines[id].Pool].told[id] || list.Machines[id].Worker == "" {
+			s.Vacating[id] = order
+		}
+	}
+	return s
+}
+
+func (m *Manager) logDecision(d Decision) {
+	for id, order := range d.Vacate {
+		if _, before := m.vacating[id]; !before {
+			m.Log.Info("maintenance: machine to be emptied", zap.String("instance", string(id)),
+				zap.Int64("wave", order.Wave), zap.String("pool", string(order.Pool)), zap.String("why", order.Why))
+		}
+	}
+	for id, order := range m.vacating {
+		if _, still := d.Vacate[id]; !still && !slices.ContainsFunc(d.Orders, func(o Order) bool { return o.Machine == id }) {
+			m.Log.Info("maintenance: machine no longer to be emptied", zap.String("instance", string(id)),
+				zap.Int64("wave", order.Wave), zap.Duration("after", m.Clock.Now().Sub(order.Since)))
+		}
+	}
+}
+
+// confirm makes sure that this daemon still manages the machines.
+func (m *Manager) confirm() error {
+	now := m.Clock.Now()
+	if now.Sub(m.confirmed) < confirmManager/2 {
+		return nil
+	}
+	_, err := m.Book.Write(m.ctx, nil)
+	if err == nil {
+		m.confirmed = now
+	}
+	return err
+}
+
+// carryOut gives the orders, all at the same time.
+func (m *Manager) carryOut(orders []Order) error {
+	now := m.Clock.Now()
+	if now.Before(m.from) || now.Sub(m.confirmed) > confirmManager {
+		return nil
+	}
+	if err := m.recordOrders(orders); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, len(orders))
+	for i, order := range orders {
+		m.ordered[order.Machine] = order
+		wg.Go(func() { errs[i] = m.give(order) })
+	}
+	wg.Wait()
+	for i, order := range orders {
+		m.answered(order, errs[i])
+	}
+	return nil
+}
+
+func (m *Manager) give(order Order) error {
+	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
+	if order.Wave != 0 {
+		return m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
+	}
+	return m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
+}
+
+// answered takes up the answer to an order.
+func (m *Manager) answered(order Order, err error) {
+	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
+		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), zap.Error(err))
+	var refused *tw.MachineRefused
+	switch {
+	case err == nil:
+		return
+	case errors.As(err, &refused):
+		delete(m.ordered, order.Machine)
+		if w := m.waves[order.Wave]; w != nil && refused.Reason != tw.MachineNotInWave && refused.Reason != tw.MachineUnknown {
+			delete(w.Done, order.Machine)
+		}
+	case tw.SurelyNotDone(err):
+		delete(m.ordered, order.Machine)
+		if w := m.waves[order.Wave]; w != nil {
+			delete(w.Done, order.Machine)
+		}
+	default:
+		// It may have been done: the list will show it. If it was not, the
+		// machine is asked for again, which does nothing if it was.
+		if w := m.waves[order.Wave]; w != nil {
+			delete(w.Done, order.Machine)
+		}
+	}
+}
--- /dev/null
+++ b/maintenance/state.go
@@ -0,0 +1,92 @@
+package maintenance
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// Wave is a maintenance wave with what has come of it.
+	Wave struct {
+		tw.MaintenanceWave
+		// Seen is when the wave was first known here; it is due Within later.
+		Seen time.Time
+		// Done are the machines whose maintenance was ordered.
+		Done map[tw.InstanceID]bool
+		// Finished: it was reported as completed.
+		Finished bool
+		// reported counts the machines in the record, announced is whether
+		// there is one.
+		reported  int
+		announced bool
+	}
+
+	// Pool is a pool as its owner last reported it.
+	Pool struct {
+		ID      tw.PoolID
+		Parking bool
+		// Known: there is a report that is recent enough to act on.
+		Known  bool
+		Report run.Report
+	}
+
+	// State is all that decisions rest on.
+	State struct {
+		Now      time.Time
+		Machines map[tw.InstanceID]tw.Machine
+		// Asked is when the list of machines was asked for.
+		Asked time.Time
+		Pools map[tw.PoolID]*Pool
+		Waves []*Wave
+		// Ordered are the changes whose effect the list does not show yet.
+		Ordered map[tw.InstanceID]Order
+		// Vacating are the machines that owners were asked to empty, with the
+		// change that waits for it.
+		Vacating map[tw.InstanceID]Order
+	}
+
+	// Order is a change of a machine: maintenance if Wave is not zero, else a
+	// move to Pool.
+	Order struct {
+		Machine tw.InstanceID
+		Wave    int64
+		Pool    tw.PoolID
+		// Since is when the change was decided, or ordered.
+		Since time.Time
+		Why   string
+	}
+
+	// Decision is what is to be done now.
+	Decision struct {
+		// Vacate are changes for which machines must be emptied first; those
+		// of State.Vacating that stay are among them.
+		Vacate map[tw.InstanceID]Order
+		// Orders are changes to be made at once.
+		Orders []Order
+	}
+)
+
+// load finds what runs on a machine; false if its pool does not say.
+func (s *State) load(machine tw.Machine) (run.WorkerLoad, bool) {
+	pool := s.Pools[machine.Pool]
+	if pool == nil || !pool.Known {
+		return run.WorkerLoad{}, false
+	}
+	for _, load := range pool.Report.Workers {
+		if load.Worker == machine.Worker {
+			return load, true
+		}
+	}
+	return run.WorkerLoad{}, false
+}
+
+// empty tells whether nothing runs on a machine, for sure.
+func (s *State) empty(machine tw.Machine) bool {
+	if machine.Worker == "" {
+		return machine.State == tw.MachineUp
+	}
+	load, known := s.load(machine)
+	return known && load.Runs == 0
+}
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -21,6 +21,8 @@
 		Prefix tw.Key
 		// Wait is how long one watch waits for changes.
 		Wait time.Duration
+		// Gap lets changes gather between two watches, as each is priced.
+		Gap time.Duration
 		// Changed is called with all items below the prefix after each change
 		// and at the first read. It must not keep the map.
 		Changed func(items map[tw.Key]tw.KVItem)
@@ -114,6 +116,13 @@
 		if apply(items, events) {
 			w.config.Changed(items)
 		}
+		if len(events) > 0 && w.config.Gap > 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-w.config.Clock.After(w.config.Gap):
+			}
+		}
 	}
 }
 
--- a/queue/router.go
+++ b/queue/router.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	return outcomeError(resp.Outcome)
+	return ErrorOf(resp.Outcome)
 }
 
 // submitToStore keeps a submission without the pool's owner, which finds it
@@ -165,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	return outcomeError(resp.Outcome)
+	return ErrorOf(resp.Outcome)
 }
 
 // State tells a submission's state. It fails with run.ErrUnknown if there is
@@ -227,7 +227,7 @@
 	if err != nil {
 		return "", err
 	}
-	return resp.State, outcomeError(resp.Outcome)
+	return resp.State, ErrorOf(resp.Outcome)
 }
 
 // Waiting counts a route's waiting submissions; if the owner can't be
@@ -260,7 +260,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return resp.Count, outcomeError(resp.Outcome)
+	return resp.Count, ErrorOf(resp.Outcome)
 }
 
 // pause waits before the next try; false if there is no time for one.
@@ -273,8 +273,8 @@
 	}
 }
 
-// outcomeError is the error that an outcome stands for.
-func outcomeError(o member.Outcome) error {
+// ErrorOf is the error that an outcome stands for.
+func ErrorOf(o member.Outcome) error {
 	switch o {
 	case member.OutcomeDone:
 		return nil
--- a/run/feed.go
+++ b/run/feed.go
@@ -26,15 +26,26 @@
 
 // Vacate names the machines that are to be emptied for something else.
 func (o *Owner) Vacate(ctx context.Context, machines map[tw.InstanceID]bool) {
-	o.post(ctx, func() {
-		o.vacate = machines
-		for _, w := range o.workers {
-			w.leaving = machines[w.entry.Instance]
+	o.post(ctx, func() { o.setVacate(machines) })
+}
+
+func (o *Owner) setVacate(machines map[tw.InstanceID]bool) {
+	o.vacate, o.vacateAt = machines, o.now
+	for _, w := range o.workers {
+		leaving := machines[w.entry.Instance]
+		if leaving != w.leaving {
+			o.log.Info("worker: to be emptied", zap.String("worker", string(w.entry.ID)), zap.Bool("wanted", leaving),
+				zap.Int("runs", len(w.runs)))
+			o.placeSoon = true
 		}
-		o.placeSoon = true
-	})
+		w.leaving = leaving
+	}
 }
 
+// vacateTime is how long machines are kept empty for a manager that no longer
+// asks for it. It asks several times a second.
+const vacateTime = 2 * time.Second
+
 func (o *Owner) setWorkers(list WorkerList) {
 	o.feedAt = list.Settled
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
@@ -133,6 +144,9 @@
 // watchWorkers resolves doubts about workers that do not answer.
 func (o *Owner) watchWorkers() time.Time {
 	var next time.Time
+	if len(o.vacate) > 0 && o.now.Sub(o.vacateAt) > vacateTime {
+		o.setVacate(nil)
+	}
 	for _, w := range o.workers {
 		if !w.listed && o.mayDrop(w) {
 			o.bury(w, "not listed any more, and nothing of it is left")
--- a/run/owner.go
+++ b/run/owner.go
@@ -47,6 +47,7 @@
 	writer    *writer
 	learned   map[learnKey]float64
 	vacate    map[tw.InstanceID]bool
+	vacateAt  time.Time
 	feedAt    time.Time
 	// counted: the list of machines was read since the takeover.
 	counted bool
--- a/run/place.go
+++ b/run/place.go
@@ -37,7 +37,7 @@
 	}
 	var offers []*schedule.Worker
 	for _, w := range o.workers {
-		if w.usable(o.now) {
+		if w.usable(o.now) && !w.leaving {
 			offers = append(offers, w.offer())
 		}
 	}
--- a/run/report.go
+++ b/run/report.go
@@ -11,11 +11,11 @@
 	Report struct {
 		Pool    tw.PoolID    `json:"pool"`
 		Workers []WorkerLoad `json:"workers"`
-		// Demand is the processor need of what runs and of what waits.
-		Running tw.Millicores `json:"running"`
-		Waiting tw.Millicores `json:"waiting"`
-		// Lasting is the part of Running that lasting subtasks take.
-		Lasting tw.Millicores `json:"lasting"`
+		// Running is what runs take, Waiting what waiting subtasks that could
+		// start now would take, and Lasting the part of both that lasts.
+		Running tw.Resources `json:"running"`
+		Waiting tw.Resources `json:"waiting"`
+		Lasting tw.Resources `json:"lasting"`
 	}
 
 	// WorkerLoad is what runs on a worker.
@@ -54,32 +54,34 @@
 			Runs: len(w.runs), Lasting: w.hasLasting(), Sound: w.usable(o.now),
 		})
 		for _, r := range w.runs {
-			out.Running += r.claim.CPU
+			out.Running = out.Running.Plus(r.claim)
 			if r.task.step.spec.Lasting {
-				out.Lasting += r.claim.CPU
+				out.Lasting = out.Lasting.Plus(r.claim)
 			}
 		}
 	}
 	for _, sub := range o.live {
-		out.Waiting += waitingCPU(sub)
+		sub.addWaiting(&out)
 	}
 	return out
 }
 
-// waitingCPU is the processor need of subtasks that could start now.
-func waitingCPU(sub *submission) tw.Millicores {
-	var need tw.Millicores
-	for _, rep := range sub.reps {
+// addWaiting adds the needs of the submission's subtasks that could start now.
+func (s *submission) addWaiting(out *Report) {
+	for _, rep := range s.reps {
 		for _, st := range rep.steps {
 			if st.done == st.spec.Count || !st.ready() {
 				continue
 			}
 			for _, t := range st.tasks {
-				if !t.done && !t.active() {
-					need += st.spec.Claim().CPU
+				if t.done || t.active() {
+					continue
+				}
+				out.Waiting = out.Waiting.Plus(st.spec.Claim())
+				if st.spec.Lasting {
+					out.Lasting = out.Lasting.Plus(st.spec.Claim())
 				}
 			}
 		}
 	}
-	return need
 }
--- a/run/worker.go
+++ b/run/worker.go
@@ -120,12 +120,11 @@
 // offer is the worker as the scheduler sees it.
 func (w *worker) offer() *schedule.Worker {
 	out := &schedule.Worker{
-		ID:      w.entry.ID,
-		Rack:    w.entry.Rack(),
-		Labels:  w.entry.Labels,
-		Free:    w.free(),
-		Rank:    w.rank,
-		Leaving: w.leaving,
+		ID:     w.entry.ID,
+		Rack:   w.entry.Rack(),
+		Labels: w.entry.Labels,
+		Free:   w.free(),
+		Rank:   w.rank,
 	}
 	if w.health.slowness > slowWorker {
 		out.Distrust = 1
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -79,7 +79,6 @@
 // compare orders workers for the step.
 func (g *Group) compare(a, b *Worker) int {
 	return cmp.Or(
-		compareBool(a.Leaving, b.Leaving),
 		cmp.Compare(a.Distrust, b.Distrust),
 		compareBool(g.far(a), g.far(b)),
 		g.compareSharing(a, b),
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -17,8 +17,6 @@
 		Distrust int
 		// Rank orders workers that are alike. Work is packed onto the lowest.
 		Rank int
-		// Leaving workers are used only where no other has room.
-		Leaving bool
 		// Serving counts subtasks with a tail target, Fillers those that take
 		// what the others leave.
 		Serving int
