--- a/cmd/tamarindd/queue.go
+++ b/cmd/tamarindd/queue.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tamarindworks/tamarindworks/daemon"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 const queueHelp = `Take submissions and run their subtasks on the platform's workers.
@@ -71,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
-		log.Error("daemon: planned stop failed", zap.Error(err))
+		log.Error("daemon: planned stop failed", logsink.Err(err))
 		return exitFailed
 	}
 	return 0
@@ -104,7 +105,7 @@
 func (c *queueCommand) reload(d *daemon.QueueDaemon, log *zap.Logger) {
 	settings, err := daemon.LoadQueueSettings(*c.path)
 	if err != nil {
-		log.Error("daemon: new settings are bad, the former ones stay in force", zap.Error(err))
+		log.Error("daemon: new settings are bad, the former ones stay in force", logsink.Err(err))
 		return
 	}
 	d.Reload(settings)
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/maintenance"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
@@ -138,7 +139,7 @@
 func (d *directory) offerConfig(value []byte, from string) {
 	config, err := platform.DecodeQueueConfig(value)
 	if err != nil {
-		d.log.Error("config: not readable", zap.String("from", from), zap.Error(err))
+		d.log.Error("config: not readable", zap.String("from", from), logsink.Err(err))
 		return
 	}
 	d.mu.Lock()
@@ -154,7 +155,7 @@
 func (d *directory) offerWave(item tw.KVItem) {
 	wave, err := platform.DecodeWave(item.Value)
 	if err != nil {
-		d.log.Error("wave: not readable", zap.String("key", string(item.Key)), zap.Error(err))
+		d.log.Error("wave: not readable", zap.String("key", string(item.Key)), logsink.Err(err))
 		return
 	}
 	d.mu.Lock()
@@ -176,7 +177,7 @@
 		if !known || have.revision != item.Revision {
 			entry, err := platform.DecodeWorker(item)
 			if err != nil {
-				d.log.Error("worker: entry not readable", zap.String("key", string(key)), zap.Error(err))
+				d.log.Error("worker: entry not readable", zap.String("key", string(key)), logsink.Err(err))
 				continue
 			}
 			have = listedWorker{revision: item.Revision, entry: entry}
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/maintenance"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -96,7 +97,7 @@
 		defer o.mu.Unlock()
 		delete(o.taking, pool)
 		if err != nil {
-			o.d.log.Warn("owner: pool not taken", zap.String("pool", string(pool)), zap.Error(err))
+			o.d.log.Warn("owner: pool not taken", zap.String("pool", string(pool)), logsink.Err(err))
 		}
 	}()
 }
@@ -181,7 +182,7 @@
 				seen[key] = item.Revision
 				message, err := ledger.DecodeInbox(item)
 				if err != nil {
-					o.d.log.Error("inbox: message not readable", zap.Error(err))
+					o.d.log.Error("inbox: message not readable", logsink.Err(err))
 					continue
 				}
 				owner.Inbox(o.ctx, message)
@@ -262,5 +263,5 @@
 	}
 	err := o.d.peers.Take(ctx, successor.Address, pool)
 	o.d.log.Info("owner: pool handed over", zap.String("pool", string(pool)),
-		zap.String("to", string(successor.Daemon)), zap.Error(err))
+		zap.String("to", string(successor.Daemon)), logsink.Err(err))
 }
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
 	"github.com/tamarindworks/tamarindworks/queue"
@@ -162,7 +163,7 @@
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(at); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("daemon: listener failed", zap.Error(err))
+			d.log.Error("daemon: listener failed", logsink.Err(err))
 		}
 	}()
 }
@@ -190,7 +191,7 @@
 	resp, err := d.peers.Config(ctx, address)
 	if err != nil {
 		d.log.Warn("config: newer one not read from peer", zap.String("address", address),
-			zap.Uint64("version", uint64(version)), zap.Error(err))
+			zap.Uint64("version", uint64(version)), logsink.Err(err))
 		return
 	}
 	d.directory.offerConfig(resp.Value, address)
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 type (
@@ -188,7 +189,7 @@
 			unclear = true
 		}
 		b.log.Warn("ledger: write unanswered, sent again", zap.String("pool", string(b.owner.Pool)),
-			zap.Int64("count", b.head.Count+1), zap.Error(err))
+			zap.Int64("count", b.head.Count+1), logsink.Err(err))
 		select {
 		case <-b.clock.After(pause):
 		case <-ctx.Done():
--- a/maintenance/decide.go
+++ b/maintenance/decide.go
@@ -202,6 +202,7 @@
 			down[order.Wave]++
 		}
 		order.Since = s.Now
+		order.From = machine.Pool
 		d.Orders = append(d.Orders, order)
 		delete(d.Vacate, id)
 	}
--- /dev/null
+++ b/maintenance/forecast.go
@@ -0,0 +1,104 @@
+package maintenance
+
+import (
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// forecast works out how many machines a pool needs, from its reports.
+	forecast struct {
+		samples []sample
+		// offers are the offered work over time, for its rate.
+		offers []offer
+		fence  tw.Fence
+	}
+
+	sample struct {
+		at   time.Time
+		need float64
+	}
+
+	offer struct {
+		at   time.Time
+		work run.Work
+	}
+)
+
+const (
+	// rateWindow is the time over which the rate of offered work is measured:
+	// short, as demand turns within a second.
+	rateWindow = 1200 * time.Millisecond
+	// peakWindow is how long a need is remembered. A machine that is parked
+	// and called back costs two moves, which is what it costs to hold it for
+	// about 5 s on present deployments.
+	peakWindow = 6 * time.Second
+	// fill is the share of a pool's capacity that placement makes use of.
+	fill = 0.85
+)
+
+// observe takes up a report.
+func (f *forecast) observe(at time.Time, r *run.Report) {
+	if len(f.samples) > 0 && !at.After(f.samples[len(f.samples)-1].at) {
+		return
+	}
+	if r.Fence != f.fence {
+		f.fence, f.offers = r.Fence, nil // a new owner counts from zero
+	}
+	f.offers = append(f.offers, offer{at: at, work: r.Offered})
+	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= rateWindow {
+		f.offers = f.offers[1:]
+	}
+	f.samples = append(f.samples, sample{at: at, need: f.machines(r)})
+	for at.Sub(f.samples[0].at) > peakWindow {
+		f.samples = f.samples[1:]
+	}
+}
+
+// machines is how many machines a report asks for: what runs and waits now,
+// or what the rate of new work will fill, whichever is more.
+func (f *forecast) machines(r *run.Report) float64 {
+	size := sizeOf(r)
+	present := share(r.Running.Plus(r.Waiting), size)
+	coming := share(r.Lasting, size) + f.rate(size)
+	return max(present, coming) / fill
+}
+
+// rate is the machines that new work fills if it goes on coming as of late.
+func (f *forecast) rate(size tw.Resources) float64 {
+	if len(f.offers) < 2 {
+		return 0
+	}
+	first, last := f.offers[0], f.offers[len(f.offers)-1]
+	seconds := last.at.Sub(first.at).Seconds()
+	if seconds <= 0 {
+		return 0
+	}
+	return share(tw.Resources{
+		CPU:      tw.Millicores((last.work.CPU - first.work.CPU) / seconds),
+		MemoryMB: int64((last.work.MemoryMB - first.work.MemoryMB) / seconds),
+	}, size)
+}
+
+// need is the present need and the highest of late.
+func (f *forecast) need(now time.Time) (need, peak float64) {
+	for _, s := range f.samples {
+		if now.Sub(s.at) <= peakWindow {
+			peak = max(peak, s.need)
+			need = s.need
+		}
+	}
+	return need, peak
+}
+
+// sizeOf is the size of the pool's machines; the largest, if they differ.
+func sizeOf(r *run.Report) tw.Resources {
+	var size tw.Resources
+	for _, load := range r.Workers {
+		size.CPU = max(size.CPU, load.Capacity.CPU)
+		size.MemoryMB = max(size.MemoryMB, load.Capacity.MemoryMB)
+	}
+	return size
+}
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
 )
@@ -65,6 +66,8 @@
 		vacating  map[tw.InstanceID]Order
 		reports   map[tw.PoolID]report
 		confirmed time.Time
+		forecasts map[tw.PoolID]*forecast
+		unfit     map[tw.InstanceID]map[tw.PoolID]bool
 	}
 
 	report struct {
@@ -100,7 +103,8 @@
 		Config: c, fence: c.Book.Fence(), from: now.Add(c.HolderTime + holderMargin),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		waves: map[int64]*Wave{}, ordered: map[tw.InstanceID]Order{}, vacating: map[tw.InstanceID]Order{},
-		reports: map[tw.PoolID]report{}, confirmed: now,
+		reports: map[tw.PoolID]report{}, confirmed: now, forecasts: map[tw.PoolID]*forecast{},
+		unfit: map[tw.InstanceID]map[tw.PoolID]bool{},
 	}
 	if c.Book.First() {
 		m.from = now // nobody gave orders before
@@ -177,7 +181,7 @@
 	w := &Wave{MaintenanceWave: wave, Seen: m.Clock.Now(), Done: map[tw.InstanceID]bool{}}
 	progress, err := ledger.FindWave(m.ctx, m.KV, wave.Number)
 	if err != nil {
-		m.Log.Warn("wave: progress not readable, machines are asked about again", zap.Int64("wave", wave.Number), zap.Error(err))
+		m.Log.Warn("wave: progress not readable, machines are asked about again", zap.Int64("wave", wave.Number), logsink.Err(err))
 		return w
 	}
 	for _, id := range progress.Done {
@@ -196,6 +200,10 @@
 			vacate[pool] = append(vacate[pool], id)
 		}
 	}
+	// A machine that was ordered away is gone before its owner can know.
+	for id, order := range m.ordered {
+		vacate[order.From] = append(vacate[order.From], id)
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
@@ -240,13 +248,21 @@
 	now := m.Clock.Now()
 	s := &State{
 		Now: now, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
-		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{},
+		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{}, Unfit: m.unfit,
 	}
 	for _, pool := range config.Pools {
 		last := m.reports[pool.ID]
-		s.Pools[pool.ID] = &Pool{
-			ID: pool.ID, Parking: pool.Parking, Known: now.Sub(last.at) <= reportAge, Report: last.Report,
+		p := &Pool{ID: pool.ID, Parking: pool.Parking, Known: now.Sub(last.at) <= reportAge, Report: last.Report}
+		f := m.forecasts[pool.ID]
+		if f == nil {
+			f = &forecast{}
+			m.forecasts[pool.ID] = f
 		}
+		if p.Known {
+			f.observe(last.at, &last.Report)
+		}
+		p.Need, p.Peak = f.need(now)
+		s.Pools[pool.ID] = p
 	}
 	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
 		s.Waves = append(s.Waves, m.waves[number])
@@ -320,13 +336,14 @@
 // answered takes up the answer to an order.
 func (m *Manager) answered(order Order, err error) {
 	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
-		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), zap.Error(err))
+		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), logsink.Err(err))
 	var refused *tw.MachineRefused
 	switch {
 	case err == nil:
 		return
 	case errors.As(err, &refused):
 		delete(m.ordered, order.Machine)
+		m.noteUnfit(order, refused)
 		if w := m.waves[order.Wave]; w != nil && refused.Reason != tw.MachineNotInWave && refused.Reason != tw.MachineUnknown {
 			delete(w.Done, order.Machine)
 		}
@@ -343,3 +360,14 @@
 		}
 	}
 }
+
+// noteUnfit remembers that a pool takes other machines only.
+func (m *Manager) noteUnfit(order Order, refused *tw.MachineRefused) {
+	if order.Wave != 0 || refused.Reason != tw.MachineUnknown {
+		return
+	}
+	if m.unfit[order.Machine] == nil {
+		m.unfit[order.Machine] = map[tw.PoolID]bool{}
+	}
+	m.unfit[order.Machine][order.Pool] = true
+}
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -30,6 +30,9 @@
 		// Known: there is a report that is recent enough to act on.
 		Known  bool
 		Report run.Report
+		// Need is how many machines the pool's work fills now, Peak the most
+		// that it needed of late.
+		Need, Peak float64
 	}
 
 	// State is all that decisions rest on.
@@ -45,6 +48,8 @@
 		// Vacating are the machines that owners were asked to empty, with the
 		// change that waits for it.
 		Vacating map[tw.InstanceID]Order
+		// Unfit are the pools that refused a machine.
+		Unfit map[tw.InstanceID]map[tw.PoolID]bool
 	}
 
 	// Order is a change of a machine: maintenance if Wave is not zero, else a
@@ -53,6 +58,8 @@
 		Machine tw.InstanceID
 		Wave    int64
 		Pool    tw.PoolID
+		// From is the pool that the machine was in.
+		From tw.PoolID
 		// Since is when the change was decided, or ordered.
 		Since time.Time
 		Why   string
--- a/member/live.go
+++ b/member/live.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
@@ -77,7 +78,7 @@
 	<-p.done
 	if lease := p.current(); lease != 0 {
 		if err := p.config.KV.Revoke(ctx, lease); err != nil {
-			p.config.Log.Warn("presence: record not removed, its lease will run out", zap.Error(err))
+			p.config.Log.Warn("presence: record not removed, its lease will run out", logsink.Err(err))
 		}
 	}
 }
@@ -118,7 +119,7 @@
 	}
 	value, err := json.Marshal(p.config.Self)
 	if err != nil {
-		p.config.Log.Error("presence: record not written", zap.Error(err))
+		p.config.Log.Error("presence: record not written", logsink.Err(err))
 		return
 	}
 	put := tw.KVPut{Key: ledger.LiveKey(p.config.Self.Daemon), Value: value, Lease: lease}
--- a/member/members.go
+++ b/member/members.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
@@ -170,14 +171,14 @@
 		case strings.HasPrefix(string(key), string(ledger.LivePrefix)):
 			l, err := decodeLive(item)
 			if err != nil {
-				m.config.Log.Error("member: unreadable record", zap.Error(err))
+				m.config.Log.Error("member: unreadable record", logsink.Err(err))
 				continue
 			}
 			live[l.Daemon] = l
 		case strings.HasPrefix(string(key), string(ledger.OwnerPrefix)):
 			o, err := ledger.DecodeOwner(item)
 			if err != nil {
-				m.config.Log.Error("member: unreadable record", zap.Error(err))
+				m.config.Log.Error("member: unreadable record", logsink.Err(err))
 				continue
 			}
 			m.setOwner(o)
@@ -271,7 +272,7 @@
 	}
 	if err != nil && c.silentFrom.IsZero() {
 		c.silentFrom = now
-		m.config.Log.Info("member: owner does not answer", zap.String("address", address), zap.Error(err))
+		m.config.Log.Info("member: owner does not answer", zap.String("address", address), logsink.Err(err))
 	}
 	m.mu.Unlock()
 	if err == nil && resp.Config > version {
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 type (
@@ -158,6 +159,6 @@
 	defer w.mu.Unlock()
 	if !w.settled.IsZero() {
 		w.settled = time.Time{}
-		w.config.Log.Warn("watch: store does not answer", zap.String("prefix", string(w.config.Prefix)), zap.Error(err))
+		w.config.Log.Warn("watch: store does not answer", zap.String("prefix", string(w.config.Prefix)), logsink.Err(err))
 	}
 }
--- a/run/advice.go
+++ b/run/advice.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 type (
@@ -132,7 +133,7 @@
 	known := ask.st.advice
 	known.asking = false
 	if err != nil {
-		a.o.log.Warn("advice: not answered", zap.Stringer("step", ask.id), zap.Error(err))
+		a.o.log.Warn("advice: not answered", zap.Stringer("step", ask.id), logsink.Err(err))
 		return
 	}
 	for _, id := range ask.workers {
--- a/run/census.go
+++ b/run/census.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 type (
@@ -95,7 +96,7 @@
 		list, err := c.machines.List(ctx)
 		switch {
 		case err != nil && !failing:
-			c.log.Warn("census: list of machines not readable", zap.Error(err))
+			c.log.Warn("census: list of machines not readable", logsink.Err(err))
 		case err == nil && failing:
 			c.log.Info("census: list of machines readable again")
 		}
--- a/run/end.go
+++ b/run/end.go
@@ -63,6 +63,9 @@
 		members = t.step.tasks
 	}
 	sub := t.step.rep.sub
+	if t.done {
+		return // a copy of it ended before
+	}
 	for _, m := range members {
 		if m.done {
 			continue
--- a/run/look.go
+++ b/run/look.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 // lookAround sends the looks that are due and returns when the next one is.
@@ -131,10 +132,10 @@
 		return
 	}
 	var refused *tw.OrderRefused
-	if !errors.As(err, &refused) {
+	if !errors.As(err, &refused) && !errors.Is(err, errNotSent) {
 		if w.unanswered == 0 {
 			o.log.Info("worker: does not answer", zap.String("worker", string(w.entry.ID)),
-				zap.Int("runs", len(w.runs)), zap.Error(err))
+				zap.Int("runs", len(w.runs)), logsink.Err(err))
 		}
 		w.unheard(o.now)
 	}
--- a/run/owner.go
+++ b/run/owner.go
@@ -49,6 +49,7 @@
 	vacate    map[tw.InstanceID]bool
 	vacateAt  time.Time
 	feedAt    time.Time
+	offered   Work
 	// counted: the list of machines was read since the takeover.
 	counted bool
 	failed  bool
--- a/run/report.go
+++ b/run/report.go
@@ -16,6 +16,17 @@
 		Running tw.Resources `json:"running"`
 		Waiting tw.Resources `json:"waiting"`
 		Lasting tw.Resources `json:"lasting"`
+		// Offered is the work of all submissions accepted so far by this
+		// owner, but for lasting steps: needs times expected run time.
+		Offered Work `json:"offered"`
+		// Fence tells reports of successive owners apart.
+		Fence tw.Fence `json:"fence"`
+	}
+
+	// Work is resources times seconds.
+	Work struct {
+		CPU      float64 `json:"cpu"`      // millicore seconds
+		MemoryMB float64 `json:"memoryMb"` // megabyte seconds
 	}
 
 	// WorkerLoad is what runs on a worker.
@@ -46,7 +57,7 @@
 }
 
 func (o *Owner) report() Report {
-	out := Report{Pool: o.pool}
+	out := Report{Pool: o.pool, Offered: o.offered, Fence: o.self.Fence}
 	for _, w := range o.workers {
 		free := w.free()
 		out.Workers = append(out.Workers, WorkerLoad{
@@ -85,3 +96,17 @@
 		}
 	}
 }
+
+// offer adds the work of a new submission to what was offered.
+func (o *Owner) offer(sub *submission) {
+	for _, rep := range sub.reps {
+		for _, st := range rep.steps {
+			if st.spec.Lasting {
+				continue
+			}
+			seconds := o.expected(st).Seconds() * float64(st.spec.Count-st.done)
+			o.offered.CPU += seconds * float64(st.spec.Claim().CPU)
+			o.offered.MemoryMB += seconds * float64(st.spec.Claim().MemoryMB)
+		}
+	}
+}
--- a/run/requests.go
+++ b/run/requests.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
@@ -92,7 +93,7 @@
 	}
 	if err := o.writer.refuses(); err != nil {
 		o.metrics.refused.Inc()
-		o.log.Info("submission: refused, the store does not take it", zap.String("submission", string(s.ID)), zap.Error(err))
+		o.log.Info("submission: refused, the store does not take it", zap.String("submission", string(s.ID)), logsink.Err(err))
 		result <- err
 		return
 	}
@@ -109,6 +110,7 @@
 	o.log.Info("submission: accepted", zap.String("submission", string(sub.ID)),
 		zap.String("route", string(sub.Policy.Route)), zap.Int("steps", len(sub.Steps)))
 	o.add(sub)
+	o.offer(sub)
 	sub.answer(nil)
 }
 
@@ -116,7 +118,7 @@
 func (o *Owner) refusedByStore(sub *submission, err error) {
 	delete(o.submissions, sub.ID)
 	o.metrics.refused.Inc()
-	o.log.Info("submission: not taken", zap.String("submission", string(sub.ID)), zap.Error(err))
+	o.log.Info("submission: not taken", zap.String("submission", string(sub.ID)), logsink.Err(err))
 	sub.answer(err)
 }
 
@@ -132,7 +134,7 @@
 	go func() {
 		loaded, err := o.read(id)
 		if err != nil {
-			o.log.Warn("submission: not readable", zap.String("submission", string(id)), zap.Error(err))
+			o.log.Warn("submission: not readable", zap.String("submission", string(id)), logsink.Err(err))
 			return
 		}
 		o.post(o.ctx, func() { o.fetched(loaded) })
@@ -180,7 +182,7 @@
 	go func() {
 		loaded, err := o.read(m.ID)
 		if err != nil && !errors.Is(err, tw.ErrNotFound) {
-			o.log.Warn("inbox: submission not readable, tried again", zap.String("submission", string(m.ID)), zap.Error(err))
+			o.log.Warn("inbox: submission not readable, tried again", zap.String("submission", string(m.ID)), logsink.Err(err))
 			select {
 			case <-o.clock.After(flushRetry):
 			case <-o.ctx.Done():
--- a/run/session.go
+++ b/run/session.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
@@ -21,6 +23,9 @@
 		events chan<- func()
 		cancel context.CancelFunc
 		done   chan struct{}
+		// silent: the last order was not answered. Starts that wait are then
+		// not sent, as each would keep the others waiting.
+		silent atomic.Bool
 	}
 
 	// permit tells sessions until when the owner may give orders. A daemon
@@ -44,9 +49,15 @@
 	workOrder struct {
 		send func(ctx context.Context) (tw.WorkerClock, error)
 		done func(clock tw.WorkerClock, err error)
+		// stale tells whether the order must not be sent any more; nil if it
+		// always may.
+		stale func(now time.Time) bool
 	}
 )
 
+// errNotSent is the outcome of an order that was surely never sent.
+var errNotSent = errors.New("order not sent, it was outdated")
+
 func (p *permit) extend(until time.Time) { p.until.Store(&until) }
 
 func (p *permit) valid(now time.Time) bool {
@@ -85,8 +96,9 @@
 			result := lookResult{seq: l.seq, sent: s.clock.Now()}
 			if s.permit.valid(result.sent) {
 				result.report, result.err = s.orders.Hold(ctx, s.ref, l.hold)
+				s.heard(result.err)
 			} else {
-				result.err = tw.ErrUnavailable
+				result.err = errNotSent
 			}
 			s.report(ctx, func() { l.done(result) })
 		}
@@ -99,15 +111,30 @@
 		case <-ctx.Done():
 			return
 		case w := <-s.work:
-			clock, err := tw.WorkerClock(0), error(tw.ErrUnavailable)
-			if s.permit.valid(s.clock.Now()) {
-				clock, err = w.send(ctx)
-			}
+			clock, err := s.send(ctx, w)
 			s.report(ctx, func() { w.done(clock, err) })
 		}
 	}
 }
 
+// send gives an order unless it is outdated by now.
+func (s *session) send(ctx context.Context, w workOrder) (tw.WorkerClock, error) {
+	now := s.clock.Now()
+	outdated := w.stale != nil && (s.silent.Load() || w.stale(now))
+	if outdated || !s.permit.valid(now) {
+		return 0, errNotSent
+	}
+	clock, err := w.send(ctx)
+	s.heard(err)
+	return clock, err
+}
+
+// heard notes whether the worker answers.
+func (s *session) heard(err error) {
+	var refused *tw.OrderRefused
+	s.silent.Store(err != nil && !errors.As(err, &refused))
+}
+
 // report hands a result to the loop.
 func (s *session) report(ctx context.Context, event func()) {
 	select {
--- a/run/start.go
+++ b/run/start.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 // fullPace is the pace, in percent, at which a subtask starts.
@@ -30,9 +31,11 @@
 		Subtask: t.id, Run: run, Spec: sub.Spec, Checkpoint: t.checkpoint(), Ticket: ticket,
 		Deadline: w.clockNow(o.now).Add(o.bounds.MaxHold), Fence: o.self.Fence,
 	}
+	decided := o.now
 	sent := w.session.give(workOrder{
-		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.entry.Ref(), order) },
-		done: func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
+		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
+		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.entry.Ref(), order) },
+		done:  func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
 	})
 	if !sent {
 		o.metrics.started("queue full")
@@ -78,6 +81,9 @@
 		o.confirmStart(r)
 	case errors.As(err, &refused):
 		o.startRefused(r, refused)
+	case errors.Is(err, errNotSent):
+		o.metrics.started("outdated")
+		o.runGone(r, "outdated")
 	case tw.SurelyNotDone(err):
 		o.metrics.started("not sent")
 		w.unheard(o.now)
@@ -97,7 +103,7 @@
 
 func (o *Owner) logStart(r *runState, err error) {
 	o.log.Info("run: start not confirmed", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
-		zap.String("worker", string(r.w.entry.ID)), zap.Error(err))
+		zap.String("worker", string(r.w.entry.ID)), logsink.Err(err))
 }
 
 // confirmStart notes that a run exists on its worker.
@@ -139,6 +145,7 @@
 	if r.phase == stopping || r.phase == blocked {
 		return
 	}
+	r.withdrawn.Store(true)
 	r.phase = stopping
 	r.why = why
 	o.metrics.stopped(why)
@@ -180,6 +187,10 @@
 	}
 }
 
+// startAge is how old the decision to start may be when the order is sent; a
+// worker that answers takes some tens of starts in that time.
+const startAge = 500 * time.Millisecond
+
 // stopRetry is the pause after a stop that was not answered.
 const stopRetry = 400 * time.Millisecond
 
--- a/run/submission.go
+++ b/run/submission.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"sync/atomic"
 	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -91,6 +92,8 @@
 		overFrom time.Time
 		// why the run was told to stop.
 		why string
+		// withdrawn: its start must not be sent any more.
+		withdrawn atomic.Bool
 	}
 )
 
--- a/run/writer.go
+++ b/run/writer.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
@@ -245,11 +245,11 @@
 		return
 	case err != nil && !tw.SurelyNotDone(err):
 		// Only the end of the owner leaves a write in doubt.
-		o.log.Warn("owner: a write stays in doubt", zap.Error(err))
+		o.log.Warn("owner: a write stays in doubt", logsink.Err(err))
 		return
 	case err != nil:
 		if w.lastError == nil {
-			o.log.Warn("owner: the store takes no writes", zap.Error(err))
+			o.log.Warn("owner: the store takes no writes", logsink.Err(err))
 		}
 		w.lastError = err
 		w.retryAt = o.now.Add(flushRetry)
