--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -73,30 +73,21 @@
 	if owner == nil {
 		return &member.ReportResponse{Outcome: member.OutcomeNotOwner}, nil
 	}
-	report, err := d.reportHere(ctx, owner, m.Vacate)
+	report, err := owner.Report(ctx, m.Directions)
 	return &member.ReportResponse{Outcome: queue.OutcomeOf(err), Report: report}, nil
 }
 
-func (d *QueueDaemon) reportHere(ctx context.Context, owner *run.Owner, vacate []tw.InstanceID) (run.Report, error) {
-	machines := make(map[tw.InstanceID]bool, len(vacate))
-	for _, id := range vacate {
-		machines[id] = true
-	}
-	owner.Vacate(ctx, machines)
-	return owner.Report(ctx)
-}
-
-// ReportOf asks the owner of a pool how busy it is, and tells it which
-// machines to empty.
-func (d *QueueDaemon) ReportOf(ctx context.Context, pool tw.PoolID, vacate []tw.InstanceID) (run.Report, error) {
+// ReportOf asks the owner of a pool how busy it is, and gives it its
+// directions.
+func (d *QueueDaemon) ReportOf(ctx context.Context, pool tw.PoolID, directions run.Directions) (run.Report, error) {
 	if owner := d.owners.Local(pool); owner != nil {
-		return d.reportHere(ctx, owner, vacate)
+		return owner.Report(ctx, directions)
 	}
 	owner, found := d.members.Owner(pool)
 	if !found {
 		return run.Report{}, run.ErrNotOwner
 	}
-	resp, err := d.peers.Report(ctx, owner.Address, member.ReportRequest{Pool: pool, Vacate: vacate})
+	resp, err := d.peers.Report(ctx, owner.Address, member.ReportRequest{Pool: pool, Directions: directions})
 	if err != nil {
 		return run.Report{}, err
 	}
--- a/maintenance/decide.go
+++ b/maintenance/decide.go
@@ -202,7 +202,7 @@
 			down[order.Wave]++
 		}
 		order.Since = s.Now
-		order.From = machine.Pool
+		order.From, order.Worker = machine.Pool, machine.Worker
 		d.Orders = append(d.Orders, order)
 		delete(d.Vacate, id)
 	}
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -30,11 +30,11 @@
 const (
 	// rateWindow is the time over which the rate of offered work is measured:
 	// short, as demand turns within a second.
-	rateWindow = 1200 * time.Millisecond
-	// peakWindow is how long a need is remembered. A machine that is parked
-	// and called back costs two moves, which is what it costs to hold it for
-	// about 5 s on present deployments.
-	peakWindow = 6 * time.Second
+	rateWindow = 800 * time.Millisecond
+	// rateTrust times what runs and waits is the most that the rate of new
+	// work may ask for: over a short window a few large submissions look like
+	// a flood.
+	rateTrust = 1.5
 	// fill is the share of a pool's capacity that placement makes use of.
 	fill = 0.85
 )
@@ -52,7 +52,7 @@
 		f.offers = f.offers[1:]
 	}
 	f.samples = append(f.samples, sample{at: at, need: f.machines(r)})
-	for at.Sub(f.samples[0].at) > peakWindow {
+	for at.Sub(f.samples[0].at) > quietTime {
 		f.samples = f.samples[1:]
 	}
 }
@@ -63,7 +63,7 @@
 	size := sizeOf(r)
 	present := share(r.Running.Plus(r.Waiting), size)
 	coming := share(r.Lasting, size) + f.rate(size)
-	return max(present, coming) / fill
+	return max(present, min(coming, rateTrust*present+1)) / fill
 }
 
 // rate is the machines that new work fills if it goes on coming as of late.
@@ -85,7 +85,7 @@
 // need is the present need and the highest of late.
 func (f *forecast) need(now time.Time) (need, peak float64) {
 	for _, s := range f.samples {
-		if now.Sub(s.at) <= peakWindow {
+		if now.Sub(s.at) <= quietTime {
 			peak = max(peak, s.need)
 			need = s.need
 		}
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -23,9 +23,9 @@
 type (
 	// Owners reaches the owners of pools.
 	Owners interface {
-		// ReportOf asks the owner of a pool how busy it is, and tells it which
-		// machines to empty.
-		ReportOf(ctx context.Context, pool tw.PoolID, vacate []tw.InstanceID) (run.Report, error)
+		// ReportOf asks the owner of a pool how busy it is, and gives it its
+		// directions.
+		ReportOf(ctx context.Context, pool tw.PoolID, d run.Directions) (run.Report, error)
 	}
 
 	// Config configures a Manager.
@@ -56,18 +56,27 @@
 		Config
 		fence  tw.Fence
 		from   time.Time // no orders before
+		began  time.Time
 		ctx    context.Context
 		cancel context.CancelFunc
 		done   chan struct{}
 
 		// What follows belongs to the duty.
-		waves     map[int64]*Wave
-		ordered   map[tw.InstanceID]Order
-		vacating  map[tw.InstanceID]Order
-		reports   map[tw.PoolID]report
-		confirmed time.Time
-		forecasts map[tw.PoolID]*forecast
-		unfit     map[tw.InstanceID]map[tw.PoolID]bool
+		waves       map[int64]*Wave
+		ordered     map[tw.InstanceID]Order
+		vacating    map[tw.InstanceID]Order
+		reports     map[tw.PoolID]report
+		gone        map[tw.WorkerID]goneWorker
+		confirmed   time.Time
+		poolsLogged time.Time
+		forecasts   map[tw.PoolID]*forecast
+		unfit       map[tw.InstanceID]map[tw.PoolID]bool
+	}
+
+	// goneWorker is a worker that ended with an order that was answered.
+	goneWorker struct {
+		pool tw.PoolID
+		at   time.Time
 	}
 
 	report struct {
@@ -80,7 +89,10 @@
 
 const (
 	// managePace is the pace of decisions.
-	managePace = 200 * time.Millisecond
+	managePace = 100 * time.Millisecond
+	// goneTold is how long owners are told of a worker that is gone. Its entry
+	// goes after three status reports of silence, about 5 s.
+	goneTold = 8 * time.Second
 	// reportAge is how old a report may be to act on it.
 	reportAge = 500 * time.Millisecond
 	// reportTimeout bounds the call for a report.
@@ -100,10 +112,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := c.Clock.Now()
 	m := &Manager{
-		Config: c, fence: c.Book.Fence(), from: now.Add(c.HolderTime + holderMargin),
+		Config: c, fence: c.Book.Fence(), began: now, from: now.Add(c.HolderTime + holderMargin),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		waves: map[int64]*Wave{}, ordered: map[tw.InstanceID]Order{}, vacating: map[tw.InstanceID]Order{},
-		reports: map[tw.PoolID]report{}, confirmed: now, forecasts: map[tw.PoolID]*forecast{},
+		reports: map[tw.PoolID]report{}, gone: map[tw.WorkerID]goneWorker{}, confirmed: now, forecasts: map[tw.PoolID]*forecast{},
 		unfit: map[tw.InstanceID]map[tw.PoolID]bool{},
 	}
 	if c.Book.First() {
@@ -155,6 +167,7 @@
 	state := m.state(config, list)
 	decision := Decide(state)
 	m.logDecision(decision)
+	m.logPools(state)
 	m.vacating = decision.Vacate
 	if err := m.confirm(); err != nil {
 		return err
@@ -191,19 +204,10 @@
 	return w
 }
 
-// collect asks the owners of all pools for reports, at the same time.
+// collect asks the owners of all pools for reports, at the same time, and
+// tells each which machines to empty and which workers are gone.
 func (m *Manager) collect(config *tw.QueueConfig) {
-	vacate := map[tw.PoolID][]tw.InstanceID{}
-	if list := m.Census.Latest(); list != nil {
-		for id := range m.vacating {
-			pool := list.Machines[id].Pool
-			vacate[pool] = append(vacate[pool], id)
-		}
-	}
-	// A machine that was ordered away is gone before its owner can know.
-	for id, order := range m.ordered {
-		vacate[order.From] = append(vacate[order.From], id)
-	}
+	directions := m.directions()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
@@ -211,18 +215,48 @@
 	for _, pool := range config.Pools {
 		wg.Go(func() {
 			asked := m.Clock.Now()
-			got, err := m.Owners.ReportOf(ctx, pool.ID, vacate[pool.ID])
+			d := directions[pool.ID]
+			got, err := m.Owners.ReportOf(ctx, pool.ID, d)
 			if err != nil {
 				return // an old report is not acted upon
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			m.reports[pool.ID] = report{Report: got, at: asked, told: setOf(vacate[pool.ID])}
+			m.reports[pool.ID] = report{Report: got, at: asked, told: setOf(d.Vacate)}
 		})
 	}
 	wg.Wait()
 }
 
+// directions are what the owners are told, by pool.
+func (m *Manager) directions() map[tw.PoolID]run.Directions {
+	out := map[tw.PoolID]run.Directions{}
+	vacate := func(pool tw.PoolID, id tw.InstanceID) {
+		d := out[pool]
+		d.Vacate = append(d.Vacate, id)
+		out[pool] = d
+	}
+	if list := m.Census.Latest(); list != nil {
+		for id := range m.vacating {
+			vacate(list.Machines[id].Pool, id)
+		}
+	}
+	// A machine that was ordered away is gone before the lists show it.
+	for id, order := range m.ordered {
+		vacate(order.From, id)
+	}
+	for id, g := range m.gone {
+		if m.Clock.Now().Sub(g.at) > goneTold {
+			delete(m.gone, id)
+			continue
+		}
+		d := out[g.pool]
+		d.Gone = append(d.Gone, id)
+		out[g.pool] = d
+	}
+	return out
+}
+
 func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
 	out := make(map[tw.InstanceID]bool, len(ids))
 	for _, id := range ids {
@@ -247,7 +281,7 @@
 func (m *Manager) state(config *tw.QueueConfig, list *run.MachineList) *State {
 	now := m.Clock.Now()
 	s := &State{
-		Now: now, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
+		Now: now, Began: m.began, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
 		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{}, Unfit: m.unfit,
 	}
 	for _, pool := range config.Pools {
@@ -290,6 +324,22 @@
 	}
 }
 
+// logPools tells what the decisions rest on, once a second.
+func (m *Manager) logPools(s *State) {
+	if s.Now.Sub(m.poolsLogged) < time.Second {
+		return
+	}
+	m.poolsLogged = s.Now
+	for _, id := range slices.Sorted(maps.Keys(s.Pools)) {
+		p := s.Pools[id]
+		m.Log.Info("maintenance: pool", zap.String("pool", string(id)), zap.Bool("known", p.Known),
+			zap.Float64("need", p.Need), zap.Float64("peak", p.Peak), zap.Int("workers", len(p.Report.Workers)),
+			zap.Int64("running_cpu", int64(p.Report.Running.CPU)), zap.Int64("waiting_cpu", int64(p.Report.Waiting.CPU)),
+			zap.Int64("lasting_cpu", int64(p.Report.Lasting.CPU)), zap.Int64("running_mb", p.Report.Running.MemoryMB),
+			zap.Duration("list_age", s.Now.Sub(s.Asked)))
+	}
+}
+
 // confirm makes sure that this daemon still manages the machines.
 func (m *Manager) confirm() error {
 	now := m.Clock.Now()
@@ -340,7 +390,9 @@
 	var refused *tw.MachineRefused
 	switch {
 	case err == nil:
-		return
+		if order.Worker != "" {
+			m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
+		}
 	case errors.As(err, &refused):
 		delete(m.ordered, order.Machine)
 		m.noteUnfit(order, refused)
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -4,50 +4,107 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
 const (
-	// spareMachines is what a pool keeps beyond its need before it gives any
-	// away, in machines.
-	spareMachines = 1.0
-	// parkMargin times the peak need is what a pool keeps when it parks.
-	parkMargin = 1.15
-	// minMachines is the least that a pool with work keeps.
-	minMachines = 2
+	// headroom times its need is what a pool is given.
+	headroom = 1.15
+	// floorMachines is what a pool keeps at least while others lack machines,
+	// so that it can begin at once when its own demand rises.
+	floorMachines = 4
+	// evenGap: machines are moved to spread spare capacity only between pools
+	// whose spares differ by more.
+	evenGap = 3
+	// quietTime: machines are parked once no pool needed them for so long.
+	// Moving one out and back costs what holding it for about 5 s does, and
+	// work that waits for its return costs more.
+	quietTime = 8 * time.Second
 )
 
-// decideMoves moves machines to pools that lack some, and parks what no pool
-// needs.
+// decideMoves moves machines to pools that lack some, spreads spare ones over
+// the pools, and parks what was not needed for a while.
 func (s *State) decideMoves(d *Decision) {
 	pools := s.workPools()
 	if len(pools) == 0 {
 		return
 	}
-	parking := s.parking()
 	for _, pool := range pools {
-		lack := int(math.Ceil(pool.Need - s.machinesOf(pool.ID, d)))
+		lack := int(math.Ceil(headroom*pool.Need - s.machinesOf(pool.ID, d)))
 		for range max(0, lack) {
-			machine, found := s.donor(pool, pools, d)
-			if !found {
+			if !s.give(pool, pools, d) {
 				break
 			}
-			d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: pool.ID, Since: s.Now, Why: "its new pool lacks machines"}
 		}
 	}
-	if parking == nil {
+	s.spread(pools, d)
+	s.park(pools, d)
+}
+
+// give finds one machine for a pool that lacks some.
+func (s *State) give(to *Pool, pools []*Pool, d *Decision) bool {
+	machine, found := s.donor(to, pools, d)
+	if found {
+		d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: to.ID, Since: s.Now, Why: "its new pool lacks machines"}
+	}
+	return found
+}
+
+// spread evens out what pools have beyond their need, as any of them may be
+// the next whose demand rises.
+func (s *State) spread(pools []*Pool, d *Decision) {
+	for range len(s.Machines) {
+		var least, most *Pool
+		for _, pool := range pools {
+			if least == nil || s.spare(pool, d) < s.spare(least, d) {
+				least = pool
+			}
+			if most == nil || s.spare(pool, d) > s.spare(most, d) {
+				most = pool
+			}
+		}
+		if s.spare(most, d)-s.spare(least, d) <= evenGap {
+			return
+		}
+		machine, found := s.idle(most, least.ID, d)
+		if !found {
+			return
+		}
+		d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: least.ID, Since: s.Now, Why: "spare machines are spread evenly"}
+	}
+}
+
+// spare is what a pool has beyond its need.
+func (s *State) spare(pool *Pool, d *Decision) float64 {
+	return s.machinesOf(pool.ID, d) - headroom*pool.Need
+}
+
+// park switches off what no pool has needed for a while.
+func (s *State) park(pools []*Pool, d *Decision) {
+	parking := s.parking()
+	if parking == nil || s.Now.Sub(s.Began) < quietTime {
 		return
 	}
+	var total, peak float64
 	for _, pool := range pools {
-		surplus := int(s.machinesOf(pool.ID, d) - max(minMachines, math.Ceil(parkMargin*pool.Peak+spareMachines)))
-		for range max(0, surplus) {
-			machine, found := s.idle(pool, parking.ID, d)
-			if !found {
-				break
+		total += s.machinesOf(pool.ID, d)
+		peak += max(floorMachines, headroom*pool.Peak)
+	}
+	for total > math.Ceil(peak) {
+		var most *Pool
+		for _, pool := range pools {
+			if most == nil || s.spare(pool, d) > s.spare(most, d) {
+				most = pool
 			}
-			d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: parking.ID, Since: s.Now, Why: "no pool needs it"}
 		}
+		machine, found := s.idle(most, parking.ID, d)
+		if !found {
+			return
+		}
+		d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: parking.ID, Since: s.Now, Why: "no pool needs it"}
+		total--
 	}
 }
 
@@ -106,14 +163,14 @@
 		}
 	}
 	var best *Pool
-	most := spareMachines
+	most := 0.0
 	for _, pool := range pools {
-		if pool == to {
+		if pool == to || s.machinesOf(pool.ID, d) <= floorMachines {
 			continue
 		}
-		if surplus := s.machinesOf(pool.ID, d) - pool.Need; surplus > most {
+		if spare := s.spare(pool, d); spare >= 1 && spare > most {
 			if _, found := s.idle(pool, to.ID, d); found {
-				best, most = pool, surplus
+				best, most = pool, spare
 			}
 		}
 	}
@@ -123,33 +180,56 @@
 	return s.idle(best, to.ID, d)
 }
 
-// idle finds a machine of a pool on which nothing runs and that may go to
-// another; the one whose worker is filled last, if there are several.
+// idle finds the machine of a pool that another may have at the least cost:
+// one on which nothing runs, else, if the pool has spares, the one with the
+// least work that ends by itself.
 func (s *State) idle(pool *Pool, to tw.PoolID, d *Decision) (tw.Machine, bool) {
 	var best tw.Machine
-	found := false
+	bestRuns := -1
 	for id, machine := range s.Machines {
 		_, vacating := d.Vacate[id]
 		_, ordered := s.Ordered[id]
 		if machine.Pool != pool.ID || machine.State != tw.MachineUp || vacating || ordered || s.Unfit[id][to] {
 			continue
 		}
-		if !s.empty(machine) {
+		runs, may := s.runsToEnd(machine)
+		if !may || runs > 0 && (pool.Parking || s.isParking(to)) {
 			continue
 		}
-		if !found || id > best.ID {
-			best, found = machine, true
+		if bestRuns < 0 || runs < bestRuns || runs == bestRuns && id > best.ID {
+			best, bestRuns = machine, runs
 		}
 	}
-	return best, found
+	return best, bestRuns >= 0
+}
+
+// runsToEnd counts what must end before a machine is empty; false if
+// something there does not end by itself, or nothing is known of it.
+func (s *State) runsToEnd(machine tw.Machine) (int, bool) {
+	if machine.Worker == "" {
+		return 0, s.empty(machine)
+	}
+	load, known := s.load(machine)
+	return load.Runs, known && load.Lasting == 0
+}
+
+func (s *State) isParking(pool tw.PoolID) bool {
+	p := s.Pools[pool]
+	return p != nil && p.Parking
 }
 
 // stillWanted tells whether a move that waits for its machine is still wanted.
 func (s *State) stillWanted(order Order) bool {
-	to := s.Pools[order.Pool]
-	from := s.Pools[s.Machines[order.Machine].Pool]
+	machine := s.Machines[order.Machine]
+	to, from := s.Pools[order.Pool], s.Pools[machine.Pool]
 	if to == nil || from == nil || from.ID == to.ID {
 		return false
 	}
-	return s.empty(s.Machines[order.Machine])
+	runs, may := s.runsToEnd(machine)
+	if runs == 0 || !may {
+		return may
+	}
+	// While its work ends, the pool may have come to need it more.
+	none := &Decision{Vacate: s.Vacating}
+	return s.spare(from, none) >= min(0, s.spare(to, none))
 }
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -37,7 +37,9 @@
 
 	// State is all that decisions rest on.
 	State struct {
-		Now      time.Time
+		Now time.Time
+		// Began is since when the pools' needs have been watched.
+		Began    time.Time
 		Machines map[tw.InstanceID]tw.Machine
 		// Asked is when the list of machines was asked for.
 		Asked time.Time
@@ -58,8 +60,9 @@
 		Machine tw.InstanceID
 		Wave    int64
 		Pool    tw.PoolID
-		// From is the pool that the machine was in.
-		From tw.PoolID
+		// From is the pool that the machine was in, Worker what ran there.
+		From   tw.PoolID
+		Worker tw.WorkerID
 		// Since is when the change was decided, or ordered.
 		Since time.Time
 		Why   string
--- a/member/messages.go
+++ b/member/messages.go
@@ -83,11 +83,11 @@
 	// TakeResponse says that it will.
 	TakeResponse struct{}
 
-	// ReportRequest asks a pool's owner how busy the pool is, and tells it
-	// which machines to empty.
+	// ReportRequest asks a pool's owner how busy the pool is, and gives it
+	// directions.
 	ReportRequest struct {
-		Pool   tw.PoolID       `json:"pool"`
-		Vacate []tw.InstanceID `json:"vacate"`
+		Pool       tw.PoolID      `json:"pool"`
+		Directions run.Directions `json:"directions"`
 	}
 
 	// ReportResponse is the answer.
--- a/run/census.go
+++ b/run/census.go
@@ -44,7 +44,7 @@
 
 // censusGap is the least time between two reads of the list: the platform
 // takes some tens a second of all daemons together, and prices each.
-const censusGap = 400 * time.Millisecond
+const censusGap = 200 * time.Millisecond
 
 // New starts the duty that reads the list.
 func (c CensusConfig) New() *Census {
--- a/run/feed.go
+++ b/run/feed.go
@@ -24,9 +24,19 @@
 	o.post(ctx, func() { o.setWorkers(list) })
 }
 
-// Vacate names the machines that are to be emptied for something else.
-func (o *Owner) Vacate(ctx context.Context, machines map[tw.InstanceID]bool) {
-	o.post(ctx, func() { o.setVacate(machines) })
+// follow takes up the directions of the one who moves machines.
+func (o *Owner) follow(d Directions) {
+	machines := make(map[tw.InstanceID]bool, len(d.Vacate))
+	for _, id := range d.Vacate {
+		machines[id] = true
+	}
+	o.setVacate(machines)
+	for _, id := range d.Gone {
+		if w := o.workers[id]; w != nil {
+			o.bury(w, "its machine was ordered away")
+		}
+		o.goneAt[id] = o.now
+	}
 }
 
 func (o *Owner) setVacate(machines map[tw.InstanceID]bool) {
@@ -49,8 +59,14 @@
 func (o *Owner) setWorkers(list WorkerList) {
 	o.feedAt = list.Settled
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
-		o.setWorker(list.Workers[id])
+		if _, gone := o.goneAt[id]; !gone {
+			o.setWorker(list.Workers[id])
+		}
 	}
+	maps.DeleteFunc(o.goneAt, func(id tw.WorkerID, _ time.Time) bool {
+		_, listed := list.Workers[id]
+		return !listed
+	})
 	for id, w := range o.workers {
 		if _, listed := list.Workers[id]; listed {
 			continue
--- a/run/owner.go
+++ b/run/owner.go
@@ -46,10 +46,12 @@
 	placeSoon bool
 	writer    *writer
 	learned   map[learnKey]float64
-	vacate    map[tw.InstanceID]bool
-	vacateAt  time.Time
-	feedAt    time.Time
-	offered   Work
+	// goneAt are workers that have ended though they are still listed.
+	goneAt   map[tw.WorkerID]time.Time
+	vacate   map[tw.InstanceID]bool
+	vacateAt time.Time
+	feedAt   time.Time
+	offered  Work
 	// counted: the list of machines was read since the takeover.
 	counted bool
 	failed  bool
@@ -81,6 +83,7 @@
 		waiting:     map[tw.RouteName]int{},
 		workers:     map[tw.WorkerID]*worker{},
 		learned:     map[learnKey]float64{},
+		goneAt:      map[tw.WorkerID]time.Time{},
 		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
 		placeSoon:   true,
 	}
--- a/run/report.go
+++ b/run/report.go
@@ -7,6 +7,14 @@
 )
 
 type (
+	// Directions are what the one who moves machines tells a pool's owner.
+	Directions struct {
+		// Vacate are the machines that are to be emptied.
+		Vacate []tw.InstanceID `json:"vacate,omitempty"`
+		// Gone are workers that have ended for certain.
+		Gone []tw.WorkerID `json:"gone,omitempty"`
+	}
+
 	// Report is what the owner of a pool tells the one who moves machines.
 	Report struct {
 		Pool    tw.PoolID    `json:"pool"`
@@ -42,11 +50,12 @@
 	}
 )
 
-// Report tells how busy the pool is.
-func (o *Owner) Report(ctx context.Context) (Report, error) {
+// Report follows the directions and then tells how busy the pool is.
+func (o *Owner) Report(ctx context.Context, d Directions) (Report, error) {
 	reports := make(chan Report, 1)
 	result := make(chan error, 1)
 	err := o.ask(ctx, result, func() {
+		o.follow(d)
 		reports <- o.report()
 		result <- nil
 	})
