--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -24,13 +24,22 @@
 		d       *QueueDaemon
 		ctx     context.Context
 		cancel  context.CancelFunc
+		done    chan struct{}
 		feeding sync.Mutex
 
 		mu       sync.Mutex
 		stopping bool
 		owned    map[tw.PoolID]*ownedPool
 		manager  *maintenance.Manager
-		taking   map[tw.PoolID]bool
+		// managerRecord is the ownership under which the manager acts.
+		managerRecord ledger.Owner
+		taking        map[tw.PoolID]bool
+	}
+
+	// troubled is an ownership that needs the metadata store.
+	troubled interface {
+		// StoreTrouble is how long the store has taken no write of it.
+		StoreTrouble(ctx context.Context) (time.Duration, error)
 	}
 
 	// ownedPool is an owner with the watch of its inbox.
@@ -45,14 +54,67 @@
 	// its calls.
 	takeTimeout = 8 * time.Second
 	inboxWait   = 5 * time.Second
+	// storeCheck is the pace at which owners are asked whether the store takes
+	// their writes, storePatience how long it may not before others are asked
+	// to take over. A write of the slow store takes 240 ms.
+	storeCheck    = 300 * time.Millisecond
+	storePatience = 900 * time.Millisecond
 )
 
 func newOwners(d *QueueDaemon) *owners {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &owners{
-		d: d, ctx: ctx, cancel: cancel,
+	o := &owners{
+		d: d, ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		owned: map[tw.PoolID]*ownedPool{}, taking: map[tw.PoolID]bool{},
 	}
+	go func() {
+		defer close(o.done)
+		o.watchStore()
+	}()
+	return o
+}
+
+// watchStore has other daemons take the pools of this one while it does not
+// reach the metadata store but they do.
+func (o *owners) watchStore() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.d.clock.After(storeCheck):
+		}
+		o.mu.Lock()
+		all := make(map[tw.PoolID]troubled, len(o.owned)+1)
+		for pool, p := range o.owned {
+			all[pool] = p.owner
+		}
+		if o.manager != nil {
+			all[maintenance.ManagerPool] = o.manager
+		}
+		o.mu.Unlock()
+		for pool, owner := range all {
+			trouble, err := owner.StoreTrouble(o.ctx)
+			if err == nil && trouble > storePatience {
+				o.callRescuer(pool, trouble)
+			}
+		}
+	}
+}
+
+// callRescuer asks a daemon that reaches the store to take a pool. This
+// daemon learns from the workers that it has been deposed.
+func (o *owners) callRescuer(pool tw.PoolID, trouble time.Duration) {
+	for _, peer := range o.d.members.Rescuers(pool) {
+		ctx, cancel := context.WithTimeout(o.ctx, peerCallTime)
+		err := o.d.peers.Take(ctx, peer.Address, pool)
+		cancel()
+		o.d.log.Warn("owner: store takes no writes of this daemon, another is asked to take the pool",
+			zap.String("pool", string(pool)), zap.Duration("trouble", trouble),
+			zap.String("daemon", string(peer.Daemon)), logsink.Err(err))
+		if err == nil {
+			return
+		}
+	}
 }
 
 // Local implements queue.Pools.
@@ -82,6 +144,20 @@
 	return out
 }
 
+// records are the ownerships of this daemon, for others.
+func (o *owners) records() []ledger.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []ledger.Owner
+	for _, p := range o.owned {
+		out = append(out, p.owner.Record())
+	}
+	if o.manager != nil {
+		out = append(out, o.managerRecord)
+	}
+	return out
+}
+
 // take makes this daemon the owner of a pool; it returns at once.
 func (o *owners) take(pool tw.PoolID, why string) {
 	o.mu.Lock()
@@ -118,7 +194,7 @@
 	}
 	self.Fence = book.Fence()
 	if pool == maintenance.ManagerPool {
-		o.manage(book)
+		o.manage(book, self)
 		d.members.Took(self)
 		return nil
 	}
@@ -144,10 +220,11 @@
 }
 
 // manage starts to manage the machines.
-func (o *owners) manage(book *ledger.Book) {
+func (o *owners) manage(book *ledger.Book, self ledger.Owner) {
 	d := o.d
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.managerRecord = self
 	o.manager = maintenance.Config{
 		Book: book, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Life), KV: d.kv, Machines: d.machines,
 		Census: d.census, Owners: d, Clock: d.clock, Log: d.log, Metrics: d.metrics,
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -14,7 +14,8 @@
 // Ping implements member.Handler.
 func (d *QueueDaemon) Ping(_ context.Context, _ *member.PingRequest) (*member.PingResponse, error) {
 	return &member.PingResponse{
-		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Pools: d.owners.list(),
+		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Owned: d.owners.records(),
+		StoreAnswers: d.members.StoreAnswers(),
 	}, nil
 }
 
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,6 +62,9 @@
 		cancel context.CancelFunc
 		done   chan struct{}
 
+		// lastWrite is when the ownership was last confirmed.
+		lastWrite atomic.Pointer[time.Time]
+
 		// What follows belongs to the duty.
 		waves       map[int64]*Wave
 		ordered     map[tw.InstanceID]Order
@@ -136,6 +140,16 @@
 	<-m.done
 }
 
+// StoreTrouble is how long the store has taken no write of the manager; zero
+// if it takes them.
+func (m *Manager) StoreTrouble(context.Context) (time.Duration, error) {
+	last := m.lastWrite.Load()
+	if last == nil {
+		return 0, nil
+	}
+	return max(0, m.Clock.Now().Sub(*last)-confirmManager/2), nil
+}
+
 func (m *Manager) run() {
 	for m.ctx.Err() == nil {
 		if err := m.pass(); errors.Is(err, ledger.ErrDeposed) {
@@ -349,6 +363,7 @@
 	_, err := m.Book.Write(m.ctx, nil)
 	if err == nil {
 		m.confirmed = now
+		m.lastWrite.Store(&now)
 	}
 	return err
 }
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -86,7 +86,7 @@
 	}
 	for _, load := range pool.Report.Workers {
 		if load.Worker == machine.Worker {
-			return load, true
+			return load, load.Known
 		}
 	}
 	return run.WorkerLoad{}, false
--- a/member/members.go
+++ b/member/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -45,9 +46,11 @@
 		cancel  context.CancelFunc
 		done    chan struct{}
 
-		mu     sync.Mutex
-		live   map[tw.DaemonID]Live
-		owners map[tw.PoolID]ledger.Owner
+		mu   sync.Mutex
+		live map[tw.DaemonID]Live
+		// lastLive are all daemons that were ever seen to live.
+		lastLive map[tw.DaemonID]Live
+		owners   map[tw.PoolID]ledger.Owner
 		// contacts are the daemons that this one pings.
 		contacts map[string]*contact
 		// lostAt is when a pool was first seen without a living owner.
@@ -62,6 +65,8 @@
 		answered   time.Time
 		silentFrom time.Time
 		refused    int
+		// storeAnswers: the daemon reaches the metadata store.
+		storeAnswers bool
 	}
 )
 
@@ -93,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Members{
 		config: c, started: c.Clock.Now(), cancel: cancel, done: make(chan struct{}),
-		live: map[tw.DaemonID]Live{}, owners: map[tw.PoolID]ledger.Owner{}, contacts: map[string]*contact{},
+		live: map[tw.DaemonID]Live{}, lastLive: map[tw.DaemonID]Live{}, owners: map[tw.PoolID]ledger.Owner{}, contacts: map[string]*contact{},
 		lostAt: map[tw.PoolID]time.Time{}, yielded: map[tw.PoolID]time.Time{},
 	}
 	m.watcher = WatcherConfig{
@@ -153,7 +158,7 @@
 	if have, found := m.owners[o.Pool]; found && have.Fence > o.Fence {
 		return
 	}
-	if m.owners[o.Pool].Fence != o.Fence {
+	if m.owners[o.Pool].Fence < o.Fence {
 		m.config.Log.Info("member: pool has an owner", zap.String("pool", string(o.Pool)),
 			zap.String("daemon", string(o.Daemon)), zap.Int64("fence", int64(o.Fence)))
 		delete(m.lostAt, o.Pool)
@@ -186,6 +191,7 @@
 	}
 	m.logLive(live)
 	m.live = live
+	maps.Copy(m.lastLive, live)
 }
 
 func (m *Members) logLive(live map[tw.DaemonID]Live) {
@@ -231,26 +237,44 @@
 	}
 }
 
+// StoreAnswers tells whether this daemon reaches the metadata store.
+func (m *Members) StoreAnswers() bool { return !m.watcher.Settled().IsZero() }
+
+// toPing are the addresses of the owners of pools; all daemons while the
+// store does not answer, as only they can tell then who owns what.
+func (m *Members) toPing() map[string]bool {
+	out := map[string]bool{}
+	for _, o := range m.owners {
+		if o.Daemon != m.config.Self.Daemon {
+			out[o.Address] = true
+		}
+	}
+	if m.StoreAnswers() {
+		return out
+	}
+	for _, l := range m.lastLive {
+		if l.Daemon != m.config.Self.Daemon {
+			out[l.Address] = true
+		}
+	}
+	return out
+}
+
 // pingOwners asks the owners of pools whether they live.
 func (m *Members) pingOwners(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	asked := map[string]bool{}
-	for _, o := range m.owners {
-		if o.Daemon == m.config.Self.Daemon || asked[o.Address] {
-			continue
-		}
-		asked[o.Address] = true
-		c := m.contacts[o.Address]
+	for address := range m.toPing() {
+		c := m.contacts[address]
 		if c == nil {
 			c = &contact{answered: now}
-			m.contacts[o.Address] = c
+			m.contacts[address] = c
 		}
 		if c.pinging {
 			continue
 		}
 		c.pinging = true
-		go m.ping(ctx, o.Address, c)
+		go m.ping(ctx, address, c)
 	}
 }
 
@@ -265,6 +289,10 @@
 	switch {
 	case err == nil:
 		c.answered, c.silentFrom, c.refused = now, time.Time{}, 0
+		c.storeAnswers = resp.StoreAnswers
+		for _, o := range resp.Owned {
+			m.setOwner(o)
+		}
 	case errors.Is(err, tw.ErrGone):
 		c.refused++
 	default:
--- a/member/messages.go
+++ b/member/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -30,7 +31,10 @@
 		Daemon tw.DaemonID    `json:"daemon"`
 		Life   tw.Incarnation `json:"life"`
 		Config tw.Version     `json:"config"`
-		Pools  []tw.PoolID    `json:"pools"`
+		// Owned are the pools that the daemon owns.
+		Owned []ledger.Owner `json:"owned"`
+		// StoreAnswers: the daemon reaches the metadata store.
+		StoreAnswers bool `json:"store_answers"`
 	}
 
 	// ConfigRequest asks for the configuration that a daemon has.
--- a/member/succession.go
+++ b/member/succession.go
@@ -133,6 +133,25 @@
 	return Live{}, false
 }
 
+// Rescuers are the daemons that answer and reach the metadata store, those
+// that should take a pool first at the front. This daemon asks one of them to
+// take a pool when it does not reach the store itself.
+func (m *Members) Rescuers(pool tw.PoolID) []Live {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Live
+	for id, l := range m.lastLive {
+		c := m.contacts[l.Address]
+		if id != m.config.Self.Daemon && c != nil && c.silentFrom.IsZero() && c.storeAnswers {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b Live) int {
+		return cmp.Compare(mix(pool, a.Daemon), mix(pool, b.Daemon))
+	})
+	return out
+}
+
 func mix(pool tw.PoolID, daemon tw.DaemonID) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(string(pool) + "/" + string(daemon))) // never fails
--- a/run/end.go
+++ b/run/end.go
@@ -29,6 +29,7 @@
 	}
 	t.endedAt = o.now
 	o.placeSoon = true
+	o.begin(t.step.rep.sub)
 	if t.step.rep.sub.final != "" {
 		return
 	}
--- a/run/owner.go
+++ b/run/owner.go
@@ -152,6 +152,9 @@
 // Pool is the pool that is owned.
 func (o *Owner) Pool() tw.PoolID { return o.pool }
 
+// Record is the ownership as other daemons know it.
+func (o *Owner) Record() ledger.Owner { return o.self }
+
 // Fence is the number of the ownership.
 func (o *Owner) Fence() tw.Fence { return o.self.Fence }
 
--- a/run/report.go
+++ b/run/report.go
@@ -45,7 +45,10 @@
 		Free     tw.Resources  `json:"free"`
 		Runs     int           `json:"runs"`
 		Lasting  int           `json:"lasting"`
-		// Sound: it answers and takes work.
+		// Known: the worker has answered this owner lately, so that what runs
+		// there is known.
+		Known bool `json:"known"`
+		// Sound: it takes work.
 		Sound bool `json:"sound"`
 	}
 )
@@ -72,6 +75,7 @@
 		out.Workers = append(out.Workers, WorkerLoad{
 			Instance: w.entry.Instance, Worker: w.entry.ID, Capacity: w.entry.Capacity, Free: free,
 			Runs: len(w.runs), Lasting: w.hasLasting(), Sound: w.usable(o.now),
+			Known: w.known && w.unanswered == 0,
 		})
 		for _, r := range w.runs {
 			out.Running = out.Running.Plus(r.claim)
--- a/run/requests.go
+++ b/run/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -58,6 +59,25 @@
 	return <-count, nil
 }
 
+// StoreTrouble is how long the store has taken no write of this owner; zero
+// if it takes them.
+func (o *Owner) StoreTrouble(ctx context.Context) (time.Duration, error) {
+	since := make(chan time.Duration, 1)
+	result := make(chan error, 1)
+	err := o.ask(ctx, result, func() {
+		if from := o.writer.trouble(); !from.IsZero() {
+			since <- o.now.Sub(from)
+		} else {
+			since <- 0
+		}
+		result <- nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return <-since, nil
+}
+
 // Inbox hands over what another daemon left in the store for this owner.
 func (o *Owner) Inbox(ctx context.Context, message ledger.InboxRecord) {
 	o.post(ctx, func() { o.takeMessage(message) })
--- a/run/start.go
+++ b/run/start.go
@@ -44,10 +44,6 @@
 	w.doubtUntil = o.now.Add(o.holdBound())
 	t.runs = append(t.runs, r)
 	w.runs[w.key(r)] = r
-	if !sub.begun {
-		o.metrics.toStart.Update(o.now.Sub(sub.Accepted).Seconds())
-	}
-	o.begin(sub)
 	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(run)),
 		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
 		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
@@ -113,6 +109,11 @@
 	}
 	r.phase = running
 	r.visibleFrom = o.lookSeq + 1
+	sub := r.task.step.rep.sub
+	if !sub.begun {
+		o.metrics.toStart.Update(o.now.Sub(sub.Accepted).Seconds())
+	}
+	o.begin(sub)
 	if r.w.nextLook.Before(r.w.lookedAt) {
 		r.w.nextLook = o.now
 	}
--- a/run/writer.go
+++ b/run/writer.go
@@ -97,6 +97,14 @@
 	return nil
 }
 
+// trouble is since when the store has taken no write; zero if it takes them.
+func (w *writer) trouble() time.Time {
+	if w.lastError == nil && (w.busyFrom.IsZero() || w.o.now.Sub(w.busyFrom) < stalledAfter) {
+		return time.Time{}
+	}
+	return w.confirmed
+}
+
 // flush sends what has gathered, if it may, and returns when it may next.
 func (w *writer) flush() time.Time {
 	now := w.o.now
