Start nothing again on the word of an owner that may be deposed

Given-up runs are now started again only after a write that was sent later has confirmed the ownership. Ruled out: the grant's length (6 s, as granted).

--- a/run/place.go
+++ b/run/place.go
@@ -101,6 +101,7 @@
 		}
 		switch {
 		case t.done:
+		case !t.active() && !o.writer.confirmed.After(t.lostAt):
 		case !t.active():
 			g.Subtasks = append(g.Subtasks, t.id)
 			o.avoidLast(g, t)
--- a/run/start.go
+++ b/run/start.go
@@ -200,7 +200,8 @@
 	delete(r.w.runs, r.w.key(r))
 	t := r.task
 	t.drop(r)
-	t.endedAt = o.now
+	t.endedAt, t.lostAt = o.now, o.now
+	o.writer.confirmAfter(o.now)
 	o.placeSoon = true
 	if t.step.spec.Gang {
 		o.breakGang(t, r.run, why)
--- a/run/submission.go
+++ b/run/submission.go
@@ -66,8 +66,11 @@
 		runs []*runState
 		// lastWorker is where it failed last.
 		lastWorker tw.WorkerID
-		// endedAt is when a lasting subtask last ended.
+		// endedAt is when a run last ended, for whatever reason.
 		endedAt time.Time
+		// lostAt is when a run was given up without its worker's word. Until
+		// the ownership is confirmed after that, a newer owner may know better.
+		lostAt time.Time
 	}
 
 	// phase is what is known of a run.
--- a/run/writer.go
+++ b/run/writer.go
@@ -29,6 +29,8 @@
 		busyFrom  time.Time // zero when no write is under way
 		lastSent  time.Time
 		confirmed time.Time // when the last successful write was sent
+		// wanted is a moment after which a confirmation is wanted soon.
+		wanted    time.Time
 		retryAt   time.Time
 		lastError error
 		idle      []func()
@@ -82,6 +84,9 @@
 // emptied has a message taken out of the inbox.
 func (w *writer) emptied(m ledger.InboxRecord) { w.messages = append(w.messages, m) }
 
+// confirmAfter has the ownership confirmed soon by a write sent after a moment.
+func (w *writer) confirmAfter(at time.Time) { w.wanted = at }
+
 // whenIdle calls f once nothing waits to be written.
 func (w *writer) whenIdle(f func()) { w.idle = append(w.idle, f) }
 
@@ -118,7 +123,7 @@
 			f()
 		}
 		w.idle = nil
-		if at := w.confirmed.Add(confirmEvery); now.Before(at) {
+		if at := w.confirmed.Add(confirmEvery); now.Before(at) && w.confirmed.After(w.wanted) {
 			return at
 		}
 	}
@@ -271,6 +276,7 @@
 		w.lastError = nil
 	}
 	w.confirmed = job.sent
+	o.placeSoon = true
 	o.permit.extend(job.sent.Add(permitTime))
 	for i, effect := range job.effects {
 		effect(results[i])
