Test the owner on simulated workers; look again at once after an unanswered start

The tests run in testing/synctest bubbles against stand-ins of store, workers and machines that note broken promises; each fails when its mechanism is taken out (tried by hand for nine of them). They found: a long look under way kept a start in doubt for 2 s (now interrupted), a data race on a worker's entry, and no placement pass when a worker fell silent.

--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// CloudConfig configures a Cloud.
+	CloudConfig struct {
+		Clock tw.Clock
+		// MoveTime and MaintenanceTime are how long a machine is away.
+		MoveTime, MaintenanceTime time.Duration
+		// Changed is called when a machine's worker ends, and when a new one
+		// has come.
+		Changed func(machine tw.Machine)
+	}
+
+	// Cloud lists and changes machines. It implements tw.Machines.
+	Cloud struct {
+		config CloudConfig
+
+		mu       sync.Mutex
+		machines map[tw.InstanceID]*cloudMachine
+		down     bool
+		orders   []CloudOrder
+	}
+
+	// CloudOrder is a change that was carried out.
+	CloudOrder struct {
+		Machine tw.InstanceID
+		Pool    tw.PoolID
+		Wave    int64
+		By      tw.MachineHolder
+		At      time.Time
+	}
+
+	cloudMachine struct {
+		tw.Machine
+		fence tw.Fence
+		back  time.Time
+		to    tw.PoolID
+		lives int
+		done  map[int64]bool
+	}
+)
+
+var _ tw.Machines = (*Cloud)(nil)
+
+// New makes a cloud without machines.
+func (c CloudConfig) New() *Cloud {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	return &Cloud{config: c, machines: map[tw.InstanceID]*cloudMachine{}}
+}
+
+// Add adds a machine.
+func (c *Cloud) Add(m tw.Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machines[m.ID] = &cloudMachine{Machine: m, done: map[int64]bool{}}
+}
+
+// SetDown makes every call fail.
+func (c *Cloud) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+// Orders lists the changes that were carried out.
+func (c *Cloud) Orders() []CloudOrder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]CloudOrder(nil), c.orders...)
+}
+
+// List implements tw.Machines.
+func (c *Cloud) List(context.Context) ([]tw.Machine, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return nil, errors.Wrap(tw.ErrUnavailable, "standin: cloud is down")
+	}
+	c.settle()
+	var out []tw.Machine
+	for _, m := range c.machines {
+		out = append(out, m.Machine)
+	}
+	return out, nil
+}
+
+// Move implements tw.Machines.
+func (c *Cloud) Move(_ context.Context, by tw.MachineHolder, machine tw.InstanceID, pool tw.PoolID) error {
+	return c.change(by, CloudOrder{Machine: machine, Pool: pool}, tw.MachineMoving, c.config.MoveTime)
+}
+
+// Maintain implements tw.Machines.
+func (c *Cloud) Maintain(_ context.Context, by tw.MachineHolder, machine tw.InstanceID, wave int64) error {
+	return c.change(by, CloudOrder{Machine: machine, Wave: wave}, tw.MachineMaintenance, c.config.MaintenanceTime)
+}
+
+func (c *Cloud) change(by tw.MachineHolder, order CloudOrder, state tw.MachineState, away time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return errors.Wrap(tw.ErrUnavailable, "standin: cloud is down")
+	}
+	c.settle()
+	m := c.machines[order.Machine]
+	switch {
+	case m == nil:
+		return &tw.MachineRefused{Reason: tw.MachineUnknown}
+	case by.Fence < m.fence:
+		return &tw.MachineRefused{Reason: tw.MachineFence}
+	}
+	m.fence = by.Fence
+	if order.Wave != 0 && m.done[order.Wave] || order.Wave == 0 && m.Pool == order.Pool {
+		return nil
+	}
+	if m.State != tw.MachineUp {
+		return &tw.MachineRefused{Reason: tw.MachineBusy}
+	}
+	now := c.config.Clock.Now()
+	order.By, order.At = by, now
+	c.orders = append(c.orders, order)
+	m.State, m.back, m.to = state, now.Add(away), m.Pool
+	if order.Wave != 0 {
+		m.done[order.Wave] = true
+	} else {
+		m.to = order.Pool
+	}
+	c.tell(m)
+	m.Worker = ""
+	return nil
+}
+
+// settle brings back the machines whose time away is over.
+func (c *Cloud) settle() {
+	now := c.config.Clock.Now()
+	for _, m := range c.machines {
+		if m.State == tw.MachineUp || now.Before(m.back) {
+			continue
+		}
+		m.lives++
+		m.State, m.Pool = tw.MachineUp, m.to
+		m.Worker = tw.WorkerID(string(m.ID) + "-" + string(rune('a'+m.lives)))
+		c.tell(m)
+	}
+}
+
+func (c *Cloud) tell(m *cloudMachine) {
+	if c.config.Changed != nil {
+		c.config.Changed(m.Machine)
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet_worker.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// clock is the worker's own clock.
+func (w *SimWorker) clock(now time.Time) tw.WorkerClock {
+	return tw.WorkerClock(now.Sub(w.boot).Milliseconds()) + clockStart
+}
+
+// clockStart is what a worker's clock shows at its start.
+const clockStart tw.WorkerClock = 1000
+
+// admit checks an order's fence and takes its deadline.
+func (w *SimWorker) admit(f *Fleet, fence tw.Fence, deadline tw.WorkerClock) error {
+	now := f.config.Clock.Now()
+	if fence < w.fence {
+		return &tw.OrderRefused{Reason: tw.RefusedFence, Clock: w.clock(now)}
+	}
+	w.fence = fence
+	if deadline == 0 {
+		return nil
+	}
+	until := w.boot.Add(time.Duration(deadline-clockStart) * time.Millisecond)
+	if until.Before(now) {
+		return &tw.OrderRefused{Reason: tw.RefusedLate, Clock: w.clock(now)}
+	}
+	if most := now.Add(f.config.MaxHold); until.After(most) {
+		until = most
+	}
+	if until.After(w.deadline) {
+		w.deadline = until
+	}
+	return nil
+}
+
+// settle brings a worker's runs up to the present time.
+func (f *Fleet) settle(w *SimWorker) {
+	now := f.config.Clock.Now()
+	lapsed := !w.deadline.IsZero() && now.After(w.deadline)
+	for _, id := range w.order() {
+		r := w.runs[id]
+		end, kind := w.endOf(r)
+		if lapsed && (end.IsZero() || end.After(w.deadline)) {
+			end, kind = w.deadline, tw.EndLapsed
+		}
+		if end.IsZero() || end.After(now) {
+			continue
+		}
+		f.finish(w, id, r, kind)
+	}
+}
+
+// order lists the runs by their end, as it decides their sequence.
+func (w *SimWorker) order() []tw.SubtaskID {
+	ids := make([]tw.SubtaskID, 0, len(w.runs))
+	for id := range w.runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b tw.SubtaskID) int {
+		ea, _ := w.endOf(w.runs[a])
+		eb, _ := w.endOf(w.runs[b])
+		if c := ea.Compare(eb); c != 0 {
+			return c
+		}
+		return int(w.runs[a].run - w.runs[b].run)
+	})
+	return ids
+}
+
+// endOf is when and how a run ends; the zero time is never.
+func (w *SimWorker) endOf(r *simRun) (time.Time, tw.EndKind) {
+	if !r.stopAt.IsZero() {
+		return r.stopAt, tw.EndStopped
+	}
+	switch {
+	case w.FailAll || r.profile.Fails:
+		return r.started.Add(r.profile.Duration), tw.EndFailed
+	case w.Hang || r.profile.Lasting:
+		return time.Time{}, ""
+	}
+	return r.started.Add(r.profile.Duration), tw.EndDone
+}
+
+func (f *Fleet) finish(w *SimWorker, id tw.SubtaskID, r *simRun, kind tw.EndKind) {
+	delete(w.runs, id)
+	w.sequence++
+	w.barred[id] = max(w.barred[id], r.run)
+	w.ended = append(w.ended, tw.EndedSubtask{Sequence: w.sequence, Subtask: id, Run: r.run, Kind: kind})
+	switch kind {
+	case tw.EndDone:
+		f.done[id] = true
+	case tw.EndFailed:
+		f.failed[id]++
+	}
+	w.wake()
+}
+
+// forget drops the ends that the caller has recorded.
+func (w *SimWorker) forget(seen int64) {
+	w.ended = slices.DeleteFunc(w.ended, func(e tw.EndedSubtask) bool { return e.Sequence <= seen })
+}
+
+func (w *SimWorker) report(f *Fleet) tw.HoldReport {
+	now := f.config.Clock.Now()
+	out := tw.HoldReport{Clock: w.clock(now), Ended: slices.Clone(w.ended)}
+	for id, r := range w.runs {
+		out.Running = append(out.Running, tw.RunningSubtask{Subtask: id, Run: r.run, Percent: w.percent(f, r, now)})
+	}
+	return out
+}
+
+func (w *SimWorker) percent(f *Fleet, r *simRun, now time.Time) int {
+	ran := now.Sub(r.started)
+	switch {
+	case r.profile.Lasting && ran >= f.config.StartTime:
+		return r.pace
+	case r.profile.Lasting || w.Hang || r.profile.Duration == 0:
+		return 0
+	}
+	return int(fullPace * ran / r.profile.Duration)
+}
+
+// nextChange is when a run may end next.
+func (w *SimWorker) nextChange(now, until time.Time) time.Time {
+	next := until
+	for _, r := range w.runs {
+		if end, _ := w.endOf(r); end.After(now) && end.Before(next) {
+			next = end
+		}
+	}
+	if w.deadline.After(now) && w.deadline.Before(next) {
+		next = w.deadline.Add(time.Millisecond)
+	}
+	return next
+}
+
+func (w *SimWorker) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,339 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// KVConfig configures a KV.
+	KVConfig struct {
+		Clock tw.Clock
+		// Latency passes before each answer.
+		Latency time.Duration
+	}
+
+	// KV is an in-memory metadata store. It implements tw.KV, and fails on
+	// demand.
+	KV struct {
+		config KVConfig
+
+		mu       sync.Mutex
+		revision tw.KVRevision
+		items    map[tw.Key]tw.KVItem
+		history  []tw.KVEvent
+		// forgotten is the last revision that is not in the history any more.
+		forgotten tw.KVRevision
+		leases    map[tw.KVLeaseID]time.Time
+		nextLease tw.KVLeaseID
+		changed   chan struct{} // closed and replaced at each change
+		faults    KVFaults
+		late      []tw.KVTxn
+		calls     int
+	}
+
+	// KVFaults are what a KV does wrong from now on.
+	KVFaults struct {
+		// Down refuses every call.
+		Down bool `json:"down"`
+		// Limited refuses every call for its rate.
+		Limited bool `json:"limited"`
+		// LoseAnswers of the next n writes are lost after taking effect.
+		LoseAnswers int `json:"lose_answers"`
+		// LateWrites: the next n writes get no answer and wait for DoLate.
+		LateWrites int `json:"late_writes"`
+	}
+)
+
+var _ tw.KV = (*KV)(nil)
+
+// New makes an empty store.
+func (c KVConfig) New() *KV {
+	if c.Clock == nil {
+		c.Clock = tw.SystemClock{}
+	}
+	return &KV{
+		config: c, items: map[tw.Key]tw.KVItem{}, leases: map[tw.KVLeaseID]time.Time{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults.
+func (k *KV) SetFaults(f KVFaults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = f
+}
+
+// DoLate carries out the writes that got no answer, if their conditions hold.
+func (k *KV) DoLate() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, txn := range k.late {
+		_, _ = k.apply(txn) // nobody waits for the answer
+	}
+	k.late = nil
+}
+
+// ForgetHistory makes watches from earlier revisions fail.
+func (k *KV) ForgetHistory() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history = nil
+	k.forgotten = k.revision
+	k.wake()
+}
+
+// RevokeLeases ends all leases before their time.
+func (k *KV) RevokeLeases() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id := range k.leases {
+		k.endLease(id)
+	}
+}
+
+// Calls counts the calls so far.
+func (k *KV) Calls() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls
+}
+
+// Put writes a key without conditions, as operators and workers do.
+func (k *KV) Put(key tw.Key, value []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, _ = k.apply(tw.KVTxn{Puts: []tw.KVPut{{Key: key, Value: value}}}) // has no condition
+}
+
+// Remove removes a key, as operators and workers do.
+func (k *KV) Remove(key tw.Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, _ = k.apply(tw.KVTxn{Removes: []tw.Key{key}}) // has no condition
+}
+
+// Get implements tw.KV.
+func (k *KV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	if err := k.begin(ctx); err != nil {
+		return tw.KVItem{}, err
+	}
+	defer k.mu.Unlock()
+	item, found := k.items[key]
+	if !found {
+		return tw.KVItem{}, tw.ErrNotFound
+	}
+	return item, nil
+}
+
+// Range implements tw.KV.
+func (k *KV) Range(ctx context.Context, prefix tw.Key) ([]tw.KVItem, tw.KVRevision, error) {
+	if err := k.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	defer k.mu.Unlock()
+	var out []tw.KVItem
+	for key, item := range k.items {
+		if strings.HasPrefix(string(key), string(prefix)) {
+			out = append(out, item)
+		}
+	}
+	slices.SortFunc(out, func(a, b tw.KVItem) int { return cmp.Compare(a.Key, b.Key) })
+	return out, k.revision, nil
+}
+
+// Watch implements tw.KV.
+func (k *KV) Watch(ctx context.Context, prefix tw.Key, after tw.KVRevision, wait time.Duration) ([]tw.KVEvent, tw.KVRevision, error) {
+	deadline := k.config.Clock.After(wait)
+	for {
+		if err := k.begin(ctx); err != nil {
+			return nil, 0, err
+		}
+		if after < k.forgotten {
+			k.mu.Unlock()
+			return nil, 0, tw.ErrHistoryGone
+		}
+		events := k.since(prefix, after)
+		at, changed := k.revision, k.changed
+		k.mu.Unlock()
+		if len(events) > 0 {
+			return events, at, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, errors.Wrap(tw.ErrUnclear, "standin: watch")
+		}
+	}
+}
+
+// Commit implements tw.KV.
+func (k *KV) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
+	if n := len(txn.Conditions) + len(txn.Puts) + len(txn.Removes); n > tw.MaxTxnEntries {
+		return 0, errors.Newf("standin: %d entries in a transaction", n)
+	}
+	if err := k.begin(ctx); err != nil {
+		return 0, err
+	}
+	defer k.mu.Unlock()
+	if k.faults.LateWrites > 0 {
+		k.faults.LateWrites--
+		k.late = append(k.late, txn)
+		return 0, errors.Wrap(tw.ErrUnclear, "standin: late write")
+	}
+	revision, err := k.apply(txn)
+	if k.faults.LoseAnswers > 0 {
+		k.faults.LoseAnswers--
+		return 0, errors.Wrap(tw.ErrUnclear, "standin: lost answer")
+	}
+	return revision, err
+}
+
+// Grant implements tw.KV.
+func (k *KV) Grant(ctx context.Context, ttl time.Duration) (tw.KVLeaseID, time.Duration, error) {
+	if err := k.begin(ctx); err != nil {
+		return 0, 0, err
+	}
+	defer k.mu.Unlock()
+	k.nextLease++
+	k.leases[k.nextLease] = k.config.Clock.Now().Add(ttl)
+	return k.nextLease, ttl, nil
+}
+
+// Renew implements tw.KV. A lease counts anew with its first length.
+func (k *KV) Renew(ctx context.Context, lease tw.KVLeaseID) error {
+	if err := k.begin(ctx); err != nil {
+		return err
+	}
+	defer k.mu.Unlock()
+	if _, found := k.leases[lease]; !found {
+		return tw.ErrNotFound
+	}
+	k.leases[lease] = k.config.Clock.Now().Add(renewal)
+	return nil
+}
+
+// renewal is what a renewed lease gets, however long it was first.
+const renewal = 1500 * time.Millisecond
+
+// Revoke implements tw.KV.
+func (k *KV) Revoke(ctx context.Context, lease tw.KVLeaseID) error {
+	if err := k.begin(ctx); err != nil {
+		return err
+	}
+	defer k.mu.Unlock()
+	k.endLease(lease)
+	return nil
+}
+
+// begin waits for the latency, ends the leases that are over and checks the
+// faults. If it succeeds, the lock is held.
+func (k *KV) begin(ctx context.Context) error {
+	if k.config.Latency > 0 {
+		select {
+		case <-k.config.Clock.After(k.config.Latency):
+		case <-ctx.Done():
+			return errors.Wrap(tw.ErrUnclear, "standin: caller has left")
+		}
+	}
+	k.mu.Lock()
+	k.calls++
+	now := k.config.Clock.Now()
+	for id, until := range k.leases {
+		if now.After(until) {
+			k.endLease(id)
+		}
+	}
+	switch {
+	case k.faults.Down:
+		k.mu.Unlock()
+		return errors.Wrap(tw.ErrUnavailable, "standin: down")
+	case k.faults.Limited:
+		k.mu.Unlock()
+		return errors.Wrap(tw.ErrRateLimited, "standin: limited")
+	}
+	return nil
+}
+
+func (k *KV) apply(txn tw.KVTxn) (tw.KVRevision, error) {
+	if conflict := k.check(txn.Conditions); conflict != nil {
+		return 0, conflict
+	}
+	for _, put := range txn.Puts {
+		if _, found := k.leases[put.Lease]; put.Lease != 0 && !found {
+			return 0, tw.ErrNotFound
+		}
+	}
+	k.revision++
+	for _, put := range txn.Puts {
+		item := tw.KVItem{Key: put.Key, Value: slices.Clone(put.Value), Revision: k.revision, Lease: put.Lease}
+		k.items[put.Key] = item
+		k.history = append(k.history, tw.KVEvent{Item: item})
+	}
+	for _, key := range txn.Removes {
+		k.remove(key)
+	}
+	k.wake()
+	return k.revision, nil
+}
+
+func (k *KV) check(conditions []tw.KVCondition) error {
+	conflict := &tw.KVConflict{}
+	failed := false
+	for _, c := range conditions {
+		item, found := k.items[c.Key]
+		if found {
+			conflict.Items = append(conflict.Items, item)
+		}
+		failed = failed || item.Revision != c.Revision
+	}
+	if !failed {
+		return nil
+	}
+	return conflict
+}
+
+func (k *KV) remove(key tw.Key) {
+	if _, found := k.items[key]; !found {
+		return
+	}
+	delete(k.items, key)
+	k.history = append(k.history, tw.KVEvent{Item: tw.KVItem{Key: key, Revision: k.revision}, Removed: true})
+}
+
+func (k *KV) endLease(id tw.KVLeaseID) {
+	delete(k.leases, id)
+	k.revision++
+	for key, item := range k.items {
+		if item.Lease == id {
+			k.remove(key)
+		}
+	}
+	k.wake()
+}
+
+func (k *KV) since(prefix tw.Key, after tw.KVRevision) []tw.KVEvent {
+	var out []tw.KVEvent
+	for _, e := range k.history {
+		if e.Item.Revision > after && strings.HasPrefix(string(e.Item.Key), string(prefix)) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (k *KV) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -31,6 +31,9 @@
 	// rateWindow is the time over which the rate of offered work is measured:
 	// short, as demand turns within a second.
 	rateWindow = 800 * time.Millisecond
+	// spreadSpare is how many workers a pool has beyond those over which its
+	// widest step must spread, as one may be leaving.
+	spreadSpare = 1
 	// rateTrust times what runs and waits is the most that the rate of new
 	// work may ask for: over a short window a few large submissions look like
 	// a flood.
@@ -63,7 +66,11 @@
 	size := sizeOf(r)
 	present := share(r.Running.Plus(r.Waiting), size)
 	coming := share(r.Lasting, size) + f.rate(size)
-	return max(present, min(coming, rateTrust*present+1)) / fill
+	need := max(present, min(coming, rateTrust*present+1)) / fill
+	if r.Spread == 0 {
+		return need
+	}
+	return max(need, float64(r.Spread+spreadSpare)/headroom)
 }
 
 // rate is the machines that new work fills if it goes on coming as of late.
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -104,6 +104,11 @@
 	// orderShown is how long an order may take to show in the list of
 	// machines before it counts as not done.
 	orderShown = 4 * time.Second
+	// orderTries bounds how often an order without an answer is given.
+	orderTries = 3
+	// unclearShown is the same for an order that was never answered: the
+	// platform may carry it out up to 12 s late.
+	unclearShown = 13 * time.Second
 	// holderMargin is added to the time between two holders.
 	holderMargin = 700 * time.Millisecond
 	// confirmManager: orders are given only for so long after the ownership
@@ -286,7 +291,13 @@
 		if !list.Asked.After(order.Since) {
 			continue
 		}
-		if !found || machine.State == tw.MachineUp || m.Clock.Now().Sub(order.Since) > orderShown {
+		patience := orderShown
+		back := machine.State == tw.MachineUp
+		if order.Unclear {
+			patience = unclearShown
+			back = back && machine.Worker != order.Worker
+		}
+		if !found || back || m.Clock.Now().Sub(order.Since) > patience {
 			delete(m.ordered, id)
 		}
 	}
@@ -390,18 +401,32 @@
 	return nil
 }
 
+// give orders one change. An order without an answer is given again, which
+// does nothing if it was carried out.
 func (m *Manager) give(order Order) error {
 	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
-	if order.Wave != 0 {
-		return m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
+	var err error
+	for range orderTries {
+		if order.Wave != 0 {
+			err = m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
+		} else {
+			err = m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
+		}
+		if !errors.Is(err, tw.ErrUnclear) {
+			return err
+		}
 	}
-	return m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
+	return err
 }
 
 // answered takes up the answer to an order.
 func (m *Manager) answered(order Order, err error) {
 	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
 		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), logsink.Err(err))
+	// Only a list that is asked for from now on shows the change.
+	order.Since = m.Clock.Now()
+	order.Unclear = err != nil
+	m.ordered[order.Machine] = order
 	var refused *tw.MachineRefused
 	switch {
 	case err == nil:
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -66,6 +66,8 @@
 		// Since is when the change was decided, or ordered.
 		Since time.Time
 		Why   string
+		// Unclear: the order was not answered.
+		Unclear bool
 	}
 
 	// Decision is what is to be done now.
--- a/run/config.go
+++ b/run/config.go
@@ -68,7 +68,10 @@
 	// priced; objectives are above 1 s.
 	gatherEnds = 150 * time.Millisecond
 	// longLook is how long a worker may wait for an end to report.
-	longLook = 2 * time.Second
+	longLook = 1500 * time.Millisecond
+	// startsFirst is how long a look waits for the answers to starts, which
+	// take some milliseconds.
+	startsFirst = 400 * time.Millisecond
 	// closeLook is the same where tails must be watched or a run is overdue.
 	closeLook = 600 * time.Millisecond
 	// lookRetry is the pause after a look that got no answer.
--- a/run/look.go
+++ b/run/look.go
@@ -42,6 +42,10 @@
 	if len(w.runs) == 0 {
 		return w.lookedAt.Add(confirmEndsAfter), 0, w.told < w.recorded
 	}
+	if w.starting() && o.now.Sub(w.lookedAt) < startsFirst {
+		// A look that waits would tell nothing of them if one goes wrong.
+		return w.lookedAt.Add(startsFirst), 0, true
+	}
 	if w.recorded < w.seen {
 		// Until the ends are recorded, the worker would report them again at
 		// once.
@@ -50,6 +54,16 @@
 	return w.nextLook, o.lookWait(w), true
 }
 
+// starting tells whether orders to start runs are under way.
+func (w *worker) starting() bool {
+	for _, r := range w.runs {
+		if r.phase == starting {
+			return true
+		}
+	}
+	return false
+}
+
 // lookWait is shorter where tails are to be watched or a run is overdue.
 func (o *Owner) lookWait(w *worker) time.Duration {
 	serving, fillers := false, false
@@ -138,8 +152,12 @@
 				zap.Int("runs", len(w.runs)), logsink.Err(err))
 		}
 		w.unheard(o.now)
+		o.placeSoon = true
 	}
 	w.nextLook = o.now.Add(lookRetry)
+	if errors.Is(err, errNotSent) {
+		w.nextLook = o.now
+	}
 }
 
 // takeEnds takes up the ends that were not seen before.
--- a/run/pace.go
+++ b/run/pace.go
@@ -11,7 +11,7 @@
 func (o *Owner) sendPace(w *worker, r *runState, percent int) {
 	order := tw.PaceOrder{Subtask: r.task.id, Run: r.run, Percent: percent, Fence: o.self.Fence}
 	w.session.give(workOrder{
-		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Pace(ctx, w.entry.Ref(), order) },
+		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Pace(ctx, w.session.ref, order) },
 		done: func(clock tw.WorkerClock, err error) {
 			switch {
 			case err == nil:
--- a/run/report.go
+++ b/run/report.go
@@ -24,6 +24,9 @@
 		Running tw.Resources `json:"running"`
 		Waiting tw.Resources `json:"waiting"`
 		Lasting tw.Resources `json:"lasting"`
+		// Spread is on how many workers the widest step must run that bounds
+		// its subtasks on one worker.
+		Spread int `json:"spread"`
 		// Offered is the work of all submissions accepted so far by this
 		// owner, but for lasting steps: needs times expected run time.
 		Offered Work `json:"offered"`
@@ -97,6 +100,9 @@
 			if st.done == st.spec.Count || !st.ready() {
 				continue
 			}
+			if most := st.spec.MaxPerWorker; most > 0 {
+				out.Spread = max(out.Spread, (st.spec.Count-st.done+most-1)/most)
+			}
 			for _, t := range st.tasks {
 				if t.done || t.active() {
 					continue
--- /dev/null
+++ b/run/rig_test.go
@@ -0,0 +1,198 @@
+package run_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+const (
+	pool tw.PoolID = "checks"
+
+	maxHold  = 6 * time.Second
+	stopTime = 400 * time.Millisecond
+	latency  = 2 * time.Millisecond
+)
+
+// rig is a pool of simulated workers with a store. Tests run in a bubble of
+// testing/synctest, so its time is not that of the machine.
+type rig struct {
+	*WithT
+	t      *testing.T
+	ctx    context.Context
+	kv     *standin.KV
+	fleet  *standin.Fleet
+	cloud  *standin.Cloud
+	census *run.Census
+	list   map[tw.WorkerID]tw.WorkerEntry
+	opened []*run.Owner
+}
+
+func newRig(t *testing.T, workers int) *rig {
+	r := &rig{
+		WithT: NewWithT(t), t: t, ctx: t.Context(),
+		kv: standin.KVConfig{Latency: latency}.New(),
+		fleet: standin.FleetConfig{
+			Latency: latency, MaxHold: maxHold, StopTime: stopTime, StartTime: 500 * time.Millisecond,
+		}.New(),
+		cloud: standin.CloudConfig{MoveTime: time.Second, MaintenanceTime: time.Second}.New(),
+		list:  map[tw.WorkerID]tw.WorkerEntry{},
+	}
+	r.census = run.CensusConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	for n := range workers {
+		r.addWorker(n)
+	}
+	return r
+}
+
+func workerID(n int) tw.WorkerID { return tw.WorkerID(fmt.Sprintf("w%d", n)) }
+
+func (r *rig) addWorker(n int) {
+	entry := tw.WorkerEntry{
+		ID: workerID(n), Pool: pool, Address: fmt.Sprintf("10.0.0.%d:1", n), Instance: tw.InstanceID(fmt.Sprintf("m%d", n)),
+		Capacity: tw.Resources{CPU: 4000, MemoryMB: 8000}, Labels: []string{"a", fmt.Sprintf("r%d", n/2)},
+	}
+	r.list[entry.ID] = entry
+	r.fleet.Add(entry)
+	r.cloud.Add(tw.Machine{
+		ID: entry.Instance, Pool: pool, State: tw.MachineUp, Worker: entry.ID, Capacity: entry.Capacity, Labels: entry.Labels,
+	})
+}
+
+// take makes a daemon the owner of the pool.
+func (r *rig) take(daemon tw.DaemonID) *run.Owner { return r.open(daemon, r.kv, r.fleet) }
+
+// takeCut does so for a daemon that can be cut off.
+func (r *rig) takeCut(daemon tw.DaemonID, orders *cutOrders) *run.Owner {
+	return r.open(daemon, &cutKV{KV: r.kv, orders: orders}, orders)
+}
+
+func (r *rig) open(daemon tw.DaemonID, kv tw.KV, orders tw.WorkerOrders) *run.Owner {
+	self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.1:1", Life: tw.Incarnation(len(r.opened) + 1)}
+	book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: self}.Open(r.ctx)
+	r.Expect(err).NotTo(HaveOccurred())
+	loaded, err := book.Load(r.ctx)
+	r.Expect(err).NotTo(HaveOccurred())
+	self.Fence = book.Fence()
+	o := run.Config{
+		Book: book, Loaded: loaded, Self: self, KV: kv, Orders: orders, Advisor: noAdvisor{}, Census: r.census,
+		Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(),
+		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, HarmTime: 4 * time.Second, KeepEnded: 2 * time.Minute, FarFactor: 2},
+	}.New()
+	r.opened = append(r.opened, o)
+	r.feed(o)
+	return o
+}
+
+func (r *rig) feed(o *run.Owner) {
+	list := make(map[tw.WorkerID]tw.WorkerEntry, len(r.list))
+	for id, entry := range r.list {
+		list[id] = entry
+	}
+	o.SetWorkers(r.ctx, run.WorkerList{Workers: list, Settled: time.Now().Add(-time.Minute)})
+}
+
+// drain says that a worker is leaving.
+func (r *rig) drain(o *run.Owner, n int) {
+	entry := r.list[workerID(n)]
+	entry.Draining = true
+	r.list[entry.ID] = entry
+	r.feed(o)
+}
+
+// end closes everything, as a bubble must be left without goroutines.
+func (r *rig) end() {
+	for _, o := range r.opened {
+		o.Close()
+	}
+	r.census.Close()
+}
+
+// submission is one of some steps, each after the one before.
+func submission(id string, counts ...int) tw.Submission {
+	s := tw.Submission{
+		ID: tw.SubmissionID(id), Spec: "spec", Accepted: time.Now(),
+		Policy: tw.RoutePolicy{Route: "quick", Pool: pool, Attempts: 2, Stretch: 1.6, Target: 600 * time.Millisecond},
+	}
+	for i, count := range counts {
+		step := tw.Step{Count: count, Need: tw.Resources{CPU: 1000, MemoryMB: 500}, Estimate: 800 * time.Millisecond}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		s.Steps = append(s.Steps, step)
+	}
+	return s
+}
+
+func lasting(id string, count int) tw.Submission {
+	s := submission(id, count)
+	s.Steps[0].Lasting = true
+	s.Steps[0].MaxPerWorker = 1
+	s.Steps[0].MaxAway = 1
+	return s
+}
+
+// submit hands a submission to an owner, which must keep it.
+func (r *rig) submit(o *run.Owner, s tw.Submission) {
+	r.fleet.Expect(&s, nil)
+	r.Expect(o.Submit(r.ctx, s)).To(Succeed())
+}
+
+func (r *rig) state(o *run.Owner, id tw.SubmissionID) tw.SubmissionState {
+	state, err := o.State(r.ctx, id)
+	r.Expect(err).NotTo(HaveOccurred())
+	return state
+}
+
+// eventually waits, in the bubble's time, for a submission to have a state.
+func (r *rig) eventually(o *run.Owner, id tw.SubmissionID, want tw.SubmissionState, within time.Duration) {
+	r.t.Helper()
+	r.Eventually(func() tw.SubmissionState { return r.state(o, id) }, within, 20*time.Millisecond).Should(Equal(want))
+}
+
+func (r *rig) kept() {
+	r.t.Helper()
+	r.Expect(r.fleet.Broken()).To(BeEmpty())
+}
+
+func subtask(id string, step, index int) tw.SubtaskID {
+	return tw.SubtaskID{Submission: tw.SubmissionID(id), Step: step, Index: index}
+}
+
+type noAdvisor struct{}
+
+func (noAdvisor) Advise(context.Context, tw.SubtaskID, []tw.WorkerID) (tw.Advice, error) {
+	return tw.Advice{}, tw.ErrUnavailable
+}
+
+// cutKV loses the store together with cutOrders.
+type cutKV struct {
+	tw.KV
+	orders *cutOrders
+}
+
+func (c *cutKV) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
+	if c.orders.store.Load() {
+		return 0, tw.ErrUnavailable
+	}
+	return c.KV.Commit(ctx, txn)
+}
+
+// testLog writes to standard output if TAMARIND_TEST_LOG is set.
+func testLog() *zap.Logger {
+	if os.Getenv("TAMARIND_TEST_LOG") == "" {
+		return zap.NewNop()
+	}
+	return zap.Must(zap.NewDevelopment())
+}
--- a/run/session.go
+++ b/run/session.go
@@ -26,6 +26,8 @@
 		// silent: the last order was not answered. Starts that wait are then
 		// not sent, as each would keep the others waiting.
 		silent atomic.Bool
+		// stopLook ends the look that is under way.
+		stopLook atomic.Pointer[context.CancelFunc]
 	}
 
 	// permit tells sessions until when the owner may give orders. A daemon
@@ -55,7 +57,8 @@
 	}
 )
 
-// errNotSent is the outcome of an order that was surely never sent.
+// errNotSent is the outcome of an order that was not sent because it was
+// outdated, or of a look that the owner itself has interrupted.
 var errNotSent = errors.New("order not sent, it was outdated")
 
 func (p *permit) extend(until time.Time) { p.until.Store(&until) }
@@ -93,18 +96,35 @@
 		case <-ctx.Done():
 			return
 		case l := <-s.looks:
-			result := lookResult{seq: l.seq, sent: s.clock.Now()}
+			result := lookResult{seq: l.seq, sent: s.clock.Now(), err: errNotSent}
 			if s.permit.valid(result.sent) {
-				result.report, result.err = s.orders.Hold(ctx, s.ref, l.hold)
-				s.heard(result.err)
-			} else {
-				result.err = errNotSent
+				result.report, result.err = s.lookOnce(ctx, l.hold)
 			}
 			s.report(ctx, func() { l.done(result) })
 		}
 	}
 }
 
+// lookOnce gives one hold, unless it is interrupted.
+func (s *session) lookOnce(ctx context.Context, hold tw.HoldOrder) (tw.HoldReport, error) {
+	lookCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.stopLook.Store(&cancel)
+	report, err := s.orders.Hold(lookCtx, s.ref, hold)
+	if err != nil && lookCtx.Err() != nil && ctx.Err() == nil {
+		return report, errNotSent
+	}
+	s.heard(err)
+	return report, err
+}
+
+// interrupt ends the look that is under way, so that another can begin.
+func (s *session) interrupt() {
+	if cancel := s.stopLook.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 func (s *session) order(ctx context.Context) {
 	for {
 		select {
--- a/run/start.go
+++ b/run/start.go
@@ -34,7 +34,7 @@
 	decided := o.now
 	sent := w.session.give(workOrder{
 		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
-		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.entry.Ref(), order) },
+		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.session.ref, order) },
 		done:  func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
 	})
 	if !sent {
@@ -89,6 +89,7 @@
 		o.metrics.started("unanswered")
 		w.unheard(o.now)
 		w.nextLook = o.now
+		w.session.interrupt()
 		o.logStart(r, err)
 		if r.phase == starting {
 			r.phase = unclear
@@ -160,7 +161,7 @@
 	order := tw.StopOrder{Subtask: r.task.id, Run: r.run, Fence: o.self.Fence}
 	r.paceSent = o.now
 	w.session.give(workOrder{
-		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Stop(ctx, w.entry.Ref(), order) },
+		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Stop(ctx, w.session.ref, order) },
 		done: func(clock tw.WorkerClock, err error) { o.stopAnswered(r, clock, err) },
 	})
 }
