--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -405,6 +405,10 @@
 		f.mu.Unlock()
 		return nil, &tw.OrderRefused{Reason: tw.RefusedLife}
 	}
+	if to.Address != w.Entry.Address {
+		f.mu.Unlock()
+		return nil, errors.Wrap(tw.ErrUnavailable, "standin: nobody listens there")
+	}
 	if !w.Silent && !w.dead {
 		return w, nil
 	}
--- a/run/feed.go
+++ b/run/feed.go
@@ -89,6 +89,13 @@
 		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
 			zap.Duration("remaining", entry.Remaining), zap.Int("runs", len(w.runs)))
 	}
+	if w.session.ref != entry.Ref() {
+		// The list of machines knew it before its own entry gave its address.
+		w.session.close()
+		w.session = newSession(o, entry.Ref())
+		w.looking = false
+		w.nextLook = o.now
+	}
 	w.entry = entry
 	w.listed = true
 	w.leaving = o.vacate[entry.Instance]
--- a/run/look.go
+++ b/run/look.go
@@ -99,8 +99,11 @@
 	}
 	w.looking = true
 	o.metrics.looks.Inc()
-	w.session.looks <- lookOrder{hold: hold, seq: o.lookSeq, done: func(result lookResult) {
-		o.looked(w, hold, result)
+	session := w.session
+	session.looks <- lookOrder{hold: hold, seq: o.lookSeq, done: func(result lookResult) {
+		if w.session == session {
+			o.looked(w, hold, result)
+		}
 	}}
 }
 
--- a/run/owner.go
+++ b/run/owner.go
@@ -43,9 +43,10 @@
 	lookSeq    int64
 	runCounter tw.RunNumber
 	// placeSoon asks for a placement pass.
-	placeSoon bool
-	writer    *writer
-	learned   map[learnKey]float64
+	placeSoon  bool
+	waitLogged time.Time
+	writer     *writer
+	learned    map[learnKey]float64
 	// goneAt are workers that have ended though they are still listed.
 	goneAt   map[tw.WorkerID]time.Time
 	vacate   map[tw.InstanceID]bool
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -144,6 +144,22 @@
 		r.Expect(r.fleet.Starts()).To(Equal(1))
 		r.Expect(r.state(c, "s1")).To(Equal(tw.Started))
 	},
+	"reaches a worker that the list of machines knew before the list of workers": func(r *rig) {
+		a := r.take("a")
+		r.submit(a, lasting("s1", 1))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		a.Close()
+		r.fleet.Kill(on[0])
+		r.cloud.Add(tw.Machine{ID: r.list[on[0]].Instance, Pool: pool, State: tw.MachineDown})
+		entry := r.list[workerID(3)]
+		delete(r.list, entry.ID)
+		b := r.take("b")
+		time.Sleep(time.Second) // the list of machines is read meanwhile
+		r.list[entry.ID] = entry
+		r.feed(b)
+		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
+	},
 	"says that it does not know what runs before a worker has answered": func(r *rig) {
 		a := r.take("a")
 		r.submit(a, lasting("s1", 1))
--- a/run/place.go
+++ b/run/place.go
@@ -42,6 +42,7 @@
 		}
 	}
 	placements := schedule.Place(groups, offers)
+	o.logWaiting(groups, offers, placements)
 	gangRuns := map[*step]tw.RunNumber{}
 	for _, p := range placements {
 		t := o.submissions[p.Subtask.Submission].task(p.Subtask)
@@ -58,6 +59,42 @@
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
+// logWaiting tells why a step's subtasks have waited long for a worker.
+func (o *Owner) logWaiting(groups []*schedule.Group, offers []*schedule.Worker, placements []schedule.Placement) {
+	if o.now.Sub(o.waitLogged) < waitLogEvery {
+		return
+	}
+	placed := map[tw.SubtaskID]bool{}
+	for _, p := range placements {
+		placed[p.Subtask] = true
+	}
+	for _, g := range groups {
+		first := g.Subtasks[0]
+		t := o.submissions[first.Submission].task(first)
+		since := t.step.rep.due
+		if t.endedAt.After(since) {
+			since = t.endedAt
+		}
+		if placed[first] || o.now.Sub(since) < waitLogAfter {
+			continue
+		}
+		o.waitLogged = o.now
+		fits, full := g.Count(offers)
+		o.log.Info("run: waits for a worker", zap.Stringer("subtask", first), zap.Duration("since", o.now.Sub(since)),
+			zap.Int("subtasks", len(g.Subtasks)), zap.Int64("cpu", int64(g.Step.Need.CPU)), zap.Int64("memory_mb", g.Step.Need.MemoryMB),
+			zap.String("label", g.Step.Label), zap.Int("most_on_worker", g.Step.MaxPerWorker), zap.Bool("gang", g.Step.Gang),
+			zap.Bool("filler", g.Step.Filler), zap.Bool("lasting", g.Step.Lasting), zap.Int("grade", int(g.Urgency.Grade)),
+			zap.Int("workers", len(o.workers)), zap.Int("usable", len(offers)), zap.Int("with_room", fits), zap.Int("full_of_step", full))
+	}
+}
+
+const (
+	// waitLogAfter is how long a subtask waits before its wait is logged,
+	// waitLogEvery bounds how often such lines come.
+	waitLogAfter = 2 * time.Second
+	waitLogEvery = time.Second
+)
+
 // groups gathers the subtasks that wait for a worker, by step.
 func (o *Owner) groups() []*schedule.Group {
 	var out []*schedule.Group
--- a/schedule/group.go
+++ b/schedule/group.go
@@ -75,3 +75,17 @@
 	}
 	return u.Deadline.Before(other.Deadline)
 }
+
+// Count tells how many workers have room for a subtask, and how many have as
+// many of the step as they may.
+func (g *Group) Count(workers []*Worker) (fits, full int) {
+	for _, w := range workers {
+		if w.Free.Fits(g.Step.Claim()) && w.HasLabel(g.Step.Label) {
+			fits++
+		}
+		if g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker {
+			full++
+		}
+	}
+	return fits, full
+}
