--- a/run/lasting.go
+++ b/run/lasting.go
@@ -15,6 +15,10 @@
 // a step at a time as it may miss. What runs for a limited time is left to
 // end by itself, unless its worker ends before.
 func (o *Owner) moveLasting() {
+	// What the former owner told to stop is listed as running until it has.
+	if o.now.Sub(o.takenAt) < o.bounds.StopTime+2*closeLook {
+		return
+	}
 	for _, w := range o.workers {
 		if !w.leaving && !w.entry.Draining || w.unanswered > 0 {
 			continue
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -198,6 +198,31 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	},
+	"interrupts nothing while a stop of the former owner may be under way": func(r *rig) {
+		a := r.take("a")
+		r.submit(a, lasting("s1", 3))
+		time.Sleep(4 * time.Second)
+		vacate := func(o *run.Owner, index int) {
+			on := r.fleet.RunningOn(subtask("s1", 0, index))
+			_, err := o.Report(r.ctx, run.Directions{Vacate: []tw.InstanceID{r.list[on[0]].Instance}})
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		vacate(a, 0)
+		time.Sleep(250 * time.Millisecond) // a stops it by now
+		a.Close()
+		b := r.take("b")
+		vacate(b, 1)
+		for range 20 {
+			away := 0
+			for index := range 3 {
+				if !r.fleet.AtWork(subtask("s1", 0, index)) {
+					away++
+				}
+			}
+			r.Expect(away).To(BeNumerically("<=", 1))
+			time.Sleep(50 * time.Millisecond)
+		}
+	},
 	"refuses submissions at once while the store refuses writes": func(r *rig) {
 		o := r.take("a")
 		r.kv.SetFaults(standin.KVFaults{Down: true})
