--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,6 +95,7 @@
 	for _, m := range c.machines {
 		out = append(out, m.Machine)
 	}
+	slices.SortFunc(out, func(a, b tw.Machine) int { return cmp.Compare(a.ID, b.ID) })
 	return out, nil
 }
 
--- /dev/null
+++ b/ledger/book_test.go
@@ -0,0 +1,182 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+const pool tw.PoolID = "checks"
+
+// bench is a store with helpers for a test.
+type bench struct {
+	*WithT
+	ctx context.Context
+	kv  *standin.KV
+}
+
+func (b *bench) open(daemon tw.DaemonID) *ledger.Book {
+	book, err := b.config(daemon).Open(b.ctx)
+	b.Expect(err).NotTo(HaveOccurred())
+	return book
+}
+
+func (b *bench) config(daemon tw.DaemonID) ledger.Config {
+	return ledger.Config{
+		KV: b.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: ledger.Owner{Pool: pool, Daemon: daemon, Life: 1},
+	}
+}
+
+func submission(id tw.SubmissionID) *tw.Submission {
+	return &tw.Submission{ID: id, Policy: tw.RoutePolicy{Pool: pool}, Steps: []tw.Step{{Count: 2}}}
+}
+
+func (b *bench) accept(book *ledger.Book, id tw.SubmissionID) {
+	results, err := book.Write(b.ctx, []ledger.Change{ledger.Accept(submission(id))})
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(results[0]).NotTo(HaveOccurred())
+}
+
+func (b *bench) ids(book *ledger.Book) []tw.SubmissionID {
+	loaded, err := book.Load(b.ctx)
+	b.Expect(err).NotTo(HaveOccurred())
+	var out []tw.SubmissionID
+	for _, l := range loaded {
+		out = append(out, l.ID)
+	}
+	return out
+}
+
+var bookCases = map[string]func(b *bench){
+	"gives each owner a higher fence": func(b *bench) {
+		first := b.open("a")
+		second := b.open("b")
+		b.Expect(second.Fence()).To(BeNumerically(">", first.Fence()))
+		b.Expect(first.First()).To(BeTrue())
+		b.Expect(second.First()).To(BeFalse())
+	},
+	"refuses the writes of a former owner": func(b *bench) {
+		former := b.open("a")
+		b.open("b")
+		_, err := former.Write(b.ctx, []ledger.Change{ledger.Accept(submission("s1"))})
+		b.Expect(err).To(MatchError(ledger.ErrDeposed))
+		_, err = ledger.Find(b.ctx, b.kv, "s1")
+		b.Expect(err).To(MatchError(tw.ErrNotFound))
+	},
+	"keeps all but those that exist": func(b *bench) {
+		book := b.open("a")
+		b.accept(book, "s1")
+		results, err := book.Write(b.ctx, []ledger.Change{ledger.Accept(submission("s1")), ledger.Accept(submission("s2"))})
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(results[0]).To(MatchError(ledger.ErrExists))
+		b.Expect(results[1]).NotTo(HaveOccurred())
+		b.Expect(b.ids(book)).To(ConsistOf(tw.SubmissionID("s1"), tw.SubmissionID("s2")))
+	},
+	"knows its own write again after its answer was lost": func(b *bench) {
+		book := b.open("a")
+		b.kv.SetFaults(standin.KVFaults{LoseAnswers: 2})
+		b.accept(book, "s1")
+		b.accept(book, "s2")
+	},
+	"lets no late write undo a later one": func(b *bench) {
+		book := b.open("a")
+		b.accept(book, "s1")
+		b.kv.SetFaults(standin.KVFaults{LateWrites: 1})
+		p := &ledger.Progress{}
+		p.Step(0, 0).Done.Add(0)
+		_, err := book.Write(b.ctx, []ledger.Change{ledger.Advance(pool, "s1", p)})
+		b.Expect(err).NotTo(HaveOccurred())
+		p.Step(0, 0).Done.Add(1)
+		_, err = book.Write(b.ctx, []ledger.Change{ledger.Advance(pool, "s1", p)})
+		b.Expect(err).NotTo(HaveOccurred())
+		b.kv.DoLate()
+		got, err := ledger.FindProgress(b.ctx, b.kv, pool, "s1")
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(got.Step(0, 0).Done.All(2)).To(BeTrue())
+	},
+	"says that nothing was done when the store refuses": func(b *bench) {
+		book := b.open("a")
+		for _, faults := range []standin.KVFaults{{Down: true}, {Limited: true}} {
+			b.kv.SetFaults(faults)
+			_, err := book.Write(b.ctx, []ledger.Change{ledger.Accept(submission("s1"))})
+			b.Expect(tw.SurelyNotDone(err)).To(BeTrue())
+		}
+		b.kv.SetFaults(standin.KVFaults{})
+		b.accept(book, "s1")
+	},
+	"says nothing of a write that it gave up in doubt": func(b *bench) {
+		book := b.open("a")
+		b.kv.SetFaults(standin.KVFaults{LateWrites: 1000})
+		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+		defer cancel()
+		_, err := book.Write(ctx, []ledger.Change{ledger.Accept(submission("s1"))})
+		b.Expect(err).To(MatchError(context.DeadlineExceeded))
+		b.Expect(tw.SurelyNotDone(err)).To(BeFalse())
+	},
+	"loads what a former owner recorded": func(b *bench) {
+		book := b.open("a")
+		b.accept(book, "s1")
+		b.accept(book, "s2")
+		p := &ledger.Progress{}
+		p.Step(0, 0).Failures = map[int][]tw.RunNumber{1: {7}}
+		_, err := book.Write(b.ctx, []ledger.Change{ledger.Advance(pool, "s1", p), ledger.End(pool, "s2", tw.Succeeded)})
+		b.Expect(err).NotTo(HaveOccurred())
+		loaded, err := b.open("b").Load(b.ctx)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(loaded).To(HaveLen(2))
+		b.Expect(loaded[0].Progress.Step(0, 0).Failures[1]).To(Equal([]tw.RunNumber{7}))
+		b.Expect(loaded[1].Record.Final).To(Equal(tw.Succeeded))
+		b.Expect(loaded[1].Record.Submission).To(BeNil())
+	},
+	"keeps one submission whoever keeps it": func(b *bench) {
+		book := b.open("a")
+		_, err := b.kv.Commit(b.ctx, ledger.AcceptUnowned(submission("s1")))
+		b.Expect(err).NotTo(HaveOccurred())
+		results, err := book.Write(b.ctx, []ledger.Change{ledger.Accept(submission("s1"))})
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(results[0]).To(MatchError(ledger.ErrExists))
+		_, err = b.kv.Commit(b.ctx, ledger.AcceptUnowned(submission("s1")))
+		b.Expect(err).To(BeAssignableToTypeOf(&tw.KVConflict{}))
+	},
+	"keeps the progress of a wave": func(b *bench) {
+		book := b.open("a")
+		want := ledger.WaveProgress{Done: []tw.InstanceID{"m1"}, Finished: true}
+		_, err := book.Write(b.ctx, []ledger.Change{ledger.AdvanceWave(3, want)})
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(ledger.FindWave(b.ctx, b.kv, 3)).To(Equal(want))
+		b.Expect(ledger.FindWave(b.ctx, b.kv, 4)).To(Equal(ledger.WaveProgress{}))
+	},
+}
+
+func TestBook(t *testing.T) {
+	for name, c := range bookCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := standin.KVConfig{Latency: 4 * time.Millisecond}.New()
+				c(&bench{WithT: NewWithT(t), ctx: t.Context(), kv: kv})
+			})
+		})
+	}
+}
+
+func TestBits(t *testing.T) {
+	g := NewWithT(t)
+	var b ledger.Bits
+	g.Expect(b.All(0)).To(BeTrue())
+	for _, n := range []int{0, 9, 3} {
+		g.Expect(b.Has(n)).To(BeFalse())
+		b.Add(n)
+		g.Expect(b.Has(n)).To(BeTrue())
+	}
+	g.Expect(b.All(2)).To(BeFalse())
+	b.Add(1)
+	g.Expect(b.All(2)).To(BeTrue())
+}
--- /dev/null
+++ b/schedule/place_test.go
@@ -0,0 +1,251 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+var base = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func worker(n int, cpu tw.Millicores) *schedule.Worker {
+	return &schedule.Worker{
+		ID: tw.WorkerID(fmt.Sprintf("w%d", n)), Rank: n, Rack: tw.RackLabel(fmt.Sprintf("r%d", n/2)),
+		Labels: []string{"a", fmt.Sprintf("r%d", n/2)}, Free: tw.Resources{CPU: cpu, MemoryMB: 32000},
+	}
+}
+
+func group(id string, count int, change func(s *tw.Step)) *schedule.Group {
+	step := &tw.Step{Count: count, Need: tw.Resources{CPU: 1000, MemoryMB: 100}}
+	if change != nil {
+		change(step)
+	}
+	g := &schedule.Group{Step: step, Urgency: schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: base}}
+	for n := range count {
+		g.Subtasks = append(g.Subtasks, tw.SubtaskID{Submission: tw.SubmissionID(id), Index: n})
+	}
+	return g
+}
+
+// placeCases are groups, workers and how many subtasks land on each worker.
+var placeCases = map[string]struct {
+	groups  []*schedule.Group
+	workers []*schedule.Worker
+	want    map[tw.WorkerID]int
+}{
+	"fills the lowest rank first": {
+		groups:  []*schedule.Group{group("a", 5, nil)},
+		workers: []*schedule.Worker{worker(1, 4000), worker(0, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 4, "w1": 1},
+	},
+	"deals lasting subtasks out": {
+		groups:  []*schedule.Group{group("a", 3, func(s *tw.Step) { s.Lasting = true })},
+		workers: []*schedule.Worker{worker(0, 4000), worker(1, 4000), worker(2, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 1, "w1": 1, "w2": 1},
+	},
+	"keeps to the bound on one worker": {
+		groups:  []*schedule.Group{group("a", 5, func(s *tw.Step) { s.MaxPerWorker = 2 })},
+		workers: []*schedule.Worker{worker(0, 8000), worker(1, 8000)},
+		want:    map[tw.WorkerID]int{"w0": 2, "w1": 2},
+	},
+	"places a gang whole or not at all": {
+		groups:  []*schedule.Group{group("a", 5, func(s *tw.Step) { s.Gang = true }), group("b", 2, nil)},
+		workers: []*schedule.Worker{worker(0, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 2},
+	},
+	"keeps a gang in one rack if it fits there": {
+		groups:  []*schedule.Group{group("a", 4, func(s *tw.Step) { s.Gang, s.SameRack = true, true })},
+		workers: []*schedule.Worker{worker(0, 3000), worker(2, 2000), worker(3, 2000)},
+		want:    map[tw.WorkerID]int{"w2": 2, "w3": 2},
+	},
+	"uses only workers with the label": {
+		groups:  []*schedule.Group{group("a", 2, func(s *tw.Step) { s.Label = "r1" })},
+		workers: []*schedule.Worker{worker(0, 4000), worker(2, 1000)},
+		want:    map[tw.WorkerID]int{"w2": 1},
+	},
+	"prefers the rack of the data": {
+		groups:  []*schedule.Group{group("a", 2, func(s *tw.Step) { s.Near = "r1" })},
+		workers: []*schedule.Worker{worker(0, 4000), worker(2, 4000)},
+		want:    map[tw.WorkerID]int{"w2": 2},
+	},
+	"keeps fillers away from what serves users": {
+		groups: []*schedule.Group{group("a", 1, func(s *tw.Step) { s.Filler = true })},
+		workers: []*schedule.Worker{
+			func() *schedule.Worker { w := worker(0, 4000); w.Serving = 1; return w }(), worker(1, 4000),
+		},
+		want: map[tw.WorkerID]int{"w1": 1},
+	},
+	"lets a filler onto a worker without free processor": {
+		groups:  []*schedule.Group{group("a", 1, func(s *tw.Step) { s.Filler = true })},
+		workers: []*schedule.Worker{worker(0, 0)},
+		want:    map[tw.WorkerID]int{"w0": 1},
+	},
+	"takes distrusted workers last": {
+		groups: []*schedule.Group{group("a", 2, nil)},
+		workers: []*schedule.Worker{
+			func() *schedule.Worker { w := worker(0, 4000); w.Distrust = 1; return w }(), worker(1, 4000),
+		},
+		want: map[tw.WorkerID]int{"w1": 2},
+	},
+	"places only what has a worker that it need not avoid": {
+		groups: []*schedule.Group{func() *schedule.Group {
+			g := group("a", 2, nil)
+			g.Avoid = map[int]map[tw.WorkerID]bool{0: {"w0": true}}
+			return g
+		}()},
+		workers: []*schedule.Worker{worker(0, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 1},
+	},
+	"uses only workers that advice allows": {
+		groups: []*schedule.Group{func() *schedule.Group {
+			g := group("a", 2, nil)
+			g.Allowed = map[tw.WorkerID]bool{"w1": true}
+			return g
+		}()},
+		workers: []*schedule.Worker{worker(0, 4000), worker(1, 1000)},
+		want:    map[tw.WorkerID]int{"w1": 1},
+	},
+}
+
+func TestPlace(t *testing.T) {
+	for name, c := range placeCases {
+		t.Run(name, func(t *testing.T) {
+			got := map[tw.WorkerID]int{}
+			for _, p := range schedule.Place(c.groups, c.workers) {
+				got[p.Worker.ID]++
+			}
+			NewWithT(t).Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+// urgencyCases are work handed in at base with an objective of 2 s.
+var urgencyCases = map[string]struct {
+	now       time.Duration
+	remaining time.Duration
+	want      schedule.Grade
+}{
+	"in time":                        {now: time.Second, remaining: time.Second, want: schedule.GradeOnTime},
+	"too late for its objective":     {now: time.Second, remaining: 1001 * time.Millisecond, want: schedule.GradeLate},
+	"late, but worth something":      {now: 5 * time.Second, remaining: time.Second, want: schedule.GradeLate},
+	"over three times its objective": {now: 6 * time.Second, remaining: time.Millisecond, want: schedule.GradeOverdue},
+}
+
+func TestUrgencyOf(t *testing.T) {
+	for name, c := range urgencyCases {
+		t.Run(name, func(t *testing.T) {
+			u := schedule.UrgencyOf(base.Add(c.now), base, 2*time.Second, c.remaining, 0)
+			NewWithT(t).Expect(u.Grade).To(Equal(c.want))
+		})
+	}
+}
+
+// Whatever waits and whatever there is: no worker is filled over its
+// capacity, no subtask is placed twice, and all bounds of steps hold.
+func TestPlaceKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := drawWorkers(t)
+		before := map[tw.WorkerID]tw.Resources{}
+		for _, w := range workers {
+			before[w.ID] = w.Free
+		}
+		groups := drawGroups(t)
+		steps := map[tw.SubmissionID]*schedule.Group{}
+		for _, g := range groups {
+			steps[g.Subtasks[0].Submission] = g
+		}
+		placed := map[tw.SubtaskID]bool{}
+		onWorker := map[tw.SubmissionID]map[tw.WorkerID]int{}
+		for _, p := range schedule.Place(groups, workers) {
+			id := p.Subtask.Submission
+			step := steps[id].Step
+			if placed[p.Subtask] {
+				t.Fatalf("%s is placed twice", p.Subtask)
+			}
+			placed[p.Subtask] = true
+			before[p.Worker.ID] = before[p.Worker.ID].Minus(step.Claim())
+			if onWorker[id] == nil {
+				onWorker[id] = map[tw.WorkerID]int{}
+			}
+			onWorker[id][p.Worker.ID]++
+			if step.MaxPerWorker > 0 && onWorker[id][p.Worker.ID] > step.MaxPerWorker {
+				t.Fatalf("%d of %s on one worker", onWorker[id][p.Worker.ID], id)
+			}
+			if !p.Worker.HasLabel(step.Label) {
+				t.Fatalf("%s lacks label %q", p.Worker.ID, step.Label)
+			}
+		}
+		for id, free := range before {
+			if free.CPU < 0 || free.MemoryMB < 0 || free.GPU < 0 {
+				t.Fatalf("%s is over its capacity: %+v", id, free)
+			}
+		}
+		for id, g := range steps {
+			total := 0
+			for _, n := range onWorker[id] {
+				total += n
+			}
+			if g.Step.Gang && total != 0 && total != g.Step.Count {
+				t.Fatalf("%d of the %d members of a gang", total, g.Step.Count)
+			}
+		}
+	})
+}
+
+func drawWorkers(t *rapid.T) []*schedule.Worker {
+	var out []*schedule.Worker
+	for n := range rapid.IntRange(0, 6).Draw(t, "workers") {
+		w := worker(n, tw.Millicores(rapid.IntRange(0, 8000).Draw(t, "cpu")))
+		w.Free.MemoryMB = int64(rapid.IntRange(0, 2000).Draw(t, "memory"))
+		w.Free.GPU = int64(rapid.IntRange(0, 2).Draw(t, "gpu"))
+		out = append(out, w)
+	}
+	return out
+}
+
+func drawGroups(t *rapid.T) []*schedule.Group {
+	var out []*schedule.Group
+	for n := range rapid.IntRange(0, 6).Draw(t, "groups") {
+		g := group(fmt.Sprintf("s%d", n), rapid.IntRange(1, 8).Draw(t, "count"), func(s *tw.Step) {
+			s.Need = tw.Resources{
+				CPU: tw.Millicores(rapid.IntRange(0, 3000).Draw(t, "need")), MemoryMB: int64(rapid.IntRange(0, 900).Draw(t, "needs MB")),
+				GPU: int64(rapid.IntRange(0, 1).Draw(t, "needs GPU")),
+			}
+			s.Gang = rapid.Bool().Draw(t, "gang")
+			s.SameRack = rapid.Bool().Draw(t, "same rack")
+			s.Filler = rapid.Bool().Draw(t, "filler")
+			s.Lasting = rapid.Bool().Draw(t, "lasting")
+			s.MaxPerWorker = rapid.IntRange(0, 3).Draw(t, "most")
+			s.Label = rapid.SampledFrom([]string{"", "r0", "r1"}).Draw(t, "label")
+		})
+		out = append(out, g)
+	}
+	return out
+}
+
+// BenchmarkPlace places 1,000 waiting subtasks in pools of two sizes.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []int{100, 400} {
+		b.Run(fmt.Sprintf("%d workers", size), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				workers := make([]*schedule.Worker, size)
+				for n := range size {
+					workers[n] = worker(n, 16000)
+				}
+				groups := make([]*schedule.Group, 100)
+				for n := range groups {
+					groups[n] = group(fmt.Sprintf("s%d", n), 10, nil)
+				}
+				b.StartTimer()
+				schedule.Place(groups, workers)
+			}
+		})
+	}
+}
