--- /dev/null
+++ b/maintenance/decide_test.go
@@ -0,0 +1,296 @@
+package maintenance_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/maintenance"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+var (
+	base = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	size = tw.Resources{CPU: 16000, MemoryMB: 32000}
+)
+
+// fleet is a state under construction.
+type fleet struct{ *maintenance.State }
+
+func newFleet() fleet {
+	return fleet{&maintenance.State{
+		Now: base, Began: base.Add(-time.Hour), Asked: base, Machines: map[tw.InstanceID]tw.Machine{}, Pools: map[tw.PoolID]*maintenance.Pool{},
+		Ordered: map[tw.InstanceID]maintenance.Order{}, Vacating: map[tw.InstanceID]maintenance.Order{},
+	}}
+}
+
+// pool adds a pool of machines that need is spread over evenly.
+func (f fleet) pool(id tw.PoolID, machines int, need float64) *maintenance.Pool {
+	p := &maintenance.Pool{ID: id, Known: true, Need: need, Peak: need}
+	for n := range machines {
+		machine := tw.Machine{
+			ID: tw.InstanceID(fmt.Sprintf("%s-%d", id, n)), Pool: id, State: tw.MachineUp, Worker: tw.WorkerID(fmt.Sprintf("w-%s-%d", id, n)),
+		}
+		f.Machines[machine.ID] = machine
+		p.Report.Workers = append(p.Report.Workers, run.WorkerLoad{
+			Instance: machine.ID, Worker: machine.Worker, Capacity: size, Free: size, Known: true, Sound: true,
+		})
+	}
+	f.Pools[id] = p
+	return p
+}
+
+func (f fleet) parking(machines int) {
+	p := f.pool("parking", machines, 0)
+	p.Parking = true
+	p.Report.Workers = nil
+	for id, machine := range f.Machines {
+		if machine.Pool == "parking" {
+			machine.Worker = ""
+			f.Machines[id] = machine
+		}
+	}
+}
+
+func (f fleet) wave(atOnce int, machines ...tw.InstanceID) *maintenance.Wave {
+	w := &maintenance.Wave{
+		MaintenanceWave: tw.MaintenanceWave{Number: 1, Machines: machines, Within: time.Minute, AtOnce: atOnce},
+		Seen:            base, Done: map[tw.InstanceID]bool{},
+	}
+	f.Waves = append(f.Waves, w)
+	return w
+}
+
+func (f fleet) busy(id tw.InstanceID, runs, lasting int) {
+	machine := f.Machines[id]
+	p := f.Pools[machine.Pool]
+	for i := range p.Report.Workers {
+		if p.Report.Workers[i].Worker == machine.Worker {
+			p.Report.Workers[i].Runs, p.Report.Workers[i].Lasting = runs, lasting
+		}
+	}
+}
+
+func ordered(d maintenance.Decision) []tw.InstanceID {
+	var out []tw.InstanceID
+	for _, o := range d.Orders {
+		out = append(out, o.Machine)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f fleet) told(id tw.InstanceID, wave int64) {
+	f.Vacating[id] = maintenance.Order{Machine: id, Wave: wave, Since: base.Add(-time.Second)}
+}
+
+var decideCases = map[string]func(g *WithT, f fleet){
+	"asks for a machine to be emptied before it takes it down": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		d := maintenance.Decide(f.State)
+		g.Expect(d.Orders).To(BeEmpty())
+		g.Expect(d.Vacate).To(HaveKey(tw.InstanceID("p-0")))
+	},
+	"takes it down once its owner was told and reports it empty": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		g.Expect(ordered(maintenance.Decide(f.State))).To(Equal([]tw.InstanceID{"p-0"}))
+	},
+	"leaves it while something runs there": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		f.busy("p-0", 1, 0)
+		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
+	},
+	"leaves it while it is not known what runs there": func(g *WithT, f fleet) {
+		p := f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		for i := range p.Report.Workers {
+			p.Report.Workers[i].Known = false
+		}
+		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
+	},
+	"leaves it while its pool's report is old": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1).Known = false
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
+	},
+	"takes a machine that is off down at once": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.parking(2)
+		f.wave(1, "parking-0", "parking-1")
+		g.Expect(maintenance.Decide(f.State).Orders).To(HaveLen(1))
+	},
+	"takes down no more at once than the wave allows": func(g *WithT, f fleet) {
+		f.pool("p", 6, 1)
+		f.wave(2, "p-0", "p-1", "p-2", "p-3")
+		for _, id := range []tw.InstanceID{"p-0", "p-1", "p-2"} {
+			f.told(id, 1)
+		}
+		f.Ordered["p-3"] = maintenance.Order{Machine: "p-3", Wave: 1}
+		g.Expect(maintenance.Decide(f.State).Orders).To(HaveLen(1))
+	},
+	"empties no machine of a pool that needs them all, while there is time": func(g *WithT, f fleet) {
+		p := f.pool("p", 4, 4)
+		p.Report.Running = tw.Resources{CPU: 4 * size.CPU}
+		f.wave(1, "p-0")
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
+	"empties one all the same when time is short": func(g *WithT, f fleet) {
+		p := f.pool("p", 4, 4)
+		p.Report.Running = tw.Resources{CPU: 4 * size.CPU}
+		f.wave(1, "p-0").Seen = base.Add(-50 * time.Second)
+		g.Expect(maintenance.Decide(f.State).Vacate).To(HaveLen(1))
+	},
+	"gives a pool that lacks machines the parked ones first": func(g *WithT, f fleet) {
+		f.pool("p", 4, 6)
+		f.pool("q", 8, 2)
+		f.parking(3)
+		d := maintenance.Decide(f.State)
+		g.Expect(ordered(d)).To(Equal([]tw.InstanceID{"parking-0", "parking-1", "parking-2"}))
+		for _, o := range d.Orders {
+			g.Expect(o.Pool).To(Equal(tw.PoolID("p")))
+		}
+	},
+	"takes spare machines from another pool, the least busy first": func(g *WithT, f fleet) {
+		f.pool("p", 4, 4)
+		f.pool("q", 8, 5)
+		for n := range 7 {
+			f.busy(tw.InstanceID(fmt.Sprintf("q-%d", n)), 3, 0)
+		}
+		g.Expect(maintenance.Decide(f.State).Vacate).To(HaveKey(tw.InstanceID("q-7")))
+	},
+	"moves no machine that runs something lasting": func(g *WithT, f fleet) {
+		f.pool("p", 4, 9)
+		f.pool("q", 8, 1)
+		for n := range 8 {
+			f.busy(tw.InstanceID(fmt.Sprintf("q-%d", n)), 1, 1)
+		}
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
+	"moves no machine to a pool that takes others only": func(g *WithT, f fleet) {
+		f.pool("p", 4, 9)
+		f.parking(1)
+		f.Unfit = map[tw.InstanceID]map[tw.PoolID]bool{"parking-0": {"p": true}}
+		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
+	},
+	"parks what no pool has needed": func(g *WithT, f fleet) {
+		f.pool("p", 12, 1)
+		f.parking(0)
+		d := maintenance.Decide(f.State)
+		g.Expect(d.Vacate).To(HaveLen(8))
+		for _, o := range d.Vacate {
+			g.Expect(o.Pool).To(Equal(tw.PoolID("parking")))
+		}
+	},
+	"parks nothing before needs were watched for a while": func(g *WithT, f fleet) {
+		f.pool("p", 12, 1)
+		f.parking(0)
+		f.Began = base
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
+	"parks nothing that was needed a moment ago": func(g *WithT, f fleet) {
+		f.pool("p", 12, 1).Peak = 11
+		f.parking(0)
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
+	"spreads spare machines over the pools": func(g *WithT, f fleet) {
+		f.pool("p", 12, 1).Peak = 12
+		f.pool("q", 4, 1).Peak = 12
+		f.parking(0)
+		d := maintenance.Decide(f.State)
+		g.Expect(len(d.Vacate)).To(BeNumerically(">=", 2))
+		for _, o := range d.Vacate {
+			g.Expect(o.Pool).To(Equal(tw.PoolID("q")))
+		}
+	},
+}
+
+func TestDecide(t *testing.T) {
+	for name, c := range decideCases {
+		t.Run(name, func(t *testing.T) { c(NewWithT(t), newFleet()) })
+	}
+}
+
+// Whatever the fleet looks like: orders go only to machines that are up and
+// known to be empty, each machine has one order at most, and no wave takes
+// more down at once than it allows.
+func TestDecideKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		for n := range rapid.IntRange(1, 3).Draw(t, "pools") {
+			id := tw.PoolID(fmt.Sprintf("p%d", n))
+			need := float64(rapid.IntRange(0, 12).Draw(t, "need"))
+			f.pool(id, rapid.IntRange(0, 8).Draw(t, "machines"), need).Known = rapid.Bool().Draw(t, "known")
+		}
+		f.parking(rapid.IntRange(0, 4).Draw(t, "parked"))
+		var all []tw.InstanceID
+		for id := range f.Machines {
+			all = append(all, id)
+		}
+		slices.Sort(all)
+		w := f.wave(rapid.IntRange(1, 3).Draw(t, "at once"), all...)
+		for _, id := range all {
+			machine := f.Machines[id]
+			machine.State = rapid.SampledFrom([]tw.MachineState{tw.MachineUp, tw.MachineUp, tw.MachineMaintenance}).Draw(t, "state")
+			f.Machines[id] = machine
+			f.busy(id, rapid.IntRange(0, 1).Draw(t, "runs"), 0)
+			if rapid.Bool().Draw(t, "told") {
+				f.told(id, 1)
+			}
+			w.Done[id] = rapid.Bool().Draw(t, "done")
+		}
+		down := 0
+		for _, machine := range f.Machines {
+			if machine.State == tw.MachineMaintenance {
+				down++
+			}
+		}
+		taken := map[tw.InstanceID]bool{}
+		for _, o := range maintenance.Decide(f.State).Orders {
+			machine := f.Machines[o.Machine]
+			if taken[o.Machine] || machine.State != tw.MachineUp {
+				t.Fatalf("%s is ordered twice, or not up", o.Machine)
+			}
+			taken[o.Machine] = true
+			if machine.Worker != "" && (!f.Pools[machine.Pool].Known || runs(f, machine) > 0) {
+				t.Fatalf("%s may not be empty", o.Machine)
+			}
+			if o.Wave != 0 {
+				down++
+			}
+		}
+		if len(taken) > 0 && down > max(w.AtOnce, downBefore(f)) {
+			t.Fatalf("%d are down at once, %d may be", down, w.AtOnce)
+		}
+	})
+}
+
+func downBefore(f fleet) int {
+	n := 0
+	for _, machine := range f.Machines {
+		if machine.State == tw.MachineMaintenance {
+			n++
+		}
+	}
+	return n
+}
+
+func runs(f fleet, machine tw.Machine) int {
+	for _, load := range f.Pools[machine.Pool].Report.Workers {
+		if load.Worker == machine.Worker {
+			return load.Runs
+		}
+	}
+	return 0
+}
