--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -194,7 +194,11 @@
 	}
 	self.Fence = book.Fence()
 	if pool == maintenance.ManagerPool {
-		o.manage(book, self)
+		recent, err := ledger.FindOrders(ctx, d.kv)
+		if err != nil {
+			return err
+		}
+		o.manage(book, self, recent)
 		d.members.Took(self)
 		return nil
 	}
@@ -220,13 +224,13 @@
 }
 
 // manage starts to manage the machines.
-func (o *owners) manage(book *ledger.Book, self ledger.Owner) {
+func (o *owners) manage(book *ledger.Book, self ledger.Owner, recent map[tw.InstanceID]time.Time) {
 	d := o.d
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.managerRecord = self
 	o.manager = maintenance.Config{
-		Book: book, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Life), KV: d.kv, Machines: d.machines,
+		Book: book, Recent: recent, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Life), KV: d.kv, Machines: d.machines,
 		Census: d.census, Owners: d, Clock: d.clock, Log: d.log, Metrics: d.metrics,
 		Waves: d.directory.Waves, Queue: d.directory.Config, WaveStatus: platform.WaveStatus,
 		HolderTime: d.settings.Bounds.HolderTime.Std(),
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
@@ -41,6 +43,11 @@
 	return Change{Puts: []tw.KVPut{{Key: waveKey(wave), Value: encode(p)}}}
 }
 
+// RecordOrders is the change that keeps which machines were changed when.
+func RecordOrders(orders map[tw.InstanceID]time.Time) Change {
+	return Change{Puts: []tw.KVPut{{Key: ordersKey, Value: encode(orders)}}}
+}
+
 // AcceptUnowned is the transaction by which a daemon that cannot reach the
 // pool's owner keeps a submission itself and leaves word for the owner.
 func AcceptUnowned(s *tw.Submission) tw.KVTxn {
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -96,6 +97,20 @@
 	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
 }
 
+// FindOrders reads which machines were changed lately; none is no error.
+func FindOrders(ctx context.Context, kv tw.KV) (map[tw.InstanceID]time.Time, error) {
+	item, err := kv.Get(ctx, ordersKey)
+	if errors.Is(err, tw.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var orders map[tw.InstanceID]time.Time
+	err = json.Unmarshal(item.Value, &orders)
+	return orders, errors.Wrapf(err, "ledger: %s", item.Key)
+}
+
 // DecodeInbox reads a message that a daemon left for an owner.
 func DecodeInbox(item tw.KVItem) (InboxRecord, error) {
 	var m InboxRecord
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -21,6 +21,7 @@
 	progressPrefix   tw.Key = "tw/progress/"
 	inboxPrefix      tw.Key = "tw/inbox/"
 	wavePrefix       tw.Key = "tw/wave/"
+	ordersKey        tw.Key = "tw/orders"
 )
 
 type (
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -31,7 +31,9 @@
 
 	// Config configures a Manager.
 	Config struct {
-		Book     *ledger.Book
+		Book *ledger.Book
+		// Recent are the machines that former managers changed lately.
+		Recent   map[tw.InstanceID]time.Time
 		Holder   string
 		KV       tw.KV
 		Machines tw.Machines
@@ -56,7 +58,6 @@
 	Manager struct {
 		Config
 		fence  tw.Fence
-		from   time.Time // no orders before
 		began  time.Time
 		ctx    context.Context
 		cancel context.CancelFunc
@@ -75,6 +76,9 @@
 		poolsLogged time.Time
 		forecasts   map[tw.PoolID]*forecast
 		unfit       map[tw.InstanceID]map[tw.PoolID]bool
+		// recent are the machines that were changed lately, blocked those that
+		// must not be changed before a time.
+		recent, blocked map[tw.InstanceID]time.Time
 	}
 
 	// goneWorker is a worker that ended with an order that was answered.
@@ -121,15 +125,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := c.Clock.Now()
 	m := &Manager{
-		Config: c, fence: c.Book.Fence(), began: now, from: now.Add(c.HolderTime + holderMargin),
+		Config: c, fence: c.Book.Fence(), began: now,
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		waves: map[int64]*Wave{}, ordered: map[tw.InstanceID]Order{}, vacating: map[tw.InstanceID]Order{},
 		reports: map[tw.PoolID]report{}, gone: map[tw.WorkerID]goneWorker{}, confirmed: now, forecasts: map[tw.PoolID]*forecast{},
-		unfit: map[tw.InstanceID]map[tw.PoolID]bool{},
-	}
-	if c.Book.First() {
-		m.from = now // nobody gave orders before
+		unfit:  map[tw.InstanceID]map[tw.PoolID]bool{},
+		recent: map[tw.InstanceID]time.Time{}, blocked: map[tw.InstanceID]time.Time{},
 	}
+	m.blockRecent(c.Recent)
 	m.Log = c.Log.With(zap.Int64("machine_fence", int64(m.fence)))
 	m.Log.Info("maintenance: this daemon manages the machines")
 	go func() {
@@ -382,7 +385,8 @@
 // carryOut gives the orders, all at the same time.
 func (m *Manager) carryOut(orders []Order) error {
 	now := m.Clock.Now()
-	if now.Before(m.from) || now.Sub(m.confirmed) > confirmManager {
+	orders = slices.DeleteFunc(orders, func(o Order) bool { return now.Before(m.blocked[o.Machine]) })
+	if now.Sub(m.confirmed) > confirmManager {
 		return nil
 	}
 	if err := m.recordOrders(orders); err != nil {
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,16 +12,44 @@
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
-// recordOrders notes the machines that are about to be taken down.
+// recordOrders notes in the store which machines are about to be changed, so
+// that another manager leaves them alone for a while.
 func (m *Manager) recordOrders(orders []Order) error {
+	if len(orders) == 0 {
+		return nil
+	}
+	now := m.Clock.Now()
+	for id, at := range m.recent {
+		if now.Sub(at) > recentOrders {
+			delete(m.recent, id)
+		}
+	}
 	for _, order := range orders {
+		m.recent[order.Machine] = now
 		if w := m.waves[order.Wave]; w != nil {
 			w.Done[order.Machine] = true
 		}
 	}
-	return nil
+	_, err := m.Book.Write(m.ctx, []ledger.Change{ledger.RecordOrders(m.recent)})
+	return err
 }
 
+// blockRecent keeps the machines that a former manager changed lately from
+// being changed by this one before the time between two holders has passed.
+func (m *Manager) blockRecent(recent map[tw.InstanceID]time.Time) {
+	now := m.Clock.Now()
+	for id, at := range recent {
+		// The times of day of two machines differ by less than the reserve.
+		if now.Sub(at) < recentOrders {
+			m.blocked[id] = now.Add(m.HolderTime + holderMargin)
+		}
+	}
+}
+
+// recentOrders is how long orders are kept in the record: the time between
+// two holders and a reserve for clocks that differ.
+const recentOrders = 15 * time.Second
+
 // finishWaves reports the progress of waves.
 func (m *Manager) finishWaves(list *run.MachineList) error {
 	for _, w := range m.waves {
