Give machines to the pool under the most pressure; look sooner near a step's end

Machines now go by pressure, a pool three times better off gives some, and overdue work asks for none. Looks come 30 ms after an answer where a step has three subtasks or fewer left, else 200 ms (before 150 ms for all), as the next step waits for that end.

--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -15,6 +15,9 @@
 	// floorMachines is what a pool keeps at least while others lack machines,
 	// so that it can begin at once when its own demand rises.
 	floorMachines = 4
+	// fairPressure: a pool that lacks machines gives some to one whose pressure
+	// is so many times its own.
+	fairPressure = 3
 	// evenGap: machines are moved to spread spare capacity only between pools
 	// whose spares differ by more.
 	evenGap = 3
@@ -31,20 +34,27 @@
 	if len(pools) == 0 {
 		return
 	}
-	for _, pool := range pools {
-		lack := int(math.Ceil(headroom*pool.Need - s.machinesOf(pool.ID, d)))
-		for range max(0, lack) {
-			if !s.give(pool, pools, d) {
-				break
-			}
+	for range len(s.Machines) {
+		if !s.relieve(pools, d) {
+			break
 		}
 	}
 	s.spread(pools, d)
 	s.park(pools, d)
 }
 
-// give finds one machine for a pool that lacks some.
-func (s *State) give(to *Pool, pools []*Pool, d *Decision) bool {
+// relieve gives one machine to the pool under the most pressure; false if it
+// needs none or there is none for it.
+func (s *State) relieve(pools []*Pool, d *Decision) bool {
+	var to *Pool
+	for _, pool := range pools {
+		if s.spare(pool, d) < 0 && (to == nil || s.pressure(pool, d) > s.pressure(to, d)) {
+			to = pool
+		}
+	}
+	if to == nil {
+		return false
+	}
 	machine, found := s.donor(to, pools, d)
 	if found {
 		d.Vacate[machine.ID] = Order{Machine: machine.ID, Pool: to.ID, Since: s.Now, Why: "its new pool lacks machines"}
@@ -52,6 +62,11 @@
 	return found
 }
 
+// pressure is a pool's need over what it has and will have.
+func (s *State) pressure(pool *Pool, d *Decision) float64 {
+	return headroom * pool.Need / max(1, s.machinesOf(pool.ID, d))
+}
+
 // spread evens out what pools have beyond their need, as any of them may be
 // the next whose demand rises.
 func (s *State) spread(pools []*Pool, d *Decision) {
@@ -90,7 +105,7 @@
 	var total, peak float64
 	for _, pool := range pools {
 		total += s.machinesOf(pool.ID, d)
-		peak += max(floorMachines, headroom*pool.Peak)
+		peak += max(s.floor(pool), headroom*pool.Peak)
 	}
 	for total > math.Ceil(peak) {
 		var most *Pool
@@ -163,15 +178,19 @@
 		}
 	}
 	var best *Pool
-	most := 0.0
 	for _, pool := range pools {
-		if pool == to || s.machinesOf(pool.ID, d) <= floorMachines {
+		if pool == to || s.machinesOf(pool.ID, d) <= s.floor(pool) {
 			continue
 		}
-		if spare := s.spare(pool, d); spare >= 1 && spare > most {
-			if _, found := s.idle(pool, to.ID, d); found {
-				best, most = pool, spare
-			}
+		// A pool that itself lacks machines gives some if it is far better off.
+		if s.spare(pool, d) < 1 && s.pressure(to, d) < fairPressure*s.pressure(pool, d) {
+			continue
+		}
+		if best != nil && s.pressure(pool, d) >= s.pressure(best, d) {
+			continue
+		}
+		if _, found := s.idle(pool, to.ID, d); found {
+			best = pool
 		}
 	}
 	if best == nil {
@@ -180,6 +199,11 @@
 	return s.idle(best, to.ID, d)
 }
 
+// floor is how many machines a pool keeps whatever others lack.
+func (s *State) floor(pool *Pool) float64 {
+	return max(floorMachines, float64(pool.Report.Spread+spreadSpare))
+}
+
 // idle finds the machine of a pool that another may have at the least cost:
 // one on which nothing runs, else, if the pool has spares, the one with the
 // least work that ends by itself.
@@ -231,5 +255,5 @@
 	}
 	// While its work ends, the pool may have come to need it more.
 	none := &Decision{Vacate: s.Vacating}
-	return s.spare(from, none) >= min(0, s.spare(to, none))
+	return s.spare(from, none) >= 0 || s.pressure(to, none) >= s.pressure(from, none)
 }
--- a/run/config.go
+++ b/run/config.go
@@ -66,7 +66,11 @@
 	stalledAfter = 500 * time.Millisecond
 	// gatherEnds lets ends gather at a worker before the next look. Looks are
 	// priced; objectives are above 1 s.
-	gatherEnds = 150 * time.Millisecond
+	gatherEnds = 200 * time.Millisecond
+	// gatherLast is the same where at most lastOfStep subtasks of a step are
+	// left, as its end is what others wait for.
+	gatherLast = 30 * time.Millisecond
+	lastOfStep = 3
 	// longLook is how long a worker may wait for an end to report.
 	longLook = 1500 * time.Millisecond
 	// startsFirst is how long a look waits for the answers to starts, which
--- a/run/look.go
+++ b/run/look.go
@@ -125,20 +125,34 @@
 	w.heard(now, result.report.Clock)
 	w.lookedAt = now
 	w.told = max(w.told, hold.Seen)
-	w.nextLook = now.Add(gatherEnds)
 	first := !w.known
 	w.known, w.inheritedDoubt = true, false
 	o.takeEnds(w, result.report.Ended)
 	o.takeRunning(w, result)
 	if first {
-		w.nextLook = now
 		o.log.Info("worker: answers", zap.String("worker", string(w.entry.ID)),
 			zap.Int("running", len(result.report.Running)), zap.Int("ended", len(result.report.Ended)))
 	}
 	o.watchTails(w)
+	w.nextLook = now.Add(w.gather())
+	if first {
+		w.nextLook = now
+	}
 	o.placeSoon = true
 }
 
+// gather is how long ends may gather at a worker before the next look: short
+// where the end of few subtasks completes a step, on which others wait.
+func (w *worker) gather() time.Duration {
+	for _, r := range w.runs {
+		st := r.task.step
+		if !st.spec.Lasting && st.spec.Count-st.done <= lastOfStep {
+			return gatherLast
+		}
+	}
+	return gatherEnds
+}
+
 func (o *Owner) lookFailed(w *worker, err error) {
 	switch {
 	case tw.RefusedFor(err, tw.RefusedLife):
--- a/run/report.go
+++ b/run/report.go
@@ -4,6 +4,7 @@
 	"context"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/schedule"
 )
 
 type (
@@ -88,29 +89,34 @@
 		}
 	}
 	for _, sub := range o.live {
-		sub.addWaiting(&out)
+		for _, rep := range sub.reps {
+			o.addWaiting(rep, &out)
+		}
 	}
 	return out
 }
 
-// addWaiting adds the needs of the submission's subtasks that could start now.
-func (s *submission) addWaiting(out *Report) {
-	for _, rep := range s.reps {
-		for _, st := range rep.steps {
-			if st.done == st.spec.Count || !st.ready() {
+// addWaiting adds the needs of the subtasks that could start now, but for
+// work that ends too late to count in any case.
+func (o *Owner) addWaiting(rep *repetition, out *Report) {
+	overdue := o.now.Sub(rep.due) > schedule.LateFactor*o.objective(rep)
+	for _, st := range rep.steps {
+		if st.done == st.spec.Count || !st.ready() {
+			continue
+		}
+		if most := st.spec.MaxPerWorker; most > 0 {
+			out.Spread = max(out.Spread, (st.spec.Count-st.done+most-1)/most)
+		}
+		if overdue && !st.spec.Lasting {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.done || t.active() {
 				continue
 			}
-			if most := st.spec.MaxPerWorker; most > 0 {
-				out.Spread = max(out.Spread, (st.spec.Count-st.done+most-1)/most)
-			}
-			for _, t := range st.tasks {
-				if t.done || t.active() {
-					continue
-				}
-				out.Waiting = out.Waiting.Plus(st.spec.Claim())
-				if st.spec.Lasting {
-					out.Lasting = out.Lasting.Plus(st.spec.Claim())
-				}
+			out.Waiting = out.Waiting.Plus(st.spec.Claim())
+			if st.spec.Lasting {
+				out.Lasting = out.Lasting.Plus(st.spec.Claim())
 			}
 		}
 	}
--- a/schedule/group.go
+++ b/schedule/group.go
@@ -46,16 +46,16 @@
 	GradeFiller
 )
 
-// lateFactor times the objective is when late work stops counting; it is the
+// LateFactor times the objective is when late work stops counting; it is the
 // platform's figure.
-const lateFactor = 3
+const LateFactor = 3
 
 // UrgencyOf grades work that was handed in at start with an objective and has
 // remaining run time ahead of it.
 func UrgencyOf(now, start time.Time, objective, remaining time.Duration, priority int) Urgency {
 	end := now.Add(remaining)
 	deadline := start.Add(objective)
-	latest := start.Add(lateFactor * objective)
+	latest := start.Add(LateFactor * objective)
 	switch {
 	case !end.After(deadline):
 		return Urgency{Grade: GradeOnTime, Priority: priority, Deadline: deadline}
