--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -90,7 +90,7 @@
 	}
 	d.self = member.Live{
 		Daemon: s.ID, Life: tw.Incarnation(c.Clock.Now().UnixNano()), Hall: s.Hall,
-		Address: listeners[2].Addr().String(),
+		Address: listeners[2].Addr().String(), Cores: s.Limits.Cores,
 	}
 	d.log.Info("daemon: started", zap.String("daemon", string(s.ID)), zap.String("hall", string(s.Hall)),
 		zap.Uint64("life", uint64(d.self.Life)), zap.String("callers", listeners[0].Addr().String()))
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -44,6 +44,8 @@
 	// QueueProcessLimits bounds the process.
 	QueueProcessLimits struct {
 		MemoryMB int64 `toml:"memory_mb"`
+		// Cores is the share of processor cores that the process has.
+		Cores tw.Cores `toml:"cores"`
 	}
 
 	// QueueBounds are the platform's figures; docs/SETTINGS.md explains each.
@@ -77,6 +79,7 @@
 func (s *QueueSettings) Defaults() {
 	set(&s.Platform.MinLease, tw.Duration(time.Second))
 	set(&s.Limits.MemoryMB, 284)
+	set(&s.Limits.Cores, 0.4)
 	set(&s.Bounds.MaxHold, tw.Duration(6*time.Second))
 	set(&s.Bounds.StopTime, tw.Duration(400*time.Millisecond))
 	set(&s.Bounds.HarmTime, tw.Duration(4*time.Second))
@@ -127,6 +130,9 @@
 		positive(faults, field, int64(value))
 	}
 	positive(faults, "limits.memory_mb", s.Limits.MemoryMB)
+	if s.Limits.Cores <= 0 {
+		faults.Add("limits.cores", "must be above 0")
+	}
 	if s.Bounds.FarFactor < 1 {
 		faults.Add("bounds.far_factor", "is %v, must be at least 1", s.Bounds.FarFactor)
 	}
--- a/member/live.go
+++ b/member/live.go
@@ -21,6 +21,8 @@
 		Life    tw.Incarnation `json:"life"`
 		Address string         `json:"address"` // of its peer service
 		Hall    tw.HallID      `json:"hall"`
+		// Cores is the share of processor cores that the daemon has.
+		Cores tw.Cores `json:"cores"`
 	}
 
 	// PresenceConfig configures a Presence.
--- a/member/succession.go
+++ b/member/succession.go
@@ -95,9 +95,9 @@
 	return loads
 }
 
-// candidates are the daemons that may take a pool, the first first: those
-// with the fewest pools, in an order that differs by pool. All daemons that
-// see the same members work out the same.
+// candidates are the daemons that may take a pool, the first first: those that
+// would have the fewest pools for their processor share, in an order that
+// differs by pool. All daemons that see the same members work out the same.
 func (m *Members) candidates(pool tw.PoolID, loads map[tw.DaemonID]int, now time.Time) []tw.DaemonID {
 	var out []tw.DaemonID
 	for id, l := range m.live {
@@ -112,7 +112,7 @@
 	}
 	slices.SortFunc(out, func(a, b tw.DaemonID) int {
 		return cmp.Or(
-			cmp.Compare(loads[a], loads[b]),
+			cmp.Compare(m.loadWith(a, loads), m.loadWith(b, loads)),
 			cmp.Compare(mix(pool, a), mix(pool, b)),
 			cmp.Compare(a, b),
 		)
@@ -120,6 +120,15 @@
 	return out
 }
 
+// loadWith is how loaded a daemon would be with one more pool.
+func (m *Members) loadWith(id tw.DaemonID, loads map[tw.DaemonID]int) float64 {
+	cores := float64(m.live[id].Cores)
+	if cores <= 0 {
+		cores = 1
+	}
+	return float64(loads[id]+1) / cores
+}
+
 // Successor is the daemon to which this one should give a pool; false if
 // there is none.
 func (m *Members) Successor(pool tw.PoolID) (Live, bool) {
