--- /dev/null
+++ b/daemon/queue_settings_test.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// fields are the platform's fields of an entry machine.
+var fields = map[string]string{
+	"nodeName": "edge-a-1", "zone": "a", "ip": "10.1.0.9", "bindAddrs.front": "10.1.0.9:1", "bindAddrs.readiness": "10.1.0.9:2",
+	"bindAddrs.control": "10.1.0.9:3", "platform.address": "10.2.0.1:4", "platform.ttl_min_ms": "1000", "cloudApi.address": "10.2.0.1:5",
+	"advice": "10.2.0.1:6", "limits.memoryMb": "284", "limits.cpuShare": "0.4", "bounds.maxHoldMs": "10000", "bounds.stop_ms": "400",
+	"bounds.harm_ms": "4000", "bounds.pace_ms": "100", "bounds.status_s": "120", "bounds.far_x": "2", "bounds.leaseMs": "3000",
+	"bounds.move_s": "1.5", "bounds.upkeep_s": "2", "bounds.graceS": "6",
+}
+
+var (
+	sections = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
+	gaps     = regexp.MustCompile(`\{\{([^#/}]+)\}\}`)
+)
+
+// fill fills the template as the platform's page describes, as far as the
+// template makes use of it.
+func fill(t *testing.T, fields map[string]string) string {
+	text, err := os.ReadFile("../deploy/settings.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := sections.ReplaceAllStringFunc(string(text), func(section string) string {
+		parts := sections.FindStringSubmatch(section)
+		if fields[parts[1]] == "" {
+			return ""
+		}
+		return parts[2]
+	})
+	return gaps.ReplaceAllStringFunc(out, func(gap string) string { return fields[strings.Trim(gap, "{}")] })
+}
+
+func load(t *testing.T, text string) (QueueSettings, error) {
+	path := t.TempDir() + "/settings.toml"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadQueueSettings(path)
+}
+
+func TestSettingsTemplate(t *testing.T) {
+	g := NewWithT(t)
+	s, err := load(t, fill(t, fields))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ID).To(Equal(tw.DaemonID("edge-a-1")))
+	g.Expect(s.Listen.Metrics).To(Equal("10.1.0.9:9464"))
+	g.Expect(s.Bounds.MaxHold.Std()).To(Equal(10 * time.Second))
+	g.Expect(s.Bounds.MoveTime.Std()).To(Equal(1500 * time.Millisecond))
+	g.Expect(s.Limits.Cores).To(Equal(tw.Cores(0.4)))
+}
+
+// Fields that a deployment does not have leave the defaults.
+func TestSettingsTemplateWithFewFields(t *testing.T) {
+	g := NewWithT(t)
+	few := map[string]string{}
+	for name, value := range fields {
+		if !strings.HasPrefix(name, "bounds.") && !strings.HasPrefix(name, "limits.") && name != "advice" {
+			few[name] = value
+		}
+	}
+	s, err := load(t, fill(t, few))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Bounds.MaxHold.Std()).To(Equal(6 * time.Second))
+	g.Expect(s.Platform.Advice).To(BeEmpty())
+}
+
+// badQueueSettings are files with all that is wrong with them.
+var badQueueSettings = map[string]struct {
+	text string
+	says []string
+}{
+	"empty": {says: []string{"id", "hall", "listen.callers", "listen.readiness", "listen.peers", "platform.store", "platform.machines"}},
+	"unknown key": {
+		text: "id = \"a\"\nhal = \"h\"\n", says: []string{"hal"},
+	},
+	"bad values": {
+		text: "id=\"a\"\nhall=\"h\"\n[listen]\ncallers=\"x\"\nreadiness=\"1.1.1.1:1\"\npeers=\"1.1.1.1:2\"\n" +
+			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nfar_factor=0.5\n[log]\nlevel=\"loud\"\n",
+		says: []string{"listen.callers", "bounds.max_hold", "bounds.far_factor", "log.level"},
+	},
+}
+
+func TestQueueSettingsTellAllFaults(t *testing.T) {
+	for name, c := range badQueueSettings {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := load(t, c.text)
+			var faults tw.Faults
+			g.Expect(errors.As(err, &faults)).To(BeTrue())
+			for _, field := range c.says {
+				g.Expect(err.Error()).To(ContainSubstring(field))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/member/succession_test.go
@@ -0,0 +1,125 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+// quorum is Members without duties, as daemon "b" sees three daemons of which
+// "a" owns the pool "p".
+func quorum(clock *fakeclock.Clock) *Members {
+	m := &Members{
+		config: Config{
+			Clock: clock, Log: zap.NewNop(), Self: Live{Daemon: "b", Life: 1, Address: "b:1"},
+			Pools: func() []tw.PoolID { return []tw.PoolID{"p"} }, Owned: func() []tw.PoolID { return nil },
+		},
+		watcher: &Watcher{settled: clock.Now()}, started: clock.Now(),
+		live: map[tw.DaemonID]Live{}, lastLive: map[tw.DaemonID]Live{}, owners: map[tw.PoolID]ledger.Owner{},
+		contacts: map[string]*contact{}, lostAt: map[tw.PoolID]time.Time{}, yielded: map[tw.PoolID]time.Time{},
+	}
+	for _, id := range []tw.DaemonID{"a", "b", "c"} {
+		l := Live{Daemon: id, Life: 1, Address: string(id) + ":1", Cores: 1}
+		m.live[id], m.lastLive[id] = l, l
+	}
+	m.owners["p"] = ledger.Owner{Pool: "p", Daemon: "a", Address: "a:1", Life: 1, Fence: 4}
+	m.contacts["a:1"] = &contact{answered: clock.Now()}
+	clock.Advance(time.Minute)
+	m.contacts["a:1"].answered = clock.Now()
+	return m
+}
+
+// takeCases are what befalls the owner, and whether some daemon takes over.
+var takeCases = map[string]struct {
+	befall func(m *Members, now time.Time)
+	taken  bool
+}{
+	"a living owner keeps its pool": {befall: func(*Members, time.Time) {}},
+	"a pool without an owner is taken": {
+		befall: func(m *Members, _ time.Time) { delete(m.owners, "p") }, taken: true,
+	},
+	"an owner whose process is gone loses it": {
+		befall: func(m *Members, _ time.Time) { m.contacts["a:1"].refused = refusedMeansGone }, taken: true,
+	},
+	"an owner that has started anew loses it": {
+		befall: func(m *Members, _ time.Time) { m.live["a"] = Live{Daemon: "a", Life: 2, Address: "a:1"} }, taken: true,
+	},
+	"a silent owner keeps it while its record stands": {
+		befall: func(m *Members, now time.Time) { m.silence("a:1", now) },
+	},
+	"a silent owner loses it once its record is gone": {
+		befall: func(m *Members, now time.Time) {
+			m.silence("a:1", now)
+			delete(m.live, "a")
+		}, taken: true,
+	},
+	"an owner whose record was revoked keeps it while it answers": {
+		befall: func(m *Members, _ time.Time) { delete(m.live, "a") },
+	},
+	"records that are missing after an outage prove nothing at first": {
+		befall: func(m *Members, now time.Time) {
+			m.silence("a:1", now)
+			delete(m.live, "a")
+			m.watcher.settled = now
+		},
+	},
+	"nobody takes anything while the store does not answer": {
+		befall: func(m *Members, _ time.Time) {
+			delete(m.owners, "p")
+			m.watcher.settled = time.Time{}
+		},
+	},
+	"a daemon that just lost the pool leaves it to others": {
+		befall: func(m *Members, now time.Time) {
+			delete(m.owners, "p")
+			m.yielded["p"] = now
+		},
+	},
+}
+
+func (m *Members) silence(address string, now time.Time) {
+	m.contacts[address].silentFrom = now.Add(-2 * absentFor)
+	m.contacts[address].answered = now.Add(-2 * absentFor)
+}
+
+func TestToTake(t *testing.T) {
+	for name, c := range takeCases {
+		t.Run(name, func(t *testing.T) {
+			clock := fakeclock.New()
+			m := quorum(clock)
+			c.befall(m, clock.Now())
+			m.toTake(clock.Now()) // notes since when the pool is lost
+			clock.Advance(2 * candidateGap)
+			got := m.toTake(clock.Now())
+			NewWithT(t).Expect(len(got) > 0).To(Equal(c.taken))
+		})
+	}
+}
+
+func TestCandidatesByProcessor(t *testing.T) {
+	g := NewWithT(t)
+	clock := fakeclock.New()
+	m := quorum(clock)
+	m.live["b"] = Live{Daemon: "b", Cores: 0.2}
+	m.live["c"] = Live{Daemon: "c", Cores: 0.8}
+	g.Expect(m.candidates("p", map[tw.DaemonID]int{}, clock.Now())).To(Equal([]tw.DaemonID{"c", "b"}))
+	g.Expect(m.candidates("p", map[tw.DaemonID]int{"c": 9}, clock.Now())).To(Equal([]tw.DaemonID{"b", "c"}))
+}
+
+// An ownership is never replaced by an older one.
+func TestOwnerNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	m := quorum(fakeclock.New())
+	m.Took(ledger.Owner{Pool: "p", Daemon: "c", Fence: 3})
+	o, _ := m.Owner("p")
+	g.Expect(o.Daemon).To(Equal(tw.DaemonID("a")))
+	m.Took(ledger.Owner{Pool: "p", Daemon: "c", Fence: 5})
+	o, _ = m.Owner("p")
+	g.Expect(o.Daemon).To(Equal(tw.DaemonID("c")))
+}
--- /dev/null
+++ b/member/watcher_test.go
@@ -0,0 +1,89 @@
+package member_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+// watcherCases are what happens to a store and what a watcher then shows of
+// the key "p/1".
+var watcherCases = map[string]struct {
+	happen func(k *standin.KV)
+	want   string
+}{
+	"a change":  {happen: func(k *standin.KV) { k.Put("p/1", []byte("two")) }, want: "two"},
+	"a removal": {happen: func(k *standin.KV) { k.Remove("p/1") }},
+	"a history that is gone": {
+		happen: func(k *standin.KV) {
+			k.Put("p/1", []byte("three"))
+			k.ForgetHistory()
+		},
+		want: "three",
+	},
+	"a change during an outage": {
+		happen: func(k *standin.KV) {
+			k.SetFaults(standin.KVFaults{Down: true})
+			time.Sleep(3 * time.Second)
+			k.Put("p/1", []byte("four"))
+			k.SetFaults(standin.KVFaults{})
+		},
+		want: "four",
+	},
+}
+
+func TestWatcher(t *testing.T) {
+	for name, c := range watcherCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				kv := standin.KVConfig{Latency: time.Millisecond}.New()
+				kv.Put("p/1", []byte("one"))
+				shown := make(chan string, 100)
+				w := member.WatcherConfig{
+					KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Prefix: "p/", Wait: time.Second,
+					Changed: func(items map[tw.Key]tw.KVItem) { shown <- string(items["p/1"].Value) },
+				}.New()
+				defer w.Close()
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(w.Settled().IsZero()).To(BeFalse())
+				c.happen(kv)
+				time.Sleep(2 * time.Second)
+				last := "nothing was shown"
+				for len(shown) > 0 {
+					last = <-shown
+				}
+				g.Expect(last).To(Equal(c.want))
+			})
+		})
+	}
+}
+
+// A daemon's record comes back after its lease was revoked, and goes with it.
+func TestPresence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		kv := standin.KVConfig{Latency: time.Millisecond}.New()
+		p := member.PresenceConfig{
+			KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Self: member.Live{Daemon: "a"}, MinTTL: time.Second,
+		}.New()
+		there := func() bool {
+			_, err := kv.Get(t.Context(), "tw/member/live/a")
+			return err == nil
+		}
+		time.Sleep(10 * time.Second)
+		g.Expect(there()).To(BeTrue())
+		kv.RevokeLeases()
+		time.Sleep(time.Second)
+		g.Expect(there()).To(BeTrue())
+		p.Close(t.Context())
+		g.Expect(there()).To(BeFalse())
+	})
+}
