Act on no old list of machines

Machines that had been parked then had work now, and were moved. The list must be younger than a second and than the manager, and a machine without a worker counts as empty only where machines are off.

--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -119,6 +119,15 @@
 		}
 		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
 	},
+	"leaves it while its worker is not known yet": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		machine := f.Machines["p-0"]
+		machine.Worker = ""
+		f.Machines["p-0"] = machine
+		g.Expect(maintenance.Decide(f.State).Orders).To(BeEmpty())
+	},
 	"leaves it while its pool's report is old": func(g *WithT, f fleet) {
 		f.pool("p", 4, 1).Known = false
 		f.wave(1, "p-0")
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -103,6 +103,9 @@
 	goneTold = 8 * time.Second
 	// reportAge is how old a report may be to act on it.
 	reportAge = 500 * time.Millisecond
+	// listAge is how old the list of machines may be to act on it; it is read
+	// several times a second.
+	listAge = time.Second
 	// reportTimeout bounds the call for a report.
 	reportTimeout = 400 * time.Millisecond
 	// orderShown is how long an order may take to show in the list of
@@ -182,8 +185,8 @@
 	m.Census.Want(m.Clock.Now())
 	m.collect(config)
 	list := m.Census.Latest()
-	if list == nil {
-		return nil
+	if list == nil || m.Clock.Now().Sub(list.Asked) > listAge || !list.Asked.After(m.began) {
+		return nil // it may tell of machines as they were long ago
 	}
 	m.settleOrders(list)
 	state := m.state(config, list)
--- /dev/null
+++ b/maintenance/manager_test.go
@@ -0,0 +1,158 @@
+package maintenance_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/maintenance"
+	"github.com/tamarindworks/tamarindworks/platform"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// reports answers for all pools what a test says.
+type reports struct {
+	mu    sync.Mutex
+	loads map[tw.PoolID][]run.WorkerLoad
+	told  map[tw.PoolID]run.Directions
+}
+
+func (r *reports) ReportOf(_ context.Context, pool tw.PoolID, d run.Directions) (run.Report, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told[pool] = d
+	return run.Report{Pool: pool, Workers: r.loads[pool]}, nil
+}
+
+// office is a manager with all that it needs.
+type office struct {
+	*WithT
+	t       *testing.T
+	kv      *standin.KV
+	cloud   *standin.Cloud
+	census  *run.Census
+	reports *reports
+	waves   []tw.MaintenanceWave
+}
+
+func newOffice(t *testing.T) *office {
+	o := &office{
+		WithT: NewWithT(t), t: t, kv: standin.KVConfig{Latency: time.Millisecond}.New(),
+		cloud:   standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second}.New(),
+		reports: &reports{loads: map[tw.PoolID][]run.WorkerLoad{}, told: map[tw.PoolID]run.Directions{}},
+	}
+	o.census = run.CensusConfig{Machines: o.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	return o
+}
+
+// machine adds a machine whose worker runs something.
+func (o *office) machine(id tw.InstanceID, runs int) {
+	worker := tw.WorkerID("w-" + id)
+	o.cloud.Add(tw.Machine{ID: id, Pool: "p", State: tw.MachineUp, Worker: worker, Capacity: size})
+	o.reports.loads["p"] = append(o.reports.loads["p"], run.WorkerLoad{
+		Instance: id, Worker: worker, Capacity: size, Free: size, Runs: runs, Known: true, Sound: true,
+	})
+}
+
+func (o *office) manage(daemon tw.DaemonID) *maintenance.Manager {
+	book, err := ledger.Config{
+		KV: o.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: ledger.Owner{Pool: maintenance.ManagerPool, Daemon: daemon},
+	}.Open(o.t.Context())
+	o.Expect(err).NotTo(HaveOccurred())
+	recent, err := ledger.FindOrders(o.t.Context(), o.kv)
+	o.Expect(err).NotTo(HaveOccurred())
+	return maintenance.Config{
+		Book: book, Recent: recent, Holder: string(daemon), KV: o.kv, Machines: o.cloud, Census: o.census, Owners: o.reports,
+		Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+		Waves: func() []tw.MaintenanceWave { return o.waves },
+		Queue: func() *tw.QueueConfig {
+			return &tw.QueueConfig{Pools: []tw.QueuePool{{ID: "p"}, {ID: "parking", Parking: true}}}
+		},
+		WaveStatus: platform.WaveStatus, HolderTime: 3 * time.Second, Deposed: func() {},
+	}.New()
+}
+
+func (o *office) waveOf(machines ...tw.InstanceID) {
+	o.waves = append(o.waves, tw.MaintenanceWave{Number: 1, Machines: machines, Within: 30 * time.Second, AtOnce: 1})
+}
+
+func (o *office) status() string {
+	item, err := o.kv.Get(o.t.Context(), "status/wave/1")
+	if err != nil {
+		return ""
+	}
+	return string(item.Value)
+}
+
+var managerCases = map[string]func(o *office){
+	"brings a wave's machines through maintenance and says so": func(o *office) {
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		o.machine("m3", 0)
+		o.waveOf("m1", "m2")
+		m := o.manage("a")
+		defer m.Close()
+		time.Sleep(time.Second)
+		o.Expect(o.status()).To(MatchJSON(`{"state":"running"}`))
+		time.Sleep(20 * time.Second)
+		o.Expect(o.status()).To(MatchJSON(`{"state":"completed"}`))
+		maintained := 0
+		for _, order := range o.cloud.Orders() {
+			if order.Wave == 1 {
+				maintained++
+			}
+		}
+		o.Expect(maintained).To(Equal(2))
+	},
+	"does not act on a list of machines from before its time": func(o *office) {
+		o.cloud.Add(tw.Machine{ID: "m1", Pool: "parking", State: tw.MachineUp})
+		o.census.Want(time.Now())
+		time.Sleep(time.Second) // the list says that m1 is parked
+		o.machine("m1", 3)
+		o.waveOf("m1")
+		m := o.manage("a")
+		defer m.Close()
+		time.Sleep(3 * time.Second)
+		o.Expect(o.cloud.Orders()).To(BeEmpty())
+	},
+	"leaves a machine alone that another manager has just changed": func(o *office) {
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		o.waveOf("m1")
+		a := o.manage("a")
+		for len(o.cloud.Orders()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		a.Close()
+		first := o.cloud.Orders()[0].At
+		b := o.manage("b")
+		defer b.Close()
+		time.Sleep(15 * time.Second)
+		for _, order := range o.cloud.Orders()[1:] {
+			if order.Machine == "m1" {
+				o.Expect(order.At.Sub(first)).To(BeNumerically(">=", 3*time.Second))
+			}
+		}
+	},
+}
+
+func TestManager(t *testing.T) {
+	for name, c := range managerCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOffice(t)
+				defer o.census.Close()
+				c(o)
+			})
+		})
+	}
+}
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -97,7 +97,8 @@
 // empty tells whether nothing runs on a machine, for sure.
 func (s *State) empty(machine tw.Machine) bool {
 	if machine.Worker == "" {
-		return machine.State == tw.MachineUp
+		// Elsewhere than in the parking pool its worker is just starting.
+		return machine.State == tw.MachineUp && s.isParking(machine.Pool)
 	}
 	load, known := s.load(machine)
 	return known && load.Runs == 0
