--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -18,6 +18,8 @@
 		Clock tw.Clock
 		// MoveTime and MaintenanceTime are how long a machine is away.
 		MoveTime, MaintenanceTime time.Duration
+		// Latency passes before each list is read.
+		Latency time.Duration
 		// Changed is called when a machine's worker ends, and when a new one
 		// has come.
 		Changed func(machine tw.Machine)
@@ -84,7 +86,14 @@
 }
 
 // List implements tw.Machines.
-func (c *Cloud) List(context.Context) ([]tw.Machine, error) {
+func (c *Cloud) List(ctx context.Context) ([]tw.Machine, error) {
+	if c.config.Latency > 0 {
+		select {
+		case <-c.config.Clock.After(c.config.Latency):
+		case <-ctx.Done():
+			return nil, errors.Wrap(tw.ErrUnavailable, "standin: caller has left")
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -47,7 +47,7 @@
 func newOffice(t *testing.T) *office {
 	o := &office{
 		WithT: NewWithT(t), t: t, kv: standin.KVConfig{Latency: time.Millisecond}.New(),
-		cloud:   standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second}.New(),
+		cloud:   standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, Latency: 20 * time.Millisecond}.New(),
 		reports: &reports{loads: map[tw.PoolID][]run.WorkerLoad{}, told: map[tw.PoolID]run.Directions{}},
 	}
 	o.census = run.CensusConfig{Machines: o.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
