--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -263,6 +263,19 @@
 		}, time.Second).Should(Succeed())
 		r.eventually(o, "s1", tw.Succeeded, 5*time.Second)
 	},
+	"goes on trying to read what another daemon has kept": func(r *rig) {
+		kv := &blindKV{KV: r.kv}
+		o := r.open("a", kv, r.fleet)
+		s := submission("s1", 2)
+		r.fleet.Expect(&s, nil)
+		_, err := r.kv.Commit(r.ctx, ledger.AcceptUnowned(&s))
+		r.Expect(err).NotTo(HaveOccurred())
+		kv.blind.Store(true)
+		r.Expect(o.Submit(r.ctx, s)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		kv.blind.Store(false)
+		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
+	},
 	"starts repetitions when they are due, not before": func(r *rig) {
 		o := r.take("a")
 		s := submission("s1", 1)
@@ -372,3 +385,16 @@
 	}
 	return c.WorkerOrders.Hold(ctx, to, order)
 }
+
+// blindKV reads nothing while it is blind.
+type blindKV struct {
+	tw.KV
+	blind atomic.Bool
+}
+
+func (k *blindKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	if k.blind.Load() {
+		return tw.KVItem{}, tw.ErrUnavailable
+	}
+	return k.KV.Get(ctx, key)
+}
--- a/run/requests.go
+++ b/run/requests.go
@@ -146,18 +146,31 @@
 func (o *Owner) existsAlready(sub *submission) {
 	delete(o.submissions, sub.ID)
 	sub.answer(nil)
-	o.fetch(sub.ID)
+	o.fetch(sub.ID, func() {})
 }
 
-// fetch reads a submission that another daemon has kept.
-func (o *Owner) fetch(id tw.SubmissionID) {
+// fetch takes up a submission that another daemon has kept, then calls then.
+// It goes on trying until the store answers.
+func (o *Owner) fetch(id tw.SubmissionID, then func()) {
 	go func() {
-		loaded, err := o.read(id)
-		if err != nil {
-			o.log.Warn("submission: not readable", zap.String("submission", string(id)), logsink.Err(err))
-			return
+		for {
+			loaded, err := o.read(id)
+			if err == nil || errors.Is(err, tw.ErrNotFound) {
+				o.post(o.ctx, func() {
+					if err == nil {
+						o.fetched(loaded)
+					}
+					then()
+				})
+				return
+			}
+			o.log.Warn("submission: not readable, tried again", zap.String("submission", string(id)), logsink.Err(err))
+			select {
+			case <-o.clock.After(flushRetry):
+			case <-o.ctx.Done():
+				return
+			}
 		}
-		o.post(o.ctx, func() { o.fetched(loaded) })
 	}()
 }
 
@@ -178,49 +191,20 @@
 	o.log.Info("submission: taken up from the store", zap.String("submission", string(l.ID)))
 }
 
+// takeMessage follows a message from the inbox and then has it taken out.
 func (o *Owner) takeMessage(m ledger.InboxRecord) {
-	switch m.Kind {
-	case ledger.InboxSubmitted:
-		if o.submissions[m.ID] != nil {
-			break
-		}
-		o.fetchThen(m)
+	if sub := o.submissions[m.ID]; sub != nil && sub.durable {
+		o.followMessage(m)
 		return
-	case ledger.InboxCancel:
-		sub := o.submissions[m.ID]
-		if sub == nil {
-			o.fetchThen(m)
-			return
-		}
-		o.cancelSubmission(sub)
 	}
-	o.writer.emptied(m)
+	o.fetch(m.ID, func() { o.followMessage(m) })
 }
 
-// fetchThen takes up the submission that a message is about, then the message.
-func (o *Owner) fetchThen(m ledger.InboxRecord) {
-	go func() {
-		loaded, err := o.read(m.ID)
-		if err != nil && !errors.Is(err, tw.ErrNotFound) {
-			o.log.Warn("inbox: submission not readable, tried again", zap.String("submission", string(m.ID)), logsink.Err(err))
-			select {
-			case <-o.clock.After(flushRetry):
-			case <-o.ctx.Done():
-				return
-			}
-			o.post(o.ctx, func() { o.takeMessage(m) })
-			return
-		}
-		o.post(o.ctx, func() {
-			if err == nil {
-				o.fetched(loaded)
-			}
-			if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel {
-				o.cancelSubmission(sub)
-			}
-			o.writer.emptied(m)
-		})
-	}()
+func (o *Owner) followMessage(m ledger.InboxRecord) {
+	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel {
+		o.cancelSubmission(sub)
+	}
+	o.writer.emptied(m)
 }
 
 func (o *Owner) askCancel(id tw.SubmissionID, result chan<- error) {
