--- /dev/null
+++ b/e2e/queue_test.go
@@ -0,0 +1,188 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+const (
+	queuePool = "checks"
+	queueHost = "a.example"
+)
+
+// queueRig is a platform of stand-ins with three daemons as processes.
+type queueRig struct {
+	kv      *standin.KV
+	fleet   *standin.Fleet
+	cloud   *standin.Cloud
+	dir     string
+	daemons map[string]*process
+	callers map[string]string // addresses, by daemon
+}
+
+func newQueueRig(workers int) *queueRig {
+	r := &queueRig{
+		kv: standin.KVConfig{}.New(),
+		fleet: standin.FleetConfig{
+			MaxHold: 6 * time.Second, StopTime: 100 * time.Millisecond, StartTime: 100 * time.Millisecond,
+		}.New(),
+		cloud: standin.CloudConfig{MoveTime: time.Second, MaintenanceTime: time.Second}.New(),
+		dir:   GinkgoT().TempDir(), daemons: map[string]*process{}, callers: map[string]string{},
+	}
+	r.kv.Put("op/config", []byte(`{"version":1,"routes":[{"name":"r","host":"`+queueHost+`","pathPrefix":"/x/","timeoutMs":5000,
+		"targetLatencyMs":600,"service":"`+queuePool+`","attempts":3,"stretch":1.6}],
+		"services":[{"name":"`+queuePool+`"}],"limits":{"maxBodyBytes":100000}}`))
+	for n := range workers {
+		r.addWorker(n)
+	}
+	store := serveOn(r.kv.Handler())
+	machines := serveOn(r.cloud.Handler())
+	for _, id := range []string{"d1", "d2", "d3"} {
+		r.start(id, store, machines)
+	}
+	return r
+}
+
+func serveOn(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (r *queueRig) addWorker(n int) {
+	id := tw.WorkerID(fmt.Sprintf("w%d", n))
+	server := httptest.NewUnstartedServer(nil)
+	entry := tw.WorkerEntry{
+		ID: id, Pool: queuePool, Address: server.Listener.Addr().String(), Instance: tw.InstanceID(fmt.Sprintf("m%d", n)),
+		Capacity: tw.Resources{CPU: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1"},
+	}
+	r.fleet.Add(entry)
+	server.Config.Handler = r.fleet.Handler(id)
+	server.Start()
+	DeferCleanup(server.Close)
+	r.cloud.Add(tw.Machine{ID: entry.Instance, Pool: queuePool, State: tw.MachineUp, Worker: id, Capacity: entry.Capacity})
+	r.kv.Put(tw.Key("servers/"+string(id)), standin.WorkerBody(entry))
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (r *queueRig) start(id, store, machines string) {
+	path := filepath.Join(r.dir, id+".toml")
+	r.callers[id] = freeAddress()
+	text := fmt.Sprintf("id = %q\nhall = \"h\"\n[listen]\ncallers = %q\nreadiness = %q\npeers = %q\n[platform]\nstore = %q\nmachines = %q\n",
+		id, r.callers[id], freeAddress(), freeAddress(), store, machines)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	r.daemons[id] = start(id, false, "tamarindd", "queue", "--settings", path)
+	DeferCleanup(r.daemons[id].end)
+}
+
+// call asks a daemon; zero is the status of no answer.
+func (r *queueRig) call(daemon, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+r.callers[daemon]+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = queueHost
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// submit hands work in, again and again until it is accepted.
+func (r *queueRig) submit(daemon, id string, steps []tw.Step) {
+	s := &tw.Submission{ID: tw.SubmissionID(id), Steps: steps, Policy: tw.RoutePolicy{Attempts: 3}}
+	r.fleet.Expect(s, nil)
+	var rows []map[string]any
+	for _, step := range steps {
+		rows = append(rows, map[string]any{
+			"count": step.Count, "cpu": step.Need.CPU, "estimatedMs": step.Estimate.Milliseconds(), "dependsOn": step.After,
+		})
+	}
+	body, err := json.Marshal(map[string]any{"spec": "x", "steps": rows})
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() int {
+		status, _ := r.call(daemon, "POST", "/x/"+id, string(body))
+		return status
+	}, 30*time.Second, 200*time.Millisecond).Should(Equal(http.StatusOK))
+}
+
+func (r *queueRig) state(daemon, id string) string {
+	_, text := r.call(daemon, "GET", "/x/"+id, "")
+	return text
+}
+
+// owner is the daemon that owns the pool.
+func (r *queueRig) owner() string {
+	item, err := r.kv.Get(GinkgoT().Context(), "tw/member/owner/"+queuePool)
+	if err != nil {
+		return ""
+	}
+	var o struct{ Daemon string }
+	Expect(json.Unmarshal(item.Value, &o)).To(Succeed())
+	return o.Daemon
+}
+
+var _ = Describe("submissions with real processes", func() {
+	steps := []tw.Step{
+		{Count: 6, Need: tw.Resources{CPU: 1000}, Estimate: 1500 * time.Millisecond},
+		{Count: 4, Need: tw.Resources{CPU: 1000}, Estimate: 500 * time.Millisecond, After: []int{0}},
+	}
+
+	It("run to their end though their owner is killed", func() {
+		r := newQueueRig(3)
+		r.submit("d1", "00000000000000a1", steps)
+		Eventually(r.fleet.Starts, 20*time.Second, 20*time.Millisecond).Should(BeNumerically(">", 0))
+		owner := r.owner()
+		r.daemons[owner].kill()
+		left := "d1"
+		if owner == "d1" {
+			left = "d2"
+		}
+		Eventually(func() string { return r.state(left, "00000000000000a1") }, 60*time.Second, 100*time.Millisecond).
+			Should(ContainSubstring("completed"))
+		Expect(r.fleet.Broken()).To(BeEmpty())
+		Expect(r.owner()).NotTo(Equal(owner))
+	})
+
+	It("are known to every daemon, and handed over by a planned stop", func() {
+		r := newQueueRig(3)
+		r.submit("d2", "00000000000000b1", steps)
+		Eventually(r.owner, 30*time.Second, 50*time.Millisecond).ShouldNot(BeEmpty())
+		owner := r.owner()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			r.daemons[owner].stop()
+		}()
+		for _, id := range []string{"d1", "d2", "d3"} {
+			if id == owner {
+				continue
+			}
+			Eventually(func() string { return r.state(id, "00000000000000b1") }, 60*time.Second, 100*time.Millisecond).
+				Should(ContainSubstring("completed"))
+		}
+		Eventually(stopped, 20*time.Second).Should(BeClosed())
+		Expect(r.fleet.Broken()).To(BeEmpty())
+	})
+})
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// DialTimeout: a dial within a region takes about 2 ms; a dropped opening
-	// packet is sent again after a second.
+	// DialTimeout is above a dial within a region of about 2 ms, and above the
+	// second after which a dropped opening
+	// packet is sent again.
 	DialTimeout = 1200 * time.Millisecond
 	// unackedTimeout closes a connection whose bytes nobody acknowledges, as
 	// behind a silent cut. A round trip takes about 2 ms.
--- a/run/worker.go
+++ b/run/worker.go
@@ -35,7 +35,6 @@
 		clockAt time.Time
 
 		looking    bool
-		lookSeq    int64
 		lookedAt   time.Time // of the last answer
 		nextLook   time.Time // not before
 		unanswered int       // orders in a row without an answer
