--- a/member/rpc.go
+++ b/member/rpc.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/tcp"
@@ -195,9 +195,9 @@
 func sortError(err error) error {
 	switch {
 	case tcp.Refused(err):
-		return errors.Mark(errors.Wrap(err, "member"), tw.ErrGone)
+		return fmt.Errorf("member: %w: %w", tw.ErrGone, err)
 	case tcp.NotConnected(err):
-		return errors.Mark(errors.Wrap(err, "member"), tw.ErrUnavailable)
+		return fmt.Errorf("member: %w: %w", tw.ErrUnavailable, err)
 	}
-	return errors.Mark(errors.Wrap(err, "member"), tw.ErrUnclear)
+	return fmt.Errorf("member: %w: %w", tw.ErrUnclear, err)
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -85,7 +85,7 @@
 
 func (o *Owner) ask(ctx context.Context, result chan error, event func()) error {
 	if !o.post(ctx, event) {
-		return errors.Mark(errors.New("run: owner is busy or has ended"), ErrNotOwner)
+		return errors.Wrap(ErrNotOwner, "run: it is busy or has ended")
 	}
 	select {
 	case err := <-result:
