--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -437,26 +437,24 @@
 	var refused *tw.MachineRefused
 	switch {
 	case err == nil:
-		if order.Worker != "" {
-			m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
-		}
+		m.carriedOut(order)
 	case errors.As(err, &refused):
 		delete(m.ordered, order.Machine)
 		m.noteUnfit(order, refused)
-		if w := m.waves[order.Wave]; w != nil && refused.Reason != tw.MachineNotInWave && refused.Reason != tw.MachineUnknown {
-			delete(w.Done, order.Machine)
-		}
 	case tw.SurelyNotDone(err):
 		delete(m.ordered, order.Machine)
-		if w := m.waves[order.Wave]; w != nil {
-			delete(w.Done, order.Machine)
-		}
-	default:
-		// It may have been done: the list will show it. If it was not, the
-		// machine is asked for again, which does nothing if it was.
-		if w := m.waves[order.Wave]; w != nil {
-			delete(w.Done, order.Machine)
-		}
+	}
+	// What was not answered stays ordered until the list shows it, and is then
+	// asked for again, which does nothing if it was carried out.
+}
+
+// carriedOut notes an order that was answered with success.
+func (m *Manager) carriedOut(order Order) {
+	if order.Worker != "" {
+		m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
+	}
+	if w := m.waves[order.Wave]; w != nil {
+		w.Done[order.Machine] = true
 	}
 }
 
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -113,6 +114,27 @@
 		}
 		o.Expect(maintained).To(Equal(2))
 	},
+	"does not call a wave completed whose order it could not record": func(o *office) {
+		o.machine("m1", 1)
+		o.machine("m2", 0)
+		o.waveOf("m1")
+		m := o.manage("a")
+		defer m.Close()
+		time.Sleep(1500 * time.Millisecond)
+		o.reports.mu.Lock()
+		o.reports.loads["p"][0].Runs = 0
+		o.reports.mu.Unlock()
+		o.kv.SetFaults(standin.KVFaults{Down: true}) // as the order is due
+		time.Sleep(600 * time.Millisecond)
+		o.kv.SetFaults(standin.KVFaults{})
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if o.status() != "" && strings.Contains(o.status(), "completed") {
+				break
+			}
+		}
+		o.Expect(o.cloud.Orders()).To(ContainElement(HaveField("Wave", int64(1))))
+	},
 	"does not act on a list of machines from before its time": func(o *office) {
 		o.cloud.Add(tw.Machine{ID: "m1", Pool: "parking", State: tw.MachineUp})
 		o.census.Want(time.Now())
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -26,9 +26,6 @@
 	}
 	for _, order := range orders {
 		m.recent[order.Machine] = now
-		if w := m.waves[order.Wave]; w != nil {
-			w.Done[order.Machine] = true
-		}
 	}
 	_, err := m.Book.Write(m.ctx, []ledger.Change{ledger.RecordOrders(m.recent)})
 	return err
