--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,7 +32,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.told[pool] = d
-	return run.Report{Pool: pool, Workers: r.loads[pool]}, nil
+	return run.Report{Pool: pool, Workers: slices.Clone(r.loads[pool])}, nil
 }
 
 // office is a manager with all that it needs.
