--- a/ledger/load.go
+++ b/ledger/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,17 +20,22 @@
 	}
 )
 
-// Load reads the submissions of the book's pool. What other daemons left in
-// the inbox is read last, by Inbox.
+// Load reads the submissions of the book's pool and their progress. Both are
+// read at the same time, as the pool stands still meanwhile and a slow store
+// takes a quarter of a second for each call; nobody else writes them.
 func (b *Book) Load(ctx context.Context) ([]Loaded, error) {
-	progress, err := b.loadProgress(ctx)
-	if err != nil {
-		return nil, err
-	}
+	var progress map[tw.SubmissionID]Progress
+	var progressErr error
+	var wg sync.WaitGroup
+	wg.Go(func() { progress, progressErr = b.loadProgress(ctx) })
 	items, _, err := b.kv.Range(ctx, submissionPrefix)
+	wg.Wait()
 	if err != nil {
 		return nil, errors.Wrap(err, "ledger.Load: submissions")
 	}
+	if progressErr != nil {
+		return nil, progressErr
+	}
 	var out []Loaded
 	for _, item := range items {
 		record, err := decodeRecord(item)
