--- /dev/null
+++ b/maintenance/collect.go
@@ -0,0 +1,94 @@
+package maintenance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+type (
+	// goneWorker is a worker that ended with an order that was answered.
+	goneWorker struct {
+		pool tw.PoolID
+		at   time.Time
+	}
+
+	report struct {
+		run.Report
+		at time.Time
+		// told are the machines that the owner was asked to empty with it.
+		told map[tw.InstanceID]bool
+	}
+)
+
+const (
+	// goneTold is how long owners are told of a worker that is gone. Its entry
+	// goes after three status reports of silence, about 5 s.
+	goneTold = 8 * time.Second
+	// reportTimeout bounds the call for a report.
+	reportTimeout = 400 * time.Millisecond
+)
+
+// collect asks the owners of all pools for reports, at the same time, and
+// tells each which machines to empty and which workers are gone.
+func (m *Manager) collect(config *tw.QueueConfig) {
+	directions := m.directions()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
+	defer cancel()
+	for _, pool := range config.Pools {
+		wg.Go(func() {
+			asked := m.Clock.Now()
+			d := directions[pool.ID]
+			got, err := m.Owners.ReportOf(ctx, pool.ID, d)
+			if err != nil {
+				return // an old report is not acted upon
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			m.reports[pool.ID] = report{Report: got, at: asked, told: setOf(d.Vacate)}
+		})
+	}
+	wg.Wait()
+}
+
+// directions are what the owners are told, by pool.
+func (m *Manager) directions() map[tw.PoolID]run.Directions {
+	out := map[tw.PoolID]run.Directions{}
+	vacate := func(pool tw.PoolID, id tw.InstanceID) {
+		d := out[pool]
+		d.Vacate = append(d.Vacate, id)
+		out[pool] = d
+	}
+	if list := m.Census.Latest(); list != nil {
+		for id := range m.vacating {
+			vacate(list.Machines[id].Pool, id)
+		}
+	}
+	// A machine that was ordered away is gone before the lists show it.
+	for id, order := range m.ordered {
+		vacate(order.From, id)
+	}
+	for id, g := range m.gone {
+		if m.Clock.Now().Sub(g.at) > goneTold {
+			delete(m.gone, id)
+			continue
+		}
+		d := out[g.pool]
+		d.Gone = append(d.Gone, id)
+		out[g.pool] = d
+	}
+	return out
+}
+
+func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
+	out := make(map[tw.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		out[id] = true
+	}
+	return out
+}
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,47 +79,18 @@
 		// must not be changed before a time.
 		recent, blocked map[tw.InstanceID]time.Time
 	}
-
-	// goneWorker is a worker that ended with an order that was answered.
-	goneWorker struct {
-		pool tw.PoolID
-		at   time.Time
-	}
-
-	report struct {
-		run.Report
-		at time.Time
-		// told are the machines that the owner was asked to empty with it.
-		told map[tw.InstanceID]bool
-	}
 )
 
 const (
 	// managePace is the pace of decisions.
 	managePace = 100 * time.Millisecond
-	// goneTold is how long owners are told of a worker that is gone. Its entry
-	// goes after three status reports of silence, about 5 s.
-	goneTold = 8 * time.Second
 	// reportAge is how old a report may be to act on it.
 	reportAge = 500 * time.Millisecond
 	// listAge is how old the list of machines may be to act on it; it is read
 	// several times a second.
 	listAge = time.Second
-	// reportTimeout bounds the call for a report.
-	reportTimeout = 400 * time.Millisecond
-	// orderShown is how long an order may take to show in the list of
-	// machines before it counts as not done.
-	orderShown = 4 * time.Second
-	// orderTries bounds how often an order without an answer is given.
-	orderTries = 3
-	// unclearShown is the same for an order that was never answered: the
-	// platform may carry it out up to 12 s late.
-	unclearShown = 13 * time.Second
 	// holderMargin is added to the time between two holders.
 	holderMargin = 700 * time.Millisecond
-	// confirmManager: orders are given only for so long after the ownership
-	// was last confirmed in the store.
-	confirmManager = 2 * time.Second
 )
 
 // New starts the duty; Close ends it.
@@ -229,86 +199,6 @@
 	return w
 }
 
-// collect asks the owners of all pools for reports, at the same time, and
-// tells each which machines to empty and which workers are gone.
-func (m *Manager) collect(config *tw.QueueConfig) {
-	directions := m.directions()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
-	defer cancel()
-	for _, pool := range config.Pools {
-		wg.Go(func() {
-			asked := m.Clock.Now()
-			d := directions[pool.ID]
-			got, err := m.Owners.ReportOf(ctx, pool.ID, d)
-			if err != nil {
-				return // an old report is not acted upon
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			m.reports[pool.ID] = report{Report: got, at: asked, told: setOf(d.Vacate)}
-		})
-	}
-	wg.Wait()
-}
-
-// directions are what the owners are told, by pool.
-func (m *Manager) directions() map[tw.PoolID]run.Directions {
-	out := map[tw.PoolID]run.Directions{}
-	vacate := func(pool tw.PoolID, id tw.InstanceID) {
-		d := out[pool]
-		d.Vacate = append(d.Vacate, id)
-		out[pool] = d
-	}
-	if list := m.Census.Latest(); list != nil {
-		for id := range m.vacating {
-			vacate(list.Machines[id].Pool, id)
-		}
-	}
-	// A machine that was ordered away is gone before the lists show it.
-	for id, order := range m.ordered {
-		vacate(order.From, id)
-	}
-	for id, g := range m.gone {
-		if m.Clock.Now().Sub(g.at) > goneTold {
-			delete(m.gone, id)
-			continue
-		}
-		d := out[g.pool]
-		d.Gone = append(d.Gone, id)
-		out[g.pool] = d
-	}
-	return out
-}
-
-func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
-	out := make(map[tw.InstanceID]bool, len(ids))
-	for _, id := range ids {
-		out[id] = true
-	}
-	return out
-}
-
-// settleOrders forgets the orders whose effect the list shows.
-func (m *Manager) settleOrders(list *run.MachineList) {
-	for id, order := range m.ordered {
-		machine, found := list.Machines[id]
-		if !list.Asked.After(order.Since) {
-			continue
-		}
-		patience := orderShown
-		back := machine.State == tw.MachineUp
-		if order.Unclear {
-			patience = unclearShown
-			back = back && machine.Worker != order.Worker
-		}
-		if !found || back || m.Clock.Now().Sub(order.Since) > patience {
-			delete(m.ordered, id)
-		}
-	}
-}
-
 func (m *Manager) state(config *tw.QueueConfig, list *run.MachineList) *State {
 	now := m.Clock.Now()
 	s := &State{
@@ -370,101 +260,3 @@
 			zap.Duration("list_age", s.Now.Sub(s.Asked)))
 	}
 }
-
-// confirm makes sure that this daemon still manages the machines.
-func (m *Manager) confirm() error {
-	now := m.Clock.Now()
-	if now.Sub(m.confirmed) < confirmManager/2 {
-		return nil
-	}
-	_, err := m.Book.Write(m.ctx, nil)
-	if err == nil {
-		m.confirmed = now
-		m.lastWrite.Store(&now)
-	}
-	return err
-}
-
-// carryOut gives the orders, all at the same time.
-func (m *Manager) carryOut(orders []Order) error {
-	now := m.Clock.Now()
-	orders = slices.DeleteFunc(orders, func(o Order) bool { return now.Before(m.blocked[o.Machine]) })
-	if now.Sub(m.confirmed) > confirmManager {
-		return nil
-	}
-	if err := m.recordOrders(orders); err != nil {
-		return err
-	}
-	var wg sync.WaitGroup
-	errs := make([]error, len(orders))
-	for i, order := range orders {
-		m.ordered[order.Machine] = order
-		wg.Go(func() { errs[i] = m.give(order) })
-	}
-	wg.Wait()
-	for i, order := range orders {
-		m.answered(order, errs[i])
-	}
-	return nil
-}
-
-// give orders one change. An order without an answer is given again, which
-// does nothing if it was carried out.
-func (m *Manager) give(order Order) error {
-	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
-	var err error
-	for range orderTries {
-		if order.Wave != 0 {
-			err = m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
-		} else {
-			err = m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
-		}
-		if !errors.Is(err, tw.ErrUnclear) {
-			return err
-		}
-	}
-	return err
-}
-
-// answered takes up the answer to an order.
-func (m *Manager) answered(order Order, err error) {
-	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
-		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), logsink.Err(err))
-	// Only a list that is asked for from now on shows the change.
-	order.Since = m.Clock.Now()
-	order.Unclear = err != nil
-	m.ordered[order.Machine] = order
-	var refused *tw.MachineRefused
-	switch {
-	case err == nil:
-		m.carriedOut(order)
-	case errors.As(err, &refused):
-		delete(m.ordered, order.Machine)
-		m.noteUnfit(order, refused)
-	case tw.SurelyNotDone(err):
-		delete(m.ordered, order.Machine)
-	}
-	// What was not answered stays ordered until the list shows it, and is then
-	// asked for again, which does nothing if it was carried out.
-}
-
-// carriedOut notes an order that was answered with success.
-func (m *Manager) carriedOut(order Order) {
-	if order.Worker != "" {
-		m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
-	}
-	if w := m.waves[order.Wave]; w != nil {
-		w.Done[order.Machine] = true
-	}
-}
-
-// noteUnfit remembers that a pool takes other machines only.
-func (m *Manager) noteUnfit(order Order, refused *tw.MachineRefused) {
-	if order.Wave != 0 || refused.Reason != tw.MachineUnknown {
-		return
-	}
-	if m.unfit[order.Machine] == nil {
-		m.unfit[order.Machine] = map[tw.PoolID]bool{}
-	}
-	m.unfit[order.Machine][order.Pool] = true
-}
--- /dev/null
+++ b/maintenance/orders.go
@@ -0,0 +1,145 @@
+package maintenance
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+const (
+	// orderShown is how long an order may take to show in the list of
+	// machines before it counts as not done.
+	orderShown = 4 * time.Second
+	// orderTries bounds how often an order without an answer is given.
+	orderTries = 3
+	// unclearShown is the same for an order that was never answered: the
+	// platform may carry it out up to 12 s late.
+	unclearShown = 13 * time.Second
+	// confirmManager: orders are given only for so long after the ownership
+	// was last confirmed in the store.
+	confirmManager = 2 * time.Second
+)
+
+// settleOrders forgets the orders whose effect the list shows.
+func (m *Manager) settleOrders(list *run.MachineList) {
+	for id, order := range m.ordered {
+		machine, found := list.Machines[id]
+		if !list.Asked.After(order.Since) {
+			continue
+		}
+		patience := orderShown
+		back := machine.State == tw.MachineUp
+		if order.Unclear {
+			patience = unclearShown
+			back = back && machine.Worker != order.Worker
+		}
+		if !found || back || m.Clock.Now().Sub(order.Since) > patience {
+			delete(m.ordered, id)
+		}
+	}
+}
+
+// confirm makes sure that this daemon still manages the machines.
+func (m *Manager) confirm() error {
+	now := m.Clock.Now()
+	if now.Sub(m.confirmed) < confirmManager/2 {
+		return nil
+	}
+	_, err := m.Book.Write(m.ctx, nil)
+	if err == nil {
+		m.confirmed = now
+		m.lastWrite.Store(&now)
+	}
+	return err
+}
+
+// carryOut gives the orders, all at the same time.
+func (m *Manager) carryOut(orders []Order) error {
+	now := m.Clock.Now()
+	orders = slices.DeleteFunc(orders, func(o Order) bool { return now.Before(m.blocked[o.Machine]) })
+	if now.Sub(m.confirmed) > confirmManager {
+		return nil
+	}
+	if err := m.recordOrders(orders); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, len(orders))
+	for i, order := range orders {
+		m.ordered[order.Machine] = order
+		wg.Go(func() { errs[i] = m.give(order) })
+	}
+	wg.Wait()
+	for i, order := range orders {
+		m.answered(order, errs[i])
+	}
+	return nil
+}
+
+// give orders one change. An order without an answer is given again, which
+// does nothing if it was carried out.
+func (m *Manager) give(order Order) error {
+	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
+	var err error
+	for range orderTries {
+		if order.Wave != 0 {
+			err = m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
+		} else {
+			err = m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
+		}
+		if !errors.Is(err, tw.ErrUnclear) {
+			return err
+		}
+	}
+	return err
+}
+
+// answered takes up the answer to an order.
+func (m *Manager) answered(order Order, err error) {
+	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
+		zap.String("pool", string(order.Pool)), zap.String("why", order.Why), logsink.Err(err))
+	// Only a list that is asked for from now on shows the change.
+	order.Since = m.Clock.Now()
+	order.Unclear = err != nil
+	m.ordered[order.Machine] = order
+	var refused *tw.MachineRefused
+	switch {
+	case err == nil:
+		m.carriedOut(order)
+	case errors.As(err, &refused):
+		delete(m.ordered, order.Machine)
+		m.noteUnfit(order, refused)
+	case tw.SurelyNotDone(err):
+		delete(m.ordered, order.Machine)
+	}
+	// What was not answered stays ordered until the list shows it, and is then
+	// asked for again, which does nothing if it was carried out.
+}
+
+// carriedOut notes an order that was answered with success.
+func (m *Manager) carriedOut(order Order) {
+	if order.Worker != "" {
+		m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
+	}
+	if w := m.waves[order.Wave]; w != nil {
+		w.Done[order.Machine] = true
+	}
+}
+
+// noteUnfit remembers that a pool takes other machines only.
+func (m *Manager) noteUnfit(order Order, refused *tw.MachineRefused) {
+	if order.Wave != 0 || refused.Reason != tw.MachineUnknown {
+		return
+	}
+	if m.unfit[order.Machine] == nil {
+		m.unfit[order.Machine] = map[tw.PoolID]bool{}
+	}
+	m.unfit[order.Machine][order.Pool] = true
+}
