--- /dev/null
+++ b/internal/standin/fleet_orders.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+const (
+	// fullPace is the whole, in percent: of the pace of a lasting subtask, and
+	// of the work of any other.
+	fullPace = 100
+	// silence is when the callers of a silent worker give up.
+	silence = time.Second
+)
+
+var _ tw.WorkerOrders = (*Fleet)(nil)
+
+// Start implements tw.WorkerOrders.
+func (f *Fleet) Start(ctx context.Context, to tw.WorkerRef, order tw.StartOrder) (tw.WorkerClock, error) {
+	w, err := f.reach(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	if w.LateStarts > 0 {
+		w.LateStarts--
+		w.late = append(w.late, order)
+		return 0, errors.Wrap(tw.ErrUnclear, "standin: late start")
+	}
+	return f.start(w, order)
+}
+
+func (f *Fleet) start(w *SimWorker, order tw.StartOrder) (tw.WorkerClock, error) {
+	f.settle(w)
+	if refused := w.admit(f, order.Fence, order.Deadline); refused != nil {
+		return 0, refused
+	}
+	now := w.clock(f.config.Clock.Now())
+	if have := w.runs[order.Subtask]; have != nil && have.run == order.Run {
+		return now, nil
+	}
+	if order.Run <= w.barred[order.Subtask] || w.runs[order.Subtask] != nil {
+		return now, &tw.OrderRefused{Reason: tw.RefusedOldRun, Clock: now}
+	}
+	profile, known := f.profiles[order.Subtask]
+	if !known {
+		f.note("UNASKED: %s", order.Subtask)
+		return now, nil
+	}
+	f.check(w, order, profile)
+	w.runs[order.Subtask] = &simRun{run: order.Run, started: f.config.Clock.Now(), profile: profile, pace: fullPace}
+	f.starts++
+	w.wake()
+	return now, nil
+}
+
+// check notes the promises that a start breaks.
+func (f *Fleet) check(w *SimWorker, order tw.StartOrder, p Profile) {
+	free := w.Entry.Capacity
+	for _, r := range w.runs {
+		free = free.Minus(r.profile.Need)
+	}
+	if !free.Fits(p.Need) {
+		f.note("LIMIT: %s on %s", order.Subtask, w.Entry.ID)
+	}
+	if !p.Copies && f.running(order.Subtask) > 0 {
+		f.note("TWICE: %s runs elsewhere", order.Subtask)
+	}
+	if !p.Copies && f.noted[order.Subtask] {
+		f.note("TWICE: %s was done", order.Subtask)
+	}
+	for _, earlier := range p.After {
+		if !f.done[earlier] {
+			f.note("ORDER: %s before %s", order.Subtask, earlier)
+		}
+	}
+	if p.MaxAttempts > 0 && f.failed[order.Subtask] >= p.MaxAttempts {
+		f.note("BUDGET: %s", order.Subtask)
+	}
+}
+
+func (f *Fleet) note(format string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf(format, args...))
+}
+
+// Stop implements tw.WorkerOrders.
+func (f *Fleet) Stop(ctx context.Context, to tw.WorkerRef, order tw.StopOrder) (tw.WorkerClock, error) {
+	w, err := f.reach(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	f.settle(w)
+	if refused := w.admit(f, order.Fence, 0); refused != nil {
+		return 0, refused
+	}
+	now := f.config.Clock.Now()
+	w.barred[order.Subtask] = max(w.barred[order.Subtask], order.Run)
+	if r := w.runs[order.Subtask]; r != nil && r.run <= order.Run && r.stopAt.IsZero() {
+		r.stopAt = now.Add(f.config.StopTime)
+		w.wake()
+	}
+	return w.clock(now), nil
+}
+
+// Pace implements tw.WorkerOrders.
+func (f *Fleet) Pace(ctx context.Context, to tw.WorkerRef, order tw.PaceOrder) (tw.WorkerClock, error) {
+	w, err := f.reach(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	if refused := w.admit(f, order.Fence, 0); refused != nil {
+		return 0, refused
+	}
+	if r := w.runs[order.Subtask]; r != nil {
+		r.pace = order.Percent
+	}
+	return w.clock(f.config.Clock.Now()), nil
+}
+
+// Hold implements tw.WorkerOrders.
+func (f *Fleet) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
+	until := f.config.Clock.Now().Add(order.Wait)
+	for {
+		w, err := f.reach(ctx, to)
+		if err != nil {
+			return tw.HoldReport{}, err
+		}
+		f.settle(w)
+		if refused := w.admit(f, order.Fence, order.Deadline); refused != nil {
+			f.mu.Unlock()
+			return tw.HoldReport{}, refused
+		}
+		f.forget(w, order.Seen)
+		now := f.config.Clock.Now()
+		if len(w.ended) > 0 || !now.Before(until) {
+			report := w.report(f)
+			f.mu.Unlock()
+			return report, nil
+		}
+		changed := w.changed
+		next := w.nextChange(now, until)
+		f.mu.Unlock()
+		select {
+		case <-changed:
+		case <-f.config.Clock.After(next.Sub(now)):
+		case <-ctx.Done():
+			return tw.HoldReport{}, errors.Wrap(tw.ErrUnclear, "standin: caller has left")
+		}
+	}
+}
+
+// reach finds a worker, or fails as the network would. If it succeeds, the
+// lock is held.
+func (f *Fleet) reach(ctx context.Context, to tw.WorkerRef) (*SimWorker, error) {
+	if f.config.Latency > 0 {
+		select {
+		case <-f.config.Clock.After(f.config.Latency):
+		case <-ctx.Done():
+			return nil, errors.Wrap(tw.ErrUnclear, "standin: caller has left")
+		}
+	}
+	f.mu.Lock()
+	w := f.workers[to.ID]
+	if w == nil {
+		f.mu.Unlock()
+		return nil, &tw.OrderRefused{Reason: tw.RefusedLife}
+	}
+	if to.Address != w.Entry.Address {
+		f.mu.Unlock()
+		return nil, errors.Wrap(tw.ErrUnavailable, "standin: nobody listens there")
+	}
+	if !w.Silent && !w.dead {
+		return w, nil
+	}
+	f.mu.Unlock()
+	select {
+	case <-f.config.Clock.After(silence):
+	case <-ctx.Done():
+	}
+	return nil, errors.Wrap(tw.ErrUnclear, "standin: no answer")
+}
