Open the entry daemon's listeners as the queue daemon does

listenAll does for any number of addresses what listen did for three, so listen goes; a failure now names daemon.listenAll. Behaviour is unchanged for settings that pass their check. An empty address, which the check refuses, now gives no listener where it gave any free port.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,10 +64,12 @@
 func (c Config) New() (*Daemon, error) {
 	c.defaults()
 	d := &Daemon{settings: c.Settings, log: c.Log, metrics: metrics.NewSet(), done: make(chan struct{})}
-	gatewayAt, peerAt, adminAt, err := listen(c.Settings.Listen)
+	at := c.Settings.Listen
+	listeners, err := listenAll(at.Gateway, at.Peer, at.Admin)
 	if err != nil {
 		return nil, err
 	}
+	gatewayAt, peerAt, adminAt := listeners[0], listeners[1], listeners[2]
 	d.admin = adminAt.Addr().String()
 	d.member = tw.Member{
 		ID:          c.Settings.ID,
@@ -200,19 +202,3 @@
 		}
 	}()
 }
-
-// listen opens all listeners, or none.
-func listen(s ListenSettings) (gatewayAt, peerAt, adminAt net.Listener, err error) {
-	var open []net.Listener
-	for _, at := range []string{s.Gateway, s.Peer, s.Admin} {
-		l, err := net.Listen("tcp", at)
-		if err != nil {
-			for _, o := range open {
-				_ = o.Close() // the first error is what counts
-			}
-			return nil, nil, nil, errors.Wrap(err, "daemon.listen")
-		}
-		open = append(open, l)
-	}
-	return open[0], open[1], open[2], nil
-}
