Explain the fields of a queue daemon's settings

Each address and bound says what it is, the bounds name run.Bounds as the place of their meaning, and two that no decision rests on say so. Comments only: behaviour is unchanged.

--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -13,6 +13,8 @@
 type (
 	// QueueSettings is the TOML file of a daemon that takes submissions on
 	// the platform. The platform fills deploy/settings.toml.tmpl to make it.
+	// The names begin with Queue to tell them from the parts of Settings, the
+	// file of the entry daemon.
 	QueueSettings struct {
 		ID       tw.DaemonID        `toml:"id"`
 		Hall     tw.HallID          `toml:"hall"`
@@ -25,14 +27,19 @@
 
 	// QueueListen says where the daemon listens, as IP:port.
 	QueueListen struct {
-		Callers   string `toml:"callers"`
+		// Callers takes the requests of those who submit work.
+		Callers string `toml:"callers"`
+		// Readiness answers the platform's balancer.
 		Readiness string `toml:"readiness"`
-		Peers     string `toml:"peers"`
-		Metrics   string `toml:"metrics"`
+		// Peers answers the other daemons.
+		Peers string `toml:"peers"`
+		// Metrics may be empty: then metrics are not served.
+		Metrics string `toml:"metrics"`
 	}
 
 	// QueuePlatform says where the platform's services are, as IP:port.
 	QueuePlatform struct {
+		// Store is the metadata store, Machines the machine interface.
 		Store    string `toml:"store"`
 		Machines string `toml:"machines"`
 		// Advice may be empty where no route asks for it.
@@ -43,27 +50,40 @@
 
 	// QueueProcessLimits bounds the process.
 	QueueProcessLimits struct {
+		// MemoryMB is the memory that the process may use, in units of 1<<20
+		// bytes.
 		MemoryMB int64 `toml:"memory_mb"`
-		// Cores is the share of processor cores that the process has.
+		// Cores is the share of processor cores that the process has. It sets
+		// no limit: daemons with more take pools first.
 		Cores tw.Cores `toml:"cores"`
 	}
 
 	// QueueBounds are the platform's figures; docs/SETTINGS.md explains each.
+	// Those from MaxHold to FarFactor are the fields of run.Bounds under the
+	// keys of the file, and are explained there too.
 	QueueBounds struct {
-		MaxHold         tw.Duration `toml:"max_hold"`
-		StopTime        tw.Duration `toml:"stop_time"`
-		HarmTime        tw.Duration `toml:"harm_time"`
-		PaceTime        tw.Duration `toml:"pace_time"`
-		KeepEnded       tw.Duration `toml:"keep_ended"`
-		FarFactor       float64     `toml:"far_factor"`
-		HolderTime      tw.Duration `toml:"holder_time"`
+		MaxHold   tw.Duration `toml:"max_hold"`
+		StopTime  tw.Duration `toml:"stop_time"`
+		HarmTime  tw.Duration `toml:"harm_time"`
+		PaceTime  tw.Duration `toml:"pace_time"`
+		KeepEnded tw.Duration `toml:"keep_ended"`
+		FarFactor float64     `toml:"far_factor"`
+		// HolderTime must pass between the orders of two holders for one
+		// machine.
+		HolderTime tw.Duration `toml:"holder_time"`
+		// MoveTime is how long a machine is away when it changes its pool,
+		// MaintenanceTime when it is maintained. They are checked, but no
+		// decision rests on them yet.
 		MoveTime        tw.Duration `toml:"move_time"`
 		MaintenanceTime tw.Duration `toml:"maintenance_time"`
-		StopGrace       tw.Duration `toml:"stop_grace"`
+		// StopGrace is the time from SIGTERM to SIGKILL, in which a planned
+		// stop must end.
+		StopGrace tw.Duration `toml:"stop_grace"`
 	}
 )
 
-// LoadQueueSettings reads a settings file. Faults are of type tw.Faults.
+// LoadQueueSettings reads a settings file. Faults are of type tw.Faults; a
+// file that can't be read is another error.
 func LoadQueueSettings(path string) (QueueSettings, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
