Trust a worker to be gone only where that is sure

A worker that has just come to a machine ends the former one there, also while that is still listed. Tests red before, green after.

--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -136,6 +136,28 @@
 		}
 		o.Expect(o.cloud.Orders()).To(ContainElement(HaveField("Wave", int64(1))))
 	},
+	"does not take a worker for gone whose maintenance was done already": func(o *office) {
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		by := tw.MachineHolder{Name: "former", Fence: 0}
+		o.Expect(o.cloud.Maintain(o.t.Context(), by, "m1", 1)).To(Succeed())
+		time.Sleep(5 * time.Second) // it is back, but nobody recorded it
+		machines, err := o.cloud.List(o.t.Context())
+		o.Expect(err).NotTo(HaveOccurred())
+		for i := range o.reports.loads["p"] {
+			o.reports.loads["p"][i].Worker = machines[i].Worker
+		}
+		o.waveOf("m1")
+		m := o.manage("a")
+		defer m.Close()
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			o.reports.mu.Lock()
+			o.Expect(o.reports.told["p"].Gone).To(BeEmpty())
+			o.reports.mu.Unlock()
+		}
+		o.Expect(o.status()).To(MatchJSON(`{"state":"completed"}`))
+	},
 	"does not act on a list of machines from before its time": func(o *office) {
 		o.cloud.Add(tw.Machine{ID: "m1", Pool: "parking", State: tw.MachineUp})
 		o.census.Want(time.Now())
--- a/maintenance/orders.go
+++ b/maintenance/orders.go
@@ -125,7 +125,10 @@
 
 // carriedOut notes an order that was answered with success.
 func (m *Manager) carriedOut(order Order) {
-	if order.Worker != "" {
+	// Maintenance that was done already is answered with success too, and then
+	// nothing has ended: a former manager may have ordered it. A machine that is
+	// still listed in its former pool has not been moved before.
+	if order.Worker != "" && order.Wave == 0 {
 		m.gone[order.Worker] = goneWorker{pool: order.From, at: m.Clock.Now()}
 	}
 	if w := m.waves[order.Wave]; w != nil {
--- /dev/null
+++ b/run/faults_test.go
@@ -0,0 +1,40 @@
+package run_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// cutOrders loses workers, and the store, for one owner.
+type cutOrders struct {
+	tw.WorkerOrders
+	workers sync.Map // by tw.WorkerID
+	store   atomic.Bool
+}
+
+func (c *cutOrders) lose(id tw.WorkerID) { c.workers.Store(id, true) }
+
+func (c *cutOrders) loseStore() { c.store.Store(true) }
+
+func (c *cutOrders) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
+	if _, lost := c.workers.Load(to.ID); lost {
+		return tw.HoldReport{}, tw.ErrUnclear
+	}
+	return c.WorkerOrders.Hold(ctx, to, order)
+}
+
+// blindKV reads nothing while it is blind.
+type blindKV struct {
+	tw.KV
+	blind atomic.Bool
+}
+
+func (k *blindKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	if k.blind.Load() {
+		return tw.KVItem{}, tw.ErrUnavailable
+	}
+	return k.KV.Get(ctx, key)
+}
--- a/run/feed.go
+++ b/run/feed.go
@@ -84,6 +84,9 @@
 	w := o.workers[entry.ID]
 	if w == nil {
 		w = o.addWorker(entry)
+		if o.now.Sub(o.takenAt) > settleTime {
+			o.buryFormerLives(w, true)
+		}
 	}
 	if entry.Draining && !w.entry.Draining {
 		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
@@ -99,7 +102,7 @@
 	w.entry = entry
 	w.listed = true
 	w.leaving = o.vacate[entry.Instance]
-	o.buryFormerLives(w)
+	o.buryFormerLives(w, false)
 }
 
 func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
@@ -140,14 +143,20 @@
 	return rank
 }
 
-// buryFormerLives ends the doubt about former workers of the same machine.
-func (o *Owner) buryFormerLives(w *worker) {
+// buryFormerLives ends the doubt about former workers of the same machine, as
+// it runs one at a time. Those that are still listed are former ones only if
+// this one has just come.
+func (o *Owner) buryFormerLives(w *worker, listedToo bool) {
 	if w.entry.Instance == "" {
 		return
 	}
-	for _, other := range o.workers {
-		if other != w && other.entry.Instance == w.entry.Instance && !other.listed {
-			o.bury(other, "its machine has a new worker")
+	for id, other := range o.workers {
+		if other == w || other.entry.Instance != w.entry.Instance || other.listed && !listedToo {
+			continue
+		}
+		o.bury(other, "its machine has a new worker")
+		if other.listed {
+			o.goneAt[id] = o.now
 		}
 	}
 }
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -1,9 +1,6 @@
 package run_test
 
 import (
-	"context"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,6 +157,19 @@
 		r.feed(b)
 		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
 	},
+	"takes a worker for ended when its machine has a new one": func(r *rig) {
+		o := r.take("a")
+		r.submit(o, lasting("s1", 1))
+		time.Sleep(7 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		r.fleet.Kill(on[0])
+		entry := r.list[on[0]]
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.list[entry.ID] = entry // the former entry is still there
+		r.feed(o)
+		r.Eventually(r.fleet.Starts, time.Second).Should(Equal(2))
+	},
 	"says that it does not know what runs before a worker has answered": func(r *rig) {
 		a := r.take("a")
 		r.submit(a, lasting("s1", 1))
@@ -367,34 +377,3 @@
 		r.kept()
 	})
 }
-
-// cutOrders loses workers, and the store, for one owner.
-type cutOrders struct {
-	tw.WorkerOrders
-	workers sync.Map // by tw.WorkerID
-	store   atomic.Bool
-}
-
-func (c *cutOrders) lose(id tw.WorkerID) { c.workers.Store(id, true) }
-
-func (c *cutOrders) loseStore() { c.store.Store(true) }
-
-func (c *cutOrders) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
-	if _, lost := c.workers.Load(to.ID); lost {
-		return tw.HoldReport{}, tw.ErrUnclear
-	}
-	return c.WorkerOrders.Hold(ctx, to, order)
-}
-
-// blindKV reads nothing while it is blind.
-type blindKV struct {
-	tw.KV
-	blind atomic.Bool
-}
-
-func (k *blindKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
-	if k.blind.Load() {
-		return tw.KVItem{}, tw.ErrUnavailable
-	}
-	return k.KV.Get(ctx, key)
-}
