--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -84,7 +84,11 @@
 		kv: c.KV, orders: c.Orders, machines: c.Machines, advisor: c.Advisor,
 		peers: member.NewPeers(), done: make(chan struct{}),
 	}
-	listeners, err := listenAll(s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers, s.Listen.Metrics)
+	addresses := []string{s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers}
+	if s.Listen.Metrics != "" {
+		addresses = append(addresses, s.Listen.Metrics)
+	}
+	listeners, err := listenAll(addresses...)
 	if err != nil {
 		return nil, err
 	}
@@ -153,8 +157,8 @@
 	d.serve(listeners[0], d.callers)
 	d.serve(listeners[1], &http.Server{Handler: readiness, ReadHeaderTimeout: callersHeaderTime})
 	d.serve(listeners[2], &http.Server{Handler: member.NewHandler(d), ReadHeaderTimeout: callersHeaderTime})
-	if listeners[3] != nil {
-		d.serve(listeners[3], &http.Server{Handler: figures, ReadHeaderTimeout: callersHeaderTime})
+	for _, metricsAt := range listeners[3:] {
+		d.serve(metricsAt, &http.Server{Handler: figures, ReadHeaderTimeout: callersHeaderTime})
 	}
 }
 
@@ -202,10 +206,7 @@
 
 func (d *QueueDaemon) bounds() run.Bounds {
 	b := d.settings.Bounds
-	return run.Bounds{
-		MaxHold: b.MaxHold.Std(), StopTime: b.StopTime.Std(), HarmTime: b.HarmTime.Std(), PaceTime: b.PaceTime.Std(),
-		KeepEnded: b.KeepEnded.Std(), FarFactor: b.FarFactor,
-	}
+	return run.Bounds{MaxHold: b.MaxHold.Std(), StopTime: b.StopTime.Std(), KeepEnded: b.KeepEnded.Std()}
 }
 
 // Done is closed when the daemon has stopped.
@@ -247,24 +248,18 @@
 	d.log.Info("daemon: settings have changed; addresses and bounds hold from the next start")
 }
 
-// listenAll opens listeners for all addresses, or none. An empty address
-// gives none.
+// listenAll opens listeners for all addresses, or none.
 func listenAll(addresses ...string) ([]net.Listener, error) {
-	out := make([]net.Listener, len(addresses))
-	for i, at := range addresses {
-		if at == "" {
-			continue
-		}
+	var out []net.Listener
+	for _, at := range addresses {
 		l, err := net.Listen("tcp", at)
 		if err != nil {
 			for _, open := range out {
-				if open != nil {
-					_ = open.Close() // the first error is what counts
-				}
+				_ = open.Close() // the first error is what counts
 			}
 			return nil, errors.Wrap(err, "daemon.listenAll")
 		}
-		out[i] = l
+		out = append(out, l)
 	}
 	return out, nil
 }
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,23 +61,15 @@
 	}
 
 	// QueueBounds are the platform's figures; docs/SETTINGS.md explains each.
-	// Those from MaxHold to FarFactor are the fields of run.Bounds under the
+	// Those from MaxHold to KeepEnded are the fields of run.Bounds under the
 	// keys of the file, and are explained there too.
 	QueueBounds struct {
 		MaxHold   tw.Duration `toml:"max_hold"`
 		StopTime  tw.Duration `toml:"stop_time"`
-		HarmTime  tw.Duration `toml:"harm_time"`
-		PaceTime  tw.Duration `toml:"pace_time"`
 		KeepEnded tw.Duration `toml:"keep_ended"`
-		FarFactor float64     `toml:"far_factor"`
 		// HolderTime must pass between the orders of two holders for one
 		// machine.
 		HolderTime tw.Duration `toml:"holder_time"`
-		// MoveTime is how long a machine is away when it changes its pool,
-		// MaintenanceTime when it is maintained. They are checked, but no
-		// decision rests on them yet.
-		MoveTime        tw.Duration `toml:"move_time"`
-		MaintenanceTime tw.Duration `toml:"maintenance_time"`
 		// StopGrace is the time from SIGTERM to SIGKILL, in which a planned
 		// stop must end.
 		StopGrace tw.Duration `toml:"stop_grace"`
@@ -102,13 +96,8 @@
 	set(&s.Limits.Cores, 0.4)
 	set(&s.Bounds.MaxHold, tw.Duration(6*time.Second))
 	set(&s.Bounds.StopTime, tw.Duration(400*time.Millisecond))
-	set(&s.Bounds.HarmTime, tw.Duration(4*time.Second))
-	set(&s.Bounds.PaceTime, tw.Duration(100*time.Millisecond))
 	set(&s.Bounds.KeepEnded, tw.Duration(2*time.Minute))
-	set(&s.Bounds.FarFactor, 2)
 	set(&s.Bounds.HolderTime, tw.Duration(3*time.Second))
-	set(&s.Bounds.MoveTime, tw.Duration(1500*time.Millisecond))
-	set(&s.Bounds.MaintenanceTime, tw.Duration(2*time.Second))
 	set(&s.Bounds.StopGrace, tw.Duration(6*time.Second))
 	set(&s.Log.Level, "info")
 }
@@ -135,25 +124,19 @@
 }
 
 func (s *QueueSettings) validateBounds(faults *tw.Faults) {
-	for field, value := range map[string]tw.Duration{
-		"platform.min_lease":      s.Platform.MinLease,
-		"bounds.max_hold":         s.Bounds.MaxHold,
-		"bounds.stop_time":        s.Bounds.StopTime,
-		"bounds.harm_time":        s.Bounds.HarmTime,
-		"bounds.pace_time":        s.Bounds.PaceTime,
-		"bounds.keep_ended":       s.Bounds.KeepEnded,
-		"bounds.holder_time":      s.Bounds.HolderTime,
-		"bounds.move_time":        s.Bounds.MoveTime,
-		"bounds.maintenance_time": s.Bounds.MaintenanceTime,
-		"bounds.stop_grace":       s.Bounds.StopGrace,
-	} {
-		positive(faults, field, int64(value))
+	bounds := map[string]tw.Duration{
+		"platform.min_lease": s.Platform.MinLease,
+		"bounds.max_hold":    s.Bounds.MaxHold,
+		"bounds.stop_time":   s.Bounds.StopTime,
+		"bounds.keep_ended":  s.Bounds.KeepEnded,
+		"bounds.holder_time": s.Bounds.HolderTime,
+		"bounds.stop_grace":  s.Bounds.StopGrace,
+	}
+	for _, field := range slices.Sorted(maps.Keys(bounds)) {
+		positive(faults, field, int64(bounds[field]))
 	}
 	positive(faults, "limits.memory_mb", s.Limits.MemoryMB)
 	if s.Limits.Cores <= 0 {
 		faults.Add("limits.cores", "must be above 0")
 	}
-	if s.Bounds.FarFactor < 1 {
-		faults.Add("bounds.far_factor", "is %v, must be at least 1", s.Bounds.FarFactor)
-	}
 }
--- a/daemon/queue_settings_test.go
+++ b/daemon/queue_settings_test.go
@@ -59,7 +59,7 @@
 	g.Expect(s.ID).To(Equal(tw.DaemonID("edge-a-1")))
 	g.Expect(s.Listen.Metrics).To(Equal("10.1.0.9:9464"))
 	g.Expect(s.Bounds.MaxHold.Std()).To(Equal(10 * time.Second))
-	g.Expect(s.Bounds.MoveTime.Std()).To(Equal(1500 * time.Millisecond))
+	g.Expect(s.Bounds.StopTime.Std()).To(Equal(400 * time.Millisecond))
 	g.Expect(s.Limits.Cores).To(Equal(tw.Cores(0.4)))
 }
 
@@ -89,8 +89,8 @@
 	},
 	"bad values": {
 		text: "id=\"a\"\nhall=\"h\"\n[listen]\ncallers=\"x\"\nreadiness=\"1.1.1.1:1\"\npeers=\"1.1.1.1:2\"\n" +
-			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nfar_factor=0.5\n[log]\nlevel=\"loud\"\n",
-		says: []string{"listen.callers", "bounds.max_hold", "bounds.far_factor", "log.level"},
+			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nstop_grace=\"0s\"\n[log]\nlevel=\"loud\"\n",
+		says: []string{"listen.callers", "bounds.max_hold", "log.level"},
 	},
 }
 
--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -25,10 +25,13 @@
 		out       *bufio.Writer
 		lines     chan []byte
 		important chan []byte
-		dropped   atomic.Int64
-		closing   chan struct{}
-		once      sync.Once
-		done      chan struct{}
+		// dropped counts all dropped lines, reported those of which a line was
+		// written.
+		dropped  atomic.Int64
+		reported int64
+		closing  chan struct{}
+		once     sync.Once
+		done     chan struct{}
 	}
 )
 
@@ -78,7 +81,7 @@
 // Sync implements zapcore.WriteSyncer; lines are on their way in any case.
 func (s *Sink) Sync() error { return nil }
 
-// Dropped counts the lines that were dropped and not yet reported.
+// Dropped counts the lines that were dropped.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
 // Close writes what waits and ends.
@@ -104,7 +107,8 @@
 // put writes a line, and flushes when no other waits.
 func (s *Sink) put(line []byte) {
 	s.write(line)
-	if n := s.dropped.Swap(0); n > 0 {
+	if n := s.dropped.Load() - s.reported; n > 0 {
+		s.reported += n
 		s.write(fmt.Appendf(nil, `{"level":"warn","msg":"log: lines dropped","count":%d}`+"\n", n))
 	}
 	if len(s.lines) == 0 && len(s.important) == 0 {
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -13,11 +14,14 @@
 
 // stalled is an output that takes nothing until it is released.
 type stalled struct {
+	once     sync.Once
+	entered  chan struct{}
 	released chan struct{}
 	taken    bytes.Buffer
 }
 
 func (s *stalled) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.entered) })
 	<-s.released
 	return s.taken.Write(p)
 }
@@ -26,21 +30,25 @@
 // counted, and lines of failed requests are kept before others.
 func TestSinkStalls(t *testing.T) {
 	g := NewWithT(t)
-	out := &stalled{released: make(chan struct{})}
-	sink := logsink.Config{Out: out, Lines: 10}.New()
-	for n := range 1000 {
-		line := fmt.Sprintf(`{"level":"info","msg":"run: ordered","n":%d}`+"\n", n)
-		_, err := sink.Write([]byte(line))
+	const queued, lines = 10, 1000
+	out := &stalled{entered: make(chan struct{}), released: make(chan struct{})}
+	sink := logsink.Config{Out: out, Lines: queued}.New()
+	write := func(line string) {
+		_, err := sink.Write([]byte(line + "\n"))
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	_, err := sink.Write([]byte(`{"level":"info","msg":"request: refused","status":503}` + "\n"))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(sink.Dropped()).To(BeNumerically(">", 900))
+	write("first")
+	<-out.entered // the sink's own goroutine stands still from here on
+	for n := range lines {
+		write(fmt.Sprintf(`{"level":"info","msg":"run: ordered","n":%d}`, n))
+	}
+	write(`{"level":"info","msg":"request: refused","status":503}`)
+	g.Expect(sink.Dropped()).To(Equal(int64(lines - queued)))
 	close(out.released)
 	sink.Close()
 	text := out.taken.String()
 	g.Expect(text).To(ContainSubstring("request: refused"))
-	g.Expect(strings.Count(text, "run: ordered")).To(BeNumerically("<", 100))
+	g.Expect(strings.Count(text, "run: ordered")).To(Equal(queued))
 }
 
 func TestSinkWritesInOrder(t *testing.T) {
--- a/run/config.go
+++ b/run/config.go
@@ -18,15 +18,8 @@
 		MaxHold time.Duration
 		// StopTime is how long a stop may take at a worker.
 		StopTime time.Duration
-		// HarmTime is how long a subtask that serves users may stay over its
-		// tail target because of fillers.
-		HarmTime time.Duration
-		// PaceTime is how long a change of pace takes to show.
-		PaceTime time.Duration
 		// KeepEnded is how long the state of an ended submission is told.
 		KeepEnded time.Duration
-		// FarFactor times the run time is that of a subtask away from its data.
-		FarFactor float64
 	}
 
 	// Config configures an Owner.
--- a/run/lasting.go
+++ b/run/lasting.go
@@ -1,10 +1,6 @@
 package run
 
 import (
-	"time"
-
-	"go.uber.org/zap"
-
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
@@ -84,66 +80,3 @@
 	}
 	return n
 }
-
-const (
-	// tailLimit is the share of a target above which fillers beside it are
-	// slowed, tailCalm that below which they may speed up.
-	tailLimit = 0.9
-	tailCalm  = 0.6
-	// paceCut is what one step of slowing leaves, paceRise what one step of
-	// speeding up adds, in percent.
-	paceCut  = 0.5
-	paceRise = 15
-	// paceFloor: below this a filler is held still.
-	paceFloor = 15
-	// paceRest is the least time between two changes of a filler's pace; the
-	// tails are measured over half a second.
-	paceRest = 700 * time.Millisecond
-)
-
-// watchTails slows the fillers beside subtasks whose tail nears its target,
-// and lets them speed up again when it is calm.
-func (o *Owner) watchTails(w *worker) {
-	worst := 0.0
-	for _, r := range w.runs {
-		target := r.task.step.spec.TailTarget
-		if target == 0 || r.phase != running {
-			continue
-		}
-		ratio := float64(r.tail) / float64(target)
-		worst = max(worst, ratio)
-		if ratio < 1 {
-			r.overFrom = time.Time{}
-		} else if r.overFrom.IsZero() {
-			r.overFrom = o.now
-		}
-	}
-	for _, r := range w.runs {
-		if r.task.step.spec.Filler && r.phase == running && o.now.Sub(r.paceSent) >= paceRest {
-			o.adjustPace(w, r, worst)
-		}
-	}
-}
-
-func (o *Owner) adjustPace(w *worker, filler *runState, worst float64) {
-	pace := max(0, filler.pace)
-	switch {
-	case worst >= 1:
-		pace = 0
-	case worst > tailLimit:
-		pace = int(paceCut * float64(pace))
-		if pace < paceFloor {
-			pace = 0
-		}
-	case worst < tailCalm:
-		pace = min(fullPace, pace+paceRise)
-	}
-	if pace == filler.pace {
-		return
-	}
-	filler.pace = pace
-	filler.paceSent = o.now
-	o.log.Info("run: paced", zap.Stringer("subtask", filler.task.id), zap.String("worker", string(w.entry.ID)),
-		zap.Int("percent", pace), zap.Float64("worst_tail_of_target", worst))
-	o.sendPace(w, filler, pace)
-}
--- a/run/owner.go
+++ b/run/owner.go
@@ -55,7 +55,8 @@
 	offered  Work
 	// counted: the list of machines was read since the takeover.
 	counted bool
-	failed  bool
+	// deposing: the ownership is being given up.
+	deposing bool
 }
 
 // Errors that callers of an Owner get. Further ones are those of tw.KV:
@@ -233,7 +234,7 @@
 // step does what is due and returns when something is due again.
 func (o *Owner) step() time.Time {
 	next := o.now.Add(confirmEvery)
-	if o.failed {
+	if o.deposing {
 		return next
 	}
 	next = earlier(next, o.openRepetitions())
@@ -268,10 +269,10 @@
 
 // depose ends the ownership because another daemon has it.
 func (o *Owner) depose(why string) {
-	if o.failed {
+	if o.deposing {
 		return
 	}
-	o.failed = true
+	o.deposing = true
 	o.log.Warn("owner: deposed", zap.String("why", why))
 	o.cancel()
 	if o.deposed != nil {
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -88,7 +88,7 @@
 	o := run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: kv, Orders: orders, Advisor: noAdvisor{}, Census: r.census,
 		Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(),
-		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, HarmTime: 4 * time.Second, KeepEnded: 2 * time.Minute, FarFactor: 2},
+		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
 	}.New()
 	r.opened = append(r.opened, o)
 	r.feed(o)
--- a/run/start.go
+++ b/run/start.go
@@ -159,7 +159,7 @@
 func (o *Owner) sendStop(r *runState) {
 	w := r.w
 	order := tw.StopOrder{Subtask: r.task.id, Run: r.run, Fence: o.self.Fence}
-	r.paceSent = o.now
+	r.orderedAt = o.now
 	w.session.give(workOrder{
 		send: func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Stop(ctx, w.session.ref, order) },
 		done: func(clock tw.WorkerClock, err error) { o.stopAnswered(r, clock, err) },
--- a/run/submission.go
+++ b/run/submission.go
@@ -88,11 +88,12 @@
 		startedAt   time.Time
 		percent     int
 		// movedAt is when percent last changed.
-		movedAt  time.Time
-		tail     time.Duration
-		pace     int
-		paceSent time.Time
-		overFrom time.Time
+		movedAt time.Time
+		tail    time.Duration
+		pace    int // in percent, as last ordered
+		// orderedAt is when a stop or a pace was last sent.
+		orderedAt time.Time
+		overFrom  time.Time
 		// why the run was told to stop.
 		why string
 		// withdrawn: its start must not be sent any more.
