--- a/cmd/tamarind/main.go
+++ b/cmd/tamarind/main.go
@@ -24,6 +24,7 @@
   tamarind config apply fleet.toml --base 7 --wait 10s
   tamarind status
   tamarind explain instance w12
+  tamarind queue status --store 10.200.1.7:8621
   tamarind demo
 `
 
@@ -48,6 +49,7 @@
 	addExplain(app, conn)
 	addPlan(app, conn)
 	addEntry(app, conn)
+	addQueue(app, conn)
 	addDemo(app)
 	_, err := app.Parse(os.Args[1:])
 	if err == nil {
--- /dev/null
+++ b/cmd/tamarind/queue.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+const (
+	queueHelp = `Look at the pools and submissions of the platform, as its store has them.`
+
+	queueStatusHelp = `Show each pool: its owner, whether that lives, and its submissions.
+
+Example: tamarind queue status --store 10.200.1.7:8621`
+
+	queueSubmissionHelp = `Show what the store has of one submission: its steps and progress, or how it
+ended. docs/OPERATIONS.md goes on from there.
+
+Example: tamarind queue submission 5c0e7a21d94b36f8 --store 10.200.1.7:8621`
+)
+
+// submissionRecord is what is printed of a submission.
+type submissionRecord struct {
+	ID       tw.SubmissionID `json:"id"`
+	Record   ledger.Record   `json:"record"`
+	Progress ledger.Progress `json:"progress"`
+}
+
+func addQueue(app *kingpin.Application, conn *connection) {
+	queue := app.Command("queue", queueHelp)
+	store := queue.Flag("store", "The platform's metadata store, IP:port.").Envar("TAMARIND_STORE").Required().String()
+	output := queue.Flag("output", "text or json.").Default("text").Enum("text", "json")
+
+	status := queue.Command("status", queueStatusHelp)
+	status.Action(action(func() error {
+		return conn.useStore(*store, func(ctx context.Context, kv tw.KV) error {
+			survey, err := ledger.Take(ctx, kv)
+			if err != nil {
+				return err
+			}
+			if *output == "json" {
+				return json.NewEncoder(os.Stdout).Encode(survey)
+			}
+			return printSurvey(survey)
+		})
+	}))
+
+	submission := queue.Command("submission", queueSubmissionHelp)
+	id := submission.Arg("id", "16 hex digits.").Required().String()
+	submission.Action(action(func() error {
+		known, valid := platform.ParseSubmissionID(*id)
+		if !valid {
+			return errors.Wrapf(errUsage, "%q is not an id of 16 hex digits", *id)
+		}
+		return conn.useStore(*store, func(ctx context.Context, kv tw.KV) error {
+			return printSubmission(ctx, kv, known)
+		})
+	}))
+}
+
+// useStore calls do with the platform's store, within the timeout.
+func (c *connection) useStore(address string, do func(ctx context.Context, kv tw.KV) error) error {
+	client := platform.KVConfig{Address: address}.New()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), *c.timeout)
+	defer cancel()
+	return do(ctx, client)
+}
+
+func printSurvey(s *ledger.Survey) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%d daemons live\n", len(s.Daemons))
+	fmt.Fprintln(w, "POOL\tOWNER\tLIVES\tFENCE\tOPEN\tSUCCEEDED\tFAILED\tCANCELLED\tINBOX")
+	for _, p := range s.Pools {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Owner.Pool, p.Owner.Daemon, p.Lives, p.Owner.Fence,
+			p.Open, p.Ended[tw.Succeeded], p.Ended[tw.Failed], p.Ended[tw.Cancelled], p.Inbox)
+	}
+	return w.Flush()
+}
+
+// printSubmission prints JSON in any case: a record has too many parts for a
+// table.
+func printSubmission(ctx context.Context, kv tw.KV, id tw.SubmissionID) error {
+	record, err := ledger.Find(ctx, kv, id)
+	if errors.Is(err, tw.ErrNotFound) {
+		return errors.Newf("nobody has kept a submission %s, or it ended more than two minutes ago", id)
+	}
+	if err != nil {
+		return err
+	}
+	progress, err := ledger.FindProgress(ctx, kv, record.Pool, id)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(submissionRecord{ID: id, Record: record, Progress: progress})
+}
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -38,6 +38,17 @@
 		program: "tamarind", args: []string{"--platform", "http://127.0.0.1:1", "--timeout", "300ms", "status"},
 		code: 1, says: []string{"unavailable"},
 	},
+	"queue status without a store": {program: "tamarind", args: []string{"queue", "status"}, code: 2, says: []string{"--store"}},
+	"queue status of a store not there": {
+		program: "tamarind", args: []string{"queue", "status", "--store", "127.0.0.1:1"}, code: 1, says: []string{"unavailable"},
+	},
+	"queue submission with an odd id": {
+		program: "tamarind", args: []string{"queue", "submission", "12", "--store", "127.0.0.1:1"}, code: 2, says: []string{"16 hex digits"},
+	},
+	"tamarindd queue with bad settings": {
+		program: "tamarindd", args: []string{"queue", "--settings", "file.toml"}, file: "id = \"x\"\nhal = 1\n",
+		code: 2, says: []string{"line 2: hal: is not a known key", "platform.store: is missing"},
+	},
 	"an unknown command": {program: "tamarind", args: []string{"move"}, code: 2, says: []string{"move"}},
 }
 
--- a/e2e/queue_test.go
+++ b/e2e/queue_test.go
@@ -30,6 +30,7 @@
 	fleet   *standin.Fleet
 	cloud   *standin.Cloud
 	dir     string
+	store   string // its address
 	daemons map[string]*process
 	callers map[string]string // addresses, by daemon
 }
@@ -49,10 +50,10 @@
 	for n := range workers {
 		r.addWorker(n)
 	}
-	store := serveOn(r.kv.Handler())
+	r.store = serveOn(r.kv.Handler())
 	machines := serveOn(r.cloud.Handler())
 	for _, id := range []string{"d1", "d2", "d3"} {
-		r.start(id, store, machines)
+		r.start(id, r.store, machines)
 	}
 	return r
 }
@@ -163,6 +164,12 @@
 			Should(ContainSubstring("completed"))
 		Expect(r.fleet.Broken()).To(BeEmpty())
 		Expect(r.owner()).NotTo(Equal(owner))
+		out, code := run("tamarind", "queue", "status", "--store", r.store)
+		Expect(code).To(BeZero(), out)
+		Expect(out).To(ContainSubstring(queuePool))
+		out, code = run("tamarind", "queue", "submission", "00000000000000a1", "--store", r.store)
+		Expect(code).To(BeZero(), out)
+		Expect(out).To(ContainSubstring(`"final": "succeeded"`))
 	})
 
 	It("are known to every daemon, and handed over by a planned stop", func() {
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -167,6 +167,24 @@
 		_, err = b.kv.Commit(b.ctx, ledger.AcceptUnowned(submission("s1")))
 		b.Expect(err).To(BeAssignableToTypeOf(&tw.KVConflict{}))
 	},
+	"tells operators of all pools": func(b *bench) {
+		book := b.open("a")
+		b.accept(book, "s1")
+		b.accept(book, "s2")
+		_, err := book.Write(b.ctx, []ledger.Change{ledger.End(pool, "s2", tw.Failed)})
+		b.Expect(err).NotTo(HaveOccurred())
+		_, err = b.kv.Commit(b.ctx, ledger.AcceptUnowned(submission("s3")))
+		b.Expect(err).NotTo(HaveOccurred())
+		survey, err := ledger.Take(b.ctx, b.kv)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(survey.Pools).To(HaveLen(1))
+		got := survey.Pools[0]
+		b.Expect(got.Owner.Daemon).To(Equal(tw.DaemonID("a")))
+		b.Expect(got.Lives).To(BeFalse())
+		b.Expect(got.Open).To(Equal(2))
+		b.Expect(got.Ended).To(Equal(map[tw.SubmissionState]int{tw.Failed: 1}))
+		b.Expect(got.Inbox).To(Equal(1))
+	},
 	"keeps the progress of a wave": func(b *bench) {
 		book := b.open("a")
 		want := ledger.WaveProgress{Done: []tw.InstanceID{"m1"}, Finished: true}
