--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -286,6 +286,15 @@
 		kv.blind.Store(false)
 		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
 	},
+	"starts at once what a daemon with a fast clock accepted": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(time.Second)
+		s := submission("s1", 1)
+		s.Accepted = time.Now().Add(2 * time.Second)
+		r.submit(o, s)
+		time.Sleep(100 * time.Millisecond)
+		r.Expect(r.fleet.Starts()).To(Equal(1))
+	},
 	"starts repetitions when they are due, not before": func(r *rig) {
 		o := r.take("a")
 		s := submission("s1", 1)
--- a/run/submission.go
+++ b/run/submission.go
@@ -128,10 +128,18 @@
 	return sub
 }
 
-// openDue opens the repetitions that are due.
+// openDue opens the repetitions that are due. What has no time of its own is
+// due at once, whatever the accepting daemon's time of day was.
 func (s *submission) openDue(now time.Time) {
-	for s.nextRep < s.Repetitions() && !s.Due(s.nextRep).After(now) {
-		s.openRepetition(s.nextRep)
+	for s.nextRep < s.Repetitions() {
+		due := s.Due(s.nextRep)
+		if due.After(now) && s.Timed() {
+			return
+		}
+		if due.After(now) {
+			due = now
+		}
+		s.openRepetition(s.nextRep, due)
 		s.nextRep++
 	}
 }
@@ -151,11 +159,11 @@
 	return true
 }
 
-func (s *submission) openRepetition(k int) {
+func (s *submission) openRepetition(k int, due time.Time) {
 	if s.finishedEarly(k) {
 		return
 	}
-	r := &repetition{sub: s, index: k, due: s.Due(k), open: len(s.Steps)}
+	r := &repetition{sub: s, index: k, due: due, open: len(s.Steps)}
 	for i := range s.Steps {
 		r.steps = append(r.steps, r.newStep(i))
 	}
