Never take up again a worker that has certainly ended

A former one that was dropped while its entry lingered was added again, taken for the new one, and ended the living worker for good. Every worker that is known to have ended is now passed over as long as it is listed. Test red before.

--- a/run/feed.go
+++ b/run/feed.go
@@ -35,7 +35,7 @@
 		if w := o.workers[id]; w != nil {
 			o.bury(w, "its machine was ordered away")
 		}
-		o.goneAt[id] = o.now
+		o.goneAt[id] = o.now // also if it was not known here
 	}
 }
 
@@ -150,14 +150,11 @@
 	if w.entry.Instance == "" {
 		return
 	}
-	for id, other := range o.workers {
+	for _, other := range o.workers {
 		if other == w || other.entry.Instance != w.entry.Instance || other.listed && !listedToo {
 			continue
 		}
 		o.bury(other, "its machine has a new worker")
-		if other.listed {
-			o.goneAt[id] = o.now
-		}
 	}
 }
 
@@ -167,6 +164,9 @@
 		zap.Int("runs", len(w.runs)))
 	w.session.close()
 	delete(o.workers, w.entry.ID)
+	// Its entry may stay for some seconds; it must not be taken for a new
+	// worker meanwhile.
+	o.goneAt[w.entry.ID] = o.now
 	for _, r := range w.runs {
 		o.runGone(r, "its worker has ended")
 	}
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -170,6 +170,55 @@
 		r.feed(o)
 		r.Eventually(r.fleet.Starts, time.Second).Should(Equal(2))
 	},
+	"does not take an entry that lingers for a new worker": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(7 * time.Second)
+		former := r.list[workerID(0)]
+		r.fleet.Kill(former.ID)
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineMoving})
+		_, err := o.Report(r.ctx, run.Directions{Gone: []tw.WorkerID{former.ID}})
+		r.Expect(err).NotTo(HaveOccurred())
+		entry := former
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.list[entry.ID] = entry
+		r.feed(o) // both are listed
+		r.feed(o)
+		time.Sleep(time.Second)
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		var known []tw.WorkerID
+		for _, load := range report.Workers {
+			known = append(known, load.Worker)
+		}
+		r.Expect(known).To(ContainElement(entry.ID))
+		r.Expect(known).NotTo(ContainElement(former.ID))
+	},
+	"buries a worker for good when its machine is down": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(7 * time.Second)
+		former := r.list[workerID(0)]
+		r.fleet.Kill(former.ID)
+		r.submit(o, lasting("s1", 4)) // so that the dead worker is noticed
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineDown})
+		time.Sleep(5 * time.Second)
+		entry := former
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineUp, Worker: entry.ID})
+		r.list[entry.ID] = entry
+		r.feed(o)
+		time.Sleep(3 * time.Second)
+		r.feed(o) // the dead worker's entry lingers
+		time.Sleep(3 * time.Second)
+		r.Expect(r.fleet.RunningOn(subtask("s1", 0, 3))).NotTo(BeEmpty())
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		for _, load := range report.Workers {
+			r.Expect(load.Worker).NotTo(Equal(former.ID))
+		}
+		r.Expect(report.Workers).To(HaveLen(4))
+	},
 	"says that it does not know what runs before a worker has answered": func(r *rig) {
 		a := r.take("a")
 		r.submit(a, lasting("s1", 1))
