--- /dev/null
+++ b/run/worker_test.go
@@ -0,0 +1,179 @@
+package run_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// workerCases are what an owner does when workers come, go and are emptied.
+var workerCases = map[string]func(r *rig){
+	"starts a lasting subtask again when its worker dies": func(r *rig) {
+		o := r.take("a")
+		r.submit(o, lasting("s1", 2))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		r.Expect(on).To(HaveLen(1))
+		r.fleet.Kill(on[0])
+		r.cloud.Add(tw.Machine{ID: r.list[on[0]].Instance, Pool: pool, State: tw.MachineDown})
+		r.Eventually(func() int { return r.fleet.Running(subtask("s1", 0, 0)) }, 6*time.Second).Should(Equal(1))
+	},
+	"waits for what a silent worker may still run": func(r *rig) {
+		o := r.take("a")
+		r.submit(o, lasting("s1", 1))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		r.fleet.Set(on[0], func(w *standin.SimWorker) { w.Silent = true })
+		time.Sleep(maxHold / 2)
+		r.Expect(r.fleet.Starts()).To(Equal(1))
+		r.Eventually(r.fleet.Starts, 8*time.Second).Should(Equal(2))
+	},
+	"reaches a worker that the list of machines knew before the list of workers": func(r *rig) {
+		a := r.take("a")
+		r.submit(a, lasting("s1", 1))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		a.Close()
+		r.fleet.Kill(on[0])
+		r.cloud.Add(tw.Machine{ID: r.list[on[0]].Instance, Pool: pool, State: tw.MachineDown})
+		entry := r.list[workerID(3)]
+		delete(r.list, entry.ID)
+		b := r.take("b")
+		time.Sleep(time.Second) // the list of machines is read meanwhile
+		r.list[entry.ID] = entry
+		r.feed(b)
+		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
+	},
+	"takes a worker for ended when its machine has a new one": func(r *rig) {
+		o := r.take("a")
+		r.submit(o, lasting("s1", 1))
+		time.Sleep(7 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		r.fleet.Kill(on[0])
+		entry := r.list[on[0]]
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.list[entry.ID] = entry // the former entry is still there
+		r.feed(o)
+		r.Eventually(r.fleet.Starts, time.Second).Should(Equal(2))
+	},
+	"does not take an entry that lingers for a new worker": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(7 * time.Second)
+		former := r.list[workerID(0)]
+		r.fleet.Kill(former.ID)
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineMoving})
+		_, err := o.Report(r.ctx, run.Directions{Gone: []tw.WorkerID{former.ID}})
+		r.Expect(err).NotTo(HaveOccurred())
+		entry := former
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.list[entry.ID] = entry
+		r.feed(o) // both are listed
+		r.feed(o)
+		time.Sleep(time.Second)
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		var known []tw.WorkerID
+		for _, load := range report.Workers {
+			known = append(known, load.Worker)
+		}
+		r.Expect(known).To(ContainElement(entry.ID))
+		r.Expect(known).NotTo(ContainElement(former.ID))
+	},
+	"buries a worker for good when its machine is down": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(7 * time.Second)
+		former := r.list[workerID(0)]
+		r.fleet.Kill(former.ID)
+		r.submit(o, lasting("s1", 4)) // so that the dead worker is noticed
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineDown})
+		time.Sleep(5 * time.Second)
+		entry := former
+		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
+		r.fleet.Add(entry)
+		r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineUp, Worker: entry.ID})
+		r.list[entry.ID] = entry
+		r.feed(o)
+		time.Sleep(3 * time.Second)
+		r.feed(o) // the dead worker's entry lingers
+		time.Sleep(3 * time.Second)
+		r.Expect(r.fleet.RunningOn(subtask("s1", 0, 3))).NotTo(BeEmpty())
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		for _, load := range report.Workers {
+			r.Expect(load.Worker).NotTo(Equal(former.ID))
+		}
+		r.Expect(report.Workers).To(HaveLen(4))
+	},
+	"says that it does not know what runs before a worker has answered": func(r *rig) {
+		a := r.take("a")
+		r.submit(a, lasting("s1", 1))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		a.Close()
+		r.fleet.Set(on[0], func(w *standin.SimWorker) { w.Silent = true })
+		b := r.take("b")
+		report, err := b.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		for _, load := range report.Workers {
+			if load.Worker == on[0] {
+				r.Expect(load.Known).To(BeFalse())
+			}
+		}
+	},
+	"empties a machine without taking more of a step away than it may miss": func(r *rig) {
+		o := r.take("a")
+		r.submit(o, lasting("s1", 3))
+		time.Sleep(2 * time.Second)
+		var all run.Directions
+		for _, index := range []int{0, 1} {
+			on := r.fleet.RunningOn(subtask("s1", 0, index))
+			all.Vacate = append(all.Vacate, r.list[on[0]].Instance)
+		}
+		for range 30 {
+			_, err := o.Report(r.ctx, all)
+			r.Expect(err).NotTo(HaveOccurred())
+			away := 0
+			for index := range 3 {
+				if !r.fleet.AtWork(subtask("s1", 0, index)) {
+					away++
+				}
+			}
+			r.Expect(away).To(BeNumerically("<=", 1))
+			time.Sleep(100 * time.Millisecond)
+		}
+	},
+	"interrupts nothing while a stop of the former owner may be under way": func(r *rig) {
+		a := r.take("a")
+		r.submit(a, lasting("s1", 3))
+		time.Sleep(4 * time.Second)
+		vacate := func(o *run.Owner, index int) {
+			on := r.fleet.RunningOn(subtask("s1", 0, index))
+			_, err := o.Report(r.ctx, run.Directions{Vacate: []tw.InstanceID{r.list[on[0]].Instance}})
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		vacate(a, 0)
+		time.Sleep(250 * time.Millisecond) // a stops it by now
+		a.Close()
+		b := r.take("b")
+		vacate(b, 1)
+		for range 20 {
+			away := 0
+			for index := range 3 {
+				if !r.fleet.AtWork(subtask("s1", 0, index)) {
+					away++
+				}
+			}
+			r.Expect(away).To(BeNumerically("<=", 1))
+			time.Sleep(50 * time.Millisecond)
+		}
+	},
+}
+
+func TestOwnerOfChangingWorkers(t *testing.T) { playCases(t, workerCases) }
