--- a/run/owner.go
+++ b/run/owner.go
@@ -43,7 +43,10 @@
 	lookSeq    int64
 	runCounter tw.RunNumber
 	// placeSoon asks for a placement pass.
-	placeSoon  bool
+	placeSoon bool
+	// placeFrom is before when no pass is made, so that passes over much
+	// waiting work leave the loop time for everything else.
+	placeFrom  time.Time
 	waitLogged time.Time
 	writer     *writer
 	learned    map[learnKey]float64
@@ -239,10 +242,7 @@
 	}
 	next = earlier(next, o.openRepetitions())
 	next = earlier(next, o.watchWorkers())
-	if o.placeSoon {
-		o.placeSoon = false
-		o.place()
-	}
+	next = earlier(next, o.placeIfDue())
 	next = earlier(next, o.watchRuns())
 	next = earlier(next, o.lookAround())
 	return earlier(next, o.writer.flush())
--- a/run/place.go
+++ b/run/place.go
@@ -25,6 +25,25 @@
 	return next
 }
 
+// placeIfDue makes a placement pass if one was asked for and the last one is
+// long enough ago; else it returns when that is.
+func (o *Owner) placeIfDue() time.Time {
+	if !o.placeSoon {
+		return time.Time{}
+	}
+	if o.now.Before(o.placeFrom) {
+		return o.placeFrom
+	}
+	o.placeSoon = false
+	began := o.clock.Now()
+	o.place()
+	o.placeFrom = o.now.Add(placeRest * o.clock.Now().Sub(began))
+	return time.Time{}
+}
+
+// placeRest times as long as a placement pass took, none is made.
+const placeRest = 4
+
 // place puts waiting subtasks on workers.
 func (o *Owner) place() {
 	if !o.permit.valid(o.now) {
