--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -17,7 +17,6 @@
 
 // directory follows what operators and workers write into the store.
 type directory struct {
-	clock    tw.Clock
 	log      *zap.Logger
 	operator *member.Watcher
 	workers  *member.Watcher
@@ -51,7 +50,7 @@
 
 func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, workersChanged func()) *directory {
 	d := &directory{
-		clock: clock, log: log, workersChanged: workersChanged,
+		log: log, workersChanged: workersChanged,
 		waves: map[int64]tw.MaintenanceWave{}, listed: map[tw.WorkerID]listedWorker{},
 	}
 	d.operator = member.WatcherConfig{
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -234,18 +234,6 @@
 	}
 }
 
-// Batch takes as many changes from the front as one write holds.
-func Batch(changes []Change) int {
-	size := 0
-	for i, change := range changes {
-		size += change.Size()
-		if size > MaxEntries {
-			return i
-		}
-	}
-	return len(changes)
-}
-
 // encode cannot fail for the types of this package.
 func encode(v any) []byte {
 	out, err := json.Marshal(v)
--- a/member/members.go
+++ b/member/members.go
@@ -126,19 +126,6 @@
 	return o, found
 }
 
-// Others are the live daemons but this one.
-func (m *Members) Others() []Live {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []Live
-	for id, l := range m.live {
-		if id != m.config.Self.Daemon {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
 // Yielded notes that this daemon has lost a pool to another.
 func (m *Members) Yielded(pool tw.PoolID) {
 	m.mu.Lock()
--- a/run/estimate.go
+++ b/run/estimate.go
@@ -77,15 +77,7 @@
 // chain is the longest chain of run times from a step on, over the steps that
 // are not done, by step.
 func (o *Owner) chain(rep *repetition) []time.Duration {
-	ends := make([]time.Duration, len(rep.steps))
 	rest := make([]time.Duration, len(rep.steps))
-	for i, st := range rep.steps {
-		var from time.Duration
-		for _, earlier := range st.spec.After {
-			from = max(from, ends[earlier])
-		}
-		ends[i] = from + o.expected(st)
-	}
 	for i := len(rep.steps) - 1; i >= 0; i-- {
 		st := rep.steps[i]
 		if st.done < st.spec.Count {
--- a/run/look.go
+++ b/run/look.go
@@ -77,7 +77,7 @@
 		spec := r.task.step.spec
 		serving = serving || spec.TailTarget > 0
 		fillers = fillers || spec.Filler
-		if spec.Lasting && r.percent < fullPace {
+		if spec.Lasting && r.percent < settledPercent {
 			return closeLook
 		}
 		if !spec.Lasting && o.overdue(r) {
--- a/run/owner.go
+++ b/run/owner.go
@@ -154,15 +154,9 @@
 	o.placeSoon = true
 }
 
-// Pool is the pool that is owned.
-func (o *Owner) Pool() tw.PoolID { return o.pool }
-
 // Record is the ownership as other daemons know it.
 func (o *Owner) Record() ledger.Owner { return o.self }
 
-// Fence is the number of the ownership.
-func (o *Owner) Fence() tw.Fence { return o.self.Fence }
-
 // Done is closed when the owner has ended.
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
--- a/run/pace.go
+++ b/run/pace.go
@@ -34,13 +34,7 @@
 		if target == 0 || r.phase != running {
 			continue
 		}
-		ratio := float64(r.tail) / float64(target)
-		worst = max(worst, ratio)
-		if ratio < 1 {
-			r.overFrom = time.Time{}
-		} else if r.overFrom.IsZero() {
-			r.overFrom = o.now
-		}
+		worst = max(worst, float64(r.tail)/float64(target))
 	}
 	for _, r := range w.runs {
 		if r.task.step.spec.Filler && r.phase == running && o.now.Sub(r.orderedAt) >= paceRest {
--- a/run/report.go
+++ b/run/report.go
@@ -59,17 +59,10 @@
 
 // Report follows the directions and then tells how busy the pool is.
 func (o *Owner) Report(ctx context.Context, d Directions) (Report, error) {
-	reports := make(chan Report, 1)
-	result := make(chan error, 1)
-	err := o.ask(ctx, result, func() {
+	return askFor(ctx, o, func() (Report, error) {
 		o.follow(d)
-		reports <- o.report()
-		result <- nil
+		return o.report(), nil
 	})
-	if err != nil {
-		return Report{}, err
-	}
-	return <-reports, nil
 }
 
 func (o *Owner) report() Report {
--- a/run/requests.go
+++ b/run/requests.go
@@ -28,54 +28,30 @@
 
 // State tells a submission's state, or fails with ErrUnknown.
 func (o *Owner) State(ctx context.Context, id tw.SubmissionID) (tw.SubmissionState, error) {
-	state := make(chan tw.SubmissionState, 1)
-	result := make(chan error, 1)
-	err := o.ask(ctx, result, func() {
+	return askFor(ctx, o, func() (tw.SubmissionState, error) {
 		sub := o.submissions[id]
 		if sub == nil || !sub.durable {
-			result <- ErrUnknown
-			return
+			return "", ErrUnknown
 		}
-		state <- sub.state()
-		result <- nil
+		return sub.state(), nil
 	})
-	if err != nil {
-		return "", err
-	}
-	return <-state, nil
 }
 
 // Waiting counts a route's submissions none of whose subtasks has begun.
 func (o *Owner) Waiting(ctx context.Context, route tw.RouteName) (int, error) {
-	count := make(chan int, 1)
-	result := make(chan error, 1)
-	err := o.ask(ctx, result, func() {
-		count <- o.waiting[route]
-		result <- nil
-	})
-	if err != nil {
-		return 0, err
-	}
-	return <-count, nil
+	return askFor(ctx, o, func() (int, error) { return o.waiting[route], nil })
 }
 
 // StoreTrouble is how long the store has taken no write of this owner; zero
 // if it takes them.
 func (o *Owner) StoreTrouble(ctx context.Context) (time.Duration, error) {
-	since := make(chan time.Duration, 1)
-	result := make(chan error, 1)
-	err := o.ask(ctx, result, func() {
-		if from := o.writer.trouble(); !from.IsZero() {
-			since <- o.now.Sub(from)
-		} else {
-			since <- 0
+	return askFor(ctx, o, func() (time.Duration, error) {
+		from := o.writer.trouble()
+		if from.IsZero() {
+			return 0, nil
 		}
-		result <- nil
+		return o.now.Sub(from), nil
 	})
-	if err != nil {
-		return 0, err
-	}
-	return <-since, nil
 }
 
 // Inbox hands over what another daemon left in the store for this owner.
@@ -83,6 +59,23 @@
 	o.post(ctx, func() { o.takeMessage(message) })
 }
 
+// askFor has a question answered by the owner's loop. The answer is zero after
+// an error.
+func askFor[T any](ctx context.Context, o *Owner, question func() (T, error)) (T, error) {
+	answer := make(chan T, 1)
+	result := make(chan error, 1)
+	err := o.ask(ctx, result, func() {
+		value, err := question()
+		answer <- value
+		result <- err
+	})
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return <-answer, nil
+}
+
 func (o *Owner) ask(ctx context.Context, result chan error, event func()) error {
 	if !o.post(ctx, event) {
 		return errors.Wrap(ErrNotOwner, "run: it is busy or has ended")
@@ -222,9 +215,6 @@
 
 // cancelSubmission stops all runs and has the end recorded.
 func (o *Owner) cancelSubmission(sub *submission) {
-	if sub.over() {
-		return
-	}
 	o.conclude(sub, tw.Cancelled, "asked by the caller")
 }
 
@@ -235,10 +225,7 @@
 		return
 	}
 	sub.ending = state
-	if !sub.begun {
-		sub.begun = true
-		o.waiting[sub.Policy.Route]--
-	}
+	o.begin(sub)
 	o.log.Info("submission: ends", zap.String("submission", string(sub.ID)),
 		zap.String("state", string(state)), zap.String("why", why))
 	for _, rep := range sub.reps {
--- a/run/session.go
+++ b/run/session.go
@@ -42,7 +42,6 @@
 
 	lookResult struct {
 		seq    int64
-		sent   time.Time
 		report tw.HoldReport
 		err    error
 	}
@@ -96,8 +95,8 @@
 		case <-ctx.Done():
 			return
 		case l := <-s.looks:
-			result := lookResult{seq: l.seq, sent: s.clock.Now(), err: errNotSent}
-			if s.permit.valid(result.sent) {
+			result := lookResult{seq: l.seq, err: errNotSent}
+			if s.permit.valid(s.clock.Now()) {
 				result.report, result.err = s.lookOnce(ctx, l.hold)
 			}
 			s.report(ctx, func() { l.done(result) })
--- a/run/submission.go
+++ b/run/submission.go
@@ -93,7 +93,6 @@
 		pace    int // in percent, as last ordered
 		// orderedAt is when a stop or a pace was last sent.
 		orderedAt time.Time
-		overFrom  time.Time
 		// why the run was told to stop.
 		why string
 		// withdrawn: its start must not be sent any more.
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -32,6 +32,5 @@
 
 // HasLabel tells whether the worker may run steps that ask for the label.
 func (w *Worker) HasLabel(label string) bool {
-	entry := tw.WorkerEntry{Labels: w.Labels}
-	return entry.HasLabel(label)
+	return tw.HasLabel(w.Labels, label)
 }
--- a/worker.go
+++ b/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -149,17 +150,13 @@
 // Rack is the label that names the worker's rack; see RackOf.
 func (w *WorkerEntry) Rack() RackLabel { return RackOf(w.Labels) }
 
-// HasLabel tells whether the worker has a label; every worker has the empty one.
-func (w *WorkerEntry) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+// HasLabel tells whether the worker has a label; see the function HasLabel.
+func (w *WorkerEntry) HasLabel(label string) bool { return HasLabel(w.Labels, label) }
+
+// HasLabel tells whether a label is among those of a worker; every worker has
+// the empty one.
+func HasLabel(labels []string, label string) bool {
+	return label == "" || slices.Contains(labels, label)
 }
 
 // Ref addresses the worker.
