Claim runs and ends of a submission that the store tells of late

Cause: a submission is kept without the pool's owner during a handover. The old owner takes it from its inbox and starts it; the new one has read the pool's submissions before, sees the run on a worker, takes it for a stray and stops it. Then it reads the submission too, knows nothing of the stray, and starts the subtask on another worker before the first run has ended. An end seen before the submission is known was dropped in the same way, and its subtask started again.

Now a submission that is taken up claims its strays and the ends kept for it.

Open: an end that was seen so is confirmed to the worker before it is recorded. If this owner is lost in between, the next one does not know it.

--- a/run/end.go
+++ b/run/end.go
@@ -12,13 +12,17 @@
 func (o *Owner) takeEnd(w *worker, e tw.EndedSubtask) {
 	o.metrics.endedRun(e.Kind)
 	r := w.runs[runKey{task: e.Subtask, run: e.Run}]
+	sub := o.submissions[e.Subtask.Submission]
 	var t *task
 	if r != nil {
 		t = r.task
-	} else if sub := o.submissions[e.Subtask.Submission]; sub != nil {
+	} else if sub != nil {
 		t = sub.task(e.Subtask)
 	}
 	o.logEnd(w, e, r)
+	if sub == nil || !sub.durable {
+		o.keepEnd(w, e)
+	}
 	if t == nil {
 		return
 	}
@@ -27,6 +31,11 @@
 		delete(w.runs, w.key(r))
 		t.drop(r)
 	}
+	o.applyEnd(w, t, e)
+}
+
+// applyEnd follows what the end of a run means for its subtask.
+func (o *Owner) applyEnd(w *worker, t *task, e tw.EndedSubtask) {
 	t.endedAt = o.now
 	o.placeSoon = true
 	o.begin(t.step.rep.sub)
--- a/run/owner.go
+++ b/run/owner.go
@@ -51,11 +51,14 @@
 	writer     *writer
 	learned    map[learnKey]float64
 	// goneAt are workers that have ended though they are still listed.
-	goneAt   map[tw.WorkerID]time.Time
-	vacate   map[tw.InstanceID]bool
-	vacateAt time.Time
-	feedAt   time.Time
-	offered  Work
+	goneAt map[tw.WorkerID]time.Time
+	// unclaimed are ends of subtasks whose submission is not known here, by
+	// submission. A former owner that was told of it later may have run them.
+	unclaimed map[tw.SubmissionID][]unclaimedEnd
+	vacate    map[tw.InstanceID]bool
+	vacateAt  time.Time
+	feedAt    time.Time
+	offered   Work
 	// counted: the list of machines was read since the takeover.
 	counted bool
 	// deposing: the ownership is being given up.
@@ -89,6 +92,7 @@
 		workers:     map[tw.WorkerID]*worker{},
 		learned:     map[learnKey]float64{},
 		goneAt:      map[tw.WorkerID]time.Time{},
+		unclaimed:   map[tw.SubmissionID][]unclaimedEnd{},
 		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
 		placeSoon:   true,
 	}
@@ -123,6 +127,8 @@
 	sub.durable = true
 	sub.inherited = true
 	o.add(sub)
+	o.claimRuns(sub)
+	o.claimEnds(sub)
 }
 
 func (o *Owner) add(sub *submission) {
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -173,6 +173,30 @@
 		kv.blind.Store(false)
 		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
 	},
+	"takes up a run that the former owner started of what it was not told of": func(r *rig) {
+		s := submission("s1", 1)
+		r.fleet.Expect(&s, nil)
+		r.take("a").Close()
+		time.Sleep(time.Second) // so that the list of machines can be read again
+		r.startAs(1, 0, subtask("s1", 0, 0))
+		b := r.take("b")
+		time.Sleep(20 * time.Millisecond) // it has looked at all workers
+		r.keepUnowned(b, s)
+		r.eventually(b, "s1", tw.Succeeded, 5*time.Second)
+	},
+	"takes up an end that it saw before it was told of the submission": func(r *rig) {
+		s := submission("s1", 1, 1)
+		r.fleet.Expect(&s, nil)
+		r.take("a").Close()
+		r.startAs(1, 0, subtask("s1", 0, 0))
+		time.Sleep(3 * time.Second)
+		r.Expect(r.fleet.Done(subtask("s1", 0, 0))).To(BeTrue())
+		b := r.take("b")
+		time.Sleep(2 * time.Second) // it has seen the end and said so
+		r.keepUnowned(b, s)
+		r.eventually(b, "s1", tw.Succeeded, 5*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(2))
+	},
 	"starts at once what a daemon with a fast clock accepted": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(time.Second)
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -149,6 +149,28 @@
 	r.Expect(o.Submit(r.ctx, s)).To(Succeed())
 }
 
+// keepUnowned keeps a submission as another daemon does without the owner.
+func (r *rig) keepUnowned(o *run.Owner, s tw.Submission) {
+	_, err := r.kv.Commit(r.ctx, ledger.AcceptUnowned(&s))
+	r.Expect(err).NotTo(HaveOccurred())
+	o.Inbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: s.ID})
+	r.Eventually(func() error {
+		_, err := o.State(r.ctx, s.ID)
+		return err
+	}, time.Second).Should(Succeed())
+}
+
+// startAs starts a subtask on a worker as an owner that has gone meanwhile.
+func (r *rig) startAs(fence tw.Fence, n int, id tw.SubtaskID) {
+	entry := r.list[workerID(n)]
+	report, err := r.fleet.Hold(r.ctx, entry.Ref(), tw.HoldOrder{Fence: fence})
+	r.Expect(err).NotTo(HaveOccurred())
+	_, err = r.fleet.Start(r.ctx, entry.Ref(), tw.StartOrder{
+		Subtask: id, Run: 1, Fence: fence, Deadline: report.Clock.Add(maxHold),
+	})
+	r.Expect(err).NotTo(HaveOccurred())
+}
+
 func (r *rig) state(o *run.Owner, id tw.SubmissionID) tw.SubmissionState {
 	state, err := o.State(r.ctx, id)
 	r.Expect(err).NotTo(HaveOccurred())
