Ask another daemon each time the store is lost, and none that lost it too

The manager of the machines was on one of them and asked the other one seven times to take over, from 2.96 to 4.48 s, because a daemon counted as one that reaches the store until its waiting watch ended. Ruled out: the peers' own detection (a cut from the store alone leaves the owner answering pings, as it should). Now a daemon says that it reaches the store only if it renewed its record within 0.9 s; another rescuer is asked each time; the one who asks names its fence, so that nobody takes the pool from a newer owner; and one that learns from a peer of a newer owner gives up.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -36,10 +36,13 @@
 		taking        map[tw.PoolID]bool
 	}
 
-	// troubled is an ownership that needs the metadata store.
-	troubled interface {
-		// StoreTrouble is how long the store has taken no write of it.
-		StoreTrouble(ctx context.Context) (time.Duration, error)
+	// ownership is one that this daemon has, of a pool or of the machines.
+	ownership struct {
+		record ledger.Owner
+		// trouble is how long the store has taken no write of it.
+		trouble func(ctx context.Context) (time.Duration, error)
+		// drop ends it without a word to anybody.
+		drop func()
 	}
 
 	// ownedPool is an owner with the watch of its inbox.
@@ -77,44 +80,70 @@
 // watchStore has other daemons take the pools of this one while it does not
 // reach the metadata store but they do.
 func (o *owners) watchStore() {
+	// asked counts how often others were asked for each pool.
+	asked := map[tw.PoolID]int{}
 	for {
 		select {
 		case <-o.ctx.Done():
 			return
 		case <-o.d.clock.After(storeCheck):
 		}
-		o.mu.Lock()
-		all := make(map[tw.PoolID]troubled, len(o.owned)+1)
-		for pool, p := range o.owned {
-			all[pool] = p.owner
-		}
-		if o.manager != nil {
-			all[maintenance.ManagerPool] = o.manager
-		}
-		o.mu.Unlock()
-		for pool, owner := range all {
-			trouble, err := owner.StoreTrouble(o.ctx)
-			if err == nil && trouble > storePatience {
-				o.callRescuer(pool, trouble)
+		for _, own := range o.ownerships() {
+			pool := own.record.Pool
+			trouble, err := own.trouble(o.ctx)
+			switch {
+			case err != nil || trouble <= storePatience:
+				delete(asked, pool)
+			case o.superseded(own.record):
+				own.drop()
+			default:
+				o.callRescuer(own.record, trouble, asked[pool])
+				asked[pool]++
 			}
 		}
 	}
 }
 
-// callRescuer asks a daemon that reaches the store to take a pool. This
-// daemon learns from the workers that it has been deposed.
-func (o *owners) callRescuer(pool tw.PoolID, trouble time.Duration) {
-	for _, peer := range o.d.members.Rescuers(pool) {
-		ctx, cancel := context.WithTimeout(o.ctx, peerCallTime)
-		err := o.d.peers.Take(ctx, peer.Address, pool)
-		cancel()
-		o.d.log.Warn("owner: store takes no writes of this daemon, another is asked to take the pool",
-			zap.String("pool", string(pool)), zap.Duration("trouble", trouble),
-			zap.String("daemon", string(peer.Daemon)), logsink.Err(err))
-		if err == nil {
-			return
-		}
+// ownerships are those that this daemon has now.
+func (o *owners) ownerships() []ownership {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []ownership
+	for pool, p := range o.owned {
+		out = append(out, ownership{
+			record: p.owner.Record(), trouble: p.owner.StoreTrouble, drop: func() { o.drop(pool, p) },
+		})
 	}
+	if o.manager != nil {
+		out = append(out, ownership{record: o.managerRecord, trouble: o.manager.StoreTrouble, drop: o.dropManager})
+	}
+	return out
+}
+
+// superseded tells whether a peer has told of a newer owner, which the store
+// would tell if it could be reached.
+func (o *owners) superseded(record ledger.Owner) bool {
+	newest, found := o.d.members.Owner(record.Pool)
+	if !found || newest.Fence <= record.Fence {
+		return false
+	}
+	o.d.log.Warn("owner: another daemon has taken the pool", zap.String("pool", string(record.Pool)),
+		zap.String("daemon", string(newest.Daemon)), zap.Int64("fence", int64(newest.Fence)))
+	return true
+}
+
+// callRescuer asks a daemon that reaches the store to take a pool.
+func (o *owners) callRescuer(record ledger.Owner, trouble time.Duration, asked int) {
+	peer, found := o.d.members.Rescuer(record.Pool, asked)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, peerCallTime)
+	defer cancel()
+	err := o.d.peers.Take(ctx, peer.Address, record.Pool, record.Fence)
+	o.d.log.Warn("owner: store takes no writes of this daemon, another is asked to take the pool",
+		zap.String("pool", string(record.Pool)), zap.Duration("trouble", trouble),
+		zap.String("daemon", string(peer.Daemon)), logsink.Err(err))
 }
 
 // Local implements queue.Pools.
@@ -315,34 +344,34 @@
 	o.stopping = true
 	owned := o.owned
 	o.owned = map[tw.PoolID]*ownedPool{}
-	manager := o.manager
+	manager, record := o.manager, o.managerRecord
 	o.manager = nil
 	o.mu.Unlock()
 	var wg sync.WaitGroup
 	if manager != nil {
 		wg.Go(func() {
 			manager.Close()
-			o.passOn(ctx, maintenance.ManagerPool)
+			o.passOn(ctx, record)
 		})
 	}
-	for pool, p := range owned {
+	for _, p := range owned {
 		wg.Go(func() {
 			p.owner.Drain(ctx)
 			p.inbox.Close()
-			o.passOn(ctx, pool)
+			o.passOn(ctx, p.owner.Record())
 		})
 	}
 	wg.Wait()
 	o.cancel()
 }
 
-func (o *owners) passOn(ctx context.Context, pool tw.PoolID) {
-	successor, found := o.d.members.Successor(pool)
+func (o *owners) passOn(ctx context.Context, record ledger.Owner) {
+	successor, found := o.d.members.Successor(record.Pool)
 	if !found {
-		o.d.log.Warn("owner: no successor", zap.String("pool", string(pool)))
+		o.d.log.Warn("owner: no successor", zap.String("pool", string(record.Pool)))
 		return
 	}
-	err := o.d.peers.Take(ctx, successor.Address, pool)
-	o.d.log.Info("owner: pool handed over", zap.String("pool", string(pool)),
+	err := o.d.peers.Take(ctx, successor.Address, record.Pool, record.Fence)
+	o.d.log.Info("owner: pool handed over", zap.String("pool", string(record.Pool)),
 		zap.String("to", string(successor.Daemon)), logsink.Err(err))
 }
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/queue"
@@ -64,6 +66,11 @@
 
 // Take implements member.Handler.
 func (d *QueueDaemon) Take(_ context.Context, m *member.TakeRequest) (*member.TakeResponse, error) {
+	if owner, found := d.members.Owner(m.Pool); found && m.Fence != 0 && owner.Fence > m.Fence {
+		d.log.Info("owner: pool not taken, it has a newer owner than the one who asks", zap.String("pool", string(m.Pool)),
+			zap.String("owner", string(owner.Daemon)), zap.Int64("fence", int64(owner.Fence)))
+		return &member.TakeResponse{}, nil
+	}
 	d.owners.take(m.Pool, "its owner hands it over")
 	return &member.TakeResponse{}, nil
 }
--- a/member/live.go
+++ b/member/live.go
@@ -44,6 +44,8 @@
 
 		mu    sync.Mutex
 		lease tw.KVLeaseID
+		// answered is when the store last answered a call about the record.
+		answered time.Time
 	}
 )
 
@@ -97,6 +99,21 @@
 	p.lease = lease
 }
 
+// Answered is when the store last took a call of this duty. It makes one
+// each renewEvery, so that this tells sooner than a watch whether the store
+// can be reached.
+func (p *Presence) Answered() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered
+}
+
+func (p *Presence) noteAnswer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = p.config.Clock.Now()
+}
+
 func (p *Presence) keep(ctx context.Context) {
 	for {
 		if p.current() == 0 {
@@ -129,11 +146,15 @@
 		return
 	}
 	p.set(lease)
+	p.noteAnswer()
 	p.config.Log.Info("presence: announced", zap.Int64("lease", int64(lease)), zap.Duration("ttl", ttl))
 }
 
 func (p *Presence) renew(ctx context.Context) {
 	err := p.config.KV.Renew(ctx, p.current())
+	if err == nil {
+		p.noteAnswer()
+	}
 	if errors.Is(err, tw.ErrNotFound) {
 		p.config.Log.Warn("presence: lease is over, announced anew")
 		p.set(0)
--- a/member/members.go
+++ b/member/members.go
@@ -91,6 +91,10 @@
 	// answers before its daemon counts as gone; a daemon that lives writes
 	// it anew within renewEvery.
 	absentFor = 1200 * time.Millisecond
+	// storeFresh: without an answer for so long a daemon does not count as one
+	// that reaches the store. It renews its record each renewEvery, which takes
+	// up to 300 ms with a slow store.
+	storeFresh = 900 * time.Millisecond
 )
 
 // New starts to follow the members; Close ends it.
@@ -225,7 +229,10 @@
 }
 
 // StoreAnswers tells whether this daemon reaches the metadata store.
-func (m *Members) StoreAnswers() bool { return !m.watcher.Settled().IsZero() }
+func (m *Members) StoreAnswers() bool {
+	silent := m.config.Clock.Now().Sub(m.config.Presence.Answered())
+	return !m.watcher.Settled().IsZero() && silent < storeFresh
+}
 
 // toPing are the addresses of the owners of pools; all daemons while the
 // store does not answer, as only they can tell then who owns what.
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -172,9 +172,9 @@
 	return call(ctx, p.at(address).waiting, &m)
 }
 
-// Take asks a daemon to take a pool over.
-func (p *Peers) Take(ctx context.Context, address string, pool tw.PoolID) error {
-	_, err := call(ctx, p.at(address).take, &TakeRequest{Pool: pool})
+// Take asks a daemon to take a pool over from the owner with a fence.
+func (p *Peers) Take(ctx context.Context, address string, pool tw.PoolID, from tw.Fence) error {
+	_, err := call(ctx, p.at(address).take, &TakeRequest{Pool: pool, Fence: from})
 	return err
 }
 
--- a/member/succession.go
+++ b/member/succession.go
@@ -142,12 +142,21 @@
 	return Live{}, false
 }
 
-// Rescuers are the daemons that answer and reach the metadata store, those
-// that should take a pool first at the front. This daemon asks one of them to
-// take a pool when it does not reach the store itself.
-func (m *Members) Rescuers(pool tw.PoolID) []Live {
+// Rescuer is a daemon to ask to take a pool when this one does not reach the
+// metadata store itself: one that answers and says that it reaches the store.
+// It is another one each time that one was asked in vain, as the last one may
+// have lost the store too and not know it yet. False if there is none.
+func (m *Members) Rescuer(pool tw.PoolID, asked int) (Live, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	rescuers := m.rescuers(pool)
+	if len(rescuers) == 0 {
+		return Live{}, false
+	}
+	return rescuers[asked%len(rescuers)], true
+}
+
+func (m *Members) rescuers(pool tw.PoolID) []Live {
 	var out []Live
 	for id, l := range m.lastLive {
 		c := m.contacts[l.Address]
--- a/member/succession_test.go
+++ b/member/succession_test.go
@@ -123,3 +123,28 @@
 	o, _ = m.Owner("p")
 	g.Expect(o.Daemon).To(Equal(tw.DaemonID("c")))
 }
+
+// A daemon that lost the store asks each peer in turn, but none that says that
+// it does not reach the store either.
+func TestRescuersTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	clock := fakeclock.New()
+	m := quorum(clock)
+	for _, id := range []string{"a", "c"} {
+		m.contacts[id+":1"] = &contact{answered: clock.Now(), storeAnswers: true}
+	}
+	first, found := m.Rescuer("p", 0)
+	g.Expect(found).To(BeTrue())
+	second, _ := m.Rescuer("p", 1)
+	g.Expect(second.Daemon).NotTo(Equal(first.Daemon))
+	third, _ := m.Rescuer("p", 2)
+	g.Expect(third.Daemon).To(Equal(first.Daemon))
+	m.contacts[first.Address].storeAnswers = false
+	for asked := range 3 {
+		next, _ := m.Rescuer("p", asked)
+		g.Expect(next.Daemon).To(Equal(second.Daemon))
+	}
+	m.contacts[second.Address].silentFrom = clock.Now()
+	_, found = m.Rescuer("p", 0)
+	g.Expect(found).To(BeFalse())
+}
