Let a new manager of the machines wait only for those just changed

Wave machines that were blocked were taken up and dropped in turn, every 100 ms. Now a machine is left alone until the holders' time has passed since its recorded order, with reserves for the order's own time and for clocks that differ; orders are given only while their record is young, and their tries end together; decisions know what is blocked. Tests: manager and decide cases (the first red before).

--- a/maintenance/decide.go
+++ b/maintenance/decide.go
@@ -67,7 +67,7 @@
 			inHand++
 			continue
 		}
-		if _, ordered := s.Ordered[id]; machine.State == tw.MachineUp && !ordered {
+		if _, ordered := s.Ordered[id]; machine.State == tw.MachineUp && !ordered && !s.blocked(id) {
 			waiting = append(waiting, machine)
 		}
 	}
@@ -194,7 +194,7 @@
 		_, asked := s.Vacating[id]
 		machine := s.Machines[id]
 		// An owner that was not asked yet could still put work there.
-		if !s.empty(machine) || !asked && machine.Worker != "" {
+		if !s.empty(machine) || !asked && machine.Worker != "" || s.blocked(id) {
 			continue
 		}
 		if order.Wave != 0 {
--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -103,6 +103,23 @@
 		f.told("p-0", 1)
 		g.Expect(ordered(maintenance.Decide(f.State))).To(Equal([]tw.InstanceID{"p-0"}))
 	},
+	"does not take up again and again a machine that must not be changed yet": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0", "p-1")
+		f.Blocked = map[tw.InstanceID]time.Time{"p-0": base.Add(time.Second)}
+		d := maintenance.Decide(f.State)
+		g.Expect(d.Vacate).NotTo(HaveKey(tw.InstanceID("p-0")))
+		g.Expect(d.Vacate).To(HaveKey(tw.InstanceID("p-1")))
+	},
+	"leaves an empty machine that must not be changed yet": func(g *WithT, f fleet) {
+		f.pool("p", 4, 1)
+		f.wave(1, "p-0")
+		f.told("p-0", 1)
+		f.Blocked = map[tw.InstanceID]time.Time{"p-0": base.Add(time.Second)}
+		d := maintenance.Decide(f.State)
+		g.Expect(d.Orders).To(BeEmpty())
+		g.Expect(d.Vacate).To(HaveKey(tw.InstanceID("p-0")))
+	},
 	"leaves it while something runs there": func(g *WithT, f fleet) {
 		f.pool("p", 4, 1)
 		f.wave(1, "p-0")
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -203,7 +203,7 @@
 	now := m.Clock.Now()
 	s := &State{
 		Now: now, Began: m.began, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
-		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{}, Unfit: m.unfit,
+		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{}, Unfit: m.unfit, Blocked: m.blocked,
 	}
 	for _, pool := range config.Pools {
 		last := m.reports[pool.ID]
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -169,6 +169,31 @@
 		time.Sleep(3 * time.Second)
 		o.Expect(o.cloud.Orders()).To(BeEmpty())
 	},
+	"changes at once what another manager changed long ago": func(o *office) {
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		o.waveOf("m1")
+		a := o.manage("a")
+		time.Sleep(9 * time.Second)
+		a.Close()
+		o.Expect(o.cloud.Orders()).NotTo(BeEmpty())
+		o.reports.mu.Lock()
+		machines, err := o.cloud.List(o.t.Context())
+		o.Expect(err).NotTo(HaveOccurred())
+		for i := range o.reports.loads["p"] {
+			o.reports.loads["p"][i].Worker = machines[i].Worker
+		}
+		o.reports.mu.Unlock()
+		before := len(o.cloud.Orders())
+		o.waves = []tw.MaintenanceWave{{Number: 2, Machines: []tw.InstanceID{"m1"}, Within: 30 * time.Second, AtOnce: 1}}
+		began := time.Now()
+		b := o.manage("b")
+		defer b.Close()
+		time.Sleep(10 * time.Second)
+		o.Expect(o.cloud.Orders()[before:]).To(ContainElement(And(
+			HaveField("Wave", int64(2)), HaveField("At", BeTemporally("<", began.Add(time.Second))),
+		)))
+	},
 	"leaves a machine alone that another manager has just changed": func(o *office) {
 		o.machine("m1", 0)
 		o.machine("m2", 0)
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -195,7 +195,7 @@
 	for _, machine := range s.members[pool.ID] {
 		_, vacating := d.Vacate[machine.ID]
 		_, ordered := s.Ordered[machine.ID]
-		if machine.State != tw.MachineUp || vacating || ordered || s.Unfit[machine.ID][to] {
+		if machine.State != tw.MachineUp || vacating || ordered || s.blocked(machine.ID) || s.Unfit[machine.ID][to] {
 			continue
 		}
 		runs, may := s.runsToEnd(machine)
--- a/maintenance/orders.go
+++ b/maintenance/orders.go
@@ -1,7 +1,7 @@
 package maintenance
 
 import (
-	"slices"
+	"context"
 	"sync"
 	"time"
 
@@ -25,6 +25,12 @@
 	// confirmManager: orders are given only for so long after the ownership
 	// was last confirmed in the store.
 	confirmManager = 2 * time.Second
+	// recordAge is how old the record of an order may be when it is given: a
+	// write of the slow store takes 240 ms.
+	recordAge = 500 * time.Millisecond
+	// orderTime bounds how long after its record an order is given, tries
+	// included; the next manager waits for it.
+	orderTime = recordAge + 1200*time.Millisecond
 )
 
 // settleOrders forgets the orders whose effect the list shows.
@@ -63,18 +69,23 @@
 // carryOut gives the orders, all at the same time.
 func (m *Manager) carryOut(orders []Order) error {
 	now := m.Clock.Now()
-	orders = slices.DeleteFunc(orders, func(o Order) bool { return now.Before(m.blocked[o.Machine]) })
 	if now.Sub(m.confirmed) > confirmManager {
 		return nil
 	}
 	if err := m.recordOrders(orders); err != nil {
 		return err
 	}
+	if m.Clock.Now().Sub(now) > recordAge {
+		m.Log.Info("maintenance: not ordered, its record took too long", zap.Int("orders", len(orders)))
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, orderTime-recordAge)
+	defer cancel()
 	var wg sync.WaitGroup
 	errs := make([]error, len(orders))
 	for i, order := range orders {
 		m.ordered[order.Machine] = order
-		wg.Go(func() { errs[i] = m.give(order) })
+		wg.Go(func() { errs[i] = m.give(ctx, order) })
 	}
 	wg.Wait()
 	for i, order := range orders {
@@ -85,16 +96,16 @@
 
 // give orders one change. An order without an answer is given again, which
 // does nothing if it was carried out.
-func (m *Manager) give(order Order) error {
+func (m *Manager) give(ctx context.Context, order Order) error {
 	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
 	var err error
 	for range orderTries {
 		if order.Wave != 0 {
-			err = m.Machines.Maintain(m.ctx, by, order.Machine, order.Wave)
+			err = m.Machines.Maintain(ctx, by, order.Machine, order.Wave)
 		} else {
-			err = m.Machines.Move(m.ctx, by, order.Machine, order.Pool)
+			err = m.Machines.Move(ctx, by, order.Machine, order.Pool)
 		}
-		if !errors.Is(err, tw.ErrUnclear) {
+		if !errors.Is(err, tw.ErrUnclear) || ctx.Err() != nil {
 			return err
 		}
 	}
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -52,6 +52,8 @@
 		// Vacating are the machines that owners were asked to empty, with the
 		// change that waits for it.
 		Vacating map[tw.InstanceID]Order
+		// Blocked are the machines that must not be changed before a time.
+		Blocked map[tw.InstanceID]time.Time
 		// Unfit are the pools that refused a machine.
 		Unfit map[tw.InstanceID]map[tw.PoolID]bool
 
@@ -146,6 +148,9 @@
 	return load, found && load.Known
 }
 
+// blocked tells whether a machine must not be changed yet.
+func (s *State) blocked(id tw.InstanceID) bool { return s.Now.Before(s.Blocked[id]) }
+
 // empty tells whether nothing runs on a machine, for sure.
 func (s *State) empty(machine tw.Machine) bool {
 	if machine.Worker == "" {
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -36,16 +36,28 @@
 func (m *Manager) blockRecent(recent map[tw.InstanceID]time.Time) {
 	now := m.Clock.Now()
 	for id, at := range recent {
-		// The times of day of two machines differ by less than the reserve.
-		if now.Sub(at) < recentOrders {
-			m.blocked[id] = now.Add(m.HolderTime + holderMargin)
+		// The former manager's time of day may be ahead, but what it recorded
+		// happened before this one began.
+		latest := now.Add(m.HolderTime + holderMargin)
+		until := at.Add(m.HolderTime + orderTime + clockReserve)
+		if latest.Before(until) {
+			until = latest
+		}
+		if now.Before(until) {
+			m.blocked[id] = until
 		}
 	}
 }
 
-// recentOrders is how long orders are kept in the record: the time between
-// two holders and a reserve for clocks that differ.
-const recentOrders = 15 * time.Second
+const (
+	// recentOrders is how long orders are kept in the record: the time between
+	// two holders and a reserve for clocks that differ.
+	recentOrders = 15 * time.Second
+	// clockReserve is by how much a former manager's time of day may be behind:
+	// the platform's pages keep it close to the true time, and days on which it
+	// jumps do so by 2 s.
+	clockReserve = 2500 * time.Millisecond
+)
 
 // finishWaves reports the progress of waves.
 func (m *Manager) finishWaves(list *run.MachineList) error {
