Switch machines off after a minute without need, not after 3 s

Now the time is a setting, machines.park_after, one minute by default; the highest need is kept over it in a queue that holds only what was not exceeded later.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -262,7 +262,7 @@
 		Book: book, Recent: recent, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Life), KV: d.kv, Machines: d.machines,
 		Census: d.census, Owners: d, Clock: d.clock, Log: d.log, Metrics: d.metrics,
 		Waves: d.directory.Waves, Queue: d.directory.Config, WaveStatus: platform.WaveStatus,
-		HolderTime: d.settings.Bounds.HolderTime.Std(),
+		HolderTime: d.settings.Bounds.HolderTime.Std(), ParkAfter: d.settings.Machines.ParkAfter.Std(),
 		Deposed:    func() { go o.dropManager() },
 	}.New()
 }
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -24,6 +24,7 @@
 		Platform QueuePlatform      `toml:"platform"`
 		Limits   QueueProcessLimits `toml:"limits"`
 		Bounds   QueueBounds        `toml:"bounds"`
+		Machines QueueMachines      `toml:"machines"`
 		Log      LogSettings        `toml:"log"`
 	}
 
@@ -60,6 +61,13 @@
 		Cores tw.Cores `toml:"cores"`
 	}
 
+	// QueueMachines says how machines are held.
+	QueueMachines struct {
+		// ParkAfter is for how long no pool may have needed a machine before it
+		// is switched off.
+		ParkAfter tw.Duration `toml:"park_after"`
+	}
+
 	// QueueBounds are the platform's figures; docs/SETTINGS.md explains each.
 	// Those from MaxHold to KeepEnded are the fields of run.Bounds under the
 	// keys of the file, and are explained there too.
@@ -99,6 +107,10 @@
 	set(&s.Bounds.KeepEnded, tw.Duration(2*time.Minute))
 	set(&s.Bounds.HolderTime, tw.Duration(3*time.Second))
 	set(&s.Bounds.StopGrace, tw.Duration(6*time.Second))
+	// Bringing a machine back takes 1.5 s, in which its pool is short of it,
+	// and each move is paid for like two seconds of the machine. Measured on
+	// the bench against 3 s: see docs/DESIGN.md.
+	set(&s.Machines.ParkAfter, tw.Duration(time.Minute))
 	set(&s.Log.Level, "info")
 }
 
@@ -125,12 +137,13 @@
 
 func (s *QueueSettings) validateBounds(faults *tw.Faults) {
 	bounds := map[string]tw.Duration{
-		"platform.min_lease": s.Platform.MinLease,
-		"bounds.max_hold":    s.Bounds.MaxHold,
-		"bounds.stop_time":   s.Bounds.StopTime,
-		"bounds.keep_ended":  s.Bounds.KeepEnded,
-		"bounds.holder_time": s.Bounds.HolderTime,
-		"bounds.stop_grace":  s.Bounds.StopGrace,
+		"platform.min_lease":  s.Platform.MinLease,
+		"bounds.max_hold":     s.Bounds.MaxHold,
+		"bounds.stop_time":    s.Bounds.StopTime,
+		"bounds.keep_ended":   s.Bounds.KeepEnded,
+		"bounds.holder_time":  s.Bounds.HolderTime,
+		"bounds.stop_grace":   s.Bounds.StopGrace,
+		"machines.park_after": s.Machines.ParkAfter,
 	}
 	for _, field := range slices.Sorted(maps.Keys(bounds)) {
 		positive(faults, field, int64(bounds[field]))
--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -24,7 +24,7 @@
 
 func newFleet() fleet {
 	return fleet{&maintenance.State{
-		Now: base, Began: base.Add(-time.Hour), Asked: base, Machines: map[tw.InstanceID]tw.Machine{}, Pools: map[tw.PoolID]*maintenance.Pool{},
+		Now: base, Began: base.Add(-time.Hour), ParkAfter: 3 * time.Second, Asked: base, Machines: map[tw.InstanceID]tw.Machine{}, Pools: map[tw.PoolID]*maintenance.Pool{},
 		Ordered: map[tw.InstanceID]maintenance.Order{}, Vacating: map[tw.InstanceID]maintenance.Order{},
 	}}
 }
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -10,7 +10,12 @@
 type (
 	// forecast works out how many machines a pool needs, from its reports.
 	forecast struct {
-		samples []sample
+		// window is the time over which the highest need counts.
+		window time.Duration
+		latest sample
+		// peaks are the samples of the window above which none came later, so
+		// that the first is the highest.
+		peaks []sample
 		// offers are the offered work over time, for its rate.
 		offers []offer
 		fence  tw.Fence
@@ -34,6 +39,8 @@
 	// spreadSpare is how many workers a pool has beyond those over which its
 	// widest step must spread, as one may be leaving.
 	spreadSpare = 1
+	// needAge is how old a sample may be to count as the present need.
+	needAge = 3 * time.Second
 	// rateTrust times what runs and waits is the most that the rate of new
 	// work may ask for: over a short window a few large submissions look like
 	// a flood.
@@ -44,7 +51,7 @@
 
 // observe takes up a report.
 func (f *forecast) observe(at time.Time, r *run.Report) {
-	if len(f.samples) > 0 && !at.After(f.samples[len(f.samples)-1].at) {
+	if !at.After(f.latest.at) {
 		return
 	}
 	if r.Fence != f.fence {
@@ -54,10 +61,15 @@
 	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= rateWindow {
 		f.offers = f.offers[1:]
 	}
-	f.samples = append(f.samples, sample{at: at, need: f.machines(r)})
-	for at.Sub(f.samples[0].at) > quietTime {
-		f.samples = f.samples[1:]
+	f.add(sample{at: at, need: f.machines(r)})
+}
+
+func (f *forecast) add(s sample) {
+	f.latest = s
+	for len(f.peaks) > 0 && f.peaks[len(f.peaks)-1].need <= s.need {
+		f.peaks = f.peaks[:len(f.peaks)-1]
 	}
+	f.peaks = append(f.peaks, s)
 }
 
 // machines is how many machines a report asks for: what runs and waits now,
@@ -89,13 +101,16 @@
 	}, size)
 }
 
-// need is the present need and the highest of late.
+// need is the present need and the highest of the window.
 func (f *forecast) need(now time.Time) (need, peak float64) {
-	for _, s := range f.samples {
-		if now.Sub(s.at) <= quietTime {
-			peak = max(peak, s.need)
-			need = s.need
-		}
+	for len(f.peaks) > 0 && now.Sub(f.peaks[0].at) > f.window {
+		f.peaks = f.peaks[1:]
+	}
+	if len(f.peaks) > 0 {
+		peak = f.peaks[0].need
+	}
+	if now.Sub(f.latest.at) <= needAge {
+		need = f.latest.need
 	}
 	return need, peak
 }
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -49,6 +49,9 @@
 		WaveStatus func(wave int64, done bool) tw.KVPut
 		// HolderTime must pass between the orders of two holders.
 		HolderTime time.Duration
+		// ParkAfter is for how long no pool may have needed a machine before it
+		// is switched off.
+		ParkAfter time.Duration
 		// Deposed is told when another daemon manages the machines.
 		Deposed func()
 	}
@@ -202,7 +205,7 @@
 func (m *Manager) state(config *tw.QueueConfig, list *run.MachineList) *State {
 	now := m.Clock.Now()
 	s := &State{
-		Now: now, Began: m.began, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
+		Now: now, Began: m.began, ParkAfter: m.ParkAfter, Machines: list.Machines, Asked: list.Asked, Pools: map[tw.PoolID]*Pool{},
 		Ordered: m.ordered, Vacating: map[tw.InstanceID]Order{}, Unfit: m.unfit, Blocked: m.blocked,
 	}
 	for _, pool := range config.Pools {
@@ -210,7 +213,7 @@
 		p := &Pool{ID: pool.ID, Parking: pool.Parking, Known: now.Sub(last.at) <= reportAge, Report: last.Report}
 		f := m.forecasts[pool.ID]
 		if f == nil {
-			f = &forecast{}
+			f = &forecast{window: m.ParkAfter}
 			m.forecasts[pool.ID] = f
 		}
 		if p.Known {
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -79,7 +79,7 @@
 		Queue: func() *tw.QueueConfig {
 			return &tw.QueueConfig{Pools: []tw.QueuePool{{ID: "p"}, {ID: "parking", Parking: true}}}
 		},
-		WaveStatus: platform.WaveStatus, HolderTime: 3 * time.Second, Deposed: func() {},
+		WaveStatus: platform.WaveStatus, HolderTime: 3 * time.Second, ParkAfter: 3 * time.Second, Deposed: func() {},
 	}.New()
 }
 
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
 )
@@ -21,10 +20,6 @@
 	// evenGap: machines are moved to spread spare capacity only between pools
 	// whose spares differ by more.
 	evenGap = 3
-	// quietTime: machines are parked once no pool needed them for so long.
-	// Of 8, 4 and 2 s, on five seeds of a quiet day, 4 and 2 s were worth 0.013
-	// and 0.017 more than 8 s; shorter ones move more machines.
-	quietTime = 3 * time.Second
 )
 
 // decideMoves moves machines to pools that lack some, spreads spare ones over
@@ -96,10 +91,10 @@
 	return s.machinesOf(pool.ID) - headroom*pool.Need
 }
 
-// park switches off what no pool has needed for a while.
+// park switches off what no pool has needed for ParkAfter.
 func (s *State) park(pools []*Pool, d *Decision) {
 	parking := s.parking()
-	if parking == nil || s.Now.Sub(s.Began) < quietTime {
+	if parking == nil || s.Now.Sub(s.Began) < s.ParkAfter {
 		return
 	}
 	var total, peak float64
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -41,8 +41,11 @@
 	State struct {
 		Now time.Time
 		// Began is since when the pools' needs have been watched.
-		Began    time.Time
-		Machines map[tw.InstanceID]tw.Machine
+		Began time.Time
+		// ParkAfter is for how long no pool may have needed a machine before it
+		// is switched off.
+		ParkAfter time.Duration
+		Machines  map[tw.InstanceID]tw.Machine
 		// Asked is when the list of machines was asked for.
 		Asked time.Time
 		Pools map[tw.PoolID]*Pool
