Follow the list of workers only where a pool is owned

Cause: all 33 to 37 daemons of a grown site followed all workers' entries, about four reads a second each, for the 5 that own a pool; this costs calls, and processor time on machines with 0.19 of a core. Now an owner begins to follow the list when it takes its first pool and ends when it has none.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -17,19 +17,26 @@
 
 // directory follows what operators and workers write into the store.
 type directory struct {
+	kv       tw.KV
+	clock    tw.Clock
 	log      *zap.Logger
 	operator *member.Watcher
-	workers  *member.Watcher
 	// workersChanged is called after a change of the list of workers.
 	workersChanged func()
 
-	mu       sync.Mutex
-	config   *tw.QueueConfig
-	raw      []byte // the configuration as written
-	waves    map[int64]tw.MaintenanceWave
-	listed   map[tw.WorkerID]listedWorker
-	byPool   map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
-	everRead bool
+	mu sync.Mutex
+	// workers follows the list of workers while this daemon owns a pool, else
+	// it is nil: every read of it is paid for.
+	workers *member.Watcher
+	// following counts the watchers, so that one that ends changes nothing any
+	// more.
+	following int
+	config    *tw.QueueConfig
+	raw       []byte // the configuration as written
+	waves     map[int64]tw.MaintenanceWave
+	listed    map[tw.WorkerID]listedWorker
+	byPool    map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
+	everRead  bool
 }
 
 // listedWorker is a worker's entry, decoded once a revision.
@@ -50,22 +57,45 @@
 
 func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, workersChanged func()) *directory {
 	d := &directory{
-		log: log, workersChanged: workersChanged,
+		kv: kv, clock: clock, log: log, workersChanged: workersChanged,
 		waves: map[int64]tw.MaintenanceWave{}, listed: map[tw.WorkerID]listedWorker{},
 	}
 	d.operator = member.WatcherConfig{
 		KV: kv, Clock: clock, Log: log, Prefix: platform.OperatorPrefix, Wait: operatorWait, Changed: d.operatorChanged,
 	}.New()
-	d.workers = member.WatcherConfig{
-		KV: kv, Clock: clock, Log: log, Prefix: platform.WorkerPrefix, Wait: workersWait, Gap: workersGap,
-		Changed: d.workersWritten,
-	}.New()
 	return d
 }
 
 func (d *directory) close() {
 	d.operator.Close()
-	d.workers.Close()
+	if watcher := d.detachWorkers(); watcher != nil {
+		watcher.Close()
+	}
+}
+
+// followWorkers begins to follow the list of workers, if it is not followed.
+func (d *directory) followWorkers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.workers != nil {
+		return
+	}
+	d.following++
+	round := d.following
+	d.workers = member.WatcherConfig{
+		KV: d.kv, Clock: d.clock, Log: d.log, Prefix: platform.WorkerPrefix, Wait: workersWait, Gap: workersGap,
+		Changed: func(items map[tw.Key]tw.KVItem) { d.workersWritten(round, items) },
+	}.New()
+}
+
+// detachWorkers ends to follow the list of workers. It returns the watcher,
+// which is still to be closed, or nil.
+func (d *directory) detachWorkers() *member.Watcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	watcher := d.workers
+	d.workers, d.everRead = nil, false
+	return watcher
 }
 
 // Config is the configuration in force, or nil.
@@ -117,10 +147,12 @@
 // workerList is the pool's part of the list of workers; false before the
 // list was read.
 func (d *directory) workerList(pool tw.PoolID) (run.WorkerList, bool) {
-	settled := d.workers.Settled()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return run.WorkerList{Workers: d.byPool[pool], Settled: settled}, d.everRead
+	if d.workers == nil {
+		return run.WorkerList{}, false
+	}
+	return run.WorkerList{Workers: d.byPool[pool], Settled: d.workers.Settled()}, d.everRead
 }
 
 func (d *directory) operatorChanged(items map[tw.Key]tw.KVItem) {
@@ -166,8 +198,12 @@
 	d.waves[wave.Number] = wave
 }
 
-func (d *directory) workersWritten(items map[tw.Key]tw.KVItem) {
+func (d *directory) workersWritten(round int, items map[tw.Key]tw.KVItem) {
 	d.mu.Lock()
+	if d.workers == nil || d.following != round {
+		d.mu.Unlock()
+		return
+	}
 	listed := make(map[tw.WorkerID]listedWorker, len(items))
 	byPool := map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry{}
 	for key, item := range items {
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -88,6 +88,7 @@
 			return
 		case <-o.d.clock.After(storeCheck):
 		}
+		o.leaveWorkers()
 		for _, own := range o.ownerships() {
 			pool := own.record.Pool
 			trouble, err := own.trouble(o.ctx)
@@ -104,6 +105,20 @@
 	}
 }
 
+// leaveWorkers ends to follow the list of workers if this daemon owns no pool
+// and takes none.
+func (o *owners) leaveWorkers() {
+	o.mu.Lock()
+	var watcher *member.Watcher
+	if len(o.owned) == 0 && len(o.taking) == 0 {
+		watcher = o.d.directory.detachWorkers()
+	}
+	o.mu.Unlock()
+	if watcher != nil {
+		watcher.Close()
+	}
+}
+
 // ownerships are those that this daemon has now.
 func (o *owners) ownerships() []ownership {
 	o.mu.Lock()
@@ -213,6 +228,9 @@
 	began := d.clock.Now()
 	ctx, cancel := context.WithTimeout(o.ctx, takeTimeout)
 	defer cancel()
+	if pool != maintenance.ManagerPool {
+		d.directory.followWorkers()
+	}
 	self := ledger.Owner{Pool: pool, Daemon: d.self.Daemon, Address: d.self.Address, Life: d.self.Life}
 	book, err := ledger.Config{KV: d.kv, Clock: d.clock, Log: d.log, Owner: self}.Open(ctx)
 	if errors.Is(err, ledger.ErrDeposed) {
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -126,12 +126,13 @@
 
 // duties starts what runs beside the listeners.
 func (d *QueueDaemon) duties() {
+	// The list of workers is not followed before there are owners.
+	d.directory = newDirectory(d.kv, d.clock, d.log, func() { d.owners.feedAll() })
 	d.owners = newOwners(d)
 	d.presence = member.PresenceConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, MinTTL: d.settings.Platform.MinLease.Std(),
 	}.New()
 	d.census = run.CensusConfig{Machines: d.machines, Clock: d.clock, Log: d.log}.New()
-	d.directory = newDirectory(d.kv, d.clock, d.log, d.owners.feedAll)
 	d.members = member.Config{
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, Peers: d.peers, Presence: d.presence,
 		Pools: d.directory.pools, Owned: d.owners.list, Version: d.directory.version,
