Call a wave finished although its machines were moved on since

Now only the order of the wave itself is waited for, and a machine that is moving has been back. Ruled out: an order that was not answered (none was). Test: TestAllBack, red before.

--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -90,8 +90,10 @@
 		if !found {
 			continue
 		}
-		_, ordered := m.ordered[id]
-		if !w.Done[id] || ordered || machine.State == tw.MachineMaintenance {
+		order, ordered := m.ordered[id]
+		// A machine that was moved on since has been back.
+		awaited := ordered && order.Wave == w.Number
+		if !w.Done[id] || awaited || machine.State == tw.MachineMaintenance {
 			return false
 		}
 	}
