Sort workers once a placement pass, and work out a look's wait when it is due

Cause: the profile after the last change had 16% of an owner's time in placement, which sorted all workers anew for each waiting step, and 8% in working out for each worker at each round how long its next look may wait. Now workers are sorted once; only steps that care on which worker they run sort their candidates again, and what runs of a step is counted by worker only where the step bounds it. Ruled out as a cause: the choice itself (unchanged; the properties hold).

--- a/run/look.go
+++ b/run/look.go
@@ -20,7 +20,7 @@
 		if w.looking || w.entry.Address == "" {
 			continue
 		}
-		at, wait, wanted := o.lookDue(w)
+		at, mayWait, wanted := o.lookDue(w)
 		if !wanted {
 			continue
 		}
@@ -28,30 +28,34 @@
 			next = earlier(next, at)
 			continue
 		}
+		wait := time.Duration(0)
+		if mayWait {
+			wait = o.lookWait(w)
+		}
 		o.look(w, wait)
 	}
 	return next
 }
 
-// lookDue tells whether and when a worker is to be looked at next, and how
-// long it may wait for an end to report.
-func (o *Owner) lookDue(w *worker) (at time.Time, wait time.Duration, wanted bool) {
+// lookDue tells whether and when a worker is to be looked at next, and whether
+// the look may wait for an end to report.
+func (o *Owner) lookDue(w *worker) (at time.Time, mayWait, wanted bool) {
 	if w.unanswered > 0 || !w.known {
-		return w.nextLook, 0, true
+		return w.nextLook, false, true
 	}
 	if len(w.runs) == 0 {
-		return w.lookedAt.Add(confirmEndsAfter), 0, w.told < w.recorded
+		return w.lookedAt.Add(confirmEndsAfter), false, w.told < w.recorded
 	}
 	if w.starting() && o.now.Sub(w.lookedAt) < startsFirst {
 		// A look that waits would tell nothing of them if one goes wrong.
-		return w.lookedAt.Add(startsFirst), 0, true
+		return w.lookedAt.Add(startsFirst), false, true
 	}
 	if w.recorded < w.seen {
 		// Until the ends are recorded, the worker would report them again at
 		// once.
-		return w.lookedAt.Add(confirmEvery), 0, true
+		return w.lookedAt.Add(confirmEvery), false, true
 	}
-	return w.nextLook, o.lookWait(w), true
+	return w.nextLook, true, true
 }
 
 // starting tells whether orders to start runs are under way.
--- a/run/place.go
+++ b/run/place.go
@@ -155,11 +155,11 @@
 
 // group is the step's waiting subtasks, or nil.
 func (o *Owner) group(st *step) *schedule.Group {
-	g := &schedule.Group{Step: st.spec, OnWorker: map[tw.WorkerID]int{}}
+	g := &schedule.Group{Step: st.spec}
+	if st.spec.MaxPerWorker > 0 {
+		g.OnWorker = st.onWorkers()
+	}
 	for _, t := range st.tasks {
-		for _, r := range t.runs {
-			g.OnWorker[r.w.entry.ID]++
-		}
 		switch {
 		case t.done:
 		case !t.active() && !o.writer.confirmed.After(t.lostAt):
@@ -187,6 +187,17 @@
 	return g
 }
 
+// onWorkers counts the step's runs by worker.
+func (st *step) onWorkers() map[tw.WorkerID]int {
+	out := map[tw.WorkerID]int{}
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			out[r.w.entry.ID]++
+		}
+	}
+	return out
+}
+
 // avoidLast keeps a subtask away from the worker on which it failed, if there
 // are others.
 func (o *Owner) avoidLast(g *schedule.Group, t *task) {
--- a/schedule/group.go
+++ b/schedule/group.go
@@ -12,7 +12,8 @@
 		Step     *tw.Step
 		Subtasks []tw.SubtaskID
 		Urgency  Urgency
-		// OnWorker counts the step's subtasks that are on a worker already.
+		// OnWorker counts the step's subtasks that are on a worker already. It
+		// is kept only if the step bounds them.
 		OnWorker map[tw.WorkerID]int
 		// Avoid are workers that must not be used, by subtask index: for
 		// example those on which a copy runs.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -19,6 +19,8 @@
 		}
 		return 0
 	})
+	workers = slices.Clone(workers)
+	slices.SortStableFunc(workers, compareAny)
 	var out []Placement
 	for _, g := range groups {
 		out = append(out, g.place(workers)...)
@@ -26,6 +28,11 @@
 	return out
 }
 
+// compareAny orders workers for steps that do not care on which they run.
+func compareAny(a, b *Worker) int {
+	return cmp.Or(cmp.Compare(a.Distrust, b.Distrust), cmp.Compare(a.Rank, b.Rank))
+}
+
 func (g *Group) place(workers []*Worker) []Placement {
 	candidates := g.candidates(workers)
 	if g.Step.Gang && g.Step.SameRack {
@@ -62,27 +69,36 @@
 	return placed
 }
 
-// candidates are the workers that may run the step, the best first.
+// candidates are the workers that may run the step, the best first. The
+// workers are in the order of compareAny.
 func (g *Group) candidates(workers []*Worker) []*Worker {
 	claim := g.Step.Claim()
-	var out []*Worker
+	out := make([]*Worker, 0, len(workers))
 	for _, w := range workers {
 		allowed := g.Allowed == nil || g.Allowed[w.ID]
 		if allowed && w.Free.Fits(claim) && w.HasLabel(g.Step.Label) {
 			out = append(out, w)
 		}
 	}
-	slices.SortStableFunc(out, g.compare)
+	if g.cares() {
+		slices.SortStableFunc(out, g.compare)
+	}
 	return out
 }
 
+// cares tells whether the step runs better on some sound workers than on
+// others. Else the order that the workers are in will do.
+func (g *Group) cares() bool {
+	return g.Step.Near != "" || g.Step.Filler || g.Step.TailTarget > 0
+}
+
 // compare orders workers for the step.
 func (g *Group) compare(a, b *Worker) int {
 	return cmp.Or(
 		cmp.Compare(a.Distrust, b.Distrust),
 		compareBool(g.far(a), g.far(b)),
 		g.compareSharing(a, b),
-		cmp.Compare(a.Rank, b.Rank),
+		compareAny(a, b),
 	)
 }
 
@@ -136,10 +152,6 @@
 	if g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker {
 		return false
 	}
-	if g.OnWorker == nil {
-		g.OnWorker = map[tw.WorkerID]int{}
-	}
-	g.OnWorker[w.ID]++
 	w.Free = w.Free.Minus(claim)
 	g.count(w, 1)
 	return true
@@ -147,13 +159,19 @@
 
 func (g *Group) undo(placed []Placement) {
 	for _, p := range placed {
-		g.OnWorker[p.Worker.ID]--
 		p.Worker.Free = p.Worker.Free.Plus(g.Step.Claim())
 		g.count(p.Worker, -1)
 	}
 }
 
+// count notes that n of the step's subtasks were put on a worker.
 func (g *Group) count(w *Worker, n int) {
+	if g.Step.MaxPerWorker > 0 {
+		if g.OnWorker == nil {
+			g.OnWorker = map[tw.WorkerID]int{}
+		}
+		g.OnWorker[w.ID] += n
+	}
 	if g.Step.Filler {
 		w.Fillers += n
 	}
