Keep a worker free for lasting work that finds no room

Now lasting work that finds no room keeps workers free of less urgent work (half of them at most), and a lasting subtask is moved off a worker that is to be emptied if another has the room once its present work has ended. What a step may miss still holds. Tests: two cases of TestPlace, the first red before.

--- a/run/lasting.go
+++ b/run/lasting.go
@@ -57,13 +57,14 @@
 	return r.phase == running && r.percent >= settledPercent && r.w.unanswered == 0 && !r.w.entry.Draining
 }
 
-// roomElsewhere tells whether another worker would take a subtask of a step.
+// roomElsewhere tells whether another worker would take a subtask of a step, at
+// once or after some of its present work has ended: placement keeps that room.
 func (o *Owner) roomElsewhere(not *worker, spec *tw.Step) bool {
 	for _, w := range o.workers {
 		if w == not || w.leaving || !w.usable(o.now) {
 			continue
 		}
-		if w.free().Fits(spec.Claim()) && w.entry.HasLabel(spec.Label) {
+		if w.attainable().Fits(spec.Claim()) && w.entry.HasLabel(spec.Label) {
 			return true
 		}
 	}
--- a/run/worker.go
+++ b/run/worker.go
@@ -116,6 +116,17 @@
 	return free
 }
 
+// attainable is the capacity that is free once all that does not last has ended.
+func (w *worker) attainable() tw.Resources {
+	out := w.entry.Capacity
+	for _, r := range w.runs {
+		if r.task.step.spec.Lasting {
+			out = out.Minus(r.claim)
+		}
+	}
+	return out
+}
+
 // offer is the worker as the scheduler sees it.
 func (w *worker) offer() *schedule.Worker {
 	out := &schedule.Worker{
@@ -128,6 +139,7 @@
 	if w.health.slowness > slowWorker {
 		out.Distrust = 1
 	}
+	out.Attainable = w.attainable()
 	for _, r := range w.runs {
 		if r.task == nil {
 			continue
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -23,11 +23,45 @@
 	slices.SortStableFunc(workers, compareAny)
 	var out []Placement
 	for _, g := range groups {
-		out = append(out, g.place(workers)...)
+		placed := g.place(workers)
+		out = append(out, placed...)
+		if g.Urgency.Grade == GradeLasting {
+			workers = g.reserve(workers, len(g.Subtasks)-len(placed))
+		}
 	}
 	return out
 }
 
+// reserve keeps workers free of less urgent work for subtasks that found no
+// room: else smaller ones take each bit of room as it appears. It returns the
+// workers that others may use, at least half of them.
+func (g *Group) reserve(workers []*Worker, missing int) []*Worker {
+	if missing == 0 {
+		return workers
+	}
+	rest := slices.Clone(workers)
+	for range min(missing, len(workers)/2) {
+		best := -1
+		for i, w := range rest {
+			if g.mayUse(w) && (best < 0 || w.Free.CPU > rest[best].Free.CPU) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		rest = slices.Delete(rest, best, best+1)
+	}
+	return rest
+}
+
+// mayUse tells whether the step may run on a worker once that has room.
+func (g *Group) mayUse(w *Worker) bool {
+	allowed := g.Allowed == nil || g.Allowed[w.ID]
+	full := g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker
+	return allowed && !full && w.HasLabel(g.Step.Label) && w.Attainable.Fits(g.Step.Claim())
+}
+
 // compareAny orders workers for steps that do not care on which they run.
 func compareAny(a, b *Worker) int {
 	return cmp.Or(cmp.Compare(a.Distrust, b.Distrust), cmp.Compare(a.Rank, b.Rank))
--- a/schedule/place_test.go
+++ b/schedule/place_test.go
@@ -18,6 +18,7 @@
 	return &schedule.Worker{
 		ID: tw.WorkerID(fmt.Sprintf("w%d", n)), Rank: n, Rack: tw.RackLabel(fmt.Sprintf("r%d", n/2)),
 		Labels: []string{"a", fmt.Sprintf("r%d", n/2)}, Free: tw.Resources{CPU: cpu, MemoryMB: 32000},
+		Attainable: tw.Resources{CPU: 16000, MemoryMB: 32000},
 	}
 }
 
@@ -49,6 +50,24 @@
 		workers: []*schedule.Worker{worker(0, 4000), worker(1, 4000), worker(2, 4000)},
 		want:    map[tw.WorkerID]int{"w0": 1, "w1": 1, "w2": 1},
 	},
+	"keeps a worker free for a lasting subtask that found no room": {
+		groups: []*schedule.Group{group("a", 4, nil), func() *schedule.Group {
+			g := group("b", 1, func(s *tw.Step) { s.Lasting = true; s.Need.CPU = 3000 })
+			g.Urgency.Grade = schedule.GradeLasting
+			return g
+		}()},
+		workers: []*schedule.Worker{worker(0, 1000), worker(1, 2000)},
+		want:    map[tw.WorkerID]int{"w0": 1},
+	},
+	"keeps no worker free that will not have the room": {
+		groups: []*schedule.Group{group("a", 4, nil), func() *schedule.Group {
+			g := group("b", 1, func(s *tw.Step) { s.Lasting = true; s.Need.CPU = 30000 })
+			g.Urgency.Grade = schedule.GradeLasting
+			return g
+		}()},
+		workers: []*schedule.Worker{worker(0, 1000), worker(1, 2000)},
+		want:    map[tw.WorkerID]int{"w0": 1, "w1": 2},
+	},
 	"keeps to the bound on one worker": {
 		groups:  []*schedule.Group{group("a", 5, func(s *tw.Step) { s.MaxPerWorker = 2 })},
 		workers: []*schedule.Worker{worker(0, 8000), worker(1, 8000)},
