--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -18,8 +18,10 @@
 	// is so many times its own.
 	fairPressure = 3
 	// evenGap: machines are moved to spread spare capacity only between pools
-	// whose spares differ by more.
-	evenGap = 3
+	// whose spares differ by more, and by more than evenShare of the machines
+	// that the better one has, as needs go up and down all the time.
+	evenGap   = 3
+	evenShare = 0.3
 )
 
 // decideMoves moves machines to pools that lack some, spreads spare ones over
@@ -75,7 +77,7 @@
 				most = pool
 			}
 		}
-		if s.spare(most)-s.spare(least) <= evenGap {
+		if s.spare(most)-s.spare(least) <= max(evenGap, evenShare*s.machinesOf(most.ID)) {
 			return
 		}
 		machine, found := s.idle(most, least.ID, d)
