--- a/run/owner.go
+++ b/run/owner.go
@@ -53,9 +53,11 @@
 	looksFrom   time.Time
 	runsFrom    time.Time
 	workersFrom time.Time
-	waitLogged  time.Time
-	writer      *writer
-	learned     map[learnKey]correction
+	// preemptAt is when waiting work may preempt other work; zero for never.
+	preemptAt  time.Time
+	waitLogged time.Time
+	writer     *writer
+	learned    map[learnKey]correction
 	// goneAt are workers that have ended though they are still listed.
 	goneAt map[tw.WorkerID]time.Time
 	// unclaimed are ends of subtasks whose submission is not known here, by
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -135,6 +135,23 @@
 		_, err := ledger.Find(r.ctx, r.kv, "s1")
 		r.Expect(err).To(MatchError(tw.ErrNotFound))
 	},
+	"stops work of a lower priority for urgent work that finds no room": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(time.Second)
+		low := submission("low", 16)
+		low.Policy.Priority, low.Policy.Attempts = 1, 9
+		r.fleet.Expect(&low, func(_ tw.SubtaskID, p *standin.Profile) { p.Duration = 20 * time.Second })
+		r.Expect(o.Submit(r.ctx, low)).To(Succeed())
+		time.Sleep(time.Second)
+		same := submission("same", 1)
+		same.Policy.Priority = 1
+		r.submit(o, same)
+		urgent := submission("urgent", 2)
+		r.submit(o, urgent)
+		r.eventually(o, "urgent", tw.Succeeded, 4*time.Second)
+		r.eventually(o, "low", tw.Succeeded, 60*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(16 + 1 + 2 + 2)) // two were stopped
+	},
 	"is handed over at once while work goes on ending": func(r *rig) {
 		r.kv = standin.KVConfig{Latency: 150 * time.Millisecond}.New() // a slow store
 		o := r.take("a")
--- a/run/place.go
+++ b/run/place.go
@@ -28,8 +28,8 @@
 // placeIfDue makes a placement pass if one was asked for and the last one is
 // long enough ago; else it returns when that is.
 func (o *Owner) placeIfDue() time.Time {
-	if !o.placeSoon {
-		return time.Time{}
+	if !o.placeSoon && (o.preemptAt.IsZero() || o.now.Before(o.preemptAt)) {
+		return o.preemptAt
 	}
 	if o.now.Before(o.placeFrom) {
 		return o.placeFrom
@@ -80,6 +80,7 @@
 		}
 		o.start(t, w, run, o.advisor.ticket(t.step, w.entry.ID))
 	}
+	o.preempt(groups, offers, placements)
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
@@ -95,10 +96,7 @@
 	for _, g := range groups {
 		first := g.Subtasks[0]
 		t := o.submissions[first.Submission].task(first)
-		since := t.step.rep.due
-		if t.endedAt.After(since) {
-			since = t.endedAt
-		}
+		since := t.waitsFrom()
 		if placed[first] || o.now.Sub(since) < waitLogAfter {
 			continue
 		}
@@ -140,6 +138,9 @@
 		if st.done == st.spec.Count || !st.ready() {
 			continue
 		}
+		if st.readyAt.IsZero() {
+			st.readyAt = o.now
+		}
 		g := o.group(st)
 		if g == nil {
 			continue
--- /dev/null
+++ b/run/preempt.go
@@ -0,0 +1,108 @@
+package run
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+// preemptAfter is how long work waits before it stops work of a lower
+// priority: by then shorter subtasks have made room by themselves.
+const preemptAfter = 500 * time.Millisecond
+
+// preempt stops runs of a lower priority where more urgent work has waited long
+// enough for room.
+func (o *Owner) preempt(groups []*schedule.Group, offers []*schedule.Worker, placements []schedule.Placement) {
+	wants := o.wants(groups, placements)
+	if len(wants) == 0 {
+		return
+	}
+	for _, victim := range schedule.Preempt(wants, offers, o.preemptible(offers)) {
+		w := o.workers[victim.Worker.ID]
+		r := w.runs[runKey{task: victim.Subtask, run: victim.Number}]
+		o.log.Info("run: preempted", zap.Stringer("subtask", victim.Subtask), zap.Int("priority", victim.Priority),
+			zap.Duration("lost", victim.Lost), zap.Stringer("first_waiting", wants[0].Group.Subtasks[0]))
+		o.stop(r, "work of a higher priority needs its room")
+	}
+}
+
+// wants are the groups that may preempt others, with what of them waits.
+func (o *Owner) wants(groups []*schedule.Group, placements []schedule.Placement) []schedule.Want {
+	lowest := o.lowestPriority()
+	o.preemptAt = time.Time{}
+	placed := map[*step]int{}
+	for _, p := range placements {
+		placed[o.submissions[p.Subtask.Submission].task(p.Subtask).step]++
+	}
+	var out []schedule.Want
+	for _, g := range groups {
+		t := o.submissions[g.Subtasks[0].Submission].task(g.Subtasks[0])
+		missing := len(g.Subtasks) - placed[t.step]
+		if missing == 0 || g.Urgency.Grade > schedule.GradeOnTime || g.Urgency.Priority >= lowest {
+			continue
+		}
+		due := t.waitsFrom().Add(preemptAfter)
+		if o.now.Before(due) {
+			o.preemptAt = earlier(due, o.preemptAt)
+		} else {
+			out = append(out, schedule.Want{Group: g, Missing: missing})
+		}
+	}
+	return out
+}
+
+// lowestPriority is the priority, as a rank, of the least urgent submission.
+func (o *Owner) lowestPriority() int {
+	lowest := 0
+	for _, sub := range o.live {
+		lowest = max(lowest, sub.Policy.Priority)
+	}
+	return lowest
+}
+
+// waitsFrom is since when a subtask without a run waits for a worker.
+func (t *task) waitsFrom() time.Time {
+	if t.endedAt.After(t.step.readyAt) {
+		return t.endedAt
+	}
+	return t.step.readyAt
+}
+
+// preemptible are the runs that may be stopped for others: those that end by
+// themselves, but for members of gangs, as all of these would end with one.
+func (o *Owner) preemptible(offers []*schedule.Worker) []schedule.Run {
+	var out []schedule.Run
+	for _, offer := range offers {
+		for _, r := range o.workers[offer.ID].runs {
+			spec := r.task.step.spec
+			if r.phase == stopping || r.phase == blocked {
+				offer.Freeing = offer.Freeing.Plus(r.claim)
+				continue
+			}
+			if r.phase != running || spec.Lasting || spec.Gang || r.task.step.rep.sub.over() {
+				continue
+			}
+			out = append(out, schedule.Run{
+				Subtask: r.task.id, Number: r.run, Worker: offer, Claim: r.claim,
+				Priority: r.task.step.rep.sub.Policy.Priority, Lost: o.lost(r),
+			})
+		}
+	}
+	return out
+}
+
+// lost is the work that is done again if a run is stopped; little if it is
+// checkpointed.
+func (o *Owner) lost(r *runState) time.Duration {
+	ran := o.now.Sub(r.startedAt)
+	if r.task.step.spec.Checkpoints {
+		return min(ran, checkpointEvery)
+	}
+	return ran
+}
+
+// checkpointEvery is about how much work passes between two checkpoints; the
+// platform's figures are 0.5 and 1 s, and a stop makes another one.
+const checkpointEvery = 500 * time.Millisecond
--- a/run/submission.go
+++ b/run/submission.go
@@ -47,6 +47,8 @@
 		spec  *tw.Step
 		tasks []*task
 		done  int
+		// readyAt is when it was first found that the step may start.
+		readyAt time.Time
 		// took gathers the run times of subtasks that are done.
 		took     time.Duration
 		tookRuns int
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -10,15 +10,7 @@
 // Place puts waiting subtasks on workers: the most urgent group first, and of
 // a group as many as fit, but a gang as a whole or not at all.
 func Place(groups []*Group, workers []*Worker) []Placement {
-	slices.SortStableFunc(groups, func(a, b *Group) int {
-		switch {
-		case a.Urgency.Before(b.Urgency):
-			return -1
-		case b.Urgency.Before(a.Urgency):
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(groups, compareUrgency)
 	workers = slices.Clone(workers)
 	slices.SortStableFunc(workers, compareAny)
 	var out []Placement
@@ -62,6 +54,17 @@
 	return allowed && !full && w.HasLabel(g.Step.Label) && w.Attainable.Fits(g.Step.Claim())
 }
 
+// compareUrgency puts the more urgent group first.
+func compareUrgency(a, b *Group) int {
+	switch {
+	case a.Urgency.Before(b.Urgency):
+		return -1
+	case b.Urgency.Before(a.Urgency):
+		return 1
+	}
+	return 0
+}
+
 // compareAny orders workers for steps that do not care on which they run.
 func compareAny(a, b *Worker) int {
 	return cmp.Or(cmp.Compare(a.Distrust, b.Distrust), cmp.Compare(a.Rank, b.Rank))
--- /dev/null
+++ b/schedule/preempt.go
@@ -0,0 +1,129 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Run is a run that may be stopped for more urgent work.
+	Run struct {
+		Subtask  tw.SubtaskID
+		Number   tw.RunNumber
+		Worker   *Worker
+		Claim    tw.Resources
+		Priority int
+		// Lost is the work that is done again if the run is stopped.
+		Lost time.Duration
+	}
+
+	// Want is a group with the subtasks of it that still wait after Place.
+	Want struct {
+		Group   *Group
+		Missing int
+	}
+
+	// preemption finds victims in one pass.
+	preemption struct {
+		runs map[*Worker][]Run
+		// coming is what will be free on each worker: what is free, what is
+		// being stopped, and the victims, less what is meant for wants before.
+		coming map[*Worker]tw.Resources
+		taken  map[tw.SubtaskID]bool
+	}
+)
+
+// maxVictims bounds the runs that one pass stops. What more is needed is
+// stopped by later passes, which know what has become free meanwhile.
+const maxVictims = 32
+
+// Preempt picks the runs to stop so that waiting work of a higher priority
+// finds room: on each worker those of the lowest priority that lose the least
+// work, and the workers on which the least is lost. Work that ends too late to
+// count and fillers preempt nothing; a gang preempts for all its members or
+// for none.
+func Preempt(wants []Want, workers []*Worker, runs []Run) []Run {
+	p := preemption{runs: map[*Worker][]Run{}, coming: map[*Worker]tw.Resources{}, taken: map[tw.SubtaskID]bool{}}
+	for _, w := range workers {
+		p.coming[w] = w.Free.Plus(w.Freeing)
+	}
+	for _, r := range runs {
+		p.runs[r.Worker] = append(p.runs[r.Worker], r)
+	}
+	for _, list := range p.runs {
+		slices.SortStableFunc(list, func(a, b Run) int {
+			return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Lost, b.Lost))
+		})
+	}
+	wants = slices.Clone(wants)
+	slices.SortStableFunc(wants, func(a, b Want) int { return compareUrgency(a.Group, b.Group) })
+	var out []Run
+	for _, want := range wants {
+		if want.Group.Urgency.Grade > GradeOnTime || len(out) >= maxVictims {
+			continue
+		}
+		out = append(out, p.serve(want, workers)...)
+	}
+	return out
+}
+
+// serve finds room for the subtasks of a group, one by one.
+func (p *preemption) serve(want Want, workers []*Worker) []Run {
+	var out []Run
+	used := map[*Worker]int{}
+	for range want.Missing {
+		worker, victims, found := p.cheapest(want.Group, workers, used)
+		if !found {
+			if want.Group.Step.Gang {
+				return nil
+			}
+			break
+		}
+		for _, v := range victims {
+			p.taken[v.Subtask] = true
+			p.coming[worker] = p.coming[worker].Plus(v.Claim)
+		}
+		p.coming[worker] = p.coming[worker].Minus(want.Group.Step.Claim())
+		used[worker]++
+		out = append(out, victims...)
+	}
+	return out
+}
+
+// cheapest is the worker on which the least work is lost for one subtask.
+func (p *preemption) cheapest(g *Group, workers []*Worker, used map[*Worker]int) (best *Worker, victims []Run, found bool) {
+	least := time.Duration(0)
+	for _, w := range workers {
+		most := g.Step.MaxPerWorker
+		if !g.mayUse(w) || most > 0 && g.OnWorker[w.ID]+used[w] >= most {
+			continue
+		}
+		candidates, lost, enough := p.victims(g, w)
+		if enough && (!found || lost < least) {
+			best, victims, least, found = w, candidates, lost, true
+		}
+	}
+	return best, victims, found
+}
+
+// victims are the runs to stop on a worker for one subtask of a group; false
+// if that does not make enough room.
+func (p *preemption) victims(g *Group, w *Worker) (out []Run, lost time.Duration, enough bool) {
+	claim := g.Step.Claim()
+	room := p.coming[w]
+	for _, r := range p.runs[w] {
+		if room.Fits(claim) {
+			break
+		}
+		if r.Priority <= g.Urgency.Priority || p.taken[r.Subtask] {
+			continue
+		}
+		room = room.Plus(r.Claim)
+		lost += r.Lost
+		out = append(out, r)
+	}
+	return out, lost, room.Fits(claim)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -12,6 +12,8 @@
 		Rack   tw.RackLabel
 		Labels []string
 		Free   tw.Resources
+		// Freeing is what will be free once what is being stopped has ended.
+		Freeing tw.Resources
 		// Attainable is what is free once all that ends by itself has ended.
 		Attainable tw.Resources
 		// Distrust is how doubtful the worker is; 0 is sound. Less distrusted
