Read the list of workers anew where a watch is silent

Ruled out: the first look (8 ms). Now the manager of the machines tells an owner of workers that run on its pool's machines, by the platform's list, but are missing from its reports for 0.6 s; the owner has the list of workers read anew, at most each 0.6 s. Tests: TestWatcherRefresh, a manager's and an owner's case, on a stand-in whose watches can be mute.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -88,6 +88,16 @@
 	}.New()
 }
 
+// readWorkers has the list of workers read anew.
+func (d *directory) readWorkers() {
+	d.mu.Lock()
+	watcher := d.workers
+	d.mu.Unlock()
+	if watcher != nil {
+		watcher.Refresh()
+	}
+}
+
 // detachWorkers ends to follow the list of workers. It returns the watcher,
 // which is still to be closed, or nil.
 func (d *directory) detachWorkers() *member.Watcher {
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -50,6 +50,8 @@
 		LoseAnswers int `json:"lose_answers"`
 		// LateWrites: the next n writes get no answer and wait for DoLate.
 		LateWrites int `json:"late_writes"`
+		// MuteWatches hear nothing of changes, and say so with no error.
+		MuteWatches bool `json:"mute_watches"`
 	}
 )
 
@@ -163,6 +165,9 @@
 			return nil, 0, tw.ErrHistoryGone
 		}
 		events := k.since(prefix, after)
+		if k.faults.MuteWatches {
+			events = nil
+		}
 		at, changed := k.revision, k.changed
 		k.mu.Unlock()
 		if len(events) > 0 {
--- a/maintenance/collect.go
+++ b/maintenance/collect.go
@@ -28,6 +28,9 @@
 	// goneTold is how long owners are told of a worker that is gone. Its entry
 	// goes after three status reports of silence, about 5 s.
 	goneTold = 8 * time.Second
+	// listedWithin is how long after the list of machines the list of workers
+	// tells of a new one: measured, 0.43 s for nine in ten on the grown sites.
+	listedWithin = 600 * time.Millisecond
 	// reportTimeout bounds the call for a report.
 	reportTimeout = 400 * time.Millisecond
 )
@@ -68,6 +71,7 @@
 		for id := range m.vacating {
 			vacate(list.Machines[id].Pool, id)
 		}
+		m.addRunning(list, out)
 	}
 	// A machine that was ordered away is gone before the lists show it.
 	for id, order := range m.ordered {
@@ -85,6 +89,39 @@
 	return out
 }
 
+// addRunning tells owners of the workers that run on their pools' machines but
+// are missing from their reports for longer than a list of workers lags behind.
+func (m *Manager) addRunning(list *run.MachineList, out map[tw.PoolID]run.Directions) {
+	now := m.Clock.Now()
+	reported := map[tw.WorkerID]bool{}
+	for _, r := range m.reports {
+		for _, load := range r.Workers {
+			reported[load.Worker] = true
+		}
+	}
+	missing := map[tw.WorkerID]time.Time{}
+	for _, machine := range list.Machines {
+		id := machine.Worker
+		if id == "" || machine.State != tw.MachineUp || reported[id] {
+			continue
+		}
+		if _, gone := m.gone[id]; gone {
+			continue
+		}
+		since, known := m.missing[id]
+		if !known {
+			since = now
+		}
+		missing[id] = since
+		if now.Sub(since) > listedWithin {
+			d := out[machine.Pool]
+			d.Running = append(d.Running, id)
+			out[machine.Pool] = d
+		}
+	}
+	m.missing = missing
+}
+
 func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
 	out := make(map[tw.InstanceID]bool, len(ids))
 	for _, id := range ids {
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -69,11 +69,13 @@
 		lastWrite atomic.Pointer[time.Time]
 
 		// What follows belongs to the duty.
-		waves       map[int64]*Wave
-		ordered     map[tw.InstanceID]Order
-		vacating    map[tw.InstanceID]Order
-		reports     map[tw.PoolID]report
-		gone        map[tw.WorkerID]goneWorker
+		waves    map[int64]*Wave
+		ordered  map[tw.InstanceID]Order
+		vacating map[tw.InstanceID]Order
+		reports  map[tw.PoolID]report
+		gone     map[tw.WorkerID]goneWorker
+		// missing are the workers that run but are in no report, since when.
+		missing     map[tw.WorkerID]time.Time
 		confirmed   time.Time
 		poolsLogged time.Time
 		forecasts   map[tw.PoolID]*forecast
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -194,6 +194,28 @@
 			HaveField("Wave", int64(2)), HaveField("At", BeTemporally("<", began.Add(time.Second))),
 		)))
 	},
+	"tells an owner of a worker that runs and is not in its report": func(o *office) {
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		late := o.reports.loads["p"][1]
+		o.reports.loads["p"] = o.reports.loads["p"][:1]
+		m := o.manage("a")
+		defer m.Close()
+		told := func() []tw.WorkerID {
+			o.reports.mu.Lock()
+			defer o.reports.mu.Unlock()
+			return o.reports.told["p"].Running
+		}
+		time.Sleep(300 * time.Millisecond)
+		o.Expect(told()).To(BeEmpty()) // the list of workers may lag
+		time.Sleep(1200 * time.Millisecond)
+		o.Expect(told()).To(Equal([]tw.WorkerID{late.Worker}))
+		o.reports.mu.Lock()
+		o.reports.loads["p"] = append(o.reports.loads["p"], late)
+		o.reports.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		o.Expect(told()).To(BeEmpty())
+	},
 	"leaves a machine alone that another manager has just changed": func(o *office) {
 		o.machine("m1", 0)
 		o.machine("m2", 0)
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -39,6 +39,9 @@
 		mu sync.Mutex
 		// settled is since when every read has been answered; zero while not.
 		settled time.Time
+		// stopWatch ends the watch that is under way.
+		stopWatch context.CancelFunc
+		refreshed time.Time
 	}
 )
 
@@ -47,8 +50,13 @@
 	// the pauses are jittered, so that daemons do not return all at once.
 	watchRetryFirst = 100 * time.Millisecond
 	watchRetryMost  = 500 * time.Millisecond
+	// refreshGap is the least time between two reads that Refresh asks for.
+	refreshGap = 600 * time.Millisecond
 )
 
+// errRefresh ends a watch because all is to be read anew.
+var errRefresh = errors.New("to be read anew")
+
 // New starts to watch; Close ends it.
 func (c WatcherConfig) New() *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -74,6 +82,20 @@
 	return w.settled
 }
 
+// Refresh has all items read anew, because somebody knows of one that the watch
+// should have told of: watches can be silent without an error.
+func (w *Watcher) Refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.config.Clock.Now()
+	if w.stopWatch == nil || now.Sub(w.refreshed) < refreshGap {
+		return
+	}
+	w.refreshed = now
+	w.config.Log.Info("watch: silent, read anew", zap.String("prefix", string(w.config.Prefix)))
+	w.stopWatch()
+}
+
 func (w *Watcher) run(ctx context.Context) {
 	pause := watchRetryFirst
 	for ctx.Err() == nil {
@@ -81,6 +103,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errRefresh) {
+			continue
+		}
 		if errors.Is(err, tw.ErrHistoryGone) {
 			w.config.Log.Info("watch: history is gone, read anew", zap.String("prefix", string(w.config.Prefix)))
 			continue
@@ -109,7 +134,7 @@
 	}
 	w.config.Changed(items)
 	for {
-		events, next, err := w.config.KV.Watch(ctx, w.config.Prefix, at, w.config.Wait)
+		events, next, err := w.watch(ctx, at)
 		if err != nil {
 			return err
 		}
@@ -127,6 +152,25 @@
 	}
 }
 
+// watch waits for changes until Refresh ends it.
+func (w *Watcher) watch(ctx context.Context, at tw.KVRevision) ([]tw.KVEvent, tw.KVRevision, error) {
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	w.setStop(stop)
+	defer w.setStop(nil)
+	events, next, err := w.config.KV.Watch(watchCtx, w.config.Prefix, at, w.config.Wait)
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		return nil, 0, errRefresh
+	}
+	return events, next, err
+}
+
+func (w *Watcher) setStop(stop context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopWatch = stop
+}
+
 // apply takes events into the items; it tells whether anything changed.
 func apply(items map[tw.Key]tw.KVItem, events []tw.KVEvent) bool {
 	changed := false
--- a/member/watcher_test.go
+++ b/member/watcher_test.go
@@ -87,3 +87,30 @@
 		g.Expect(there()).To(BeFalse())
 	})
 }
+
+// A watch that is silent without an error is mended by Refresh.
+func TestWatcherRefresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		kv := standin.KVConfig{Latency: time.Millisecond}.New()
+		shown := make(chan string, 100)
+		w := member.WatcherConfig{
+			KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Prefix: "p/", Wait: 3 * time.Second,
+			Changed: func(items map[tw.Key]tw.KVItem) { shown <- string(items["p/1"].Value) },
+		}.New()
+		defer w.Close()
+		time.Sleep(time.Second)
+		kv.SetFaults(standin.KVFaults{MuteWatches: true})
+		kv.Put("p/1", []byte("one"))
+		time.Sleep(time.Second)
+		g.Expect(shown).To(HaveLen(1))
+		for range 3 {
+			w.Refresh() // the reads that follow at once are spared
+		}
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(shown).To(HaveLen(2))
+		g.Expect(<-shown).To(BeEmpty())
+		g.Expect(<-shown).To(Equal("one"))
+		g.Expect(w.Settled().IsZero()).To(BeFalse())
+	})
+}
--- a/run/config.go
+++ b/run/config.go
@@ -36,6 +36,9 @@
 		Log     *zap.Logger
 		Metrics *metrics.Set
 		Bounds  Bounds
+		// ReadWorkers has the list of workers read anew, as one of them is known
+		// from elsewhere. It must return at once; nil if there is no way.
+		ReadWorkers func()
 		// Deposed is told when another daemon has taken the pool.
 		Deposed func()
 	}
--- a/run/feed.go
+++ b/run/feed.go
@@ -37,6 +37,13 @@
 		}
 		o.goneAt[id] = o.now // also if it was not known here
 	}
+	for _, id := range d.Running {
+		_, gone := o.goneAt[id]
+		if w := o.workers[id]; !gone && (w == nil || !w.listed) {
+			o.readWorkers()
+			return
+		}
+	}
 }
 
 func (o *Owner) setVacate(machines map[tw.InstanceID]bool) {
--- a/run/owner.go
+++ b/run/owner.go
@@ -24,6 +24,8 @@
 	metrics *ownerMetrics
 	bounds  Bounds
 	deposed func()
+	// readWorkers has the list of workers read anew.
+	readWorkers func()
 
 	events chan func()
 	ctx    context.Context
@@ -93,7 +95,7 @@
 	now := c.Clock.Now()
 	o := &Owner{
 		pool: c.Self.Pool, self: c.Self, kv: c.KV, orders: c.Orders,
-		census: c.Census, clock: c.Clock, bounds: c.Bounds, deposed: c.Deposed,
+		census: c.Census, clock: c.Clock, bounds: c.Bounds, deposed: c.Deposed, readWorkers: c.ReadWorkers,
 		log:    c.Log.With(zap.String("pool", string(c.Self.Pool)), zap.Int64("fence", int64(c.Book.Fence()))),
 		events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		now: now, takenAt: now, feedAt: now,
@@ -107,6 +109,9 @@
 		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
 		placeSoon:   true,
 	}
+	if o.readWorkers == nil {
+		o.readWorkers = func() {}
+	}
 	o.metrics = newOwnerMetrics(c.Metrics, c.Self.Pool)
 	o.advisor = newAdviser(o, c.Advisor)
 	o.writer = newWriter(o, c.Book)
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -11,6 +11,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/run"
 )
 
 // ownerCases are what an owner does in a pool of four workers.
@@ -152,6 +153,16 @@
 		r.eventually(o, "low", tw.Succeeded, 60*time.Second)
 		r.Expect(r.fleet.Starts()).To(Equal(16 + 1 + 2 + 2)) // two were stopped
 	},
+	"has the list of workers read anew for one that it should know": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(time.Second)
+		_, err := o.Report(r.ctx, run.Directions{Running: []tw.WorkerID{workerID(0)}})
+		r.Expect(err).NotTo(HaveOccurred())
+		r.Expect(r.read).To(BeZero())
+		_, err = o.Report(r.ctx, run.Directions{Running: []tw.WorkerID{"another"}})
+		r.Expect(err).NotTo(HaveOccurred())
+		r.Expect(r.read).To(Equal(1))
+	},
 	"is handed over at once while work goes on ending": func(r *rig) {
 		r.kv = standin.KVConfig{Latency: 150 * time.Millisecond}.New() // a slow store
 		o := r.take("a")
--- a/run/report.go
+++ b/run/report.go
@@ -14,6 +14,9 @@
 		Vacate []tw.InstanceID `json:"vacate,omitempty"`
 		// Gone are workers that have ended for certain.
 		Gone []tw.WorkerID `json:"gone,omitempty"`
+		// Running are workers of the pool that run by the list of machines but
+		// were not in the owner's last report.
+		Running []tw.WorkerID `json:"running,omitempty"`
 	}
 
 	// Report is what the owner of a pool tells the one who moves machines.
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -37,6 +37,8 @@
 	census *run.Census
 	list   map[tw.WorkerID]tw.WorkerEntry
 	opened []*run.Owner
+	// read counts how often an owner wanted the list of workers read anew.
+	read int
 }
 
 func newRig(t *testing.T, workers int) *rig {
@@ -87,7 +89,8 @@
 	self.Fence = book.Fence()
 	o := run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: kv, Orders: orders, Advisor: noAdvisor{}, Census: r.census,
-		Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(),
+		ReadWorkers: func() { r.read++ },
+		Clock:       tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(),
 		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
 	}.New()
 	r.opened = append(r.opened, o)
