--- /dev/null
+++ b/daemon/rescue.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+// ownership is one that this daemon has, of a pool or of the machines.
+type ownership struct {
+	record ledger.Owner
+	// trouble is how long the store has taken no write of it.
+	trouble func(ctx context.Context) (time.Duration, error)
+	// drop ends it without a word to anybody.
+	drop func()
+}
+
+const (
+	// storeCheck is the pace at which owners are asked whether the store takes
+	// their writes, storePatience how long it may not before others are asked
+	// to take over. A write of the slow store takes 240 ms.
+	storeCheck    = 300 * time.Millisecond
+	storePatience = 900 * time.Millisecond
+)
+
+// watchStore has other daemons take the pools of this one while it does not
+// reach the metadata store but they do. It also ends to follow the list of
+// workers once no pool is left that needs it.
+func (o *owners) watchStore() {
+	// asked counts how often others were asked for each pool.
+	asked := map[tw.PoolID]int{}
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.d.clock.After(storeCheck):
+		}
+		o.leaveWorkers()
+		for _, own := range o.ownerships() {
+			pool := own.record.Pool
+			trouble, err := own.trouble(o.ctx)
+			switch {
+			case err != nil || trouble <= storePatience:
+				delete(asked, pool)
+			case o.superseded(own.record):
+				own.drop()
+			default:
+				o.callRescuer(own.record, trouble, asked[pool])
+				asked[pool]++
+			}
+		}
+	}
+}
+
+// leaveWorkers ends to follow the list of workers if this daemon owns no pool
+// and takes none.
+func (o *owners) leaveWorkers() {
+	o.mu.Lock()
+	var watcher *member.Watcher
+	if len(o.owned) == 0 && len(o.taking) == 0 {
+		watcher = o.d.directory.detachWorkers()
+	}
+	o.mu.Unlock()
+	if watcher != nil {
+		watcher.Close()
+	}
+}
+
+// ownerships are those that this daemon has now.
+func (o *owners) ownerships() []ownership {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []ownership
+	for pool, p := range o.owned {
+		out = append(out, ownership{
+			record: p.owner.Record(), trouble: p.owner.StoreTrouble, drop: func() { o.drop(pool, p) },
+		})
+	}
+	if o.manager != nil {
+		out = append(out, ownership{record: o.managerRecord, trouble: o.manager.StoreTrouble, drop: o.dropManager})
+	}
+	return out
+}
+
+// superseded tells whether a peer has told of a newer owner, which the store
+// would tell if it could be reached.
+func (o *owners) superseded(record ledger.Owner) bool {
+	newest, found := o.d.members.Owner(record.Pool)
+	if !found || newest.Fence <= record.Fence {
+		return false
+	}
+	o.d.log.Warn("owner: another daemon has taken the pool", zap.String("pool", string(record.Pool)),
+		zap.String("daemon", string(newest.Daemon)), zap.Int64("fence", int64(newest.Fence)))
+	return true
+}
+
+// callRescuer asks a daemon that reaches the store to take a pool.
+func (o *owners) callRescuer(record ledger.Owner, trouble time.Duration, asked int) {
+	peer, found := o.d.members.Rescuer(record.Pool, asked)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, peerCallTime)
+	defer cancel()
+	err := o.d.peers.Take(ctx, peer.Address, record.Pool, record.Fence)
+	o.d.log.Warn("owner: store takes no writes of this daemon, another is asked to take the pool",
+		zap.String("pool", string(record.Pool)), zap.Duration("trouble", trouble),
+		zap.String("daemon", string(peer.Daemon)), logsink.Err(err))
+}
