--- a/daemon/rescue_test.go
+++ b/daemon/rescue_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -40,12 +41,8 @@
 	self := member.Live{Daemon: "a", Life: 1, Address: "a:1"}
 	d = &QueueDaemon{kv: stuckKV{}, clock: tw.SystemClock{}, log: zap.NewNop(), self: self}
 	d.directory = &directory{kv: d.kv, clock: d.clock, log: d.log}
-	presence := member.PresenceConfig{KV: kv, Clock: d.clock, Log: d.log, Self: self}.New()
-	d.members = member.Config{
-		KV: kv, Clock: d.clock, Log: d.log, Self: self, Peers: member.NewPeers(), Presence: presence,
-		Pools: func() []tw.PoolID { return nil }, Owned: func() []tw.PoolID { return nil },
-		Version: func() tw.Version { return 0 }, Take: func(tw.PoolID, string) {}, NewerConfig: func(string, tw.Version) {},
-	}.New()
+	members, endMembers := membertest.Start(kv, self)
+	d.members = members
 	d.members.Took(known)
 	d.owners = newOwners(d)
 	return d, func() {
@@ -55,8 +52,7 @@
 		if watcher := d.directory.detachWorkers(); watcher != nil {
 			watcher.Close()
 		}
-		d.members.Close()
-		presence.Close(context.Background())
+		endMembers()
 	}
 }
 
--- a/queue/router_test.go
+++ b/queue/router_test.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +9,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -23,18 +23,9 @@
 // lonely is a router of a daemon that knows of no owner.
 func lonely() (r *Router, end func()) {
 	kv := standin.KVConfig{Latency: time.Millisecond}.New()
-	self := member.Live{Daemon: "a", Life: 1, Address: "a:1"}
-	presence := member.PresenceConfig{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Self: self}.New()
-	members := member.Config{
-		KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Self: self, Peers: member.NewPeers(), Presence: presence,
-		Pools: func() []tw.PoolID { return nil }, Owned: func() []tw.PoolID { return nil },
-		Version: func() tw.Version { return 0 }, Take: func(tw.PoolID, string) {}, NewerConfig: func(string, tw.Version) {},
-	}.New()
+	members, end := membertest.Start(kv, member.Live{Daemon: "a", Life: 1, Address: "a:1"})
 	r = RouterConfig{Pools: noOwners{}, Members: members, KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
-	return r, func() {
-		members.Close()
-		presence.Close(context.Background())
-	}
+	return r, end
 }
 
 // countCases are how old the last count is, and whether it is still told.
