Say what the rescue, preemption and collection of reports do, and why

Unclear were: a count of rounds called following; side effects of preemptible, wants and addRunning that their comments left out (preemptible's is now noteFreeing, the reported workers have a function of their own); the bound maxVictims, whose comment said less than the code does; and a constant at the end of run/preempt.go. Nothing else changes.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -28,15 +28,15 @@
 	// workers follows the list of workers while this daemon owns a pool, else
 	// it is nil: every read of it is paid for.
 	workers *member.Watcher
-	// following counts the watchers, so that one that ends changes nothing any
-	// more.
-	following int
-	config    *tw.QueueConfig
-	raw       []byte // the configuration as written
-	waves     map[int64]tw.MaintenanceWave
-	listed    map[tw.WorkerID]listedWorker
-	byPool    map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
-	everRead  bool
+	// round numbers the watchers of the list of workers, so that a former one
+	// that is still ending changes nothing any more.
+	round    int
+	config   *tw.QueueConfig
+	raw      []byte // the configuration as written
+	waves    map[int64]tw.MaintenanceWave
+	listed   map[tw.WorkerID]listedWorker
+	byPool   map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
+	everRead bool
 }
 
 // listedWorker is a worker's entry, decoded once a revision.
@@ -80,15 +80,15 @@
 	if d.workers != nil {
 		return
 	}
-	d.following++
-	round := d.following
+	d.round++
+	round := d.round
 	d.workers = member.WatcherConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Prefix: platform.WorkerPrefix, Wait: workersWait, Gap: workersGap,
 		Changed: func(items map[tw.Key]tw.KVItem) { d.workersWritten(round, items) },
 	}.New()
 }
 
-// readWorkers has the list of workers read anew.
+// readWorkers has the list of workers read anew, if it is followed.
 func (d *directory) readWorkers() {
 	d.mu.Lock()
 	watcher := d.workers
@@ -98,8 +98,9 @@
 	}
 }
 
-// detachWorkers ends to follow the list of workers. It returns the watcher,
-// which is still to be closed, or nil.
+// detachWorkers stops following the list of workers. It returns the watcher, or
+// nil. The caller closes it without holding a lock: Close waits for a change
+// that is being taken up, which may need that lock.
 func (d *directory) detachWorkers() *member.Watcher {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -208,9 +209,10 @@
 	d.waves[wave.Number] = wave
 }
 
+// workersWritten takes up the list of workers as the watcher of a round read it.
 func (d *directory) workersWritten(round int, items map[tw.Key]tw.KVItem) {
 	d.mu.Lock()
-	if d.workers == nil || d.following != round {
+	if d.workers == nil || d.round != round {
 		d.mu.Unlock()
 		return
 	}
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -64,7 +64,9 @@
 	return &member.WaitingResponse{Outcome: queue.OutcomeOf(err), Count: count}, nil
 }
 
-// Take implements member.Handler.
+// Take implements member.Handler. A former owner that was cut off may ask
+// although another daemon has taken the pool since; taking it from that one
+// would interrupt the pool for nothing. An asker that names no fence is obeyed.
 func (d *QueueDaemon) Take(_ context.Context, m *member.TakeRequest) (*member.TakeResponse, error) {
 	if owner, found := d.members.Owner(m.Pool); found && m.Fence != 0 && owner.Fence > m.Fence {
 		d.log.Info("owner: pool not taken, it has a newer owner than the one who asks", zap.String("pool", string(m.Pool)),
--- a/daemon/rescue.go
+++ b/daemon/rescue.go
@@ -12,28 +12,32 @@
 	"github.com/tamarindworks/tamarindworks/member"
 )
 
-// ownership is one that this daemon has, of a pool or of the machines.
+// ownership is what watchStore needs of one that this daemon has, of a pool or
+// of the machines.
 type ownership struct {
 	record ledger.Owner
 	// trouble is how long the store has taken no write of it.
 	trouble func(ctx context.Context) (time.Duration, error)
-	// drop ends it without a word to anybody.
+	// drop ends it and asks nobody to take over, as somebody has already.
 	drop func()
 }
 
 const (
 	// storeCheck is the pace at which owners are asked whether the store takes
 	// their writes, storePatience how long it may not before others are asked
-	// to take over. A write of the slow store takes 240 ms.
+	// to take over. A write of the slow store takes 240 ms: the patience is
+	// longer than three of them.
 	storeCheck    = 300 * time.Millisecond
 	storePatience = 900 * time.Millisecond
 )
 
 // watchStore has other daemons take the pools of this one while it does not
-// reach the metadata store but they do. It also ends to follow the list of
-// workers once no pool is left that needs it.
+// reach the metadata store but they do. At the same pace it stops following the
+// list of workers once no pool is left that needs it. It runs until the
+// daemon's owners end.
 func (o *owners) watchStore() {
-	// asked counts how often others were asked for each pool.
+	// asked counts how often others were asked to take each pool since the store
+	// last took a write of it, so that each time another one is asked.
 	asked := map[tw.PoolID]int{}
 	for {
 		select {
@@ -41,7 +45,7 @@
 			return
 		case <-o.d.clock.After(storeCheck):
 		}
-		o.leaveWorkers()
+		o.unfollowWorkers()
 		for _, own := range o.ownerships() {
 			pool := own.record.Pool
 			trouble, err := own.trouble(o.ctx)
@@ -58,9 +62,9 @@
 	}
 }
 
-// leaveWorkers ends to follow the list of workers if this daemon owns no pool
-// and takes none.
-func (o *owners) leaveWorkers() {
+// unfollowWorkers stops following the list of workers if this daemon owns no
+// pool and takes none: every read of the list is paid for.
+func (o *owners) unfollowWorkers() {
 	o.mu.Lock()
 	var watcher *member.Watcher
 	if len(o.owned) == 0 && len(o.taking) == 0 {
@@ -88,8 +92,8 @@
 	return out
 }
 
-// superseded tells whether a peer has told of a newer owner, which the store
-// would tell if it could be reached.
+// superseded tells whether a peer has told of an owner newer than record. The
+// store knows of that one too, but can't be asked.
 func (o *owners) superseded(record ledger.Owner) bool {
 	newest, found := o.d.members.Owner(record.Pool)
 	if !found || newest.Fence <= record.Fence {
@@ -100,7 +104,9 @@
 	return true
 }
 
-// callRescuer asks a daemon that reaches the store to take a pool.
+// callRescuer asks one daemon that reaches the store to take a pool; asked is
+// how often others were asked before. If that daemon does not take it, the next
+// round of watchStore asks another one.
 func (o *owners) callRescuer(record ledger.Owner, trouble time.Duration, asked int) {
 	peer, found := o.d.members.Rescuer(record.Pool, asked)
 	if !found {
--- a/maintenance/collect.go
+++ b/maintenance/collect.go
@@ -16,9 +16,10 @@
 		at   time.Time
 	}
 
+	// report is the last that the owner of a pool told.
 	report struct {
 		run.Report
-		at time.Time
+		at time.Time // when it was asked for
 		// told are the machines that the owner was asked to empty with it.
 		told map[tw.InstanceID]bool
 	}
@@ -36,7 +37,8 @@
 )
 
 // collect asks the owners of all pools for reports, at the same time, and
-// tells each which machines to empty and which workers are gone.
+// tells each which machines to empty, which workers are gone, and which run
+// although the owner does not seem to know them.
 func (m *Manager) collect(config *tw.QueueConfig) {
 	directions := m.directions()
 	var mu sync.Mutex
@@ -89,16 +91,13 @@
 	return out
 }
 
-// addRunning tells owners of the workers that run on their pools' machines but
-// are missing from their reports for longer than a list of workers lags behind.
+// addRunning adds the workers that run on a pool's machines but have been
+// missing from all reports for longer than a list of workers lags behind. Their
+// owners then have that list read anew, as the watch of it may be silent. It
+// also brings m.missing up to date.
 func (m *Manager) addRunning(list *run.MachineList, out map[tw.PoolID]run.Directions) {
 	now := m.Clock.Now()
-	reported := map[tw.WorkerID]bool{}
-	for _, r := range m.reports {
-		for _, load := range r.Workers {
-			reported[load.Worker] = true
-		}
-	}
+	reported := m.reportedWorkers()
 	missing := map[tw.WorkerID]time.Time{}
 	for _, machine := range list.Machines {
 		id := machine.Worker
@@ -122,6 +121,17 @@
 	m.missing = missing
 }
 
+// reportedWorkers are the workers in the last reports of all owners.
+func (m *Manager) reportedWorkers() map[tw.WorkerID]bool {
+	out := map[tw.WorkerID]bool{}
+	for _, r := range m.reports {
+		for _, load := range r.Workers {
+			out[load.Worker] = true
+		}
+	}
+	return out
+}
+
 func setOf(ids []tw.InstanceID) map[tw.InstanceID]bool {
 	out := make(map[tw.InstanceID]bool, len(ids))
 	for _, id := range ids {
--- a/run/preempt.go
+++ b/run/preempt.go
@@ -8,17 +8,24 @@
 	"github.com/tamarindworks/tamarindworks/schedule"
 )
 
-// preemptAfter is how long work waits before it stops work of a lower
-// priority: by then shorter subtasks have made room by themselves.
-const preemptAfter = 500 * time.Millisecond
+const (
+	// preemptAfter is how long work waits before it stops work of a lower
+	// priority: by then shorter subtasks have made room by themselves.
+	preemptAfter = 500 * time.Millisecond
+	// checkpointEvery is about how much work passes between two checkpoints; the
+	// platform's figures are 0.5 and 1 s, and a stop makes another one.
+	checkpointEvery = 500 * time.Millisecond
+)
 
 // preempt stops runs of a lower priority where more urgent work has waited long
-// enough for room.
+// enough for room. The offers and placements are those of the placement pass
+// that has just been made of the groups.
 func (o *Owner) preempt(groups []*schedule.Group, offers []*schedule.Worker, placements []schedule.Placement) {
 	wants := o.wants(groups, placements)
 	if len(wants) == 0 {
 		return
 	}
+	o.noteFreeing(offers)
 	for _, victim := range schedule.Preempt(wants, offers, o.preemptible(offers)) {
 		w := o.workers[victim.Worker.ID]
 		r := w.runs[runKey{task: victim.Subtask, run: victim.Number}]
@@ -28,7 +35,9 @@
 	}
 }
 
-// wants are the groups that may preempt others, with what of them waits.
+// wants are the groups that may preempt others now, with how many of their
+// subtasks still wait. It sets preemptAt to when the next group may, so that a
+// placement pass is made then.
 func (o *Owner) wants(groups []*schedule.Group, placements []schedule.Placement) []schedule.Want {
 	lowest := o.lowestPriority()
 	o.preemptAt = time.Time{}
@@ -53,7 +62,8 @@
 	return out
 }
 
-// lowestPriority is the priority, as a rank, of the least urgent submission.
+// lowestPriority is the priority of the least urgent submission. That is the
+// highest number, as 0 is the most urgent.
 func (o *Owner) lowestPriority() int {
 	lowest := 0
 	for _, sub := range o.live {
@@ -70,6 +80,18 @@
 	return t.step.readyAt
 }
 
+// noteFreeing adds to each offer what is being stopped on its worker, so that
+// nothing more is stopped for work that will have that room.
+func (o *Owner) noteFreeing(offers []*schedule.Worker) {
+	for _, offer := range offers {
+		for _, r := range o.workers[offer.ID].runs {
+			if r.phase == stopping || r.phase == blocked {
+				offer.Freeing = offer.Freeing.Plus(r.claim)
+			}
+		}
+	}
+}
+
 // preemptible are the runs that may be stopped for others: those that end by
 // themselves, but for members of gangs, as all of these would end with one.
 func (o *Owner) preemptible(offers []*schedule.Worker) []schedule.Run {
@@ -77,10 +99,6 @@
 	for _, offer := range offers {
 		for _, r := range o.workers[offer.ID].runs {
 			spec := r.task.step.spec
-			if r.phase == stopping || r.phase == blocked {
-				offer.Freeing = offer.Freeing.Plus(r.claim)
-				continue
-			}
 			if r.phase != running || spec.Lasting || spec.Gang || r.task.step.rep.sub.over() {
 				continue
 			}
@@ -102,7 +120,3 @@
 	}
 	return ran
 }
-
-// checkpointEvery is about how much work passes between two checkpoints; the
-// platform's figures are 0.5 and 1 s, and a stop makes another one.
-const checkpointEvery = 500 * time.Millisecond
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -11,33 +11,40 @@
 type (
 	// Run is a run that may be stopped for more urgent work.
 	Run struct {
-		Subtask  tw.SubtaskID
-		Number   tw.RunNumber
-		Worker   *Worker
-		Claim    tw.Resources
+		Subtask tw.SubtaskID
+		Number  tw.RunNumber
+		Worker  *Worker
+		Claim   tw.Resources
+		// Priority is that of its submission; 0 is the most urgent.
 		Priority int
 		// Lost is the work that is done again if the run is stopped.
 		Lost time.Duration
 	}
 
-	// Want is a group with the subtasks of it that still wait after Place.
+	// Want is a group of which subtasks still wait after Place.
 	Want struct {
-		Group   *Group
+		Group *Group
+		// Missing is how many of its subtasks wait.
 		Missing int
 	}
 
-	// preemption finds victims in one pass.
+	// preemption finds the runs to stop, the victims, in one pass.
 	preemption struct {
+		// runs are those that may be stopped on each worker, the first to stop
+		// at the front.
 		runs map[*Worker][]Run
 		// coming is what will be free on each worker: what is free, what is
 		// being stopped, and the victims, less what is meant for wants before.
 		coming map[*Worker]tw.Resources
-		taken  map[tw.SubtaskID]bool
+		// taken are the victims so far.
+		taken map[tw.SubtaskID]bool
 	}
 )
 
-// maxVictims bounds the runs that one pass stops. What more is needed is
-// stopped by later passes, which know what has become free meanwhile.
+// maxVictims is the number of runs at which a pass stops: once it has so many,
+// it serves no further group. The last group served may take it beyond. What
+// more is needed is stopped by later passes, which know what has become free
+// meanwhile.
 const maxVictims = 32
 
 // Preempt picks the runs to stop so that waiting work of a higher priority
@@ -70,10 +77,11 @@
 	return out
 }
 
-// serve finds room for the subtasks of a group, one by one.
+// serve finds room for the subtasks of a group, one by one, and returns the
+// runs to stop for it.
 func (p *preemption) serve(want Want, workers []*Worker) []Run {
 	var out []Run
-	used := map[*Worker]int{}
+	used := map[*Worker]int{} // subtasks of the group for which room was found
 	for range want.Missing {
 		worker, victims, found := p.cheapest(want.Group, workers, used)
 		if !found {
@@ -93,7 +101,9 @@
 	return out
 }
 
-// cheapest is the worker on which the least work is lost for one subtask.
+// cheapest is the worker on which the least work is lost for one subtask of a
+// group, with the runs to stop there. Subtasks that are used already count
+// towards the most that a worker may have of the step.
 func (p *preemption) cheapest(g *Group, workers []*Worker, used map[*Worker]int) (best *Worker, victims []Run, found bool) {
 	least := time.Duration(0)
 	for _, w := range workers {
