Ask in one place whether a step may run on a worker

The tests of allowed workers, label and the most on one worker stood two and three times in schedule/place.go. They are now admits and full. Nothing else changes.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -47,11 +47,20 @@
 	return rest
 }
 
-// mayUse tells whether the step may run on a worker once that has room.
+// mayUse tells whether the step may run on a worker once all that ends by
+// itself there has ended.
 func (g *Group) mayUse(w *Worker) bool {
-	allowed := g.Allowed == nil || g.Allowed[w.ID]
-	full := g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker
-	return allowed && !full && w.HasLabel(g.Step.Label) && w.Attainable.Fits(g.Step.Claim())
+	return !g.full(w) && g.admits(w) && w.Attainable.Fits(g.Step.Claim())
+}
+
+// admits tells whether the step may run on a worker, whatever runs there.
+func (g *Group) admits(w *Worker) bool {
+	return (g.Allowed == nil || g.Allowed[w.ID]) && w.HasLabel(g.Step.Label)
+}
+
+// full tells whether a worker has as many of the step's subtasks as it may.
+func (g *Group) full(w *Worker) bool {
+	return g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker
 }
 
 // compareUrgency puts the more urgent group first.
@@ -112,8 +121,7 @@
 	claim := g.Step.Claim()
 	out := make([]*Worker, 0, len(workers))
 	for _, w := range workers {
-		allowed := g.Allowed == nil || g.Allowed[w.ID]
-		if allowed && w.Free.Fits(claim) && w.HasLabel(g.Step.Label) {
+		if w.Free.Fits(claim) && g.admits(w) {
 			out = append(out, w)
 		}
 	}
@@ -186,7 +194,7 @@
 	if !w.Free.Fits(claim) || g.Avoid[id.Index][w.ID] {
 		return false
 	}
-	if g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker {
+	if g.full(w) {
 		return false
 	}
 	w.Free = w.Free.Minus(claim)
