Put constants at the head of their files and fill in missing comments

Constants stood in the middle of run/owner.go and maintenance/waves.go. Fields and functions without a comment got one; the property test of preemption claimed more than it checks. Nothing else changes.

--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -64,6 +64,8 @@
 	f.add(sample{at: at, need: f.machines(r)})
 }
 
+// add takes up a sample. Earlier ones that are not above it can't be the highest
+// of any window that is still to come, so they are dropped.
 func (f *forecast) add(s sample) {
 	f.latest = s
 	for len(f.peaks) > 0 && f.peaks[len(f.peaks)-1].need <= s.need {
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -12,6 +12,16 @@
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
+const (
+	// recentOrders is how long orders are kept in the record: the time between
+	// two holders and a reserve for clocks that differ.
+	recentOrders = 15 * time.Second
+	// clockReserve is by how much a former manager's time of day may be behind:
+	// the platform's pages keep it close to the true time, and days on which it
+	// jumps do so by 2 s.
+	clockReserve = 2500 * time.Millisecond
+)
+
 // recordOrders notes in the store which machines are about to be changed, so
 // that another manager leaves them alone for a while.
 func (m *Manager) recordOrders(orders []Order) error {
@@ -49,16 +59,6 @@
 	}
 }
 
-const (
-	// recentOrders is how long orders are kept in the record: the time between
-	// two holders and a reserve for clocks that differ.
-	recentOrders = 15 * time.Second
-	// clockReserve is by how much a former manager's time of day may be behind:
-	// the platform's pages keep it close to the true time, and days on which it
-	// jumps do so by 2 s.
-	clockReserve = 2500 * time.Millisecond
-)
-
 // finishWaves reports the progress of waves.
 func (m *Manager) finishWaves(list *run.MachineList) error {
 	for _, w := range m.waves {
--- a/member/messages.go
+++ b/member/messages.go
@@ -82,8 +82,8 @@
 	// TakeRequest asks a daemon to take a pool over.
 	TakeRequest struct {
 		Pool tw.PoolID `json:"pool"`
-		// Fence is that of the owner who asks. Who knows of a newer owner does
-		// not take the pool from that one.
+		// Fence is that of the owner who asks; zero if it names none. A daemon
+		// that knows of a newer owner does not take the pool from that one.
 		Fence tw.Fence `json:"fence"`
 	}
 
--- a/member/succession.go
+++ b/member/succession.go
@@ -129,8 +129,8 @@
 	return float64(loads[id]+1) / cores
 }
 
-// Successors are the daemons to which this one should give a pool, the first
-// first.
+// Successors are the daemons to which this one should give a pool, the most
+// suitable first.
 func (m *Members) Successors(pool tw.PoolID) []Live {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -157,6 +157,8 @@
 	return rescuers[asked%len(rescuers)], true
 }
 
+// rescuers are the daemons that answer and say that they reach the store. Their
+// order differs by pool, so that one does not get all pools of a daemon.
 func (m *Members) rescuers(pool tw.PoolID) []Live {
 	var out []Live
 	for id, l := range m.lastLive {
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -41,6 +41,7 @@
 		settled time.Time
 		// stopWatch ends the watch that is under way.
 		stopWatch context.CancelFunc
+		// refreshed is when Refresh last had all items read anew.
 		refreshed time.Time
 	}
 )
@@ -152,7 +153,7 @@
 	}
 }
 
-// watch waits for changes until Refresh ends it.
+// watch waits for changes. It fails with errRefresh if Refresh ended it.
 func (w *Watcher) watch(ctx context.Context, at tw.KVRevision) ([]tw.KVEvent, tw.KVRevision, error) {
 	watchCtx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/run/owner.go
+++ b/run/owner.go
@@ -11,6 +11,15 @@
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
+const (
+	// workersGap and looksGap are the least times between two rounds of
+	// watchWorkers and of lookAround. A round costs some microseconds a worker;
+	// a look or a doubt that waits so much longer is not noticed beside a
+	// worker's 2 ms.
+	workersGap = 20 * time.Millisecond
+	looksGap   = 5 * time.Millisecond
+)
+
 // Owner owns a pool. Make one with Config.New, end it with Close.
 type Owner struct {
 	pool    tw.PoolID
@@ -24,7 +33,7 @@
 	metrics *ownerMetrics
 	bounds  Bounds
 	deposed func()
-	// readWorkers has the list of workers read anew.
+	// readWorkers has the list of workers read anew; never nil.
 	readWorkers func()
 
 	events chan func()
@@ -49,13 +58,14 @@
 	// placeFrom is before when no pass is made, so that passes over much
 	// waiting work leave the loop time for everything else.
 	placeFrom time.Time
-	// looksFrom, runsFrom and workersFrom are before when the duties of these
-	// names are not gone through again: each visits all workers, and events
+	// looksFrom, runsFrom and workersFrom are before when lookAround, watchRuns
+	// and watchWorkers are not called again: each visits all workers, and events
 	// come by the thousand a second.
 	looksFrom   time.Time
 	runsFrom    time.Time
 	workersFrom time.Time
-	// preemptAt is when waiting work may preempt other work; zero for never.
+	// preemptAt is when the next waiting work may preempt other work, so that a
+	// placement pass is due then; zero if none waits for that.
 	preemptAt  time.Time
 	waitLogged time.Time
 	writer     *writer
@@ -287,14 +297,6 @@
 	return next
 }
 
-const (
-	// workersGap and looksGap are the least times between two rounds of these
-	// duties. They cost some microseconds a worker; a look or a doubt that
-	// waits so much longer is not noticed beside a worker's 2 ms.
-	workersGap = 20 * time.Millisecond
-	looksGap   = 5 * time.Millisecond
-)
-
 func (o *Owner) end() {
 	o.cancel()
 	for _, w := range o.workers {
--- a/run/submission.go
+++ b/run/submission.go
@@ -80,6 +80,7 @@
 
 	// runState is a run that may exist on a worker.
 	runState struct {
+		// task is never nil: strayTask stands for one that is not known.
 		task  *task
 		run   tw.RunNumber
 		w     *worker
--- a/schedule/preempt_test.go
+++ b/schedule/preempt_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// Whatever waits and runs: nothing of the same or a higher priority is
-// stopped, nothing twice, and each run that is stopped was needed.
+// Whatever waits and runs: no run is stopped that is at least as urgent as all
+// that waits, none twice, and none if nothing waits.
 func TestPreemptKeepsPriorities(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var workers []*schedule.Worker
