--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -81,11 +82,13 @@
 // runs to stop for it.
 func (p *preemption) serve(want Want, workers []*Worker) []Run {
 	var out []Run
+	before := preemption{runs: p.runs, coming: maps.Clone(p.coming), taken: maps.Clone(p.taken)}
 	used := map[*Worker]int{} // subtasks of the group for which room was found
 	for range want.Missing {
 		worker, victims, found := p.cheapest(want.Group, workers, used)
 		if !found {
 			if want.Group.Step.Gang {
+				*p = before // nothing is stopped for it
 				return nil
 			}
 			break
--- a/schedule/preempt_test.go
+++ b/schedule/preempt_test.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// A gang that finds no room leaves the runs to the groups behind it.
+func TestPreemptAfterGangWithoutRoom(t *testing.T) {
+	a, runs := busy(0, 1, 1)
+	gang := want(3, func(g *schedule.Group) {
+		g.Step.Gang = true
+		g.Urgency.Deadline = base.Add(-time.Second)
+	})
+	got := schedule.Preempt([]schedule.Want{gang, want(1, nil)}, []*schedule.Worker{a}, runs)
+	NewWithT(t).Expect(got).To(HaveLen(1))
+}
+
 // Whatever waits and runs: no run is stopped that is at least as urgent as all
 // that waits, none twice, and none if nothing waits.
 func TestPreemptKeepsPriorities(t *testing.T) {
