Ask the daemon with the most processor first to take a pool that lost the store

Now rescuers are ordered as candidates are, by pools for their processor share, and the share is that of daemons that were ever seen. Test: TestRescuersByProcessor, red before.

--- a/member/succession.go
+++ b/member/succession.go
@@ -110,19 +110,13 @@
 		}
 		out = append(out, id)
 	}
-	slices.SortFunc(out, func(a, b tw.DaemonID) int {
-		return cmp.Or(
-			cmp.Compare(m.loadWith(a, loads), m.loadWith(b, loads)),
-			cmp.Compare(mix(pool, a), mix(pool, b)),
-			cmp.Compare(a, b),
-		)
-	})
+	slices.SortFunc(out, func(a, b tw.DaemonID) int { return m.compare(pool, a, b, loads) })
 	return out
 }
 
 // loadWith is how loaded a daemon would be with one more pool.
 func (m *Members) loadWith(id tw.DaemonID, loads map[tw.DaemonID]int) float64 {
-	cores := float64(m.live[id].Cores)
+	cores := float64(m.lastLive[id].Cores)
 	if cores <= 0 {
 		cores = 1
 	}
@@ -167,12 +161,21 @@
 			out = append(out, l)
 		}
 	}
-	slices.SortFunc(out, func(a, b Live) int {
-		return cmp.Compare(mix(pool, a.Daemon), mix(pool, b.Daemon))
-	})
+	loads := m.loads()
+	slices.SortFunc(out, func(a, b Live) int { return m.compare(pool, a.Daemon, b.Daemon, loads) })
 	return out
 }
 
+// compare puts the daemon first that should rather take a pool: the one with
+// fewer pools for its processor share, else in an order that differs by pool.
+func (m *Members) compare(pool tw.PoolID, a, b tw.DaemonID, loads map[tw.DaemonID]int) int {
+	return cmp.Or(
+		cmp.Compare(m.loadWith(a, loads), m.loadWith(b, loads)),
+		cmp.Compare(mix(pool, a), mix(pool, b)),
+		cmp.Compare(a, b),
+	)
+}
+
 func mix(pool tw.PoolID, daemon tw.DaemonID) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(string(pool) + "/" + string(daemon))) // never fails
--- a/member/succession_test.go
+++ b/member/succession_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -108,10 +109,30 @@
 	m := quorum(clock)
 	m.live["b"] = Live{Daemon: "b", Cores: 0.2}
 	m.live["c"] = Live{Daemon: "c", Cores: 0.8}
+	maps.Copy(m.lastLive, m.live)
 	g.Expect(m.candidates("p", map[tw.DaemonID]int{}, clock.Now())).To(Equal([]tw.DaemonID{"c", "b"}))
 	g.Expect(m.candidates("p", map[tw.DaemonID]int{"c": 9}, clock.Now())).To(Equal([]tw.DaemonID{"b", "c"}))
 }
 
+// The daemon with the most processor for its pools is asked first.
+func TestRescuersByProcessor(t *testing.T) {
+	g := NewWithT(t)
+	clock := fakeclock.New()
+	m := quorum(clock)
+	for _, small := range []tw.DaemonID{"a", "c"} {
+		for id := range m.lastLive {
+			cores := tw.Cores(0.8)
+			if id == small {
+				cores = 0.2
+			}
+			m.lastLive[id] = Live{Daemon: id, Life: 1, Address: string(id) + ":1", Cores: cores}
+			m.contacts[string(id)+":1"] = &contact{answered: clock.Now(), storeAnswers: true}
+		}
+		first, _ := m.Rescuer("q", 0)
+		g.Expect(first.Daemon).NotTo(Equal(small))
+	}
+}
+
 // An ownership is never replaced by an older one.
 func TestOwnerNeverGoesBack(t *testing.T) {
 	g := NewWithT(t)
