--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -17,7 +17,10 @@
 		Fails   bool
 		Lasting bool
 		Copies  bool
-		Gang    int // members; 0 for none
+		// Serves users of its own, Fills takes what others leave and disturbs
+		// those that serve.
+		Serves, Fills bool
+		Gang          int // members; 0 for none
 		// After are subtasks that must be done before this one starts.
 		After []tw.SubtaskID
 		// MaxAttempts bounds the failed runs; 0 for no bound.
@@ -66,6 +69,9 @@
 		FailAll bool
 		// Hang: what runs here makes no progress.
 		Hang bool
+		// Tail is the tail latency of what serves here, Disturbance what a filler
+		// at its full pace adds to it.
+		Tail, Disturbance time.Duration
 
 		boot     time.Time
 		fence    tw.Fence
@@ -149,6 +155,7 @@
 	step := &s.Steps[id.Step]
 	p := Profile{
 		Need: step.Claim(), Duration: step.Estimate, Lasting: step.Lasting, Copies: step.Copies, MaxAttempts: s.Policy.Attempts,
+		Serves: step.TailTarget > 0, Fills: step.Filler,
 	}
 	if step.Lasting {
 		p.MaxAttempts = 0
@@ -216,6 +223,15 @@
 	return n
 }
 
+// TailOn is the tail latency of what serves on a worker, and the highest pace,
+// in percent, of the fillers beside it.
+func (f *Fleet) TailOn(id tw.WorkerID) (tail time.Duration, pace int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	return w.tail(), w.fillerPace()
+}
+
 // Running counts the runs of a subtask on living workers.
 func (f *Fleet) Running(id tw.SubtaskID) int {
 	f.mu.Lock()
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -119,11 +119,31 @@
 	now := f.config.Clock.Now()
 	out := tw.HoldReport{Clock: w.clock(now), Ended: slices.Clone(w.ended)}
 	for id, r := range w.runs {
-		out.Running = append(out.Running, tw.RunningSubtask{Subtask: id, Run: r.run, Percent: w.percent(f, r, now)})
+		running := tw.RunningSubtask{Subtask: id, Run: r.run, Percent: w.percent(f, r, now)}
+		if r.profile.Serves {
+			running.Tail = w.tail()
+		}
+		out.Running = append(out.Running, running)
 	}
 	return out
 }
 
+// tail is the tail latency of what serves here.
+func (w *SimWorker) tail() time.Duration {
+	return w.Tail + w.Disturbance*time.Duration(w.fillerPace())/fullPace
+}
+
+// fillerPace is the highest pace of the fillers here, in percent.
+func (w *SimWorker) fillerPace() int {
+	pace := 0
+	for _, r := range w.runs {
+		if r.profile.Fills {
+			pace = max(pace, r.pace)
+		}
+	}
+	return pace
+}
+
 func (w *SimWorker) percent(f *Fleet, r *simRun, now time.Time) int {
 	ran := now.Sub(r.started)
 	switch {
