Give daemons in tests addresses that no outgoing connection can take

Cause, from its log: d2 ended at its start with 'listen tcp 127.0.0.1:36647: bind: address already in use', so the caller spoke to whoever had its port. The test picks a free port, closes it, and the daemon listens there some milliseconds later; meanwhile an outgoing connection on 127.0.0.1 may take it. The more processes the machine runs, the likelier. Ruled out: the daemons (d1 and d3 worked, and were asked nothing). Now each address has a loopback IP of its own, from which nothing connects. No check was changed.

--- a/e2e/queue_test.go
+++ b/e2e/queue_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -109,8 +110,16 @@
 	r.kv.Put(tw.Key("servers/"+string(id)), standin.WorkerBody(entry))
 }
 
+// addressCount numbers the addresses that were given out.
+var addressCount atomic.Int64
+
+// freeAddress is an address on which nothing listens. Each has an IP of the
+// loopback range of its own: a port of 127.0.0.1 may be taken by an outgoing
+// connection before the daemon listens there.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8%64, pid%256, 1+addressCount.Add(1)%250)
+	l, err := net.Listen("tcp", ip+":0")
 	Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
 	return l.Addr().String()
