Give the soak's faults a file of their own, and set up the stand-ins in one place

e2e/soak_test.go had grown over 400 lines, and it wrote the set-up of newQueueRig again. No check, fault, order of faults or timing is changed; tests only.

--- a/e2e/queue_test.go
+++ b/e2e/queue_test.go
@@ -40,8 +40,9 @@
 	callers map[string]string // addresses, by daemon
 }
 
-func newQueueRig(workers int) *queueRig {
-	r := &queueRig{
+// platformRig is the stand-ins, without workers and daemons.
+func platformRig() *queueRig {
+	return &queueRig{
 		kv: standin.KVConfig{}.New(),
 		fleet: standin.FleetConfig{
 			MaxHold: 6 * time.Second, StopTime: 100 * time.Millisecond, StartTime: 100 * time.Millisecond,
@@ -49,6 +50,10 @@
 		cloud: standin.CloudConfig{MoveTime: time.Second, MaintenanceTime: time.Second}.New(),
 		dir:   GinkgoT().TempDir(), daemons: map[string]*process{}, callers: map[string]string{},
 	}
+}
+
+func newQueueRig(workers int) *queueRig {
+	r := platformRig()
 	r.configure(1)
 	for n := range workers {
 		r.addWorker(n)
--- /dev/null
+++ b/e2e/soak_faults_test.go
@@ -0,0 +1,97 @@
+package e2e
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+type (
+	// faultTarget is what a fault befalls; each kind of fault uses some of it.
+	faultTarget struct {
+		daemon string
+		worker int
+		link   linkFault
+		count  int // of answers, writes or starts
+	}
+
+	// soakFault is a kind of fault. Its begin returns what heals it.
+	soakFault struct {
+		name  string
+		begin func(s *soak, t faultTarget) (heal func())
+	}
+)
+
+// soakFaults are the kinds of faults. Their order is part of what a seed means.
+var soakFaults = []soakFault{
+	{"pause", func(s *soak, t faultTarget) func() {
+		s.daemon(t.daemon).signal(syscall.SIGSTOP)
+		return func() { s.daemon(t.daemon).signal(syscall.SIGCONT) }
+	}},
+	{"kill", func(s *soak, t faultTarget) func() {
+		s.daemon(t.daemon).end()
+		return func() { s.restart(t.daemon) }
+	}},
+	{"stop", func(s *soak, t faultTarget) func() {
+		p := s.daemon(t.daemon)
+		p.signal(syscall.SIGCONT) // a paused process would not see the stop
+		p.stop()
+		return func() { s.restart(t.daemon) }
+	}},
+	{"store link", func(s *soak, t faultTarget) func() {
+		s.stores[t.daemon].set(t.link)
+		return func() { s.stores[t.daemon].set(linkSound) }
+	}},
+	{"worker link", func(s *soak, t faultTarget) func() {
+		s.links[t.worker].set(t.link)
+		return func() { s.links[t.worker].set(linkSound) }
+	}},
+	{"store down", func(s *soak, _ faultTarget) func() {
+		s.kv.SetFaults(standin.KVFaults{Down: true})
+		return func() { s.kv.SetFaults(standin.KVFaults{}) }
+	}},
+	{"answers lost", func(s *soak, t faultTarget) func() {
+		s.kv.SetFaults(standin.KVFaults{LoseAnswers: t.count})
+		return func() {}
+	}},
+	{"writes late", func(s *soak, t faultTarget) func() {
+		s.kv.SetFaults(standin.KVFaults{LateWrites: t.count})
+		return s.kv.DoLate
+	}},
+	{"history gone", func(s *soak, _ faultTarget) func() {
+		s.kv.ForgetHistory()
+		return func() {}
+	}},
+	{"leases gone", func(s *soak, _ faultTarget) func() {
+		s.kv.RevokeLeases()
+		return func() {}
+	}},
+	{"starts late", func(s *soak, t faultTarget) func() {
+		s.fleet.Set(tw.WorkerID(fmt.Sprintf("w%d", t.worker)), func(w *standin.SimWorker) { w.LateStarts = t.count })
+		return s.fleet.DoLate
+	}},
+}
+
+// act lets one fault come and, after a while, end. Faults overlap.
+func (s *soak) act() {
+	// All numbers are drawn for every fault, so that a seed plays the same
+	// faults whichever of them are used.
+	target := faultTarget{
+		daemon: fmt.Sprintf("d%d", 1+s.random.IntN(soakDaemons)), worker: s.random.IntN(soakWorkers),
+	}
+	lasts := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
+	target.link = linkFault(1 + s.random.IntN(4)) // any but linkSound
+	target.count = 1 + s.random.IntN(3)
+	fault := soakFaults[s.random.IntN(len(soakFaults))]
+	GinkgoWriter.Printf("fault: %s %s w%d link fault %d for %v\n", fault.name, target.daemon, target.worker, target.link, lasts)
+	s.faults.Go(func() {
+		heal := fault.begin(s, target)
+		time.Sleep(lasts)
+		heal()
+	})
+}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,72 +45,6 @@
 	soakAnswer = 4 * time.Second
 )
 
-type (
-	// faultTarget is what a fault befalls; each kind of fault uses some of it.
-	faultTarget struct {
-		daemon string
-		worker int
-		link   linkFault
-		count  int // of answers, writes or starts
-	}
-
-	// soakFault is a kind of fault. Its begin returns what heals it.
-	soakFault struct {
-		name  string
-		begin func(s *soak, t faultTarget) (heal func())
-	}
-)
-
-// soakFaults are the kinds of faults. Their order is part of what a seed means.
-var soakFaults = []soakFault{
-	{"pause", func(s *soak, t faultTarget) func() {
-		s.daemon(t.daemon).signal(syscall.SIGSTOP)
-		return func() { s.daemon(t.daemon).signal(syscall.SIGCONT) }
-	}},
-	{"kill", func(s *soak, t faultTarget) func() {
-		s.daemon(t.daemon).end()
-		return func() { s.restart(t.daemon) }
-	}},
-	{"stop", func(s *soak, t faultTarget) func() {
-		p := s.daemon(t.daemon)
-		p.signal(syscall.SIGCONT) // a paused process would not see the stop
-		p.stop()
-		return func() { s.restart(t.daemon) }
-	}},
-	{"store link", func(s *soak, t faultTarget) func() {
-		s.stores[t.daemon].set(t.link)
-		return func() { s.stores[t.daemon].set(linkSound) }
-	}},
-	{"worker link", func(s *soak, t faultTarget) func() {
-		s.links[t.worker].set(t.link)
-		return func() { s.links[t.worker].set(linkSound) }
-	}},
-	{"store down", func(s *soak, _ faultTarget) func() {
-		s.kv.SetFaults(standin.KVFaults{Down: true})
-		return func() { s.kv.SetFaults(standin.KVFaults{}) }
-	}},
-	{"answers lost", func(s *soak, t faultTarget) func() {
-		s.kv.SetFaults(standin.KVFaults{LoseAnswers: t.count})
-		return func() {}
-	}},
-	{"writes late", func(s *soak, t faultTarget) func() {
-		s.kv.SetFaults(standin.KVFaults{LateWrites: t.count})
-		return s.kv.DoLate
-	}},
-	{"history gone", func(s *soak, _ faultTarget) func() {
-		s.kv.ForgetHistory()
-		return func() {}
-	}},
-	{"leases gone", func(s *soak, _ faultTarget) func() {
-		s.kv.RevokeLeases()
-		return func() {}
-	}},
-	{"starts late", func(s *soak, t faultTarget) func() {
-		s.fleet.Set(tw.WorkerID(fmt.Sprintf("w%d", t.worker)), func(w *standin.SimWorker) { w.LateStarts = t.count })
-		return s.fleet.DoLate
-	}},
-}
-
 // soak is a deployment under faults, and what its callers were told.
 type soak struct {
 	*queueRig
@@ -135,13 +68,8 @@
 
 func newSoak(seed uint64) *soak {
 	s := &soak{
-		queueRig: &queueRig{
-			kv:    standin.KVConfig{}.New(),
-			fleet: standin.FleetConfig{MaxHold: 6 * time.Second, StopTime: 100 * time.Millisecond, StartTime: 100 * time.Millisecond}.New(),
-			cloud: standin.CloudConfig{MoveTime: time.Second, MaintenanceTime: time.Second}.New(),
-			dir:   GinkgoT().TempDir(), daemons: map[string]*process{}, callers: map[string]string{},
-		},
-		random: rand.New(rand.NewPCG(seed, seed)), stores: map[string]*proxy{}, calm: make(chan struct{}),
+		queueRig: platformRig(),
+		random:   rand.New(rand.NewPCG(seed, seed)), stores: map[string]*proxy{}, calm: make(chan struct{}),
 		accepted: map[string]bool{}, refused: map[string]bool{}, cancelled: map[string]bool{}, completed: map[string]bool{},
 		versions: map[*process]int{},
 	}
@@ -159,25 +87,6 @@
 	return s
 }
 
-// act lets one fault come and, after a while, end. Faults overlap.
-func (s *soak) act() {
-	// All numbers are drawn for every fault, so that a seed plays the same
-	// faults whichever of them are used.
-	target := faultTarget{
-		daemon: fmt.Sprintf("d%d", 1+s.random.IntN(soakDaemons)), worker: s.random.IntN(soakWorkers),
-	}
-	lasts := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
-	target.link = linkFault(1 + s.random.IntN(4)) // any but linkSound
-	target.count = 1 + s.random.IntN(3)
-	fault := soakFaults[s.random.IntN(len(soakFaults))]
-	GinkgoWriter.Printf("fault: %s %s w%d link fault %d for %v\n", fault.name, target.daemon, target.worker, target.link, lasts)
-	s.faults.Go(func() {
-		heal := fault.begin(s, target)
-		time.Sleep(lasts)
-		heal()
-	})
-}
-
 // ask makes a request with the time that a caller has for it. The status is
 // zero if there was no answer: it is unclear then what was done.
 func (s *soak) ask(client *http.Client, daemon, method, path, body string) (int, string) {
