Refuse at once where neither the store nor another hall answers, and say not ready

Hypothesis: a daemon that hears neither from the store nor from another hall for 0.6 s knows that it can't serve. If it says so, callers are served elsewhere 2 s later; if it sends nothing from then on, it can refuse with proof.

Change: members note what they hear from outside, and ping two daemons of each hall although these own nothing. An isolated daemon is not ready, refuses with 503 what it has not sent anywhere, ends with 504 at once what it has, and closes the caller's connection. Owners that are known to be silent are not asked.

Tests: isolation by what answers; answers by what was sent and what is proved, each with a time; red without the change.

--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -174,10 +174,10 @@
 }
 
 // ready tells the balancer whether to send callers here: not before there is
-// a configuration, and not while stopping. A daemon that can't reach the
-// store serves through its peers.
+// a configuration, not while stopping, and not while the daemon is isolated. One
+// that can't reach the store serves through its peers.
 func (d *QueueDaemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.directory.Config() == nil {
+	if d.stopping.Load() || d.directory.Config() == nil || d.members.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/membertest/membertest.go
+++ b/internal/membertest/membertest.go
@@ -3,21 +3,52 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 )
 
+// Others stands for all other daemons: they answer pings, or leave them
+// without an answer while Cut is true.
+type Others struct{ Cut atomic.Bool }
+
+// Ping implements member.Pinger.
+func (o *Others) Ping(ctx context.Context, _ string, _ member.PingRequest) (*member.PingResponse, error) {
+	if o.Cut.Load() {
+		<-ctx.Done()
+		return nil, tw.ErrUnclear
+	}
+	return &member.PingResponse{}, nil
+}
+
+// Announce puts the record of another daemon into a store, as if it lived.
+func Announce(kv *standin.KV, l member.Live) {
+	value, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // the type can always be encoded
+	}
+	kv.Put(ledger.LiveKey(l.Daemon), value)
+}
+
 // Start starts the membership of one daemon on a store. The daemon owns no
 // pool and is configured with none, so that it takes nothing by itself. The
 // caller calls end when the test is over.
 func Start(kv tw.KV, self member.Live) (members *member.Members, end func()) {
+	return StartAmong(kv, self, &Others{})
+}
+
+// StartAmong is Start with other daemons.
+func StartAmong(kv tw.KV, self member.Live, others *Others) (members *member.Members, end func()) {
 	clock, log := tw.SystemClock{}, zap.NewNop()
 	presence := member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
 	members = member.Config{
-		KV: kv, Clock: clock, Log: log, Self: self, Peers: member.NewPeers(), Presence: presence,
+		KV: kv, Clock: clock, Log: log, Self: self, Peers: others, Presence: presence,
 		Pools: func() []tw.PoolID { return nil }, Owned: func() []tw.PoolID { return nil },
 		Version: func() tw.Version { return 0 }, Take: func(tw.PoolID, string) {},
 		NewerConfig: func(string, tw.Version) {},
--- a/member/members.go
+++ b/member/members.go
@@ -63,12 +63,20 @@
 		lostAt map[tw.PoolID]time.Time
 		// yielded is when this daemon last lost a pool to another.
 		yielded map[tw.PoolID]time.Time
+		// isolated: neither the store nor another hall answers. connected ends
+		// when that begins, by disconnect.
+		isolated   bool
+		connected  context.Context
+		disconnect context.CancelFunc
 	}
 
 	// contact is what pings say of a daemon at an address.
 	contact struct {
-		pinging    bool
-		answered   time.Time
+		pinging bool
+		// answered is when it last answered, or when it was first pinged.
+		answered time.Time
+		// heard is when it last answered; zero if it never did.
+		heard      time.Time
 		silentFrom time.Time
 		refused    int
 		// storeAnswers: the daemon reaches the metadata store.
@@ -115,6 +123,7 @@
 		live: map[tw.DaemonID]Live{}, lastLive: map[tw.DaemonID]Live{}, owners: map[tw.PoolID]ledger.Owner{}, contacts: map[string]*contact{},
 		lostAt: map[tw.PoolID]time.Time{}, yielded: map[tw.PoolID]time.Time{},
 	}
+	m.connected, m.disconnect = context.WithCancel(context.Background())
 	m.watcher = WatcherConfig{
 		KV: c.KV, Clock: c.Clock, Log: c.Log, Prefix: ledger.MemberPrefix, Wait: watchWait, Changed: m.changed,
 	}.New()
@@ -225,6 +234,7 @@
 			pinged = now
 			m.pingOwners(ctx, now)
 			m.checkPresence(now)
+			m.checkIsolation(now)
 		}
 		for _, t := range m.toTake(now) {
 			m.config.Take(t.pool, t.why)
@@ -246,32 +256,6 @@
 	}
 }
 
-// StoreAnswers tells whether this daemon reaches the metadata store.
-func (m *Members) StoreAnswers() bool {
-	silent := m.config.Clock.Now().Sub(m.config.Presence.Answered())
-	return !m.watcher.Settled().IsZero() && silent < storeFresh
-}
-
-// toPing are the addresses of the owners of pools; all daemons while the
-// store does not answer, as only they can tell then who owns what.
-func (m *Members) toPing() map[string]bool {
-	out := map[string]bool{}
-	for _, o := range m.owners {
-		if o.Daemon != m.config.Self.Daemon {
-			out[o.Address] = true
-		}
-	}
-	if m.StoreAnswers() {
-		return out
-	}
-	for _, l := range m.lastLive {
-		if l.Daemon != m.config.Self.Daemon {
-			out[l.Address] = true
-		}
-	}
-	return out
-}
-
 // pingOwners asks the owners of pools whether they live.
 func (m *Members) pingOwners(ctx context.Context, now time.Time) {
 	m.mu.Lock()
@@ -300,7 +284,7 @@
 	c.pinging = false
 	switch {
 	case err == nil:
-		c.answered, c.silentFrom, c.refused = now, time.Time{}, 0
+		c.answered, c.heard, c.silentFrom, c.refused = now, now, time.Time{}, 0
 		c.storeAnswers = resp.StoreAnswers
 		for _, o := range resp.Owned {
 			m.setOwner(o)
--- /dev/null
+++ b/member/reach_test.go
@@ -0,0 +1,63 @@
+package member_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarindworks/tamarindworks/internal/membertest"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+// isolationCases are what a daemon in the hall "near" reaches.
+var isolationCases = map[string]struct {
+	other     member.Live
+	storeDown bool
+	cut       bool
+	want      bool
+}{
+	"store and other hall":       {other: member.Live{Daemon: "b", Address: "b:1", Hall: "far"}},
+	"other hall without a store": {other: member.Live{Daemon: "b", Address: "b:1", Hall: "far"}, storeDown: true},
+	"store without another hall": {other: member.Live{Daemon: "b", Address: "b:1", Hall: "far"}, cut: true},
+	"neither":                    {other: member.Live{Daemon: "b", Address: "b:1", Hall: "far"}, storeDown: true, cut: true, want: true},
+	"another daemon of the only hall": {
+		other: member.Live{Daemon: "b", Address: "b:1", Hall: "near"}, storeDown: true,
+	},
+	"nothing, in the only hall": {
+		other: member.Live{Daemon: "b", Address: "b:1", Hall: "near"}, storeDown: true, cut: true, want: true,
+	},
+}
+
+func TestIsolated(t *testing.T) {
+	for name, c := range isolationCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				kv := standin.KVConfig{Latency: time.Millisecond}.New()
+				membertest.Announce(kv, c.other)
+				others := &membertest.Others{}
+				m, end := membertest.StartAmong(kv, member.Live{Daemon: "a", Life: 1, Address: "a:1", Hall: "near"}, others)
+				defer end()
+				time.Sleep(2 * time.Second)
+				g.Expect(m.Isolated()).To(BeFalse())
+				ctx, stop := m.WhileConnected(t.Context())
+				defer stop()
+				kv.SetFaults(standin.KVFaults{Down: c.storeDown})
+				others.Cut.Store(c.cut)
+				time.Sleep(time.Second)
+				g.Expect(m.Isolated()).To(Equal(c.want))
+				g.Expect(ctx.Err() != nil).To(Equal(c.want))
+				kv.SetFaults(standin.KVFaults{})
+				others.Cut.Store(false)
+				time.Sleep(time.Second)
+				g.Expect(m.Isolated()).To(BeFalse())
+				again, stopAgain := m.WhileConnected(t.Context())
+				defer stopAgain()
+				g.Expect(again.Err()).NotTo(HaveOccurred())
+			})
+		})
+	}
+}
--- a/queue/handler.go
+++ b/queue/handler.go
@@ -187,6 +187,10 @@
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter)
 	}
+	if h.Router.Members.Isolated() {
+		// The balancer sends the caller's next connection to another hall.
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, `{"title":`+strconv.Quote(http.StatusText(status))+`,"detail":`+strconv.QuoteToASCII(why)+`}`)
--- a/queue/router.go
+++ b/queue/router.go
@@ -58,6 +58,9 @@
 	countAge = 1500 * time.Millisecond
 )
 
+// errIsolated proves that nothing was sent: nothing would answer.
+var errIsolated = errors.Wrap(tw.ErrUnavailable, "queue: neither the store nor another hall answers this daemon")
+
 // New makes a router.
 func (c RouterConfig) New() *Router {
 	return &Router{RouterConfig: c, counts: map[tw.RouteName]waitingCount{}}
@@ -66,8 +69,13 @@
 // Submit has a submission kept. ErrUnavailable proves that it was not taken
 // and never runs; after ErrUnclear it may have been.
 func (r *Router) Submit(ctx context.Context, s tw.Submission) error {
+	ctx, stop := r.Members.WhileConnected(ctx)
+	defer stop()
 	unclear := false
 	for {
+		if r.Members.Isolated() && !unclear {
+			return errIsolated
+		}
 		err := r.submitToOwner(ctx, s)
 		if err == nil {
 			return nil
@@ -99,9 +107,9 @@
 		defer cancel()
 		return local.Submit(ctx, s)
 	}
-	owner, found := r.Members.Owner(pool)
-	if !found {
-		return errors.Wrap(run.ErrNotOwner, "queue: the pool has no owner")
+	owner, err := r.owner(pool)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -112,6 +120,19 @@
 	return ErrorOf(resp.Outcome)
 }
 
+// owner is the daemon to ask about a pool. It fails with run.ErrNotOwner, and
+// nothing is sent, if there is none or it is known not to answer.
+func (r *Router) owner(pool tw.PoolID) (ledger.Owner, error) {
+	owner, found := r.Members.Owner(pool)
+	if !found {
+		return owner, errors.Wrap(run.ErrNotOwner, "queue: the pool has no owner")
+	}
+	if r.Members.Silent(owner.Address) {
+		return owner, errors.Wrap(run.ErrNotOwner, "queue: the pool's owner does not answer")
+	}
+	return owner, nil
+}
+
 // submitToStore keeps a submission without the pool's owner, which finds it
 // in its inbox.
 func (r *Router) submitToStore(ctx context.Context, s tw.Submission) error {
@@ -129,6 +150,8 @@
 
 // Cancel cancels a submission. It fails with run.ErrUnknown if there is none.
 func (r *Router) Cancel(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+	ctx, stop := r.Members.WhileConnected(ctx)
+	defer stop()
 	for {
 		err := r.cancelOnce(ctx, pool, id)
 		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
@@ -166,9 +189,9 @@
 	if local := r.Pools.Local(pool); local != nil {
 		return local.Cancel(ctx, id)
 	}
-	owner, found := r.Members.Owner(pool)
-	if !found {
-		return run.ErrNotOwner
+	owner, err := r.owner(pool)
+	if err != nil {
+		return err
 	}
 	resp, err := r.Peers.Cancel(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
 	if err != nil {
@@ -180,6 +203,14 @@
 // State tells a submission's state. It fails with run.ErrUnknown if there is
 // none.
 func (r *Router) State(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+	// What an owner here knows is told also while nothing else answers.
+	if local := r.Pools.Local(pool); local != nil {
+		if state, err := local.State(ctx, id); err == nil {
+			return state, nil
+		}
+	}
+	ctx, stop := r.Members.WhileConnected(ctx)
+	defer stop()
 	for {
 		state, err := r.stateOnce(ctx, pool, id)
 		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
@@ -228,9 +259,9 @@
 	if local := r.Pools.Local(pool); local != nil {
 		return local.State(ctx, id)
 	}
-	owner, found := r.Members.Owner(pool)
-	if !found {
-		return "", run.ErrNotOwner
+	owner, err := r.owner(pool)
+	if err != nil {
+		return "", err
 	}
 	resp, err := r.Peers.State(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
 	if err != nil {
@@ -262,9 +293,9 @@
 	if local := r.Pools.Local(pool); local != nil {
 		return local.Waiting(ctx, route)
 	}
-	owner, found := r.Members.Owner(pool)
-	if !found {
-		return 0, run.ErrNotOwner
+	owner, err := r.owner(pool)
+	if err != nil {
+		return 0, err
 	}
 	resp, err := r.Peers.Waiting(ctx, owner.Address, member.WaitingRequest{Pool: pool, Route: route})
 	if err != nil {
