Tell from the logs where the time of submissions went

tamarind delays LOG follows each submission back from its last end to its acceptance and sums by cause: waited, ran, ran slowly, lost a run, recorded.

--- a/cmd/tamarind/main.go
+++ b/cmd/tamarind/main.go
@@ -50,6 +50,7 @@
 	addPlan(app, conn)
 	addEntry(app, conn)
 	addQueue(app, conn)
+	addDelays(app)
 	addDemo(app)
 	_, err := app.Parse(os.Args[1:])
 	if err == nil {
