Start what was kept while a pool had no owner, although workers are silent

Cause: a new owner starts nothing that was there before it while a worker of the pool is silent, as a former owner may have started it there.

Change: an owner starts what another daemon kept only after it has taken the message out of the inbox. So a message that is still there proves that nothing was started; the new owner reads the inbox after the submissions.

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -17,6 +17,9 @@
 		ID       tw.SubmissionID
 		Record   Record
 		Progress Progress
+		// InInbox: the message by which another daemon kept it is still there, so
+		// that no owner has started anything of it.
+		InInbox bool
 	}
 )
 
@@ -36,6 +39,12 @@
 	if progressErr != nil {
 		return nil, progressErr
 	}
+	// Read after the submissions, so that of none that stands among them the
+	// message is missed.
+	inInbox, err := b.loadInbox(ctx)
+	if err != nil {
+		return nil, err
+	}
 	var out []Loaded
 	for _, item := range items {
 		record, err := decodeRecord(item)
@@ -46,7 +55,7 @@
 			continue
 		}
 		id := idOfKey(item.Key, submissionPrefix)
-		out = append(out, Loaded{ID: id, Record: record, Progress: progress[id]})
+		out = append(out, Loaded{ID: id, Record: record, Progress: progress[id], InInbox: inInbox[id]})
 	}
 	return out, nil
 }
@@ -68,6 +77,25 @@
 	return out, nil
 }
 
+// loadInbox lists the submissions of which the inbox tells.
+func (b *Book) loadInbox(ctx context.Context) (map[tw.SubmissionID]bool, error) {
+	items, _, err := b.kv.Range(ctx, InboxPrefix(b.owner.Pool))
+	if err != nil {
+		return nil, errors.Wrap(err, "ledger.Load: inbox")
+	}
+	out := map[tw.SubmissionID]bool{}
+	for _, item := range items {
+		message, err := DecodeInbox(item)
+		if err != nil {
+			return nil, err
+		}
+		if message.Kind == InboxSubmitted {
+			out[message.ID] = true
+		}
+	}
+	return out, nil
+}
+
 // Find reads one submission, of whatever pool. It fails with ErrNotFound.
 func Find(ctx context.Context, kv tw.KV, id tw.SubmissionID) (Record, error) {
 	item, err := kv.Get(ctx, SubmissionKey(id))
--- a/run/owner.go
+++ b/run/owner.go
@@ -151,8 +151,11 @@
 	}
 	sub := newSubmission(*l.Record.Submission, l.Progress)
 	sub.durable = true
-	sub.inherited = true
+	sub.inherited = !l.InInbox
 	o.add(sub)
+	if l.InInbox {
+		o.hold(sub)
+	}
 	o.claimRuns(sub)
 	o.claimEnds(sub)
 }
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -240,6 +240,30 @@
 		}, time.Second).Should(Succeed())
 		r.eventually(o, "s1", tw.Succeeded, 5*time.Second)
 	},
+	"starts what stands in the inbox although a worker is silent": func(r *rig) {
+		r.take("a").Close()
+		s := submission("s1", 2)
+		r.fleet.Expect(&s, nil)
+		_, err := r.kv.Commit(r.ctx, ledger.AcceptUnowned(&s))
+		r.Expect(err).NotTo(HaveOccurred())
+		r.fleet.Set(workerID(0), func(w *standin.SimWorker) { w.Silent = true })
+		b := r.take("b")
+		r.eventually(b, "s1", tw.Succeeded, 2*time.Second)
+	},
+	"starts nothing whose message is still in the inbox": func(r *rig) {
+		o := r.take("a")
+		s := submission("s1", 2)
+		r.fleet.Expect(&s, nil)
+		_, err := r.kv.Commit(r.ctx, ledger.AcceptUnowned(&s))
+		r.Expect(err).NotTo(HaveOccurred())
+		r.kv.SetFaults(standin.KVFaults{LateWrites: 1000})
+		o.Inbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: "s1"})
+		time.Sleep(time.Second)
+		r.Expect(r.state(o, "s1")).To(Equal(tw.Waiting))
+		r.Expect(r.fleet.Begun("s1")).To(BeFalse())
+		r.kv.SetFaults(standin.KVFaults{})
+		r.eventually(o, "s1", tw.Succeeded, 5*time.Second)
+	},
 	"goes on trying to read what another daemon has kept": func(r *rig) {
 		kv := &blindKV{KV: r.kv}
 		o := r.open("a", kv, r.fleet)
--- a/run/place.go
+++ b/run/place.go
@@ -122,7 +122,7 @@
 	var out []*schedule.Group
 	blocked := o.inheritedDoubts()
 	for _, sub := range o.live {
-		if sub.over() || sub.inherited && blocked {
+		if sub.over() || sub.held || sub.inherited && blocked {
 			continue
 		}
 		for _, rep := range sub.reps {
--- a/run/requests.go
+++ b/run/requests.go
@@ -146,7 +146,7 @@
 	enders := sub.enders
 	sub.enders = nil
 	sub.answer(nil)
-	o.fetch(sub.ID, func() {
+	o.fetch(sub.ID, false, func() {
 		if kept := o.submissions[sub.ID]; kept != nil && sub.ending == tw.Cancelled && kept.final == "" {
 			o.cancelSubmission(kept)
 		}
@@ -157,11 +157,12 @@
 }
 
 // fetch takes up a submission that another daemon has kept, then calls then.
-// It goes on trying until the store answers.
-func (o *Owner) fetch(id tw.SubmissionID, then func()) {
+// It goes on trying until the store answers. inInbox: its message is there.
+func (o *Owner) fetch(id tw.SubmissionID, inInbox bool, then func()) {
 	go func() {
 		for {
 			loaded, err := o.read(id)
+			loaded.InInbox = inInbox
 			if err == nil || errors.Is(err, tw.ErrNotFound) {
 				o.post(o.ctx, func() {
 					if err == nil {
@@ -195,6 +196,7 @@
 		return
 	}
 	o.takeUp(l)
+	o.hold(o.submissions[l.ID])
 	o.log.Info("submission: taken up from the store", zap.String("submission", string(l.ID)))
 }
 
@@ -204,7 +206,25 @@
 		o.followMessage(m)
 		return
 	}
-	o.fetch(m.ID, func() { o.followMessage(m) })
+	o.fetch(m.ID, m.Kind == ledger.InboxSubmitted, func() { o.followMessage(m) })
+}
+
+// hold keeps a submission from being started until no message tells of it any
+// more; that there is none is no harm.
+func (o *Owner) hold(sub *submission) {
+	if sub.over() {
+		return
+	}
+	sub.held = true
+	o.writer.emptied(ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: sub.ID})
+}
+
+// messageGone is called when a message has been taken out of the inbox.
+func (o *Owner) messageGone(m ledger.InboxRecord) {
+	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxSubmitted {
+		sub.held = false
+		o.placeSoon = true
+	}
 }
 
 func (o *Owner) followMessage(m ledger.InboxRecord) {
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -10,6 +10,7 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -70,7 +71,7 @@
 // act does one random thing; submissions are the most frequent.
 func (s *soak) act() {
 	id := workerID(s.rand.IntN(6))
-	switch s.rand.IntN(14) {
+	switch s.rand.IntN(15) {
 	case 0, 1, 2, 3, 4:
 		s.submitAny()
 	case 5:
@@ -92,6 +93,8 @@
 		s.crash(id)
 	case 13:
 		s.cancelAny()
+	case 14:
+		s.submitUnowned()
 	}
 }
 
@@ -102,6 +105,28 @@
 }
 
 func (s *soak) submitAny() {
+	sub := s.anySubmission()
+	ctx, cancel := context.WithTimeout(s.ctx, patience)
+	defer cancel()
+	if err := s.owner.Submit(ctx, sub); err == nil {
+		s.taken = append(s.taken, sub.ID)
+	}
+}
+
+// submitUnowned keeps a submission as a daemon does that can't reach the owner.
+// The present owner is told at times; the next one finds it in any case.
+func (s *soak) submitUnowned() {
+	sub := s.anySubmission()
+	if _, err := s.kv.Commit(s.ctx, ledger.AcceptUnowned(&sub)); err != nil {
+		return
+	}
+	s.taken = append(s.taken, sub.ID)
+	if s.rand.IntN(2) == 0 {
+		s.owner.Inbox(s.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: sub.ID})
+	}
+}
+
+func (s *soak) anySubmission() tw.Submission {
 	s.next++
 	id := fmt.Sprintf("%016x", s.next)
 	sub := submission(id, 1+s.rand.IntN(4), 1+s.rand.IntN(3))
@@ -112,11 +137,7 @@
 	sub.Steps[0].Copies = s.rand.IntN(3) == 0
 	sub.Policy.Attempts = 2
 	s.fleet.Expect(&sub, nil)
-	ctx, cancel := context.WithTimeout(s.ctx, patience)
-	defer cancel()
-	if err := s.owner.Submit(ctx, sub); err == nil {
-		s.taken = append(s.taken, sub.ID)
-	}
+	return sub
 }
 
 func (s *soak) cancelAny() {
--- a/run/submission.go
+++ b/run/submission.go
@@ -15,6 +15,11 @@
 		// inherited submissions were accepted before this ownership: the
 		// former owner may have started their subtasks anywhere.
 		inherited bool
+		// held: nothing of it is started before its message has been taken out
+		// of the inbox. A successor who finds the message so knows that nothing
+		// was started, and need not wait for workers that are silent: jobs kept
+		// while a pool had no owner waited 7 s behind a cut.
+		held bool
 		// durable: it stands in the store.
 		durable  bool
 		progress ledger.Progress
--- a/run/writer.go
+++ b/run/writer.go
@@ -82,7 +82,11 @@
 func (w *writer) mark(sub *submission) { w.dirty[sub] = true }
 
 // emptied has a message taken out of the inbox.
-func (w *writer) emptied(m ledger.InboxRecord) { w.messages = append(w.messages, m) }
+func (w *writer) emptied(m ledger.InboxRecord) {
+	if !slices.Contains(w.messages, m) {
+		w.messages = append(w.messages, m)
+	}
+}
 
 // confirmAfter has the ownership confirmed soon by a write sent after a moment.
 func (w *writer) confirmAfter(at time.Time) { w.wanted = at }
@@ -186,7 +190,7 @@
 		}
 		delete(w.dirty, sub)
 	}
-	for len(w.messages) > 0 && add(ledger.Emptied(w.o.pool, w.messages[0]), w.again(w.messages[0])) {
+	for len(w.messages) > 0 && add(ledger.Emptied(w.o.pool, w.messages[0]), w.messageEffect(w.messages[0])) {
 		w.messages = w.messages[1:]
 	}
 	for len(w.forget) > 0 && add(ledger.Forget(w.forget[0]), func(error) {}) {
@@ -238,11 +242,13 @@
 	})
 }
 
-func (w *writer) again(m ledger.InboxRecord) func(error) {
+func (w *writer) messageEffect(m ledger.InboxRecord) func(error) {
 	return func(err error) {
 		if err != nil {
-			w.messages = append(w.messages, m)
+			w.emptied(m)
+			return
 		}
+		w.o.messageGone(m)
 	}
 }
 
