Wait for an order's answer as long as answers took of late, not 0.8 s

Cause: an order that a worker left without an answer was waited for 0.8 s, and the orders behind it with it; only then was it asked whether the subtask runs, forbidden and started elsewhere.

Hypothesis: workers answer within some 10 ms, so that silence shows far sooner.

Ruled out: a shorter constant, as a daemon with little processor time takes longer for the same answer and would take its own slowness for silence.

Change: the sessions of an owner share how long the longest answer of late took; an order waits five times that, 0.2 s at least and 0.8 s at most.

Tests: the bound by a table; a start that is swallowed is elsewhere within 0.5 s (without the bound it waits for ever).

--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -26,6 +26,20 @@
 	return c.WorkerOrders.Hold(ctx, to, order)
 }
 
+// muteOrders swallows so many starts: they are not done and not answered.
+type muteOrders struct {
+	tw.WorkerOrders
+	mute atomic.Int64
+}
+
+func (m *muteOrders) Start(ctx context.Context, to tw.WorkerRef, order tw.StartOrder) (tw.WorkerClock, error) {
+	if m.mute.Add(-1) >= 0 {
+		<-ctx.Done()
+		return 0, tw.ErrUnclear
+	}
+	return m.WorkerOrders.Start(ctx, to, order)
+}
+
 // blindKV reads nothing while it is blind.
 type blindKV struct {
 	tw.KV
--- a/run/owner.go
+++ b/run/owner.go
@@ -41,6 +41,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	permit permit
+	// patience bounds the time of each order.
+	patience patience
 
 	// What follows belongs to the loop.
 
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -301,6 +301,15 @@
 		r.eventually(b, "s1", tw.Succeeded, 5*time.Second)
 		r.Expect(r.fleet.Starts()).To(Equal(2))
 	},
+	"starts elsewhere soon what a worker leaves without an answer": func(r *rig) {
+		orders := &muteOrders{WorkerOrders: r.fleet}
+		o := r.open("a", r.kv, orders)
+		r.submit(o, submission("s1", 2))
+		r.eventually(o, "s1", tw.Succeeded, 5*time.Second) // answers take 2 ms here
+		orders.mute.Store(1)
+		r.submit(o, submission("s2", 1))
+		r.Eventually(func() bool { return r.fleet.Begun("s2") }, 500*time.Millisecond, 10*time.Millisecond).Should(BeTrue())
+	},
 	"starts at once what a daemon with a fast clock accepted": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(time.Second)
--- /dev/null
+++ b/run/patience.go
@@ -0,0 +1,55 @@
+package run
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// patience bounds how long an order waits for its answer: several times the
+// longest answer of late. Where workers answer in milliseconds, an order that gets
+// no answer is noticed soon; where answers take long, also because this daemon has
+// little processor time, orders are given longer.
+type patience struct {
+	mu sync.Mutex
+	// longest is the longest answer, as of at; it fades with answerHalfLife.
+	longest time.Duration
+	at      time.Time
+}
+
+const (
+	// patienceFactor times the longest answer of late is waited for.
+	patienceFactor = 5
+	// patienceLeast is above what a packet sent again takes, patienceMost is what
+	// is waited for while nothing is known.
+	patienceLeast = 200 * time.Millisecond
+	patienceMost  = 800 * time.Millisecond
+	// answerHalfLife: after a burst of slow answers, longest halves in this time.
+	answerHalfLife = 3 * time.Second
+)
+
+// answered notes how long an answer took.
+func (p *patience) answered(now time.Time, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longest = max(p.faded(now), took)
+	p.at = now
+}
+
+// limit is how long an order sent now may wait.
+func (p *patience) limit(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.IsZero() {
+		return patienceMost
+	}
+	return min(max(patienceLeast, patienceFactor*p.faded(now)), patienceMost)
+}
+
+func (p *patience) faded(now time.Time) time.Duration {
+	if p.at.IsZero() {
+		return 0
+	}
+	halves := float64(now.Sub(p.at)) / float64(answerHalfLife)
+	return time.Duration(float64(p.longest) * math.Exp2(-halves))
+}
--- /dev/null
+++ b/run/patience_test.go
@@ -0,0 +1,37 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// patienceCases are answers, by how long before now they came, and how long an
+// order may wait now.
+var patienceCases = map[string]struct {
+	answers map[time.Duration]time.Duration
+	want    time.Duration
+}{
+	"nothing known":                {want: patienceMost},
+	"quick answers":                {answers: map[time.Duration]time.Duration{time.Second: 3 * time.Millisecond}, want: patienceLeast},
+	"a slow one just now":          {answers: map[time.Duration]time.Duration{0: 100 * time.Millisecond}, want: 500 * time.Millisecond},
+	"a slow one, a half-life ago":  {answers: map[time.Duration]time.Duration{answerHalfLife: 100 * time.Millisecond}, want: 250 * time.Millisecond},
+	"a quick one after a slow one": {answers: map[time.Duration]time.Duration{answerHalfLife: 100 * time.Millisecond, 0: time.Millisecond}, want: 250 * time.Millisecond},
+	"a very slow one":              {answers: map[time.Duration]time.Duration{0: time.Second}, want: patienceMost},
+}
+
+func TestPatience(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, c := range patienceCases {
+		t.Run(name, func(t *testing.T) {
+			p := &patience{}
+			for ago := 10 * time.Second; ago >= 0; ago -= time.Second {
+				if took, given := c.answers[ago]; given {
+					p.answered(now.Add(-ago), took)
+				}
+			}
+			NewWithT(t).Expect(p.limit(now)).To(BeNumerically("~", c.want, time.Millisecond))
+		})
+	}
+}
--- a/run/session.go
+++ b/run/session.go
@@ -18,11 +18,13 @@
 		orders tw.WorkerOrders
 		clock  tw.Clock
 		permit *permit
-		looks  chan lookOrder
-		work   chan workOrder
-		events chan<- func()
-		cancel context.CancelFunc
-		done   chan struct{}
+		// patience is shared by the sessions of an owner.
+		patience *patience
+		looks    chan lookOrder
+		work     chan workOrder
+		events   chan<- func()
+		cancel   context.CancelFunc
+		done     chan struct{}
 		// silent: the last order was not answered. Starts that wait are then
 		// not sent, as each would keep the others waiting.
 		silent atomic.Bool
@@ -71,7 +73,7 @@
 func newSession(o *Owner, ref tw.WorkerRef) *session {
 	ctx, cancel := context.WithCancel(o.ctx)
 	s := &session{
-		ref: ref, orders: o.orders, clock: o.clock, permit: &o.permit, events: o.events, cancel: cancel,
+		ref: ref, orders: o.orders, clock: o.clock, permit: &o.permit, patience: &o.patience, events: o.events, cancel: cancel,
 		looks: make(chan lookOrder, 1), work: make(chan workOrder, sessionQueue), done: make(chan struct{}),
 	}
 	lookerDone := make(chan struct{})
@@ -143,15 +145,24 @@
 	if outdated || !s.permit.valid(now) {
 		return 0, errNotSent
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience.limit(now))
+	defer cancel()
 	clock, err := w.send(ctx)
+	if answered(err) {
+		done := s.clock.Now()
+		s.patience.answered(done, done.Sub(now))
+	}
 	s.heard(err)
 	return clock, err
 }
 
 // heard notes whether the worker answers.
-func (s *session) heard(err error) {
+func (s *session) heard(err error) { s.silent.Store(!answered(err)) }
+
+// answered tells whether a worker has answered an order, if only to refuse it.
+func answered(err error) bool {
 	var refused *tw.OrderRefused
-	s.silent.Store(err != nil && !errors.As(err, &refused))
+	return err == nil || errors.As(err, &refused)
 }
 
 // report hands a result to the loop.
--- a/run/session_test.go
+++ b/run/session_test.go
@@ -31,7 +31,7 @@
 			if !c.late {
 				p.extend(time.Now().Add(time.Hour))
 			}
-			s := &session{clock: tw.SystemClock{}, permit: p}
+			s := &session{clock: tw.SystemClock{}, permit: p, patience: &patience{}}
 			s.silent.Store(c.silent)
 			sent := false
 			_, err := s.send(t.Context(), workOrder{
