--- a/member/members.go
+++ b/member/members.go
@@ -139,6 +139,9 @@
 	m.cancel()
 	<-m.done
 	m.watcher.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.disconnect()
 }
 
 // Owner is who owns a pool, as far as known.
--- a/member/reach.go
+++ b/member/reach.go
@@ -137,17 +137,19 @@
 	}
 	for _, daemons := range out {
 		slices.SortFunc(daemons, func(a, b Live) int {
-			return cmp.Or(cmp.Compare(m.order(a), m.order(b)), cmp.Compare(a.Daemon, b.Daemon))
+			return cmp.Or(cmp.Compare(m.pingOrder(a), m.pingOrder(b)), cmp.Compare(a.Daemon, b.Daemon))
 		})
 	}
 	return out
 }
 
-// order sorts daemons that live before those that do not, else at random.
-func (m *Members) order(l Live) uint64 {
-	random := mix(tw.PoolID(m.config.Self.Daemon), l.Daemon) >> 1
+// pingOrder sorts daemons that live before those that do not, else in an order
+// that only this daemon has.
+func (m *Members) pingOrder(l Live) uint64 {
+	const gone = 1 << 63
+	order := mix(string(m.config.Self.Daemon), l.Daemon) &^ gone
 	if _, lives := m.live[l.Daemon]; !lives {
-		random |= 1 << 63
+		order |= gone
 	}
-	return random
+	return order
 }
--- a/member/succession.go
+++ b/member/succession.go
@@ -188,13 +188,14 @@
 func (m *Members) compare(pool tw.PoolID, a, b tw.DaemonID, loads map[tw.DaemonID]int) int {
 	return cmp.Or(
 		cmp.Compare(m.loadWith(a, loads), m.loadWith(b, loads)),
-		cmp.Compare(mix(pool, a), mix(pool, b)),
+		cmp.Compare(mix(string(pool), a), mix(string(pool), b)),
 		cmp.Compare(a, b),
 	)
 }
 
-func mix(pool tw.PoolID, daemon tw.DaemonID) uint64 {
+// mix is a number that differs by what is asked about and by daemon.
+func mix(about string, daemon tw.DaemonID) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(string(pool) + "/" + string(daemon))) // never fails
+	_, _ = h.Write([]byte(about + "/" + string(daemon))) // never fails
 	return h.Sum64()
 }
