--- /dev/null
+++ b/daemon/ready_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/membertest"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+// readyCases are how a daemon is, and what it tells the balancer.
+var readyCases = map[string]struct {
+	configured, stopping, storeDown, cut bool
+	want                                 int
+}{
+	"not configured yet":           {want: http.StatusServiceUnavailable},
+	"serving":                      {configured: true, want: http.StatusOK},
+	"stopping":                     {configured: true, stopping: true, want: http.StatusServiceUnavailable},
+	"without the store":            {configured: true, storeDown: true, want: http.StatusOK},
+	"without the store and a hall": {configured: true, storeDown: true, cut: true, want: http.StatusServiceUnavailable},
+	"without the other hall":       {configured: true, cut: true, want: http.StatusOK},
+}
+
+func TestReady(t *testing.T) {
+	for name, c := range readyCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := standin.KVConfig{Latency: time.Millisecond}.New()
+				membertest.Announce(kv, member.Live{Daemon: "b", Address: "b:1", Hall: "far"})
+				others := &membertest.Others{}
+				members, end := membertest.StartAmong(kv, member.Live{Daemon: "a", Address: "a:1", Hall: "near"}, others)
+				defer end()
+				d := &QueueDaemon{directory: &directory{}, members: members}
+				if c.configured {
+					d.directory.config = &tw.QueueConfig{Version: 1}
+				}
+				d.stopping.Store(c.stopping)
+				time.Sleep(2 * time.Second)
+				kv.SetFaults(standin.KVFaults{Down: c.storeDown})
+				others.Cut.Store(c.cut)
+				time.Sleep(time.Second)
+				answer := httptest.NewRecorder()
+				d.ready(answer, nil)
+				NewWithT(t).Expect(answer.Code).To(Equal(c.want))
+			})
+		})
+	}
+}
