--- /dev/null
+++ b/member/model_test.go
@@ -0,0 +1,365 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+const (
+	modelHalls = 3
+	modelPools = 6
+	// confirmPace is how often a daemon of the model writes to a book it owns.
+	confirmPace = 300 * time.Millisecond
+	// pingTime is the way of a ping and back.
+	pingTime = 3 * time.Millisecond
+	// callTime is how long a call into a cut hangs.
+	callTime = 700 * time.Millisecond
+)
+
+type (
+	// fleet is daemons on one store, each with its real membership and ledgers;
+	// only the network between them is made up.
+	fleet struct {
+		kv      *standin.KV
+		pools   []tw.PoolID
+		daemons []*modelDaemon
+
+		mu sync.Mutex
+		// cut are the pairs of which the first does not reach the second. The
+		// store's name is "".
+		cut map[[2]tw.DaemonID]bool
+		// taken counts the takeovers of each pool.
+		taken map[tw.PoolID]int
+	}
+
+	// modelDaemon is a daemon, or the place where one was killed.
+	modelDaemon struct {
+		fleet *fleet
+		id    tw.DaemonID
+		hall  int
+
+		mu       sync.Mutex
+		life     tw.Incarnation
+		up       bool
+		owned    map[tw.PoolID]ledger.Owner
+		members  *member.Members
+		presence *member.Presence
+		ctx      context.Context
+		kill     context.CancelFunc
+		duties   sync.WaitGroup
+	}
+
+	// cutKV is the store as one life of a daemon reaches it.
+	cutKV struct {
+		tw.KV
+		d   *modelDaemon
+		ctx context.Context
+	}
+)
+
+func newFleet(daemons int) *fleet {
+	f := &fleet{
+		kv:  standin.KVConfig{Latency: 4 * time.Millisecond}.New(),
+		cut: map[[2]tw.DaemonID]bool{}, taken: map[tw.PoolID]int{},
+	}
+	for i := range modelPools {
+		f.pools = append(f.pools, tw.PoolID(fmt.Sprintf("pool-%d", i)))
+	}
+	for i := range daemons {
+		f.daemons = append(f.daemons, &modelDaemon{fleet: f, id: tw.DaemonID(fmt.Sprintf("d%02d", i)), hall: i % modelHalls})
+	}
+	return f
+}
+
+func (f *fleet) reaches(from, to tw.DaemonID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.cut[[2]tw.DaemonID{from, to}]
+}
+
+func (f *fleet) setCut(from, to tw.DaemonID, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]tw.DaemonID{from, to}] = cut
+}
+
+func (f *fleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = map[[2]tw.DaemonID]bool{}
+}
+
+func (f *fleet) takeovers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, count := range f.taken {
+		n += count
+	}
+	return n
+}
+
+// cutHall cuts a hall from the others and from the store, both ways or only
+// outwards.
+func (f *fleet) cutHall(hall int, oneWay bool) {
+	for _, in := range f.daemons {
+		if in.hall != hall {
+			continue
+		}
+		f.setCut(in.id, "", true)
+		for _, out := range f.daemons {
+			if out.hall != hall {
+				f.setCut(in.id, out.id, true)
+				f.setCut(out.id, in.id, !oneWay)
+			}
+		}
+	}
+}
+
+// owners are the daemons that believe to own a pool.
+func (f *fleet) owners(pool tw.PoolID) []tw.DaemonID {
+	var out []tw.DaemonID
+	for _, d := range f.daemons {
+		if _, owns := d.owns(pool); owns {
+			out = append(out, d.id)
+		}
+	}
+	return out
+}
+
+// unowned lists the pools that no living daemon owns.
+func (f *fleet) unowned() []tw.PoolID {
+	var out []tw.PoolID
+	for _, pool := range f.pools {
+		if len(f.owners(pool)) == 0 {
+			out = append(out, pool)
+		}
+	}
+	return out
+}
+
+// Ping implements member.Pinger.
+func (d *modelDaemon) Ping(ctx context.Context, address string, _ member.PingRequest) (*member.PingResponse, error) {
+	at := slices.IndexFunc(d.fleet.daemons, func(o *modelDaemon) bool { return string(o.id) == address })
+	other := d.fleet.daemons[at]
+	select {
+	case <-time.After(pingTime):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if !d.fleet.reaches(d.id, other.id) || !d.fleet.reaches(other.id, d.id) {
+		<-ctx.Done()
+		return nil, errors.Wrap(tw.ErrUnclear, "model: cut")
+	}
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	if !other.up {
+		return nil, tw.ErrGone
+	}
+	resp := &member.PingResponse{Daemon: other.id, Life: other.life, StoreAnswers: other.members.StoreAnswers()}
+	for _, o := range other.owned {
+		if o.Fence != 0 { // else it is being taken
+			resp.Owned = append(resp.Owned, o)
+		}
+	}
+	return resp, nil
+}
+
+func (d *modelDaemon) owns(pool tw.PoolID) (ledger.Owner, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o := d.owned[pool]
+	return o, d.up && o.Fence != 0
+}
+
+func (d *modelDaemon) ownedPools() []tw.PoolID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []tw.PoolID
+	for pool := range d.owned {
+		out = append(out, pool)
+	}
+	return out
+}
+
+// start begins a life.
+func (d *modelDaemon) start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ctx, d.kill = context.WithCancel(context.Background())
+	d.life++
+	d.up = true
+	d.owned = map[tw.PoolID]ledger.Owner{}
+	kv := &cutKV{KV: d.fleet.kv, d: d, ctx: d.ctx}
+	self := member.Live{Daemon: d.id, Life: d.life, Address: string(d.id), Hall: tw.HallID(fmt.Sprint(d.hall)), Cores: 1}
+	clock, log := tw.SystemClock{}, zap.NewNop()
+	d.presence = member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
+	d.members = member.Config{
+		KV: kv, Clock: clock, Log: log, Self: self, Peers: d, Presence: d.presence,
+		Pools: func() []tw.PoolID { return d.fleet.pools }, Owned: d.ownedPools,
+		Version: func() tw.Version { return 1 }, NewerConfig: func(string, tw.Version) {},
+		Take: func(pool tw.PoolID, _ string) { d.take(kv, pool) },
+	}.New()
+}
+
+// crash ends a life without a word: its record stays until its lease ends.
+func (d *modelDaemon) crash() {
+	d.mu.Lock()
+	if !d.up {
+		d.mu.Unlock()
+		return
+	}
+	d.up = false
+	members, presence, kill := d.members, d.presence, d.kill
+	d.mu.Unlock()
+	kill()
+	d.duties.Wait()
+	members.Close()
+	presence.Close(context.Background())
+}
+
+// take opens a pool's book and writes to it until another daemon does.
+func (d *modelDaemon) take(kv tw.KV, pool tw.PoolID) {
+	d.mu.Lock()
+	_, have := d.owned[pool]
+	ctx, life, members := d.ctx, d.life, d.members
+	if have || !d.up {
+		d.mu.Unlock()
+		return
+	}
+	d.owned[pool] = ledger.Owner{}
+	d.mu.Unlock()
+	d.duties.Go(func() {
+		self := ledger.Owner{Pool: pool, Daemon: d.id, Address: string(d.id), Life: life}
+		book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: self}.Open(ctx)
+		if err == nil {
+			self.Fence = book.Fence()
+			d.mu.Lock()
+			d.owned[pool] = self
+			d.mu.Unlock()
+			members.Took(self)
+			d.fleet.mu.Lock()
+			d.fleet.taken[pool]++
+			d.fleet.mu.Unlock()
+		}
+		for err == nil || !errors.Is(err, ledger.ErrDeposed) && ctx.Err() == nil {
+			if book == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(confirmPace):
+			}
+			_, err = book.Write(ctx, nil)
+		}
+		if errors.Is(err, ledger.ErrDeposed) {
+			members.Yielded(pool)
+		}
+		d.mu.Lock()
+		delete(d.owned, pool)
+		d.mu.Unlock()
+	})
+}
+
+// blocked is nil if the store can be reached; else it waits as long as a call
+// into a cut hangs.
+func (k *cutKV) blocked(ctx context.Context) error {
+	if k.ctx.Err() == nil && k.d.fleet.reaches(k.d.id, "") {
+		return nil
+	}
+	select {
+	case <-time.After(callTime):
+	case <-ctx.Done():
+	case <-k.ctx.Done():
+	}
+	return errors.Wrap(tw.ErrUnavailable, "model: cut from the store")
+}
+
+func (k *cutKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	if err := k.blocked(ctx); err != nil {
+		return tw.KVItem{}, err
+	}
+	return k.KV.Get(ctx, key)
+}
+
+func (k *cutKV) Range(ctx context.Context, prefix tw.Key) ([]tw.KVItem, tw.KVRevision, error) {
+	if err := k.blocked(ctx); err != nil {
+		return nil, 0, err
+	}
+	return k.KV.Range(ctx, prefix)
+}
+
+// Watch hears nothing more once the store is cut off, also if it began before.
+func (k *cutKV) Watch(ctx context.Context, prefix tw.Key, after tw.KVRevision, wait time.Duration) ([]tw.KVEvent, tw.KVRevision, error) {
+	events, at, err := k.KV.Watch(ctx, prefix, after, wait)
+	if blocked := k.blocked(ctx); blocked != nil {
+		return nil, 0, blocked
+	}
+	return events, at, err
+}
+
+func (k *cutKV) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
+	if err := k.blocked(ctx); err != nil {
+		return 0, err
+	}
+	return k.KV.Commit(ctx, txn)
+}
+
+func (k *cutKV) Grant(ctx context.Context, ttl time.Duration) (tw.KVLeaseID, time.Duration, error) {
+	if err := k.blocked(ctx); err != nil {
+		return 0, 0, err
+	}
+	return k.KV.Grant(ctx, ttl)
+}
+
+func (k *cutKV) Renew(ctx context.Context, lease tw.KVLeaseID) error {
+	if err := k.blocked(ctx); err != nil {
+		return err
+	}
+	return k.KV.Renew(ctx, lease)
+}
+
+func (k *cutKV) Revoke(ctx context.Context, lease tw.KVLeaseID) error {
+	if err := k.blocked(ctx); err != nil {
+		return err
+	}
+	return k.KV.Revoke(ctx, lease)
+}
+
+// startAll starts the daemons that are down, within 0.3 s of each other.
+func (f *fleet) startAll(r *rand.Rand) {
+	var wg sync.WaitGroup
+	for _, d := range f.daemons {
+		if d.up {
+			continue
+		}
+		after := time.Duration(r.Int64N(int64(300 * time.Millisecond)))
+		wg.Go(func() {
+			time.Sleep(after)
+			d.start()
+		})
+	}
+	wg.Wait()
+}
+
+func (f *fleet) crashAll(daemons []*modelDaemon) {
+	var wg sync.WaitGroup
+	for _, d := range daemons {
+		wg.Go(d.crash)
+	}
+	wg.Wait()
+	time.Sleep(pingTime) // pings that were under way end
+}
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -154,8 +154,7 @@
 
 // keepUnowned keeps a submission as another daemon does without the owner.
 func (r *rig) keepUnowned(o *run.Owner, s tw.Submission) {
-	_, err := r.kv.Commit(r.ctx, ledger.AcceptUnowned(&s))
-	r.Expect(err).NotTo(HaveOccurred())
+	r.leave(s)
 	o.Inbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: s.ID})
 	r.Eventually(func() error {
 		_, err := o.State(r.ctx, s.ID)
