Compare policies of placement in simulated time

tamarind-standin experiment schedule plays turning demand, wrong guesses and the cut of a hall against the real placement and the real decisions on machines, 40 seeds a policy and load, and plots waiting against load.

--- a/cmd/tamarind-standin/experiment.go
+++ b/cmd/tamarind-standin/experiment.go
@@ -25,6 +25,7 @@
 	{"cost", "What the gateway adds to a request.", experiment.Cost},
 	{"claims", "Requests that callers repeat, without and with a key.", experiment.Claims},
 	{"control", "What a daemon costs at rest, and how long a change takes, in halls of four sizes.", experiment.Control},
+	{"schedule", "Policies of placement under turning demand and the cut of a hall, in simulated time; plots waiting against load.", experiment.Schedule},
 	{"fleet", "Moves, spares and the time of a planning pass.", experiment.Fleet},
 }
 
--- /dev/null
+++ b/internal/experiment/schedule.go
@@ -0,0 +1,166 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+type (
+	// schedulePolicy is a way to order what waits, and whether halls count.
+	schedulePolicy struct {
+		name    string
+		halls   bool
+		urgency func(m *demandModel, j *modelJob) schedule.Urgency
+	}
+
+	// scheduleResult is what came of all seeds of a policy at a load.
+	scheduleResult struct {
+		// inTime is the share of jobs that ended within their objective, waited
+		// the mean time for which a job's subtasks waited, tail that of the
+		// twentieth that waited longest.
+		inTime       float64
+		waited, tail time.Duration
+	}
+)
+
+const (
+	scheduleSeeds = 40
+	// tailShare of the jobs wait longer than scheduleResult.tail.
+	tailShare = 0.05
+	plotSize  = 16 * vg.Centimeter
+)
+
+var (
+	schedulePolicies = []schedulePolicy{
+		{name: "by urgency, steps in one hall", halls: true, urgency: byUrgency},
+		{name: "by urgency, halls ignored", urgency: byUrgency},
+		{name: "first come", halls: true, urgency: byArrival},
+		{name: "least work left", halls: true, urgency: byWork},
+		{name: "random", halls: true, urgency: atRandom},
+	}
+	scheduleLoads = []float64{0.5, 1, 1.5, 2}
+)
+
+func byUrgency(m *demandModel, j *modelJob) schedule.Urgency {
+	var rest, whole time.Duration
+	for i, step := range j.steps {
+		whole += step.guess
+		if i >= j.at {
+			rest += step.guess
+		}
+	}
+	objective := time.Duration(modelStretch*float64(whole)) + modelTarget
+	return schedule.UrgencyOf(modelStart.Add(m.now), modelStart.Add(j.arrived), objective, rest, 0)
+}
+
+func byArrival(_ *demandModel, j *modelJob) schedule.Urgency {
+	return schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: modelStart.Add(j.arrived)}
+}
+
+func byWork(_ *demandModel, j *modelJob) schedule.Urgency {
+	return schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: modelStart.Add(time.Duration(j.workLeft() * float64(time.Millisecond)))}
+}
+
+func atRandom(m *demandModel, _ *modelJob) schedule.Urgency {
+	return schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: modelStart.Add(time.Duration(m.rand.Int64N(int64(time.Hour))))}
+}
+
+// Schedule compares policies of placement under turning demand, wrong guesses and
+// the cut of a hall, in simulated time, and plots waiting against load.
+func Schedule(_ context.Context, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "POLICY (%d seeds)\tLOAD\tIN TIME\tWAITED, MEAN\tWAITED, P95\n", scheduleSeeds)
+	lines := make([]plotter.XYs, len(schedulePolicies))
+	for i, policy := range schedulePolicies {
+		for _, load := range scheduleLoads {
+			r := playPolicy(policy, load)
+			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.2f s\t%.2f s\n", policy.name, load, r.inTime, r.waited.Seconds(), r.tail.Seconds())
+			lines[i] = append(lines[i], plotter.XY{X: load, Y: r.waited.Seconds()})
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "experiment: schedule")
+	}
+	path := filepath.Join(os.TempDir(), "tamarind-schedule.png")
+	if err := plotWaits(lines, path); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, "plot:", path)
+	return nil
+}
+
+// playPolicy plays a policy at a load on all seeds. Jobs that have not ended when
+// a play does count as late if their objective has passed, else not at all.
+func playPolicy(policy schedulePolicy, load float64) scheduleResult {
+	plays := make([][]*modelJob, scheduleSeeds)
+	var wg sync.WaitGroup
+	for seed := range plays {
+		wg.Go(func() { plays[seed] = newDemandModel(uint64(seed), policy, load).play() })
+	}
+	wg.Wait()
+	var waits []time.Duration
+	inTime, all := 0, 0
+	for _, jobs := range plays {
+		for _, j := range jobs {
+			late := j.ended == 0 || j.ended-j.arrived > j.objective
+			if j.ended == 0 && modelTime-j.arrived <= j.objective {
+				continue
+			}
+			all++
+			if !late {
+				inTime++
+			}
+			waits = append(waits, j.waited/time.Duration(j.subtasks()))
+		}
+	}
+	slices.SortFunc(waits, cmp.Compare[time.Duration])
+	var sum time.Duration
+	for _, wait := range waits {
+		sum += wait
+	}
+	return scheduleResult{
+		inTime: float64(inTime) / float64(all), waited: sum / time.Duration(len(waits)),
+		tail: waits[int((1-tailShare)*float64(len(waits)))],
+	}
+}
+
+// subtasks counts those of all steps.
+func (j *modelJob) subtasks() int {
+	n := 0
+	for _, step := range j.steps {
+		n += len(step.times)
+	}
+	return n
+}
+
+func plotWaits(lines []plotter.XYs, path string) error {
+	p := plot.New()
+	p.Title.Text = "Waiting for a worker"
+	p.X.Label.Text = "load (1 is 0.4 of all machines in the mean)"
+	p.Y.Label.Text = "mean wait of a subtask, s"
+	p.Legend.Top, p.Legend.Left = true, true
+	var args []any
+	for i, policy := range schedulePolicies {
+		args = append(args, policy.name, lines[i])
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return errors.Wrap(err, "experiment: plot")
+	}
+	return errors.Wrap(p.Save(plotSize, plotSize, path), "experiment: plot")
+}
--- /dev/null
+++ b/internal/experiment/schedule_model.go
@@ -0,0 +1,332 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/maintenance"
+	"github.com/tamarindworks/tamarindworks/run"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+type (
+	// demandModel plays turning demand on pools of machines in simulated time: the
+	// real placement and the real decisions on machines, with work, machines and a
+	// hall that is cut off made up.
+	demandModel struct {
+		rand     *rand.Rand
+		policy   schedulePolicy
+		load     float64
+		now      time.Duration
+		machines []*modelMachine
+		pools    []tw.PoolID
+		jobs     []*modelJob
+		vacating map[tw.InstanceID]maintenance.Order
+		next     int
+	}
+
+	// modelMachine is a machine with its worker.
+	modelMachine struct {
+		tw.Machine
+		free tw.Resources
+		runs int
+		// back is when a move ends.
+		back time.Duration
+	}
+
+	// modelJob is a submission: steps that run one after the other.
+	modelJob struct {
+		id        tw.SubmissionID
+		pool      tw.PoolID
+		arrived   time.Duration
+		objective time.Duration
+		need      tw.Resources
+		steps     []modelStep
+		at        int // the step that runs
+		waiting   []tw.SubtaskID
+		running   []*modelRun
+		// waited is from the moment a subtask could start until it did, summed.
+		waited time.Duration
+		ready  time.Duration
+		ended  time.Duration // zero if it has not
+	}
+
+	modelStep struct {
+		times []time.Duration
+		// guess is what the scheduler takes the subtasks' time for.
+		guess time.Duration
+	}
+
+	modelRun struct {
+		job     *modelJob
+		machine *modelMachine
+		ends    time.Duration
+	}
+)
+
+// The model's figures, near those of the users' third deployment.
+const (
+	modelTick  = 50 * time.Millisecond
+	decideTick = 100 * time.Millisecond
+	modelTime  = 60 * time.Second
+	// turnTime is how long demand stays with one pool.
+	turnTime  = 10 * time.Second
+	turnHigh  = 4.0
+	turnLow   = 0.05
+	modelMove = 1500 * time.Millisecond
+	// A hall is cut off: its machines work on, but nothing is heard of them.
+	cutFrom  = 33 * time.Second
+	cutUntil = 39 * time.Second
+
+	modelPoolCount    = 4
+	modelMachineCount = 48
+	modelHallCount    = 3
+	modelRackSize     = 4
+	machineCPU        = 16000
+	machineMemory     = 32000
+	// meanLoad is the share of all machines that load 1 asks for in the mean.
+	meanLoad = 0.4
+	// width and subtask are the mean shape of a step.
+	modelWidth   = 8
+	modelSubtask = 1700 * time.Millisecond
+	modelCPU     = 1900
+	modelStretch = 1.6
+	modelTarget  = 600 * time.Millisecond
+	// guessSpread is the spread, as a logarithm, by which guesses are off.
+	guessSpread = 0.6
+	usableFill  = 0.85
+)
+
+// modelStart is the time of day at which the model begins.
+var modelStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newDemandModel(seed uint64, policy schedulePolicy, load float64) *demandModel {
+	m := &demandModel{
+		rand: rand.New(rand.NewPCG(seed, 7)), policy: policy, load: load,
+		vacating: map[tw.InstanceID]maintenance.Order{},
+	}
+	for n := range modelPoolCount {
+		m.pools = append(m.pools, tw.PoolID(fmt.Sprintf("pool-%d", n)))
+	}
+	for n := range modelMachineCount {
+		hall := n % modelHallCount
+		rack := fmt.Sprintf("r%d-%d", hall, n/modelHallCount/modelRackSize)
+		m.machines = append(m.machines, &modelMachine{
+			Machine: tw.Machine{
+				ID: tw.InstanceID(fmt.Sprintf("m%02d", n)), Pool: m.pools[n%modelPoolCount], State: tw.MachineUp,
+				Hall: tw.HallID(fmt.Sprintf("hall-%d", hall)), Labels: []string{rack}, Worker: tw.WorkerID(fmt.Sprintf("w%02d", n)),
+				Capacity: tw.Resources{CPU: machineCPU, MemoryMB: machineMemory},
+			},
+			free: tw.Resources{CPU: machineCPU, MemoryMB: machineMemory},
+		})
+	}
+	return m
+}
+
+// play plays the whole time and returns all jobs.
+func (m *demandModel) play() []*modelJob {
+	for ; m.now < modelTime; m.now += modelTick {
+		m.arrive()
+		m.finish()
+		if m.now%decideTick == 0 {
+			m.moveMachines()
+		}
+		for _, pool := range m.pools {
+			m.place(pool)
+		}
+	}
+	return m.jobs
+}
+
+// cut tells whether nothing is heard of a machine.
+func (m *demandModel) cut(machine *modelMachine) bool {
+	return machine.Hall == "hall-0" && m.now >= cutFrom && m.now < cutUntil
+}
+
+// arrive draws the jobs of a tick.
+func (m *demandModel) arrive() {
+	perJob := 2 * modelWidth * modelSubtask.Seconds() * modelCPU
+	mean := m.load * meanLoad * modelMachineCount * machineCPU / perJob / modelPoolCount
+	turn := int(m.now/turnTime) % modelPoolCount
+	for i, pool := range m.pools {
+		rate := turnLow * mean
+		if i == turn {
+			rate = turnHigh * mean
+		}
+		for chance := rate * modelTick.Seconds(); chance > 0; chance-- {
+			if m.rand.Float64() < chance {
+				m.jobs = append(m.jobs, m.newJob(pool))
+			}
+		}
+	}
+}
+
+func (m *demandModel) newJob(pool tw.PoolID) *modelJob {
+	m.next++
+	j := &modelJob{
+		id: tw.SubmissionID(fmt.Sprintf("%016x", m.next)), pool: pool, arrived: m.now, ready: m.now,
+		need: tw.Resources{CPU: tw.Millicores(modelCPU * m.spread(0.45)), MemoryMB: 500},
+	}
+	var chain time.Duration
+	for range 1 + m.rand.IntN(3) {
+		step := modelStep{}
+		usual := time.Duration(float64(modelSubtask) * m.spread(0.5))
+		for range max(1, int(modelWidth*m.spread(0.6))) {
+			step.times = append(step.times, time.Duration(float64(usual)*m.spread(0.15)))
+		}
+		step.guess = time.Duration(float64(usual) * m.spread(guessSpread))
+		chain += slices.Max(step.times)
+		j.steps = append(j.steps, step)
+	}
+	j.objective = time.Duration(modelStretch*float64(chain)) + modelTarget
+	j.open()
+	return j
+}
+
+// spread is a random factor around one.
+func (m *demandModel) spread(sigma float64) float64 { return math.Exp(sigma * m.rand.NormFloat64()) }
+
+// open makes the subtasks of the job's present step wait.
+func (j *modelJob) open() {
+	for n := range j.steps[j.at].times {
+		j.waiting = append(j.waiting, tw.SubtaskID{Submission: j.id, Step: j.at, Index: n})
+	}
+}
+
+// finish takes up the ends that are heard of.
+func (m *demandModel) finish() {
+	for _, j := range m.jobs {
+		j.running = slices.DeleteFunc(j.running, func(r *modelRun) bool {
+			if r.ends > m.now || m.cut(r.machine) {
+				return false
+			}
+			r.machine.free = r.machine.free.Plus(j.need)
+			r.machine.runs--
+			return true
+		})
+		if j.ended != 0 || len(j.running) > 0 || len(j.waiting) > 0 {
+			continue
+		}
+		j.at++
+		if j.at == len(j.steps) {
+			j.ended = m.now
+			continue
+		}
+		j.ready = m.now
+		j.open()
+	}
+}
+
+// workLeft is the work that a job has ahead of it, as far as is guessed.
+func (j *modelJob) workLeft() float64 {
+	work := 0.0
+	for _, step := range j.steps[j.at:] {
+		work += step.guess.Seconds() * float64(len(step.times)) * float64(j.need.CPU)
+	}
+	return work
+}
+
+// place puts what waits in a pool on its workers.
+func (m *demandModel) place(pool tw.PoolID) {
+	byID := map[tw.SubmissionID]*modelJob{}
+	var groups []*schedule.Group
+	for _, j := range m.jobs {
+		if j.pool != pool || len(j.waiting) == 0 {
+			continue
+		}
+		byID[j.id] = j
+		groups = append(groups, &schedule.Group{
+			Step: &tw.Step{Count: len(j.waiting), Need: j.need}, Subtasks: j.waiting, Urgency: m.policy.urgency(m, j),
+		})
+	}
+	if len(groups) == 0 {
+		return
+	}
+	at := map[tw.WorkerID]*modelMachine{}
+	for _, p := range schedule.Place(groups, m.workers(pool, at)) {
+		m.start(byID[p.Subtask.Submission], p.Subtask, at[p.Worker.ID])
+	}
+}
+
+// workers are the pool's machines as the scheduler sees them.
+func (m *demandModel) workers(pool tw.PoolID, at map[tw.WorkerID]*modelMachine) []*schedule.Worker {
+	var out []*schedule.Worker
+	for i, machine := range m.machines {
+		_, leaving := m.vacating[machine.ID]
+		if machine.Pool != pool || machine.State != tw.MachineUp || leaving || m.cut(machine) {
+			continue
+		}
+		at[machine.Worker] = machine
+		w := &schedule.Worker{ID: machine.Worker, Free: machine.free, Attainable: machine.Capacity, Rank: i}
+		if m.policy.halls {
+			w.Hall, w.Rack = machine.Hall, tw.RackLabel(machine.Labels[0])
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func (m *demandModel) start(j *modelJob, id tw.SubtaskID, on *modelMachine) {
+	j.waiting = slices.DeleteFunc(slices.Clone(j.waiting), func(w tw.SubtaskID) bool { return w == id })
+	on.free = on.free.Minus(j.need)
+	on.runs++
+	j.waited += m.now - j.ready
+	j.running = append(j.running, &modelRun{job: j, machine: on, ends: m.now + j.steps[id.Step].times[id.Index]})
+}
+
+// moveMachines decides on machines and carries the moves out.
+func (m *demandModel) moveMachines() {
+	state := &maintenance.State{
+		Now: modelStart.Add(m.now), Began: modelStart.Add(-time.Hour), Asked: modelStart.Add(m.now), ParkAfter: time.Hour,
+		Machines: map[tw.InstanceID]tw.Machine{}, Pools: map[tw.PoolID]*maintenance.Pool{},
+		Ordered: map[tw.InstanceID]maintenance.Order{}, Vacating: m.vacating,
+	}
+	for _, pool := range m.pools {
+		state.Pools[pool] = &maintenance.Pool{ID: pool, Known: true, Report: run.Report{Pool: pool}}
+	}
+	for _, machine := range m.machines {
+		if machine.State == tw.MachineMoving && m.now >= machine.back {
+			machine.State = tw.MachineUp
+		}
+		state.Machines[machine.ID] = machine.Machine
+		m.report(state.Pools[machine.Pool], machine)
+	}
+	for _, j := range m.jobs {
+		report := &state.Pools[j.pool].Report
+		for range j.waiting {
+			report.Waiting = report.Waiting.Plus(j.need)
+		}
+	}
+	for _, pool := range state.Pools {
+		used := pool.Report.Running.Plus(pool.Report.Waiting)
+		pool.Need = float64(used.CPU) / machineCPU / usableFill
+	}
+	decision := maintenance.Decide(state)
+	m.vacating = decision.Vacate
+	for _, order := range decision.Orders {
+		m.move(order)
+	}
+}
+
+// report adds a machine to the report of its pool.
+func (m *demandModel) report(pool *maintenance.Pool, machine *modelMachine) {
+	if machine.State != tw.MachineUp {
+		return
+	}
+	heard := !m.cut(machine)
+	pool.Report.Workers = append(pool.Report.Workers, run.WorkerLoad{
+		Instance: machine.ID, Worker: machine.Worker, Capacity: machine.Capacity, Free: machine.free,
+		Runs: machine.runs, Known: heard, Sound: heard,
+	})
+	pool.Report.Running = pool.Report.Running.Plus(machine.Capacity.Minus(machine.free))
+}
+
+func (m *demandModel) move(order maintenance.Order) {
+	i := slices.IndexFunc(m.machines, func(machine *modelMachine) bool { return machine.ID == order.Machine })
+	machine := m.machines[i]
+	machine.Pool, machine.State, machine.back = order.Pool, tw.MachineMoving, m.now+modelMove
+}
