Stand-in workers keep what happened before a change, and let lapsed work start again

Traced: a worker finished a subtask and fell silent; its grants ran out, and after that its owner started the subtask again, as it must; 2 ms later the worker was heard again and told of the end, and the owner stopped the second run at once. The platform's rule says that an end counts as taken note of except when the worker's lease has lapsed in between; the stand-in left that exception out. Now it knows which ends came before a lapse, and passes over just the run that was started before the end could be learned. A start after the owner has learned of the end is still TWICE.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -79,6 +79,9 @@
 		runs     map[tw.SubtaskID]*simRun
 		ended    []tw.EndedSubtask
 		sequence int64
+		// lapsedUpTo is the last end that came before the worker's grants ran out:
+		// whoever grants may take what it was not told of for lost from then on.
+		lapsedUpTo int64
 		// barred is the highest run of a subtask that was stopped or ended.
 		barred  map[tw.SubtaskID]tw.RunNumber
 		late    []tw.StartOrder
@@ -123,7 +126,9 @@
 func (f *Fleet) Set(id tw.WorkerID, change func(w *SimWorker)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	change(f.workers[id])
+	w := f.workers[id]
+	f.settle(w) // what happened before the change stays as it was
+	change(w)
 }
 
 // Kill ends a worker's life with all that runs there, and with the orders that it
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -27,6 +27,7 @@
 
 var regressions = map[uint64]string{
 	1379: "the stand-in carried late starts out on a worker that had died",
+	3001: "the stand-in counted an end that came before its worker's grants ran out against a start that came after",
 }
 
 // TestSoak plays random faults against a pool, in series and overlapping:
