--- a/cmd/tamarind/delays.go
+++ b/cmd/tamarind/delays.go
@@ -27,6 +27,9 @@
 	window := cmd.Flag("window", "Width of a row.").Default("2s").Duration()
 	over := cmd.Flag("over", "What took longer is told one by one; 0 for none.").Default("0s").Duration()
 	cmd.Action(action(func() error {
+		if *window <= 0 {
+			return errors.Wrap(errUsage, "--window must be above zero")
+		}
 		file, err := os.Open(*path)
 		if err != nil {
 			return errors.Wrap(err, "delays")
@@ -36,9 +39,6 @@
 		if err != nil {
 			return err
 		}
-		if *window <= 0 {
-			return errors.Wrap(errUsage, "--window must be above zero")
-		}
 		return printDelays(accounts, *window, *over)
 	}))
 }
--- a/internal/experiment/schedule_model.go
+++ b/internal/experiment/schedule_model.go
@@ -62,7 +62,6 @@
 	}
 
 	modelRun struct {
-		job     *modelJob
 		machine *modelMachine
 		ends    time.Duration
 	}
@@ -275,7 +274,7 @@
 	on.free = on.free.Minus(j.need)
 	on.runs++
 	j.waited += m.now - j.ready
-	j.running = append(j.running, &modelRun{job: j, machine: on, ends: m.now + j.steps[id.Step].times[id.Index]})
+	j.running = append(j.running, &modelRun{machine: on, ends: m.now + j.steps[id.Step].times[id.Index]})
 }
 
 // moveMachines decides on machines and carries the moves out.
