Give a busy owner's starts and looks through other daemons; cheaper owner's loop

Cause: on the large site all pools sit on daemons of 0.8 of a core, and in the seconds of a turn an owner is full: an HTTP exchange for each of some 1,900 starts a second, with the spec of 2.4 KB each time, and more looks than that; the loop went through all workers or all submissions after each event.

Change, in parts that were measured together: - member.Relay: above 500 starts a second and core, an owner's starts go in batches to daemons of the workers' halls, the spec once, and so do its looks; outcomes come back as they are known.

--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -48,6 +48,8 @@
 		presence  *member.Presence
 		peers     *member.Peers
 		members   *member.Members
+		relay     *member.Relay
+		looks     *member.Looks
 		census    *run.Census
 		directory *directory
 		owners    *owners
@@ -62,6 +64,10 @@
 	// memoryShare of the process's bound is the garbage collector's limit;
 	// the rest is for what it does not count, such as socket buffers.
 	memoryShare = 0.6
+	// gcPercent lets the heap grow to five times what is in use before a collection:
+	// at Go's usual 100 a busy owner of hundreds of workers, whose heap is small, spent
+	// a tenth of its processor time on collections. The limit above goes first.
+	gcPercent = 400
 	// callersHeaderTime and callersIdleTime bound idle callers; the
 	// configuration's own bounds are the same on present deployments.
 	callersHeaderTime = 3 * time.Second
@@ -79,6 +85,7 @@
 	c.defaults()
 	s := c.Settings
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
 	d := &QueueDaemon{
 		settings: s, log: c.Log, clock: c.Clock, metrics: metrics.NewSet(),
 		kv: c.KV, orders: c.Orders, machines: c.Machines, advisor: c.Advisor,
@@ -129,6 +136,12 @@
 	// The list of workers is not followed before there are owners.
 	d.directory = newDirectory(d.kv, d.clock, d.log, func() { d.owners.feedAll() })
 	d.owners = newOwners(d)
+	d.looks = member.LooksConfig{Orders: d.orders, Clock: d.clock}.New()
+	d.relay = member.RelayConfig{
+		Self:   d.self.Daemon,
+		Relays: func(hall tw.HallID) []member.Live { return d.members.Relays(hall) }, Peers: d.peers, Direct: d.orders, Clock: d.clock, Log: d.log, Metrics: d.metrics,
+		Busy: d.settings.Limits.RelayAbove * float64(d.settings.Limits.Cores),
+	}.New()
 	d.presence = member.PresenceConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, MinTTL: d.settings.Platform.MinLease.Std(),
 	}.New()
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"math"
 	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -27,24 +28,26 @@
 	}
 
 	offer struct {
-		at   time.Time
-		work run.Work
+		at    time.Time
+		work  run.Work
+		count int64
 	}
 )
 
 const (
 	// rateWindow is the time over which the rate of offered work is measured:
-	// short, as demand turns within a second.
+	// short, as demand turns within a second. riseWindow is shorter, so that a
+	// rise is seen at once where enough submissions come in it.
 	rateWindow = 800 * time.Millisecond
+	riseWindow = 300 * time.Millisecond
 	// spreadSpare is how many workers a pool has beyond those over which its
 	// widest step must spread, as one may be leaving.
 	spreadSpare = 1
 	// needAge is how old a sample may be to count as the present need.
 	needAge = 3 * time.Second
-	// rateTrust times what runs and waits is the most that the rate of new
-	// work may ask for: over a short window a few large submissions look like
-	// a flood.
-	rateTrust = 1.5
+	// rateDoubt is how many standard errors are taken off a rate of new work:
+	// over a short window a few large submissions look like a flood.
+	rateDoubt = 1.0
 	// fill is the share of a pool's capacity that placement makes use of.
 	fill = 0.85
 )
@@ -57,7 +60,7 @@
 	if r.Fence != f.fence {
 		f.fence, f.offers = r.Fence, nil // a new owner counts from zero
 	}
-	f.offers = append(f.offers, offer{at: at, work: r.Offered})
+	f.offers = append(f.offers, offer{at: at, work: r.Offered, count: r.OfferedCount})
 	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= rateWindow {
 		f.offers = f.offers[1:]
 	}
@@ -80,24 +83,39 @@
 	size := sizeOf(r)
 	present := share(r.Running.Plus(r.Waiting), size)
 	coming := share(r.Lasting, size) + f.rate(size)
-	need := max(present, min(coming, rateTrust*present+1)) / fill
+	need := max(present, coming) / fill
 	if r.Spread == 0 {
 		return need
 	}
 	return max(need, float64(r.Spread+spreadSpare)/headroom)
 }
 
-// rate is the machines that new work fills if it goes on coming as of late.
+// rate is the machines that new work fills if it goes on coming as of late. It is
+// the higher of two windows, each less what may be chance: a pool whose demand
+// rises fivefold has sent for its machines within half a second, when little of
+// the new work runs or waits yet.
 func (f *forecast) rate(size tw.Resources) float64 {
+	return max(f.rateOver(rateWindow, size), f.rateOver(riseWindow, size))
+}
+
+func (f *forecast) rateOver(window time.Duration, size tw.Resources) float64 {
 	if len(f.offers) < 2 {
 		return 0
 	}
-	first, last := f.offers[0], f.offers[len(f.offers)-1]
+	last := f.offers[len(f.offers)-1]
+	first := f.offers[0]
+	for _, o := range f.offers[1 : len(f.offers)-1] {
+		if last.at.Sub(o.at) >= window {
+			first = o
+		}
+	}
 	seconds := last.at.Sub(first.at).Seconds()
-	if seconds <= 0 {
+	count := float64(last.count - first.count)
+	if seconds <= 0 || count <= 0 {
 		return 0
 	}
-	return share(tw.Resources{
+	sure := max(0, 1-rateDoubt/math.Sqrt(count))
+	return sure * share(tw.Resources{
 		CPU:      tw.Millicores((last.work.CPU - first.work.CPU) / seconds),
 		MemoryMB: int64((last.work.MemoryMB - first.work.MemoryMB) / seconds),
 	}, size)
--- a/maintenance/forecast_test.go
+++ b/maintenance/forecast_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/run"
 )
 
 // needCases are samples of a pool's need, by their age, and what is made of
@@ -37,3 +40,40 @@
 		})
 	}
 }
+
+// riseCases are the submissions offered in each tenth of a second, of one second of
+// a machine each, and how many machines the pool is then to need. Four are busy.
+var riseCases = map[string]struct {
+	offered     []int64
+	work        float64 // machine seconds of each submission
+	least, most float64
+}{
+	"a steady rate":                   {offered: []int64{4, 4, 4, 4, 4, 4, 4, 4, 4, 4}, work: 0.1, least: 4 / fill, most: 6},
+	"a rise is seen in a few tenths":  {offered: []int64{1, 1, 1, 1, 1, 1, 1, 15, 15, 15}, work: 1, least: 100, most: 180},
+	"one large submission is no rise": {offered: []int64{0, 0, 0, 0, 0, 0, 0, 0, 0, 1}, work: 50, least: 4 / fill, most: 5},
+	"nothing comes any more":          {offered: []int64{15, 15, 15, 0, 0, 0, 0, 0, 0, 0, 0, 0}, work: 1, least: 4 / fill, most: 5},
+}
+
+func TestForecastRise(t *testing.T) {
+	size := tw.Resources{CPU: 16000, MemoryMB: 64000}
+	for name, c := range riseCases {
+		t.Run(name, func(t *testing.T) {
+			f := forecast{window: time.Minute}
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			r := run.Report{
+				Running: tw.Resources{CPU: 4 * size.CPU, MemoryMB: 4 * size.MemoryMB},
+				Workers: []run.WorkerLoad{{Capacity: size}},
+			}
+			for _, n := range c.offered {
+				now = now.Add(100 * time.Millisecond)
+				r.OfferedCount += n
+				r.Offered.CPU += float64(n) * c.work * float64(size.CPU)
+				f.observe(now, &r)
+			}
+			need, _ := f.need(now)
+			g := NewWithT(t)
+			g.Expect(need).To(BeNumerically(">=", c.least))
+			g.Expect(need).To(BeNumerically("<=", c.most))
+		})
+	}
+}
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -189,14 +189,17 @@
 // one on which nothing runs, else, if the pool has spares, the one with the
 // least work that ends by itself.
 func (s *State) idle(pool *Pool, to tw.PoolID, d *Decision) (tw.Machine, bool) {
-	for _, machine := range s.members[pool.ID] {
-		_, vacating := d.Vacate[machine.ID]
-		_, ordered := s.Ordered[machine.ID]
-		if machine.State != tw.MachineUp || vacating || ordered || s.blocked(machine.ID) || s.Unfit[machine.ID][to] {
+	members := s.members[pool.ID]
+	for i := s.passed[pool.ID]; i < len(members); i++ {
+		machine := members[i]
+		runs, may := s.mayMove(machine, d)
+		if !may {
+			if i == s.passed[pool.ID] {
+				s.passed[pool.ID]++ // and it stays so during this pass
+			}
 			continue
 		}
-		runs, may := s.runsToEnd(machine)
-		if !may || runs > 0 && (pool.Parking || s.isParking(to)) {
+		if s.Unfit[machine.ID][to] || runs > 0 && (pool.Parking || s.isParking(to)) {
 			continue
 		}
 		return machine, true
@@ -204,6 +207,17 @@
 	return tw.Machine{}, false
 }
 
+// mayMove tells whether a machine can be moved at all, and how many runs must end
+// before that.
+func (s *State) mayMove(machine tw.Machine, d *Decision) (runs int, may bool) {
+	_, vacating := d.Vacate[machine.ID]
+	_, ordered := s.Ordered[machine.ID]
+	if machine.State != tw.MachineUp || vacating || ordered || s.blocked(machine.ID) {
+		return 0, false
+	}
+	return s.runsToEnd(machine)
+}
+
 // runsToEnd counts what must end before a machine is empty; false if
 // something there does not end by itself, or nothing is known of it.
 func (s *State) runsToEnd(machine tw.Machine) (int, bool) {
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -65,6 +65,9 @@
 		loads   map[tw.WorkerID]run.WorkerLoad
 		members map[tw.PoolID][]tw.Machine
 		counts  map[tw.PoolID]int
+		// passed counts the first members of each pool that can't be moved: a pass
+		// that moves hundreds of machines would look at them each time.
+		passed map[tw.PoolID]int
 	}
 
 	// Order is a change of a machine: maintenance if Wave is not zero, else a
@@ -105,6 +108,7 @@
 		}
 	}
 	s.members = map[tw.PoolID][]tw.Machine{}
+	s.passed = map[tw.PoolID]int{}
 	for _, machine := range s.Machines {
 		s.members[machine.Pool] = append(s.members[machine.Pool], machine)
 	}
--- a/run/end.go
+++ b/run/end.go
@@ -28,7 +28,7 @@
 	}
 	if r != nil {
 		o.judge(w, r, e.Kind)
-		delete(w.runs, w.key(r))
+		w.remove(r)
 		t.drop(r)
 	}
 	o.applyEnd(w, t, e)
--- a/run/feed.go
+++ b/run/feed.go
@@ -106,7 +106,9 @@
 		w.looking = false
 		w.nextLook = o.now
 	}
+	o.dropLife(w)
 	w.entry = entry
+	o.addLife(w)
 	w.listed = true
 	w.leaving = o.vacate[entry.Instance]
 	o.buryFormerLives(w, false)
@@ -122,6 +124,9 @@
 	w.inheritedDoubt = o.now.Sub(o.takenAt) < settleTime
 	w.session = newSession(o, entry.Ref())
 	o.workers[entry.ID] = w
+	o.ranks[w.rank] = true
+	o.byPlace = nil
+	o.addLife(w)
 	o.log.Info("worker: listed", zap.String("worker", string(entry.ID)), zap.String("instance", string(entry.Instance)),
 		zap.String("rack", string(entry.Rack())), zap.Int64("cpu", int64(entry.Capacity.CPU)))
 	return w
@@ -139,17 +144,30 @@
 
 // freeRank is the lowest rank that no worker has, so that ranks stay stable.
 func (o *Owner) freeRank() int {
-	used := map[int]bool{}
-	for _, w := range o.workers {
-		used[w.rank] = true
-	}
 	rank := 0
-	for used[rank] {
+	for o.ranks[rank] {
 		rank++
 	}
 	return rank
 }
 
+// addLife and dropLife keep the index of the workers of each machine: without it
+// each new list of workers compared all workers with all others.
+func (o *Owner) addLife(w *worker) {
+	id := w.entry.Instance
+	o.lives[id] = append(o.lives[id], w)
+}
+
+func (o *Owner) dropLife(w *worker) {
+	id := w.entry.Instance
+	left := slices.DeleteFunc(o.lives[id], func(other *worker) bool { return other == w })
+	if len(left) == 0 {
+		delete(o.lives, id)
+		return
+	}
+	o.lives[id] = left
+}
+
 // buryFormerLives ends the doubt about former workers of the same machine, as
 // it runs one at a time. Those that are still listed are former ones only if
 // this one has just come.
@@ -157,8 +175,8 @@
 	if w.entry.Instance == "" {
 		return
 	}
-	for _, other := range o.workers {
-		if other == w || other.entry.Instance != w.entry.Instance || other.listed && !listedToo {
+	for _, other := range slices.Clone(o.lives[w.entry.Instance]) {
+		if other == w || other.listed && !listedToo {
 			continue
 		}
 		o.bury(other, "its machine has a new worker")
@@ -171,6 +189,9 @@
 		zap.Int("runs", len(w.runs)))
 	w.session.close()
 	delete(o.workers, w.entry.ID)
+	delete(o.ranks, w.rank)
+	o.byPlace = nil
+	o.dropLife(w)
 	// Its entry may stay for some seconds; it must not be taken for a new
 	// worker meanwhile.
 	o.goneAt[w.entry.ID] = o.now
--- a/run/lasting.go
+++ b/run/lasting.go
@@ -70,14 +70,3 @@
 	}
 	return false
 }
-
-// hasLasting counts the lasting subtasks on a worker.
-func (w *worker) hasLasting() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.task.step.spec.Lasting {
-			n++
-		}
-	}
-	return n
-}
--- a/run/look.go
+++ b/run/look.go
@@ -46,7 +46,7 @@
 	if len(w.runs) == 0 {
 		return w.lookedAt.Add(confirmEndsAfter), false, w.told < w.recorded
 	}
-	if w.starting() && o.now.Sub(w.lookedAt) < startsFirst {
+	if o.now.Sub(w.lookedAt) < startsFirst && w.starting() {
 		// A look that waits would tell nothing of them if one goes wrong.
 		return w.lookedAt.Add(startsFirst), false, true
 	}
@@ -167,7 +167,7 @@
 		return
 	}
 	var refused *tw.OrderRefused
-	if !errors.As(err, &refused) && !errors.Is(err, errNotSent) {
+	if !errors.As(err, &refused) && !errors.Is(err, ErrNotSent) {
 		if w.unanswered == 0 {
 			o.log.Info("worker: does not answer", zap.String("worker", string(w.entry.ID)),
 				zap.Int("runs", len(w.runs)), logsink.Err(err))
@@ -176,7 +176,7 @@
 		o.placeSoon = true
 	}
 	w.nextLook = o.now.Add(lookRetry)
-	if errors.Is(err, errNotSent) {
+	if errors.Is(err, ErrNotSent) {
 		w.nextLook = o.now
 	}
 }
@@ -188,6 +188,7 @@
 			continue
 		}
 		w.seen = e.Sequence
+		o.writer.unrecorded = true
 		o.takeEnd(w, e)
 	}
 }
@@ -229,7 +230,7 @@
 	}
 	r.task = t
 	t.runs = append(t.runs, r)
-	w.runs[w.key(r)] = r
+	w.add(r)
 	sub := t.step.rep.sub
 	switch {
 	case sub.over() || t.done:
--- a/run/owner.go
+++ b/run/owner.go
@@ -50,9 +50,18 @@
 	takenAt     time.Time
 	submissions map[tw.SubmissionID]*submission
 	// live are the submissions that have not ended.
-	live       map[tw.SubmissionID]*submission
-	waiting    map[tw.RouteName]int
-	workers    map[tw.WorkerID]*worker
+	live map[tw.SubmissionID]*submission
+	// timed are the live submissions with repetitions that are still to come.
+	timed   map[tw.SubmissionID]*submission
+	waiting map[tw.RouteName]int
+	workers map[tw.WorkerID]*worker
+	// lives are the workers of each machine.
+	lives map[tw.InstanceID][]*worker
+	// byPlace are the workers by hall, rack and rank, the order in which they are
+	// filled; nil when it is to be worked out anew.
+	byPlace []*worker
+	// ranks are the ranks in use.
+	ranks      map[int]bool
 	lookSeq    int64
 	runCounter tw.RunNumber
 	// placeSoon asks for a placement pass.
@@ -81,6 +90,8 @@
 	vacateAt  time.Time
 	feedAt    time.Time
 	offered   Work
+	// offeredCount counts the submissions whose work is in offered.
+	offeredCount int64
 	// counted: the list of machines was read since the takeover.
 	counted bool
 	// deposing: the ownership is being given up.
@@ -113,8 +124,11 @@
 		now: now, takenAt: now, feedAt: now,
 		submissions: map[tw.SubmissionID]*submission{},
 		live:        map[tw.SubmissionID]*submission{},
+		timed:       map[tw.SubmissionID]*submission{},
 		waiting:     map[tw.RouteName]int{},
 		workers:     map[tw.WorkerID]*worker{},
+		lives:       map[tw.InstanceID][]*worker{},
+		ranks:       map[int]bool{},
 		learned:     map[learnKey]correction{},
 		goneAt:      map[tw.WorkerID]time.Time{},
 		unclaimed:   map[tw.SubmissionID][]unclaimedEnd{},
@@ -184,6 +198,11 @@
 func (o *Owner) open(sub *submission) {
 	begun := sub.begun
 	sub.openDue(o.clock.Now())
+	if sub.nextRep < sub.Repetitions() {
+		o.timed[sub.ID] = sub
+	} else {
+		delete(o.timed, sub.ID)
+	}
 	if sub.begun && !begun {
 		o.waiting[sub.Policy.Route]--
 	}
--- a/run/place.go
+++ b/run/place.go
@@ -1,6 +1,9 @@
 package run
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +15,8 @@
 // openRepetitions opens what has become due and returns when the next is.
 func (o *Owner) openRepetitions() time.Time {
 	var next time.Time
-	for _, sub := range o.live {
-		if sub.over() || sub.nextRep >= sub.Repetitions() {
+	for _, sub := range o.timed {
+		if sub.over() {
 			continue
 		}
 		if due := sub.Due(sub.nextRep); o.now.Before(due) {
@@ -59,8 +62,8 @@
 	if len(groups) == 0 {
 		return
 	}
-	var offers []*schedule.Worker
-	for _, w := range o.workers {
+	offers := make([]*schedule.Worker, 0, len(o.workers))
+	for _, w := range o.sorted() {
 		if w.usable(o.now) && !w.leaving {
 			offers = append(offers, w.offer())
 		}
@@ -84,6 +87,21 @@
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
+// sorted are the workers in about the order in which placement wants them, so that
+// it has little to sort.
+func (o *Owner) sorted() []*worker {
+	if o.byPlace == nil {
+		o.byPlace = slices.SortedFunc(maps.Values(o.workers), func(a, b *worker) int {
+			return cmp.Or(
+				cmp.Compare(a.entry.Hall, b.entry.Hall),
+				cmp.Compare(a.entry.Rack(), b.entry.Rack()),
+				cmp.Compare(a.rank, b.rank),
+			)
+		})
+	}
+	return o.byPlace
+}
+
 // logWaiting tells why a step's subtasks have waited long for a worker.
 func (o *Owner) logWaiting(groups []*schedule.Group, offers []*schedule.Worker, placements []schedule.Placement) {
 	if o.now.Sub(o.waitLogged) < waitLogEvery {
--- a/run/report.go
+++ b/run/report.go
@@ -34,6 +34,8 @@
 		// Offered is the work of all submissions accepted so far by this
 		// owner, but for lasting steps: needs times expected run time.
 		Offered Work `json:"offered"`
+		// OfferedCount is how many submissions that is.
+		OfferedCount int64 `json:"offeredCount"`
 		// Fence tells reports of successive owners apart.
 		Fence tw.Fence `json:"fence"`
 	}
@@ -69,12 +71,12 @@
 }
 
 func (o *Owner) report() Report {
-	out := Report{Pool: o.pool, Offered: o.offered, Fence: o.self.Fence}
+	out := Report{Pool: o.pool, Offered: o.offered, OfferedCount: o.offeredCount, Fence: o.self.Fence}
 	for _, w := range o.workers {
 		free := w.free()
 		out.Workers = append(out.Workers, WorkerLoad{
 			Instance: w.entry.Instance, Worker: w.entry.ID, Capacity: w.entry.Capacity, Free: free,
-			Runs: len(w.runs), Lasting: w.hasLasting(), Sound: w.usable(o.now),
+			Runs: len(w.runs), Lasting: w.tally.lastingRuns, Sound: w.usable(o.now),
 			Known: w.known && w.unanswered == 0,
 		})
 		for _, r := range w.runs {
@@ -120,6 +122,7 @@
 
 // offer adds the work of a new submission to what was offered.
 func (o *Owner) offer(sub *submission) {
+	before := o.offered
 	for _, rep := range sub.reps {
 		for _, st := range rep.steps {
 			if st.spec.Lasting {
@@ -130,4 +133,7 @@
 			o.offered.MemoryMB += seconds * float64(st.spec.Claim().MemoryMB)
 		}
 	}
+	if o.offered != before {
+		o.offeredCount++
+	}
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -281,6 +281,7 @@
 	sub.final = sub.ending
 	sub.endedAt = o.now
 	delete(o.live, sub.ID)
+	delete(o.timed, sub.ID)
 	sub.Steps, sub.Spec = nil, ""
 	sub.answer(nil)
 	o.metrics.ended(sub.final)
--- a/run/start.go
+++ b/run/start.go
@@ -34,7 +34,7 @@
 	decided := o.now
 	sent := w.session.give(workOrder{
 		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
-		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.session.ref, order) },
+		start: &order,
 		done:  func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
 	})
 	if !sent {
@@ -43,7 +43,7 @@
 	}
 	w.doubtUntil = o.now.Add(o.holdBound())
 	t.runs = append(t.runs, r)
-	w.runs[w.key(r)] = r
+	w.add(r)
 	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(run)),
 		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
 		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
@@ -77,7 +77,7 @@
 		o.confirmStart(r)
 	case errors.As(err, &refused):
 		o.startRefused(r, refused)
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, ErrNotSent):
 		o.metrics.started("outdated")
 		o.runGone(r, "outdated")
 	case tw.SurelyNotDone(err):
@@ -198,7 +198,7 @@
 
 // runGone forgets a run that certainly does not exist any more.
 func (o *Owner) runGone(r *runState, why string) {
-	delete(r.w.runs, r.w.key(r))
+	r.w.remove(r)
 	t := r.task
 	t.drop(r)
 	t.endedAt, t.lostAt = o.now, o.now
--- a/run/unclaimed.go
+++ b/run/unclaimed.go
@@ -39,8 +39,10 @@
 			if t == nil {
 				continue
 			}
+			w.remove(r)
 			r.task = t
 			r.claim = t.step.spec.Claim()
+			w.add(r)
 			t.runs = append(t.runs, r)
 			o.begin(sub)
 			o.log.Info("run: its submission is known now", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
--- a/run/worker.go
+++ b/run/worker.go
@@ -26,7 +26,9 @@
 		// answered yet; runs of the former owner may be on it.
 		inheritedDoubt bool
 
-		runs map[runKey]*runState
+		// runs are changed by add and remove alone, which keep the tally.
+		runs  map[runKey]*runState
+		tally tally
 		// seen is the last end that was taken up, recorded the last whose
 		// effect is in the store, told the last that the worker was told of.
 		seen, recorded, told int64
@@ -45,6 +47,14 @@
 		roomFrom time.Time
 	}
 
+	// tally is what the runs of a worker take. Placement asks for it at each pass
+	// of every worker.
+	tally struct {
+		used, lasting    tw.Resources
+		lastingRuns      int
+		fillers, serving int
+	}
+
 	// runKey names a run on a worker.
 	runKey struct {
 		task tw.SubtaskID
@@ -107,26 +117,45 @@
 		!now.Before(w.health.shunUntil) && !now.Before(w.roomFrom)
 }
 
-// free is the capacity that no run takes.
-func (w *worker) free() tw.Resources {
-	free := w.entry.Capacity
-	for _, r := range w.runs {
-		free = free.Minus(r.claim)
+// add notes a run on the worker.
+func (w *worker) add(r *runState) {
+	w.runs[w.key(r)] = r
+	w.tally.count(r, 1)
+}
+
+// remove forgets a run; a run that is not there is no harm.
+func (w *worker) remove(r *runState) {
+	key := w.key(r)
+	if w.runs[key] != r {
+		return
 	}
-	return free
+	delete(w.runs, key)
+	w.tally.count(r, -1)
 }
 
-// attainable is the capacity that is free once all that does not last has ended.
-func (w *worker) attainable() tw.Resources {
-	out := w.entry.Capacity
-	for _, r := range w.runs {
-		if r.task.step.spec.Lasting {
-			out = out.Minus(r.claim)
-		}
+// count adds a run n times.
+func (t *tally) count(r *runState, n int) {
+	spec := r.task.step.spec
+	claim := r.claim.Times(n)
+	t.used = t.used.Plus(claim)
+	if spec.Lasting {
+		t.lasting = t.lasting.Plus(claim)
+		t.lastingRuns += n
+	}
+	if spec.Filler {
+		t.fillers += n
+	}
+	if spec.TailTarget > 0 {
+		t.serving += n
 	}
-	return out
 }
 
+// free is the capacity that no run takes.
+func (w *worker) free() tw.Resources { return w.entry.Capacity.Minus(w.tally.used) }
+
+// attainable is the capacity that is free once all that does not last has ended.
+func (w *worker) attainable() tw.Resources { return w.entry.Capacity.Minus(w.tally.lasting) }
+
 // offer is the worker as the scheduler sees it.
 func (w *worker) offer() *schedule.Worker {
 	out := &schedule.Worker{
@@ -136,22 +165,14 @@
 		Labels: w.entry.Labels,
 		Free:   w.free(),
 		Rank:   w.rank,
+
+		Attainable: w.attainable(),
+		Fillers:    w.tally.fillers,
+		Serving:    w.tally.serving,
 	}
 	if w.health.slowness > slowWorker {
 		out.Distrust = 1
 	}
-	out.Attainable = w.attainable()
-	for _, r := range w.runs {
-		if r.task == nil {
-			continue
-		}
-		if r.task.step.spec.Filler {
-			out.Fillers++
-		}
-		if r.task.step.spec.TailTarget > 0 {
-			out.Serving++
-		}
-	}
 	return out
 }
 
--- a/run/writer.go
+++ b/run/writer.go
@@ -30,10 +30,12 @@
 		lastSent  time.Time
 		confirmed time.Time // when the last successful write was sent
 		// wanted is a moment after which a confirmation is wanted soon.
-		wanted    time.Time
-		retryAt   time.Time
-		lastError error
-		idle      []func()
+		wanted time.Time
+		// unrecorded: ends were seen that may not be recorded yet.
+		unrecorded bool
+		retryAt    time.Time
+		lastError  error
+		idle       []func()
 	}
 
 	// writeJob is one write with what its success means.
@@ -163,6 +165,10 @@
 
 // allRecorded notes that no end that was seen waits for the store.
 func (w *writer) allRecorded() {
+	if !w.unrecorded {
+		return
+	}
+	w.unrecorded = false
 	for _, worker := range w.o.workers {
 		worker.recorded = worker.seen
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -12,18 +12,51 @@
 func Place(groups []*Group, workers []*Worker) []Placement {
 	slices.SortStableFunc(groups, compareUrgency)
 	workers = slices.Clone(workers)
-	slices.SortStableFunc(workers, compareAny)
+	slices.SortFunc(workers, compareAny)
 	var out []Placement
+	var full noRoom
 	for _, g := range groups {
+		if full.covers(g) {
+			continue
+		}
 		placed := g.place(workers)
 		out = append(out, placed...)
+		missing := len(g.Subtasks) - len(placed)
+		if missing > 0 {
+			full.note(g)
+		}
 		if g.Urgency.Grade == GradeLasting {
-			workers = g.reserve(workers, len(g.Subtasks)-len(placed))
+			workers = g.reserve(workers, missing)
 		}
 	}
 	return out
 }
 
+// noRoom are claims for which a pass has found no worker. Room only shrinks
+// during a pass, so that steps which need at least as much need not be tried: a pass
+// over 4,000 waiting subtasks on 400 workers with room for 400 took 2.2 ms without it
+// and takes 1.1 ms (BenchmarkPass).
+type noRoom []tw.Resources
+
+// covers tells whether a group surely finds no room. Lasting steps are tried in
+// any case, as they keep workers free.
+func (n noRoom) covers(g *Group) bool {
+	if g.Urgency.Grade == GradeLasting {
+		return false
+	}
+	claim := g.Step.Claim()
+	return slices.ContainsFunc(n, func(least tw.Resources) bool { return claim.Fits(least) })
+}
+
+// note takes up the claim of a group that found too little room, if nothing else
+// kept it from workers.
+func (n *noRoom) note(g *Group) {
+	free := g.Step.Label == "" && g.Allowed == nil && g.Step.MaxPerWorker == 0 && len(g.Avoid) == 0 && !g.Step.Gang
+	if free && !n.covers(g) {
+		*n = append(*n, g.Step.Claim())
+	}
+}
+
 // reserve keeps workers free of less urgent work for subtasks that found no
 // room: else smaller ones take each bit of room as it appears. It returns the
 // workers that others may use, at least half of them.
@@ -160,11 +193,7 @@
 	for _, w := range workers {
 		free = free.Plus(w.Free)
 	}
-	need := g.Step.Claim()
-	n := len(g.Subtasks)
-	return free.Fits(tw.Resources{
-		CPU: need.CPU * tw.Millicores(n), MemoryMB: need.MemoryMB * int64(n), GPU: need.GPU * int64(n),
-	})
+	return free.Fits(g.Step.Claim().Times(len(g.Subtasks)))
 }
 
 // candidates are the workers that may run the step, the best first. The
--- a/submission.go
+++ b/submission.go
@@ -144,6 +144,11 @@
 	return Resources{CPU: r.CPU + other.CPU, MemoryMB: r.MemoryMB + other.MemoryMB, GPU: r.GPU + other.GPU}
 }
 
+// Times is n times the resources.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * Millicores(n), MemoryMB: r.MemoryMB * int64(n), GPU: r.GPU * int64(n)}
+}
+
 // Claim is what one subtask of the step takes out of a worker's capacity. A
 // filler takes memory only.
 func (s *Step) Claim() Resources {
