--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -157,7 +157,7 @@
 	}
 	owned := &ownedPool{}
 	owned.owner = run.Config{
-		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.relay, Advisor: d.advisor, Census: d.census,
+		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
 		Clock: d.clock, Log: d.log, Metrics: d.metrics, Bounds: d.bounds(),
 		ReadWorkers: d.directory.readWorkers,
 		Deposed:     func() { go o.drop(pool, owned) },
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -87,16 +87,6 @@
 	return &member.ReportResponse{Outcome: queue.OutcomeOf(err), Report: report}, nil
 }
 
-// Look implements member.Handler.
-func (d *QueueDaemon) Look(ctx context.Context, m *member.LooksRequest) (*member.LooksResponse, error) {
-	return d.looks.Look(ctx, m)
-}
-
-// Start implements member.Handler.
-func (d *QueueDaemon) Start(ctx context.Context, m *member.StartsRequest, send func(member.StartsResponse) error) error {
-	return member.GiveStarts(ctx, d.orders, d.clock, m, send)
-}
-
 // ReportOf asks the owner of a pool how busy it is, and gives it its
 // directions.
 func (d *QueueDaemon) ReportOf(ctx context.Context, pool tw.PoolID, directions run.Directions) (run.Report, error) {
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -48,8 +48,6 @@
 		presence  *member.Presence
 		peers     *member.Peers
 		members   *member.Members
-		relay     *member.Relay
-		looks     *member.Looks
 		census    *run.Census
 		directory *directory
 		owners    *owners
@@ -136,12 +134,6 @@
 	// The list of workers is not followed before there are owners.
 	d.directory = newDirectory(d.kv, d.clock, d.log, func() { d.owners.feedAll() })
 	d.owners = newOwners(d)
-	d.looks = member.LooksConfig{Orders: d.orders, Clock: d.clock}.New()
-	d.relay = member.RelayConfig{
-		Self:   d.self.Daemon,
-		Relays: func(hall tw.HallID) []member.Live { return d.members.Relays(hall) }, Peers: d.peers, Direct: d.orders, Clock: d.clock, Log: d.log, Metrics: d.metrics,
-		Busy: d.settings.Limits.RelayAbove * float64(d.settings.Limits.Cores),
-	}.New()
 	d.presence = member.PresenceConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, MinTTL: d.settings.Platform.MinLease.Std(),
 	}.New()
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -59,9 +59,6 @@
 		// Cores is the share of processor cores that the process has. It sets
 		// no limit: daemons with more take pools first.
 		Cores tw.Cores `toml:"cores"`
-		// RelayAbove is the rate of starts, a second and a core, above which other
-		// daemons give this one's orders to workers.
-		RelayAbove float64 `toml:"relay_above"`
 	}
 
 	// QueueMachines says how machines are held.
@@ -105,8 +102,6 @@
 	set(&s.Platform.MinLease, tw.Duration(time.Second))
 	set(&s.Limits.MemoryMB, 284)
 	set(&s.Limits.Cores, 0.4)
-	// A start costs some 0.1 ms, so that these are a twentieth of the daemon.
-	set(&s.Limits.RelayAbove, 500)
 	set(&s.Bounds.MaxHold, tw.Duration(6*time.Second))
 	set(&s.Bounds.StopTime, tw.Duration(400*time.Millisecond))
 	set(&s.Bounds.KeepEnded, tw.Duration(2*time.Minute))
@@ -157,7 +152,4 @@
 	if s.Limits.Cores <= 0 {
 		faults.Add("limits.cores", "must be above 0")
 	}
-	if s.Limits.RelayAbove <= 0 {
-		faults.Add("limits.relay_above", "must be above 0")
-	}
 }
--- a/daemon/queue_settings_test.go
+++ b/daemon/queue_settings_test.go
@@ -89,8 +89,8 @@
 	},
 	"bad values": {
 		text: "id=\"a\"\nhall=\"h\"\n[listen]\ncallers=\"x\"\nreadiness=\"1.1.1.1:1\"\npeers=\"1.1.1.1:2\"\n" +
-			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nstop_grace=\"0s\"\n[limits]\nrelay_above=-1.0\n[log]\nlevel=\"loud\"\n",
-		says: []string{"listen.callers", "bounds.max_hold", "limits.relay_above", "log.level"},
+			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nstop_grace=\"0s\"\n[log]\nlevel=\"loud\"\n",
+		says: []string{"listen.callers", "bounds.max_hold", "log.level"},
 	},
 }
 
--- a/member/reach.go
+++ b/member/reach.go
@@ -62,23 +62,6 @@
 	return c != nil && !c.silentFrom.IsZero()
 }
 
-// Relays are daemons of a hall that have answered their last ping, in an order that
-// differs by daemon.
-func (m *Members) Relays(hall tw.HallID) []Live {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []Live
-	for i, l := range m.byHall()[hall] {
-		if i >= witnesses {
-			break
-		}
-		if c := m.contacts[l.Address]; c != nil && c.silentFrom.IsZero() && !c.heard.IsZero() {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
 // checkIsolation brings it up to date whether this daemon is isolated.
 func (m *Members) checkIsolation(now time.Time) {
 	store := m.config.Presence.Answered()
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -24,8 +24,6 @@
 	procedureWaiting = "/tamarind.member.v1.MemberService/Waiting"
 	procedureTake    = "/tamarind.member.v1.MemberService/Take"
 	procedureReport  = "/tamarind.member.v1.MemberService/Report"
-	procedureLook    = "/tamarind.member.v1.MemberService/Look"
-	procedureStart   = "/tamarind.member.v1.MemberService/Start"
 )
 
 type (
@@ -43,10 +41,6 @@
 		Waiting(ctx context.Context, m *WaitingRequest) (*WaitingResponse, error)
 		Take(ctx context.Context, m *TakeRequest) (*TakeResponse, error)
 		Report(ctx context.Context, m *ReportRequest) (*ReportResponse, error)
-		// Look looks at workers for an owner.
-		Look(ctx context.Context, m *LooksRequest) (*LooksResponse, error)
-		// Start gives starts to workers for an owner.
-		Start(ctx context.Context, m *StartsRequest, send func(StartsResponse) error) error
 	}
 
 	// Peers calls other daemons. Calls fail with tw.ErrGone (no process
@@ -68,8 +62,6 @@
 		waiting *connect.Client[WaitingRequest, WaitingResponse]
 		take    *connect.Client[TakeRequest, TakeResponse]
 		report  *connect.Client[ReportRequest, ReportResponse]
-		look    *connect.Client[LooksRequest, LooksResponse]
-		start   *connect.Client[StartsRequest, StartsResponse]
 	}
 )
 
@@ -79,9 +71,9 @@
 	peerIdleLimit = 90 * time.Second
 	// maxPeerMessage is above the largest configuration in the store.
 	maxPeerMessage = 4 << 20
-	// compressAbove is the size of an answer from which it is compressed: a report of
-	// hundreds of workers shrinks to a sixth, while for the short answers to callers
-	// the compression would cost more processor time than all the rest of the call.
+	// compressAbove is the size of an answer from which it is compressed, as are the
+	// reports of hundreds of workers. For the short answers to callers and pings the
+	// compression would cost more processor time than the rest of the call.
 	compressAbove = 2 << 10
 )
 
@@ -105,22 +97,12 @@
 	serve(mux, procedureWaiting, h.Waiting)
 	serve(mux, procedureTake, h.Take)
 	serve(mux, procedureReport, h.Report)
-	serve(mux, procedureLook, h.Look)
-	start := func(ctx context.Context, m *connect.Request[StartsRequest], stream *connect.ServerStream[StartsResponse]) error {
-		return h.Start(ctx, m.Msg, func(response StartsResponse) error { return stream.Send(&response) })
-	}
-	mux.Handle(procedureStart, connect.NewServerStreamHandler(procedureStart, start, handlerOptions()...))
 	return mux
 }
 
-func handlerOptions() []connect.HandlerOption {
-	return []connect.HandlerOption{
-		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage), connect.WithCompressMinBytes(compressAbove),
-	}
-}
-
 func serve[Req, Resp any](mux *http.ServeMux, procedure string, f func(context.Context, *Req) (*Resp, error)) {
-	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, f, handlerOptions()...))
+	mux.Handle(procedure, connect.NewUnaryHandlerSimple(procedure, f,
+		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage), connect.WithCompressMinBytes(compressAbove)))
 }
 
 // NewPeers makes a client for all daemons; it makes no call yet.
@@ -153,8 +135,6 @@
 			waiting: newClient[WaitingRequest, WaitingResponse](p, address, procedureWaiting),
 			take:    newClient[TakeRequest, TakeResponse](p, address, procedureTake),
 			report:  newClient[ReportRequest, ReportResponse](p, address, procedureReport),
-			look:    newClient[LooksRequest, LooksResponse](p, address, procedureLook),
-			start:   newClient[StartsRequest, StartsResponse](p, address, procedureStart),
 		}
 		p.clients[address] = have
 	}
--- a/run/look.go
+++ b/run/look.go
@@ -167,7 +167,7 @@
 		return
 	}
 	var refused *tw.OrderRefused
-	if !errors.As(err, &refused) && !errors.Is(err, ErrNotSent) {
+	if !errors.As(err, &refused) && !errors.Is(err, errNotSent) {
 		if w.unanswered == 0 {
 			o.log.Info("worker: does not answer", zap.String("worker", string(w.entry.ID)),
 				zap.Int("runs", len(w.runs)), logsink.Err(err))
@@ -176,7 +176,7 @@
 		o.placeSoon = true
 	}
 	w.nextLook = o.now.Add(lookRetry)
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, errNotSent) {
 		w.nextLook = o.now
 	}
 }
--- a/run/session_test.go
+++ b/run/session_test.go
@@ -43,7 +43,7 @@
 			})
 			g.Expect(sent).To(Equal(c.sent))
 			if !c.sent {
-				g.Expect(err).To(MatchError(ErrNotSent))
+				g.Expect(err).To(MatchError(errNotSent))
 			}
 		})
 	}
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -22,9 +22,6 @@
 // been kept, and some more.
 const freshWorkers = 10
 
-// relayQuiet is above what a paused relay and the looks that it makes take.
-const relayQuiet = 10 * time.Second
-
 // patience is how long a caller waits for its answer.
 const patience = 2 * time.Second
 
@@ -40,30 +37,18 @@
 // again every submission must end.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(soakSeeds) {
-		playSoak(t, seed, false)
+		playSoak(t, seed)
 	}
 	for seed, cause := range regressions {
 		t.Log("regression:", cause)
-		playSoak(t, seed, false)
-	}
-}
-
-// TestSoakRelayed is the same for owners whose orders go through another daemon,
-// which at times is gone, loses requests or answers, is paused or starts anew.
-func TestSoakRelayed(t *testing.T) {
-	for seed := range uint64(soakSeeds) {
-		playSoak(t, seed, true)
+		playSoak(t, seed)
 	}
 }
 
-func playSoak(t *testing.T, seed uint64, relays bool) {
+func playSoak(t *testing.T, seed uint64) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &soak{rig: newRig(t, 6), rand: rand.New(rand.NewPCG(seed, 1))}
-			if relays {
-				s.relay = newFaultyRelay(s.fleet)
-				defer time.Sleep(relayQuiet) // what the relay was asked for runs out
-			}
 			defer s.end()
 			s.owner = s.take("d0")
 			for range 60 {
@@ -80,8 +65,6 @@
 // soak is a rig under random faults.
 type soak struct {
 	*rig
-	// relay gives the owners' orders; nil if they do so themselves.
-	relay *faultyRelay
 	rand  *rand.Rand
 	owner *run.Owner
 	taken []tw.SubmissionID
@@ -91,12 +74,6 @@
 // act does one random thing; submissions are the most frequent.
 func (s *soak) act() {
 	id := workerID(s.rand.IntN(6))
-	if s.relay != nil && s.rand.IntN(4) == 0 {
-		s.relay.any(s.rand)
-		if s.rand.IntN(4) == 0 {
-			s.relay.restart()
-		}
-	}
 	switch s.rand.IntN(15) {
 	case 0, 1, 2, 3, 4:
 		s.submitAny()
@@ -127,9 +104,6 @@
 // take retries while the store refuses.
 func (s *soak) take(daemon tw.DaemonID) *run.Owner {
 	s.kv.SetFaults(standin.KVFaults{})
-	if s.relay != nil {
-		return s.open(daemon, s.kv, relayed(s.relay))
-	}
 	return s.rig.take(daemon)
 }
 
@@ -194,9 +168,6 @@
 	s.kv.DoLate()
 	s.kv.SetFaults(standin.KVFaults{})
 	s.fleet.DoLate()
-	if s.relay != nil {
-		s.relay.heal()
-	}
 	for n := range 6 {
 		s.fleet.Set(workerID(n), func(w *standin.SimWorker) { w.Silent, w.Hang, w.LateStarts = false, false, 0 })
 	}
--- a/run/start.go
+++ b/run/start.go
@@ -34,7 +34,7 @@
 	decided := o.now
 	sent := w.session.give(workOrder{
 		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
-		start: &order,
+		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.session.ref, order) },
 		done:  func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
 	})
 	if !sent {
@@ -77,7 +77,7 @@
 		o.confirmStart(r)
 	case errors.As(err, &refused):
 		o.startRefused(r, refused)
-	case errors.Is(err, ErrNotSent):
+	case errors.Is(err, errNotSent):
 		o.metrics.started("outdated")
 		o.runGone(r, "outdated")
 	case tw.SurelyNotDone(err):
--- a/worker.go
+++ b/worker.go
@@ -35,7 +35,6 @@
 	WorkerRef struct {
 		ID      WorkerID
 		Address string
-		Hall    HallID
 	}
 
 	// StartOrder tells a worker to start a run.
@@ -104,18 +103,6 @@
 		Pace(ctx context.Context, to WorkerRef, order PaceOrder) (WorkerClock, error)
 	}
 
-	// StartResult is how one of several starts ended.
-	StartResult struct {
-		Clock WorkerClock
-		Err   error
-	}
-
-	// StartBatches is a WorkerOrders that gives several starts to a worker with one
-	// call, each within a time. It returns as many results, in the same order.
-	StartBatches interface {
-		StartAll(ctx context.Context, to WorkerRef, each time.Duration, starts []StartOrder) []StartResult
-	}
-
 	// Advice is the answer of the advice service for a step.
 	Advice struct {
 		Tickets map[WorkerID]string
@@ -173,7 +160,7 @@
 }
 
 // Ref addresses the worker.
-func (w *WorkerEntry) Ref() WorkerRef { return WorkerRef{ID: w.ID, Address: w.Address, Hall: w.Hall} }
+func (w *WorkerEntry) Ref() WorkerRef { return WorkerRef{ID: w.ID, Address: w.Address} }
 
 // RackOf finds the rack among a worker's labels, which are its kind and its
 // rack, in this order.
