--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -46,7 +46,7 @@
 const (
 	// takeTimeout bounds a takeover; a slow store takes 240 ms for each of
 	// its calls.
-	takeTimeout = 8 * time.Second
+	takeTimeout = 20 * time.Second
 	inboxWait   = 5 * time.Second
 )
 
