Order machines for where demand will be when they can work

Change: the need follows the line of the last 1.2 s two seconds ahead, less 1.5 standard errors of chance, at most to twice the present rate.

--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -36,10 +36,19 @@
 
 const (
 	// rateWindow is the time over which the rate of offered work is measured:
-	// short, as demand turns within a second. riseWindow is shorter, so that a
-	// rise is seen at once where enough submissions come in it.
-	rateWindow = 800 * time.Millisecond
-	riseWindow = 300 * time.Millisecond
+	// short, as demand turns within a second. shortWindow is shorter, so that a
+	// step up is seen at once where enough submissions come in it.
+	rateWindow  = 800 * time.Millisecond
+	shortWindow = 300 * time.Millisecond
+	// slopeWindow: two such times that follow each other tell how demand rises.
+	slopeWindow = 600 * time.Millisecond
+	// moveAhead is how long before it can work a machine must be ordered: a move
+	// takes 1.5 s, and 0.43 s pass until the list of workers has it.
+	moveAhead = 2 * time.Second
+	// slopeDoubt is how many standard errors are taken off a rise, slopeMost how many
+	// times the present rate a rise may lead to.
+	slopeDoubt = 1.5
+	slopeMost  = 2
 	// spreadSpare is how many workers a pool has beyond those over which its
 	// widest step must spread, as one may be leaving.
 	spreadSpare = 1
@@ -61,7 +70,7 @@
 		f.fence, f.offers = r.Fence, nil // a new owner counts from zero
 	}
 	f.offers = append(f.offers, offer{at: at, work: r.Offered, count: r.OfferedCount})
-	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= rateWindow {
+	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= 2*slopeWindow {
 		f.offers = f.offers[1:]
 	}
 	f.add(sample{at: at, need: f.machines(r)})
@@ -90,35 +99,76 @@
 	return max(need, float64(r.Spread+spreadSpare)/headroom)
 }
 
-// rate is the machines that new work fills if it goes on coming as of late. It is
-// the higher of two windows, each less what may be chance: a pool whose demand
-// rises fivefold has sent for its machines within half a second, when little of
-// the new work runs or waits yet.
+// rate is the machines that new work will fill once a machine that is ordered now
+// can work: the highest of two rates of late and of where a rise leads, each less
+// what may be chance.
 func (f *forecast) rate(size tw.Resources) float64 {
-	return max(f.rateOver(rateWindow, size), f.rateOver(riseWindow, size))
+	return max(f.rateOver(rateWindow, size), f.rateOver(shortWindow, size), f.risen(size))
 }
 
+// rateOver is the rate of the last time.
 func (f *forecast) rateOver(window time.Duration, size tw.Resources) float64 {
-	if len(f.offers) < 2 {
+	s := f.between(window, 0)
+	if s.count <= 0 {
 		return 0
 	}
-	last := f.offers[len(f.offers)-1]
-	first := f.offers[0]
-	for _, o := range f.offers[1 : len(f.offers)-1] {
-		if last.at.Sub(o.at) >= window {
-			first = o
+	return max(0, 1-rateDoubt/math.Sqrt(s.count)) * s.machines(size)
+}
+
+// risen is the rate to which demand has risen by the time that a machine ordered
+// now can work, if it goes on rising as of late; zero if it does not rise for sure.
+func (f *forecast) risen(size tw.Resources) float64 {
+	early, late := f.between(2*slopeWindow, slopeWindow), f.between(slopeWindow, 0)
+	if early.seconds <= 0 || late.seconds <= 0 {
+		return 0
+	}
+	more := late.count/late.seconds - early.count/early.seconds
+	chance := slopeDoubt * math.Sqrt(late.count+early.count) / slopeWindow.Seconds()
+	if more <= chance {
+		return 0
+	}
+	now := late.machines(size)
+	rise := (1 - chance/more) * (now - early.machines(size)) / slopeWindow.Seconds()
+	return min(slopeMost*now, now+rise*(moveAhead+slopeWindow/2).Seconds())
+}
+
+// span is what was offered in some time.
+type span struct {
+	work    run.Work
+	count   float64
+	seconds float64
+}
+
+// between is what was offered between two ages of the last report.
+func (f *forecast) between(from, to time.Duration) span {
+	first, last := f.asOf(from), f.asOf(to)
+	return span{
+		work:    run.Work{CPU: last.work.CPU - first.work.CPU, MemoryMB: last.work.MemoryMB - first.work.MemoryMB},
+		count:   float64(last.count - first.count),
+		seconds: last.at.Sub(first.at).Seconds(),
+	}
+}
+
+// asOf is the latest report of an age, or the first.
+func (f *forecast) asOf(age time.Duration) offer {
+	if len(f.offers) == 0 {
+		return offer{}
+	}
+	at := f.offers[len(f.offers)-1].at.Add(-age)
+	for i := len(f.offers) - 1; i > 0; i-- {
+		if !f.offers[i].at.After(at) {
+			return f.offers[i]
 		}
 	}
-	seconds := last.at.Sub(first.at).Seconds()
-	count := float64(last.count - first.count)
-	if seconds <= 0 || count <= 0 {
+	return f.offers[0]
+}
+
+// machines is how many machines the span's work fills.
+func (s span) machines(size tw.Resources) float64 {
+	if s.seconds <= 0 {
 		return 0
 	}
-	sure := max(0, 1-rateDoubt/math.Sqrt(count))
-	return sure * share(tw.Resources{
-		CPU:      tw.Millicores((last.work.CPU - first.work.CPU) / seconds),
-		MemoryMB: int64((last.work.MemoryMB - first.work.MemoryMB) / seconds),
-	}, size)
+	return share(tw.Resources{CPU: tw.Millicores(s.work.CPU / s.seconds), MemoryMB: int64(s.work.MemoryMB / s.seconds)}, size)
 }
 
 // need is the present need and the highest of the window.
