Let small work go first among what is as urgent

Hypothesis: with more work than room, the order by deadline alone spends the room on what will be late.

--- a/internal/experiment/schedule.go
+++ b/internal/experiment/schedule.go
@@ -34,7 +34,9 @@
 		// inTime is the share of jobs that ended within their objective, waited
 		// the mean time for which a job's subtasks waited, tail that of the
 		// twentieth that waited longest.
-		inTime       float64
+		inTime float64
+		// served is the share that ended within three objectives.
+		served       float64
 		waited, tail time.Duration
 	}
 )
@@ -50,6 +52,8 @@
 	schedulePolicies = []schedulePolicy{
 		{name: "by urgency, steps in one hall", halls: true, urgency: byUrgency},
 		{name: "by urgency, halls ignored", urgency: byUrgency},
+		{name: "by urgency, small work sooner", halls: true, urgency: byUrgencySmall},
+		{name: "what can be in time, freshest first", halls: true, urgency: byFreshness},
 		{name: "first come", halls: true, urgency: byArrival},
 		{name: "least work left", halls: true, urgency: byWork},
 		{name: "random", halls: true, urgency: atRandom},
@@ -69,6 +73,25 @@
 	return schedule.UrgencyOf(modelStart.Add(m.now), modelStart.Add(j.arrived), objective, rest, 0)
 }
 
+// byFreshness has what can be in time go in the reverse order of arrival: with more
+// work than room, the oldest is the first that will be late.
+func byFreshness(m *demandModel, j *modelJob) schedule.Urgency {
+	u := byUrgency(m, j)
+	if u.Grade == schedule.GradeOnTime {
+		u.Deadline = modelStart.Add(-j.arrived)
+	}
+	return u
+}
+
+// byUrgencySmall is what owners do: by urgency, but small work sooner.
+func byUrgencySmall(m *demandModel, j *modelJob) schedule.Urgency {
+	const steps = 2 // of a usual job
+	chain := steps * modelSubtask
+	usual := chain.Seconds() * modelWidth * modelCPU
+	objective := time.Duration(modelStretch*float64(chain)) + modelTarget
+	return byUrgency(m, j).Behind(j.workLeft()/usual, objective)
+}
+
 func byArrival(_ *demandModel, j *modelJob) schedule.Urgency {
 	return schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: modelStart.Add(j.arrived)}
 }
@@ -85,12 +108,12 @@
 // the cut of a hall, in simulated time, and plots waiting against load.
 func Schedule(_ context.Context, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "POLICY (%d seeds)\tLOAD\tIN TIME\tWAITED, MEAN\tWAITED, P95\n", scheduleSeeds)
+	fmt.Fprintf(w, "POLICY (%d seeds)\tLOAD\tIN TIME\tSERVED\tWAITED, MEAN\tWAITED, P95\n", scheduleSeeds)
 	lines := make([]plotter.XYs, len(schedulePolicies))
 	for i, policy := range schedulePolicies {
 		for _, load := range scheduleLoads {
 			r := playPolicy(policy, load)
-			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.2f s\t%.2f s\n", policy.name, load, r.inTime, r.waited.Seconds(), r.tail.Seconds())
+			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.3f\t%.2f s\t%.2f s\n", policy.name, load, r.inTime, r.served, r.waited.Seconds(), r.tail.Seconds())
 			lines[i] = append(lines[i], plotter.XY{X: load, Y: r.waited.Seconds()})
 		}
 	}
@@ -115,7 +138,7 @@
 	}
 	wg.Wait()
 	var waits []time.Duration
-	inTime, all := 0, 0
+	inTime, served, all := 0, 0, 0
 	for _, jobs := range plays {
 		for _, j := range jobs {
 			late := j.ended == 0 || j.ended-j.arrived > j.objective
@@ -126,6 +149,9 @@
 			if !late {
 				inTime++
 			}
+			if j.ended != 0 && j.ended-j.arrived <= schedule.LateFactor*j.objective {
+				served++
+			}
 			waits = append(waits, j.waited/time.Duration(j.subtasks()))
 		}
 	}
@@ -135,7 +161,7 @@
 		sum += wait
 	}
 	return scheduleResult{
-		inTime: float64(inTime) / float64(all), waited: sum / time.Duration(len(waits)),
+		inTime: float64(inTime) / float64(all), served: float64(served) / float64(all), waited: sum / time.Duration(len(waits)),
 		tail: waits[int((1-tailShare)*float64(len(waits)))],
 	}
 }
--- a/run/estimate.go
+++ b/run/estimate.go
@@ -14,6 +14,13 @@
 		image string
 	}
 
+	// usualWork is what submissions of the pool ask for of late: smoothed means of
+	// their work, in millicore seconds, and of their objective.
+	usualWork struct {
+		cpu       float64
+		objective time.Duration
+	}
+
 	// correction is how much longer than guessed subtasks run: the mean of the
 	// logarithms, and what it stands for.
 	correction struct{ logarithm, factor float64 }
@@ -27,6 +34,8 @@
 	overdueFactor = 1.8
 	// overdueSlack is added, for short work and the way of its end here.
 	overdueSlack = 400 * time.Millisecond
+	// usualWeight smooths over about the last fifty submissions.
+	usualWeight = 0.02
 	// defaultEstimate stands in for a guess that the caller left out.
 	defaultEstimate = time.Second
 )
@@ -73,6 +82,36 @@
 	o.learned[key] = correction{logarithm: ratio, factor: math.Exp(ratio)}
 }
 
+// note takes up a new submission.
+func (u *usualWork) note(cpu float64, objective time.Duration) {
+	if u.cpu == 0 {
+		u.cpu, u.objective = cpu, objective
+		return
+	}
+	u.cpu += usualWeight * (cpu - u.cpu)
+	u.objective += time.Duration(usualWeight * float64(objective-u.objective))
+}
+
+// share is how many times the usual work an amount of work is.
+func (u *usualWork) share(cpu float64) float64 {
+	if u.cpu <= 0 {
+		return 0
+	}
+	return cpu / u.cpu
+}
+
+// workLeft is the work of a repetition that is still to be done, in millicore
+// seconds; fillers take what is left over and lasting steps have no end.
+func (o *Owner) workLeft(rep *repetition) float64 {
+	work := 0.0
+	for _, st := range rep.steps {
+		if !st.spec.Lasting && st.done < st.spec.Count {
+			work += o.expected(st).Seconds() * float64(st.spec.Count-st.done) * float64(st.spec.Claim().CPU)
+		}
+	}
+	return work
+}
+
 // overdue tells whether a run takes far longer than its siblings took.
 func (o *Owner) overdue(r *runState) bool {
 	limit := time.Duration(overdueFactor*float64(o.expected(r.task.step))) + overdueSlack
--- a/run/owner.go
+++ b/run/owner.go
@@ -81,6 +81,7 @@
 	waitLogged time.Time
 	writer     *writer
 	learned    map[learnKey]correction
+	usual      usualWork
 	// goneAt are workers that have ended though they are still listed.
 	goneAt map[tw.WorkerID]time.Time
 	// unclaimed are ends of subtasks whose submission is not known here, by
--- a/run/place.go
+++ b/run/place.go
@@ -251,7 +251,8 @@
 	case st.spec.Lasting:
 		return schedule.Urgency{Grade: schedule.GradeLasting, Priority: policy.Priority, Deadline: st.rep.due}
 	}
-	return schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
+	urgency := schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
+	return urgency.Behind(o.usual.share(o.workLeft(st.rep)), o.usual.objective)
 }
 
 // avoidFor is how long a subtask waits for another worker than the one on
--- a/run/report.go
+++ b/run/report.go
@@ -123,6 +123,11 @@
 // offer adds the work of a new submission to what was offered.
 func (o *Owner) offer(sub *submission) {
 	before := o.offered
+	for _, rep := range sub.reps {
+		if work := o.workLeft(rep); work > 0 {
+			o.usual.note(work, o.objective(rep))
+		}
+	}
 	for _, rep := range sub.reps {
 		for _, st := range rep.steps {
 			if st.spec.Lasting {
