Machines follow work that can be in time; late work gets what is left; spares sooner

Change: reports tell apart what can end in time and what is late; machines are moved, and given up, by the former; late work gets what nothing else needs. A pool that lacks machines gives some to one that is 1.5 times (3 before) as badly off. A pool with less than half of an even share of what is spare is given up to 0.8 of it.

--- a/internal/experiment/schedule_model.go
+++ b/internal/experiment/schedule_model.go
@@ -296,13 +296,17 @@
 	}
 	for _, j := range m.jobs {
 		report := &state.Pools[j.pool].Report
-		for range j.waiting {
-			report.Waiting = report.Waiting.Plus(j.need)
+		need := j.need.Times(len(j.waiting))
+		if byUrgency(m, j).Grade == schedule.GradeOnTime {
+			report.Waiting = report.Waiting.Plus(need)
+		} else {
+			report.Late = report.Late.Plus(need)
 		}
 	}
 	for _, pool := range state.Pools {
 		used := pool.Report.Running.Plus(pool.Report.Waiting)
 		pool.Need = float64(used.CPU) / machineCPU / usableFill
+		pool.Late = float64(pool.Report.Late.CPU) / machineCPU / usableFill
 	}
 	decision := maintenance.Decide(state)
 	m.vacating = decision.Vacate
--- a/maintenance/decide.go
+++ b/maintenance/decide.go
@@ -163,7 +163,7 @@
 			size = load.Capacity
 		}
 	}
-	return machines, share(p.Report.Running.Plus(p.Report.Waiting), size)
+	return machines, share(p.Report.Running.Plus(p.Report.Waiting).Plus(p.Report.Late), size)
 }
 
 // share is how many machines of a size some resources fill, by the scarcest.
--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -230,6 +230,48 @@
 		f.parking(0)
 		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
 	},
+	"gives work that can be in time the machines of late work": func(g *WithT, f fleet) {
+		f.pool("p", 40, 6).Late = 90
+		f.pool("q", 10, 30)
+		f.parking(0)
+		to := map[tw.PoolID]int{}
+		for _, o := range maintenance.Decide(f.State).Vacate {
+			to[o.Pool]++
+		}
+		g.Expect(to["q"]).To(BeNumerically(">=", 24))
+		g.Expect(to["p"]).To(BeZero())
+	},
+	"gives late work what nothing else needs": func(g *WithT, f fleet) {
+		f.pool("p", 8, 4).Late = 10
+		f.pool("q", 20, 5)
+		f.parking(0)
+		to := map[tw.PoolID]int{}
+		for _, o := range maintenance.Decide(f.State).Vacate {
+			to[o.Pool]++
+		}
+		g.Expect(to["p"]).To(BeNumerically(">=", 7))
+		g.Expect(to["q"]).To(BeZero())
+	},
+	"spreads spare machines of a pool whose demand has passed over those that have few": func(g *WithT, f fleet) {
+		f.pool("p", 468, 290).Peak = 500
+		f.pool("q", 24, 17).Peak = 50
+		f.pool("r", 24, 17).Peak = 50
+		f.parking(0)
+		to := map[tw.PoolID]int{}
+		for _, o := range maintenance.Decide(f.State).Vacate {
+			to[o.Pool]++
+		}
+		g.Expect(to["q"]).To(BeNumerically(">=", 20))
+		g.Expect(to["r"]).To(BeNumerically(">=", 20))
+		g.Expect(to["p"]).To(BeZero())
+	},
+	"leaves spare machines alone while all pools have some": func(g *WithT, f fleet) {
+		f.pool("p", 60, 30).Peak = 60
+		f.pool("q", 40, 20).Peak = 60
+		f.pool("r", 36, 20).Peak = 60
+		f.parking(0)
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
 	"spreads spare machines over the pools": func(g *WithT, f fleet) {
 		f.pool("p", 12, 1).Peak = 12
 		f.pool("q", 4, 1).Peak = 12
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -25,6 +25,7 @@
 	sample struct {
 		at   time.Time
 		need float64
+		late float64
 	}
 
 	offer struct {
@@ -73,19 +74,22 @@
 	for len(f.offers) > 2 && at.Sub(f.offers[1].at) >= 2*slopeWindow {
 		f.offers = f.offers[1:]
 	}
-	f.add(sample{at: at, need: f.machines(r)})
+	f.add(sample{at: at, need: f.machines(r), late: share(r.Late, sizeOf(r)) / fill})
 }
 
 // add takes up a sample. Earlier ones that are not above it can't be the highest
 // of any window that is still to come, so they are dropped.
 func (f *forecast) add(s sample) {
 	f.latest = s
-	for len(f.peaks) > 0 && f.peaks[len(f.peaks)-1].need <= s.need {
+	for len(f.peaks) > 0 && f.peaks[len(f.peaks)-1].all() <= s.all() {
 		f.peaks = f.peaks[:len(f.peaks)-1]
 	}
 	f.peaks = append(f.peaks, s)
 }
 
+// all is what on-time and late work need together.
+func (s sample) all() float64 { return s.need + s.late }
+
 // machines is how many machines a report asks for: what runs and waits now,
 // or what the rate of new work will fill, whichever is more.
 func (f *forecast) machines(r *run.Report) float64 {
@@ -171,18 +175,19 @@
 	return share(tw.Resources{CPU: tw.Millicores(s.work.CPU / s.seconds), MemoryMB: int64(s.work.MemoryMB / s.seconds)}, size)
 }
 
-// need is the present need and the highest of the window.
-func (f *forecast) need(now time.Time) (need, peak float64) {
+// need is what on-time work needs at present and late work beyond it, and the highest
+// of both of the window.
+func (f *forecast) need(now time.Time) (need, late, peak float64) {
 	for len(f.peaks) > 0 && now.Sub(f.peaks[0].at) > f.window {
 		f.peaks = f.peaks[1:]
 	}
 	if len(f.peaks) > 0 {
-		peak = f.peaks[0].need
+		peak = f.peaks[0].all()
 	}
 	if now.Sub(f.latest.at) <= needAge {
-		need = f.latest.need
+		need, late = f.latest.need, f.latest.late
 	}
-	return need, peak
+	return need, late, peak
 }
 
 // sizeOf is the size of the pool's machines; the largest, if they differ.
--- a/maintenance/forecast_test.go
+++ b/maintenance/forecast_test.go
@@ -34,7 +34,7 @@
 					f.add(sample{at: now.Add(-age), need: need})
 				}
 			}
-			need, peak := f.need(now)
+			need, _, peak := f.need(now)
 			g := NewWithT(t)
 			g.Expect(need).To(Equal(c.need))
 			g.Expect(peak).To(Equal(c.peak))
@@ -75,7 +75,7 @@
 			}
 		}
 		f.observe(now, &r)
-		need, _ := f.need(now)
+		need, _, _ := f.need(now)
 		sum += need
 	}
 	g.Expect(sum / samples * fill).To(BeNumerically("~", 10*perTenth, 1.5*perTenth))
@@ -97,7 +97,7 @@
 				r.Offered.CPU += float64(n) * c.work * float64(size.CPU)
 				f.observe(now, &r)
 			}
-			need, _ := f.need(now)
+			need, _, _ := f.need(now)
 			g := NewWithT(t)
 			g.Expect(need).To(BeNumerically(">=", c.least))
 			g.Expect(need).To(BeNumerically("<=", c.most))
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -221,7 +221,7 @@
 		if p.Known {
 			f.observe(last.at, &last.Report)
 		}
-		p.Need, p.Peak = f.need(now)
+		p.Need, p.Late, p.Peak = f.need(now)
 		s.Pools[pool.ID] = p
 	}
 	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
@@ -259,7 +259,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.Pools)) {
 		p := s.Pools[id]
 		m.Log.Info("maintenance: pool", zap.String("pool", string(id)), zap.Bool("known", p.Known),
-			zap.Float64("need", p.Need), zap.Float64("peak", p.Peak), zap.Int("workers", len(p.Report.Workers)),
+			zap.Float64("need", p.Need), zap.Float64("late", p.Late), zap.Float64("peak", p.Peak), zap.Int("workers", len(p.Report.Workers)),
 			zap.Int64("running_cpu", int64(p.Report.Running.CPU)), zap.Int64("waiting_cpu", int64(p.Report.Waiting.CPU)),
 			zap.Int64("lasting_cpu", int64(p.Report.Lasting.CPU)), zap.Int64("running_mb", p.Report.Running.MemoryMB),
 			zap.Duration("list_age", s.Now.Sub(s.Asked)))
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -16,12 +16,13 @@
 	floorMachines = 4
 	// fairPressure: a pool that lacks machines gives some to one whose pressure
 	// is so many times its own.
-	fairPressure = 3
-	// evenGap: machines are moved to spread spare capacity only between pools
-	// whose spares differ by more, and by more than evenShare of the machines
-	// that the better one has, as needs go up and down all the time.
-	evenGap   = 3
-	evenShare = 0.3
+	fairPressure = 1.5
+	// A pool with less than evenLeast of an even share of what all have beyond their
+	// need, and with evenGap machines less than that share, is given up to evenEnough
+	// of it: needs go up and down all the time, and each move costs.
+	evenLeast  = 0.5
+	evenEnough = 0.8
+	evenGap    = 3
 )
 
 // decideMoves moves machines to pools that lack some, spreads spare ones over
@@ -36,6 +37,11 @@
 			break
 		}
 	}
+	for range len(s.Machines) {
+		if !s.relieveLate(pools, d) {
+			break
+		}
+	}
 	s.spread(pools, d)
 	s.park(pools, d)
 }
@@ -59,40 +65,92 @@
 	return found
 }
 
+// relieveLate gives one machine that no work in time needs to the pool with the most
+// late work for its machines; false if there is none. Late work counts little: while
+// it held machines like other work, the pool whose demand rose next had 51 of them for
+// a need of 595 two seconds later, beside 325 in the pool before it.
+func (s *State) relieveLate(pools []*Pool, d *Decision) bool {
+	var to, from *Pool
+	for _, pool := range pools {
+		if s.beyond(pool) < 0 && (to == nil || s.beyond(pool) < s.beyond(to)) {
+			to = pool
+		}
+		if s.beyond(pool) >= 1 && s.machinesOf(pool.ID) > s.floor(pool) && (from == nil || s.beyond(pool) > s.beyond(from)) {
+			from = pool
+		}
+	}
+	if to == nil {
+		return false
+	}
+	if parking := s.parking(); parking != nil {
+		if machine, found := s.idle(parking, to.ID, d); found {
+			s.move(d, machine, to.ID, "its new pool has late work")
+			return true
+		}
+	}
+	if from == nil {
+		return false
+	}
+	machine, found := s.idle(from, to.ID, d)
+	if found {
+		s.move(d, machine, to.ID, "its new pool has late work")
+	}
+	return found
+}
+
 // pressure is a pool's need over what it has and will have.
 func (s *State) pressure(pool *Pool) float64 {
 	return headroom * pool.Need / max(1, s.machinesOf(pool.ID))
 }
 
-// spread evens out what pools have beyond their need, as any of them may be
-// the next whose demand rises.
+// spread evens out what pools have beyond their need, as any of them may be the next
+// whose demand rises: a pool that has far less than an even share of it is given some
+// by those that have more than theirs.
 func (s *State) spread(pools []*Pool, d *Decision) {
-	for range len(s.Machines) {
-		var least, most *Pool
-		for _, pool := range pools {
-			if least == nil || s.spare(pool) < s.spare(least) {
-				least = pool
-			}
-			if most == nil || s.spare(pool) > s.spare(most) {
-				most = pool
-			}
+	total := 0.0
+	for _, pool := range pools {
+		total += max(0, s.beyond(pool))
+	}
+	even := total / float64(len(pools))
+	for _, pool := range pools {
+		if s.beyond(pool) >= evenLeast*even || even-s.beyond(pool) <= evenGap {
+			continue
 		}
-		if s.spare(most)-s.spare(least) <= max(evenGap, evenShare*s.machinesOf(most.ID)) {
-			return
+		for s.beyond(pool) < evenEnough*even {
+			if !s.giveSpare(pool, pools, even, d) {
+				return
+			}
 		}
-		machine, found := s.idle(most, least.ID, d)
-		if !found {
-			return
+	}
+}
+
+// giveSpare moves one machine to a pool from the one with the most beyond its need;
+// false if none has more than an even share, or none of its machines can be moved.
+func (s *State) giveSpare(to *Pool, pools []*Pool, even float64, d *Decision) bool {
+	most := to
+	for _, pool := range pools {
+		if s.beyond(pool) > s.beyond(most) {
+			most = pool
 		}
-		s.move(d, machine, least.ID, "spare machines are spread evenly")
 	}
+	if s.beyond(most) < even+1 {
+		return false
+	}
+	machine, found := s.idle(most, to.ID, d)
+	if found {
+		s.move(d, machine, to.ID, "spare machines are spread evenly")
+	}
+	return found
 }
 
-// spare is what a pool has beyond its need.
+// spare is what a pool has beyond the need of its work in time.
 func (s *State) spare(pool *Pool) float64 {
 	return s.machinesOf(pool.ID) - headroom*pool.Need
 }
 
+// beyond is what a pool has that none of its work needs, late work included.
+func (s *State) beyond(pool *Pool) float64 { return s.spare(pool) - headroom*pool.Late }
+
 // park switches off what no pool has needed for ParkAfter.
 func (s *State) park(pools []*Pool, d *Decision) {
 	parking := s.parking()
@@ -107,7 +165,7 @@
 	for total > math.Ceil(peak) {
 		var most *Pool
 		for _, pool := range pools {
-			if most == nil || s.spare(pool) > s.spare(most) {
+			if most == nil || s.beyond(pool) > s.beyond(most) {
 				most = pool
 			}
 		}
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -35,6 +35,8 @@
 		// Need is how many machines the pool's work fills now, Peak the most
 		// that it needed of late.
 		Need, Peak float64
+		// Late is how many machines beyond Need the work fills that can only end late.
+		Late float64
 	}
 
 	// State is all that decisions rest on.
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -264,6 +264,29 @@
 	},
 }
 
+// Work that can't be in time any more is told apart, as it draws no machines.
+func TestReportTellsLateWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.end()
+		o := r.take("a")
+		long := submission("00000000000000aa", 4)
+		long.Steps[0].Estimate = 30 * time.Second
+		r.submit(o, long)
+		time.Sleep(100 * time.Millisecond)
+		r.submit(o, submission("00000000000000ab", 3))
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		r.Expect(report.Waiting.CPU).To(Equal(tw.Millicores(3000)))
+		r.Expect(report.Late.CPU).To(BeZero())
+		time.Sleep(3 * time.Second) // 0.8 s of work have an objective of 1.9 s
+		report, err = o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		r.Expect(report.Waiting.CPU).To(BeZero())
+		r.Expect(report.Late.CPU).To(Equal(tw.Millicores(3000)))
+	})
+}
+
 func TestOwner(t *testing.T) { playCases(t, ownerCases) }
 
 // playCases plays each case in a pool of four workers.
--- a/run/report.go
+++ b/run/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/schedule"
@@ -24,10 +25,12 @@
 		Pool    tw.PoolID    `json:"pool"`
 		Workers []WorkerLoad `json:"workers"`
 		// Running is what runs take, Waiting what waiting subtasks that could
-		// start now would take, and Lasting the part of both that lasts.
+		// start now and can end in time would take, and Lasting the part of both that
+		// lasts. Late is what those would take that can only end late.
 		Running tw.Resources `json:"running"`
 		Waiting tw.Resources `json:"waiting"`
 		Lasting tw.Resources `json:"lasting"`
+		Late    tw.Resources `json:"late"`
 		// Spread is on how many workers the widest step must run that bounds
 		// its subtasks on one worker.
 		Spread int `json:"spread"`
@@ -98,6 +101,7 @@
 // work that ends too late to count in any case.
 func (o *Owner) addWaiting(rep *repetition, out *Report) {
 	overdue := o.now.Sub(rep.due) > schedule.LateFactor*o.objective(rep)
+	late := o.late(rep)
 	for _, st := range rep.steps {
 		if st.done == st.spec.Count || !st.ready() {
 			continue
@@ -112,14 +116,29 @@
 			if t.done || t.active() {
 				continue
 			}
-			out.Waiting = out.Waiting.Plus(st.spec.Claim())
-			if st.spec.Lasting {
-				out.Lasting = out.Lasting.Plus(st.spec.Claim())
+			claim := st.spec.Claim()
+			switch {
+			case st.spec.Lasting:
+				out.Waiting = out.Waiting.Plus(claim)
+				out.Lasting = out.Lasting.Plus(claim)
+			case late:
+				out.Late = out.Late.Plus(claim)
+			default:
+				out.Waiting = out.Waiting.Plus(claim)
 			}
 		}
 	}
 }
 
+// late tells whether a repetition can't end within its objective any more.
+func (o *Owner) late(rep *repetition) bool {
+	rest := time.Duration(0)
+	for _, r := range o.chain(rep) {
+		rest = max(rest, r)
+	}
+	return o.now.Add(rest).After(rep.due.Add(o.objective(rep)))
+}
+
 // offer adds the work of a new submission to what was offered.
 func (o *Owner) offer(sub *submission) {
 	before := o.offered
