--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -44,8 +44,8 @@
 )
 
 const (
-	// takeTimeout bounds a takeover; a slow store takes 240 ms for each of
-	// its calls.
+	// takeTimeout bounds a takeover: a slow store takes 240 ms for each of its calls,
+	// and a link of 2 Mbit/s up to 9 s for the submissions of all pools.
 	takeTimeout = 20 * time.Second
 	inboxWait   = 5 * time.Second
 )
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -22,10 +22,10 @@
 		fence  tw.Fence
 	}
 
+	// sample is how many machines work in time needs, and late work beyond it.
 	sample struct {
-		at   time.Time
-		need float64
-		late float64
+		at         time.Time
+		need, late float64
 	}
 
 	offer struct {
@@ -33,6 +33,13 @@
 		work  run.Work
 		count int64
 	}
+
+	// span is what was offered in some time.
+	span struct {
+		work    run.Work
+		count   float64
+		seconds float64
+	}
 )
 
 const (
@@ -136,13 +143,6 @@
 	return min(slopeMost*now, now+rise*(moveAhead+slopeWindow/2).Seconds())
 }
 
-// span is what was offered in some time.
-type span struct {
-	work    run.Work
-	count   float64
-	seconds float64
-}
-
 // between is what was offered between two ages of the last report.
 func (f *forecast) between(from, to time.Duration) span {
 	first, last := f.asOf(from), f.asOf(to)
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -15,7 +15,9 @@
 	// so that it can begin at once when its own demand rises.
 	floorMachines = 4
 	// fairPressure: a pool that lacks machines gives some to one whose pressure
-	// is so many times its own.
+	// is so many times its own. With this and late work apart, 0.704 instead of 0.548
+	// of the work ends in time at 1.5 times the load that fills the machines in turns
+	// (16 seeds of simulated pools, subtasks of 0.64 s).
 	fairPressure = 1.5
 	// A pool with less than evenLeast of an even share of what all have beyond their
 	// need, and with evenGap machines less than that share, is given up to evenEnough
--- a/schedule/group.go
+++ b/schedule/group.go
@@ -70,13 +70,13 @@
 	return Urgency{Grade: GradeOverdue, Priority: priority, Deadline: latest}
 }
 
-// Behind lets small work go first among what has the same grade and priority: its
+// ForSize lets small work go first among what has the same grade and priority: its
 // deadline counts as later by the share that its work is of the usual work, times the
 // usual objective. Where there is more work than room, more of it so ends in time:
 // 0.552 instead of 0.506 at 1.5 times the load that fills the machines in turns, 0.410
 // instead of 0.357 at twice it, 0.859 instead of 0.848 at that load itself (12 seeds
 // of the simulated pools of experiment schedule, subtasks of 0.64 s).
-func (u Urgency) Behind(share float64, objective time.Duration) Urgency {
+func (u Urgency) ForSize(share float64, objective time.Duration) Urgency {
 	u.Deadline = u.Deadline.Add(time.Duration(smallFirst * share * float64(objective)))
 	return u
 }
--- a/schedule/place_test.go
+++ b/schedule/place_test.go
@@ -50,6 +50,31 @@
 		workers: []*schedule.Worker{worker(1, 4000), worker(0, 4000)},
 		want:    map[tw.WorkerID]int{"w0": 4, "w1": 1},
 	},
+	"goes on to smaller steps after one that found no room": {
+		groups: []*schedule.Group{
+			group("a", 2, func(s *tw.Step) { s.Need.CPU = 3000 }),
+			group("b", 1, func(s *tw.Step) { s.Need.CPU = 3000 }),
+			group("c", 3, nil),
+		},
+		workers: []*schedule.Worker{worker(0, 4000), worker(1, 2000)},
+		want:    map[tw.WorkerID]int{"w0": 2, "w1": 2},
+	},
+	"goes on to other steps after one that only lacked a label": {
+		groups: []*schedule.Group{
+			group("a", 1, func(s *tw.Step) { s.Label = "b" }),
+			group("b", 2, nil),
+		},
+		workers: []*schedule.Worker{worker(0, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 2},
+	},
+	"goes on to other steps after one of which a worker has enough": {
+		groups: []*schedule.Group{
+			group("a", 3, func(s *tw.Step) { s.MaxPerWorker = 1 }),
+			group("b", 2, nil),
+		},
+		workers: []*schedule.Worker{worker(0, 4000)},
+		want:    map[tw.WorkerID]int{"w0": 3},
+	},
 	"deals lasting subtasks out": {
 		groups:  []*schedule.Group{group("a", 3, func(s *tw.Step) { s.Lasting = true })},
 		workers: []*schedule.Worker{worker(0, 4000), worker(1, 4000), worker(2, 4000)},
@@ -185,6 +210,34 @@
 	"over three times its objective": {now: 6 * time.Second, remaining: time.Millisecond, want: schedule.GradeOverdue},
 }
 
+// sizeCases are two submissions of the same grade with their deadlines, and the
+// share that their work is of the usual work; the first goes before the second.
+var sizeCases = map[string]struct {
+	firstIn, secondIn       time.Duration
+	firstShare, secondShare float64
+}{
+	"of the same size by deadline":              {firstIn: time.Second, secondIn: 2 * time.Second, firstShare: 1, secondShare: 1},
+	"at the same deadline the smaller":          {firstIn: time.Second, secondIn: time.Second, firstShare: 0.5, secondShare: 2},
+	"a small one before an urgent one":          {firstIn: 2 * time.Second, secondIn: time.Second, firstShare: 0.2, secondShare: 4},
+	"but a large one is not overtaken for ever": {firstIn: 0, secondIn: 9 * time.Second, firstShare: 4, secondShare: 0.2},
+}
+
+func TestSizeBesideDeadline(t *testing.T) {
+	for name, c := range sizeCases {
+		t.Run(name, func(t *testing.T) {
+			of := func(in time.Duration, share float64) schedule.Urgency {
+				u := schedule.Urgency{Grade: schedule.GradeOnTime, Deadline: base.Add(in)}
+				return u.ForSize(share, 1500*time.Millisecond)
+			}
+			g := NewWithT(t)
+			g.Expect(of(c.firstIn, c.firstShare).Before(of(c.secondIn, c.secondShare))).To(BeTrue())
+			late := of(0, 0)
+			late.Grade = schedule.GradeLate
+			g.Expect(of(c.secondIn, c.secondShare).Before(late)).To(BeTrue())
+		})
+	}
+}
+
 func TestUrgencyOf(t *testing.T) {
 	for name, c := range urgencyCases {
 		t.Run(name, func(t *testing.T) {
