Work out a submission's work once

What was offered and what is usual added up the same products of run time and need in two loops; both take workLeft now. The objective of a repetition is worked out once a report.

--- a/run/estimate.go
+++ b/run/estimate.go
@@ -100,14 +100,17 @@
 	return cpu / u.cpu
 }
 
-// workLeft is the work of a repetition that is still to be done, in millicore
-// seconds; fillers take what is left over and lasting steps have no end.
-func (o *Owner) workLeft(rep *repetition) float64 {
-	work := 0.0
+// workLeft is the work of a repetition that is still to be done; lasting steps have
+// no end, so that they are left out.
+func (o *Owner) workLeft(rep *repetition) Work {
+	var work Work
 	for _, st := range rep.steps {
-		if !st.spec.Lasting && st.done < st.spec.Count {
-			work += o.expected(st).Seconds() * float64(st.spec.Count-st.done) * float64(st.spec.Claim().CPU)
+		if st.spec.Lasting {
+			continue
 		}
+		seconds := o.expected(st).Seconds() * float64(st.spec.Count-st.done)
+		work.CPU += seconds * float64(st.spec.Claim().CPU)
+		work.MemoryMB += seconds * float64(st.spec.Claim().MemoryMB)
 	}
 	return work
 }
--- a/run/place.go
+++ b/run/place.go
@@ -252,7 +252,7 @@
 		return schedule.Urgency{Grade: schedule.GradeLasting, Priority: policy.Priority, Deadline: st.rep.due}
 	}
 	urgency := schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
-	return urgency.ForSize(o.usual.share(o.workLeft(st.rep)), o.usual.objective)
+	return urgency.ForSize(o.usual.share(o.workLeft(st.rep).CPU), o.usual.objective)
 }
 
 // avoidFor is how long a subtask waits for another worker than the one on
--- a/run/report.go
+++ b/run/report.go
@@ -100,8 +100,9 @@
 // addWaiting adds the needs of the subtasks that could start now, but for
 // work that ends too late to count in any case.
 func (o *Owner) addWaiting(rep *repetition, out *Report) {
-	overdue := o.now.Sub(rep.due) > schedule.LateFactor*o.objective(rep)
-	late := o.late(rep)
+	objective := o.objective(rep)
+	overdue := o.now.Sub(rep.due) > schedule.LateFactor*objective
+	late := o.late(rep, objective)
 	for _, st := range rep.steps {
 		if st.done == st.spec.Count || !st.ready() {
 			continue
@@ -131,30 +132,23 @@
 }
 
 // late tells whether a repetition can't end within its objective any more.
-func (o *Owner) late(rep *repetition) bool {
+func (o *Owner) late(rep *repetition, objective time.Duration) bool {
 	rest := time.Duration(0)
 	for _, r := range o.chain(rep) {
 		rest = max(rest, r)
 	}
-	return o.now.Add(rest).After(rep.due.Add(o.objective(rep)))
+	return o.now.Add(rest).After(rep.due.Add(objective))
 }
 
 // offer adds the work of a new submission to what was offered.
 func (o *Owner) offer(sub *submission) {
 	before := o.offered
 	for _, rep := range sub.reps {
-		if work := o.workLeft(rep); work > 0 {
-			o.usual.note(work, o.objective(rep))
-		}
-	}
-	for _, rep := range sub.reps {
-		for _, st := range rep.steps {
-			if st.spec.Lasting {
-				continue
-			}
-			seconds := o.expected(st).Seconds() * float64(st.spec.Count-st.done)
-			o.offered.CPU += seconds * float64(st.spec.Claim().CPU)
-			o.offered.MemoryMB += seconds * float64(st.spec.Claim().MemoryMB)
+		work := o.workLeft(rep)
+		o.offered.CPU += work.CPU
+		o.offered.MemoryMB += work.MemoryMB
+		if work.CPU > 0 {
+			o.usual.note(work.CPU, o.objective(rep))
 		}
 	}
 	if o.offered != before {
