Say what is known of a worker that is given up, and count runs that end all the same

The logs had why a worker was given up, but not how long before it had answered, and nothing of a run that ended as done though another had been ordered for it.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -144,6 +144,18 @@
 	w.wake()
 }
 
+// Reborn ends a worker's life and starts the next one at the same address, as a
+// worker does that crashes and starts again. It returns the new life's entry.
+func (f *Fleet) Reborn(id, next tw.WorkerID) tw.WorkerEntry {
+	f.Kill(id)
+	f.mu.Lock()
+	entry := f.workers[id].Entry
+	f.mu.Unlock()
+	entry.ID = next
+	f.Add(entry)
+	return entry
+}
+
 // Expect tells how a submission's subtasks behave.
 func (f *Fleet) Expect(s *tw.Submission, profile func(id tw.SubtaskID, p *Profile)) {
 	f.mu.Lock()
@@ -284,6 +296,16 @@
 	return f.done[id]
 }
 
+// livesAt tells whether a living worker listens at an address.
+func (f *Fleet) livesAt(address string) bool {
+	for _, w := range f.workers {
+		if !w.dead && w.Entry.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fleet) running(id tw.SubtaskID) int {
 	n := 0
 	for _, w := range f.workers {
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -177,6 +177,10 @@
 		f.mu.Unlock()
 		return nil, errors.Wrap(tw.ErrUnavailable, "standin: nobody listens there")
 	}
+	if w.dead && f.livesAt(w.Entry.Address) {
+		f.mu.Unlock()
+		return nil, &tw.OrderRefused{Reason: tw.RefusedLife}
+	}
 	if !w.Silent && !w.dead {
 		return w, nil
 	}
--- a/run/end.go
+++ b/run/end.go
@@ -20,6 +20,7 @@
 		t = sub.task(e.Subtask)
 	}
 	o.logEnd(w, e, r)
+	o.watchDoubled(w, t, r, e)
 	if sub == nil || !sub.durable {
 		o.keepEnd(w, e)
 	}
@@ -66,6 +67,19 @@
 	o.log.Info("run: ended", fields...)
 }
 
+// watchDoubled tells of a run that was given up and has ended as done all the same,
+// while another run of its subtask goes on.
+func (o *Owner) watchDoubled(w *worker, t *task, r *runState, e tw.EndedSubtask) {
+	if r != nil || t == nil || e.Kind != tw.EndDone || !t.active() || t.step.spec.Copies {
+		return
+	}
+	o.metrics.doubled.Inc()
+	other := t.runs[0]
+	o.log.Warn("run: ended though it was given up", zap.Stringer("subtask", e.Subtask), zap.Int64("run", int64(e.Run)),
+		zap.String("worker", string(w.entry.ID)), zap.Int64("other_run", int64(other.run)),
+		zap.String("other_worker", string(other.w.entry.ID)), zap.Duration("other_since", o.now.Sub(other.startedAt)))
+}
+
 // taskDone records that a subtask is done. One member's end stands for a gang.
 func (o *Owner) taskDone(t *task, run tw.RunNumber) {
 	members := []*task{t}
--- a/run/feed.go
+++ b/run/feed.go
@@ -186,7 +186,8 @@
 // bury drops a worker whose life has certainly ended, with all that ran there.
 func (o *Owner) bury(w *worker, why string) {
 	o.log.Info("worker: ended", zap.String("worker", string(w.entry.ID)), zap.String("why", why),
-		zap.Int("runs", len(w.runs)))
+		zap.Int("runs", len(w.runs)), zap.String("instance", string(w.entry.Instance)), zap.Bool("listed", w.listed),
+		zap.Bool("silent", !w.silentFrom.IsZero()), w.answerAge(o.now))
 	w.session.close()
 	delete(o.workers, w.entry.ID)
 	delete(o.ranks, w.rank)
--- a/run/worker.go
+++ b/run/worker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/schedule"
 )
@@ -103,6 +105,14 @@
 	w.silentFrom = time.Time{}
 }
 
+// answerAge is the age of the last answer, for a log line; nothing if there was none.
+func (w *worker) answerAge(now time.Time) zap.Field {
+	if w.clockAt.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration("last_answer", now.Sub(w.clockAt))
+}
+
 // unheard notes an order without an answer.
 func (w *worker) unheard(now time.Time) {
 	w.unanswered++
