Give a worker up on proof of its end only, not when another entry of its machine comes

Cause: the order in which entries of a machine were seen in the list of workers was taken for the order of its lives. An entry of a former life that came back (a write held up by a cut, an entry that lapsed and was written again) had the present worker given up, which answered and ran on; its runs were started again elsewhere. Listed anew, it told their ends.

Ruled out, from the logs: a new owner that did not know (all second orders came from one owner, and followed "its machine has a new worker" of a worker that answered); doubt that ends too early (where runs had lapsed before the second order, the lease had, which is allowed).

Change: a new entry only opens the question; the list of machines, asked for after both lives were known, answers it, unless the worker has answered since. Lives that have ended are remembered for a minute after their entry was last seen, not until it is missing once; workers that are merely not listed any more are not counted among them. The test of a machine's new worker now has the list of machines name it, as the platform does; its bound of a second is as it was.

--- a/run/feed.go
+++ b/run/feed.go
@@ -35,11 +35,11 @@
 		if w := o.workers[id]; w != nil {
 			o.bury(w, "its machine was ordered away")
 		}
-		o.goneAt[id] = o.now // also if it was not known here
+		o.ended[id] = o.now // also if it was not known here
 	}
 	for _, id := range d.Running {
-		_, gone := o.goneAt[id]
-		if w := o.workers[id]; !gone && (w == nil || !w.listed) {
+		_, ended := o.ended[id]
+		if w := o.workers[id]; !ended && (w == nil || !w.listed) {
 			o.readWorkers()
 			return
 		}
@@ -66,14 +66,13 @@
 func (o *Owner) setWorkers(list WorkerList) {
 	o.feedAt = list.Settled
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
-		if _, gone := o.goneAt[id]; !gone {
-			o.setWorker(list.Workers[id])
+		if _, ended := o.ended[id]; ended {
+			o.ended[id] = o.now
+			continue
 		}
+		o.setWorker(list.Workers[id])
 	}
-	maps.DeleteFunc(o.goneAt, func(id tw.WorkerID, _ time.Time) bool {
-		_, listed := list.Workers[id]
-		return !listed
-	})
+	maps.DeleteFunc(o.ended, func(_ tw.WorkerID, at time.Time) bool { return o.now.Sub(at) > endedKept })
 	for id, w := range o.workers {
 		if _, listed := list.Workers[id]; listed {
 			continue
@@ -91,9 +90,6 @@
 	w := o.workers[entry.ID]
 	if w == nil {
 		w = o.addWorker(entry)
-		if o.now.Sub(o.takenAt) > settleTime {
-			o.buryFormerLives(w, true)
-		}
 	}
 	if entry.Draining && !w.entry.Draining {
 		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
@@ -111,7 +107,6 @@
 	o.addLife(w)
 	w.listed = true
 	w.leaving = o.vacate[entry.Instance]
-	o.buryFormerLives(w, false)
 }
 
 func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
@@ -127,6 +122,7 @@
 	o.ranks[w.rank] = true
 	o.byPlace = nil
 	o.addLife(w)
+	o.noteRivals(w)
 	o.log.Info("worker: listed", zap.String("worker", string(entry.ID)), zap.String("instance", string(entry.Instance)),
 		zap.String("rack", string(entry.Rack())), zap.Int64("cpu", int64(entry.Capacity.CPU)))
 	return w
@@ -151,57 +147,6 @@
 	return rank
 }
 
-// addLife and dropLife keep the index of the workers of each machine: without it
-// each new list of workers compared all workers with all others.
-func (o *Owner) addLife(w *worker) {
-	id := w.entry.Instance
-	o.lives[id] = append(o.lives[id], w)
-}
-
-func (o *Owner) dropLife(w *worker) {
-	id := w.entry.Instance
-	left := slices.DeleteFunc(o.lives[id], func(other *worker) bool { return other == w })
-	if len(left) == 0 {
-		delete(o.lives, id)
-		return
-	}
-	o.lives[id] = left
-}
-
-// buryFormerLives ends the doubt about former workers of the same machine, as
-// it runs one at a time. Those that are still listed are former ones only if
-// this one has just come.
-func (o *Owner) buryFormerLives(w *worker, listedToo bool) {
-	if w.entry.Instance == "" {
-		return
-	}
-	for _, other := range slices.Clone(o.lives[w.entry.Instance]) {
-		if other == w || other.listed && !listedToo {
-			continue
-		}
-		o.bury(other, "its machine has a new worker")
-	}
-}
-
-// bury drops a worker whose life has certainly ended, with all that ran there.
-func (o *Owner) bury(w *worker, why string) {
-	o.log.Info("worker: ended", zap.String("worker", string(w.entry.ID)), zap.String("why", why),
-		zap.Int("runs", len(w.runs)), zap.String("instance", string(w.entry.Instance)), zap.Bool("listed", w.listed),
-		zap.Bool("silent", !w.silentFrom.IsZero()), w.answerAge(o.now))
-	w.session.close()
-	delete(o.workers, w.entry.ID)
-	delete(o.ranks, w.rank)
-	o.byPlace = nil
-	o.dropLife(w)
-	// Its entry may stay for some seconds; it must not be taken for a new
-	// worker meanwhile.
-	o.goneAt[w.entry.ID] = o.now
-	for _, r := range w.runs {
-		o.runGone(r, "its worker has ended")
-	}
-	o.placeSoon = true
-}
-
 // watchWorkers resolves doubts about workers that do not answer.
 func (o *Owner) watchWorkers() time.Time {
 	var next time.Time
@@ -210,13 +155,14 @@
 	}
 	for _, w := range o.workers {
 		if !w.listed && o.mayDrop(w) {
-			o.bury(w, "not listed any more, and nothing of it is left")
+			o.forget(w, "not listed any more, and nothing of it is left")
 			continue
 		}
-		if w.silentFrom.IsZero() && w.known && w.listed {
+		doubted := !w.doubtFrom().IsZero()
+		if w.known && !doubted {
 			continue
 		}
-		if !w.silentFrom.IsZero() || !w.listed {
+		if doubted {
 			o.census.Want(o.now)
 		}
 		if !w.doubtUntil.IsZero() && !o.now.Before(w.doubtUntil) {
@@ -258,52 +204,6 @@
 	o.placeSoon = true
 }
 
-// consultCensus ends doubts by the platform's list of machines.
-func (o *Owner) consultCensus() {
-	list := o.census.Latest()
-	if list == nil {
-		return
-	}
-	if !o.counted && list.Asked.After(o.takenAt) {
-		o.counted = true
-		o.addUnlisted(list)
-	}
-	for _, w := range o.workers {
-		silent := !w.silentFrom.IsZero() && list.Asked.After(w.silentFrom)
-		unlisted := !w.listed && list.Asked.After(w.missingFrom)
-		if !silent && !unlisted {
-			continue
-		}
-		machine, found := list.Machines[w.entry.Instance]
-		switch {
-		case w.entry.Instance == "":
-		case !found:
-			o.bury(w, "its machine has left")
-		case machine.State != tw.MachineUp:
-			o.bury(w, "its machine is "+string(machine.State))
-		case machine.Worker != "" && machine.Worker != w.entry.ID:
-			o.bury(w, "its machine runs another worker")
-		}
-	}
-}
-
-// addUnlisted adds the workers of the pool that run without an entry in the
-// list of workers, as after an outage: the former owner may have used them.
-func (o *Owner) addUnlisted(list *MachineList) {
-	for _, machine := range list.Machines {
-		if machine.Pool != o.pool || machine.Worker == "" || o.workers[machine.Worker] != nil {
-			continue
-		}
-		w := o.addWorker(tw.WorkerEntry{
-			ID: machine.Worker, Pool: machine.Pool, Hall: machine.Hall, Instance: machine.ID,
-			Capacity: machine.Capacity, Labels: machine.Labels,
-		})
-		w.listed = false
-		w.missingFrom = o.now
-	}
-	o.placeSoon = true
-}
-
 // inheritedDoubts tells whether runs of the former owner may be on workers
 // that have not answered.
 func (o *Owner) inheritedDoubts() bool {
--- a/run/owner.go
+++ b/run/owner.go
@@ -82,8 +82,9 @@
 	writer     *writer
 	learned    map[learnKey]correction
 	usual      usualWork
-	// goneAt are workers that have ended though they are still listed.
-	goneAt map[tw.WorkerID]time.Time
+	// ended are workers whose life has ended, by when they were last heard of:
+	// their entries may linger or come back.
+	ended map[tw.WorkerID]time.Time
 	// unclaimed are ends of subtasks whose submission is not known here, by
 	// submission. A former owner that was told of it later may have run them.
 	unclaimed map[tw.SubmissionID][]unclaimedEnd
@@ -131,7 +132,7 @@
 		lives:       map[tw.InstanceID][]*worker{},
 		ranks:       map[int]bool{},
 		learned:     map[learnKey]correction{},
-		goneAt:      map[tw.WorkerID]time.Time{},
+		ended:       map[tw.WorkerID]time.Time{},
 		unclaimed:   map[tw.SubmissionID][]unclaimedEnd{},
 		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
 		placeSoon:   true,
--- a/run/worker.go
+++ b/run/worker.go
@@ -17,7 +17,10 @@
 		listed bool
 		// missingFrom is when the entry went from the list of workers.
 		missingFrom time.Time
-		session     *session
+		// rivalFrom is since when another life of its machine is known; zero if
+		// none is.
+		rivalFrom time.Time
+		session   *session
 		// known: it has answered to this owner's fence, so what runs there
 		// is known.
 		known bool
--- a/run/worker_test.go
+++ b/run/worker_test.go
@@ -58,6 +58,7 @@
 		entry := r.list[on[0]]
 		entry.ID, entry.Address = "fresh", "10.0.0.99:1"
 		r.fleet.Add(entry)
+		r.runs(entry)
 		r.list[entry.ID] = entry // the former entry is still there
 		r.feed(o)
 		r.Eventually(r.fleet.Starts, time.Second).Should(Equal(2))
