Soak of machines that begin new lives, whose entries come late, lapse and come back

Neither soak had two lives of one machine, so that no seed could show the fault. What the seeds of the other soak play is as it was.

--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -18,6 +18,12 @@
 // the list of regressions, with the cause.
 const soakSeeds = 50
 
+// livesSeeds are those of TestLivesSoak.
+const livesSeeds = 25
+
+// soakMachines are there from the start.
+const soakMachines = 6
+
 // freshWorkers are added at the end: enough for all lasting work that can have
 // been kept, and some more.
 const freshWorkers = 10
@@ -45,13 +51,27 @@
 	}
 }
 
-func playSoak(t *testing.T, seed uint64) {
+// TestLivesSoak does so while machines begin new lives as well, whose entries come
+// late, lapse, and come back after those of later lives.
+func TestLivesSoak(t *testing.T) {
+	for seed := range uint64(livesSeeds) {
+		playSoak(t, seed, beginLives)
+	}
+}
+
+func playSoak(t *testing.T, seed uint64, prepare ...func(s *soak)) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			s := &soak{rig: newRig(t, 6), rand: rand.New(rand.NewPCG(seed, 1))}
+			s := &soak{acts: 60, rig: newRig(t, soakMachines), rand: rand.New(rand.NewPCG(seed, 1))}
 			defer s.end()
+			for n := range soakMachines {
+				s.lives = append(s.lives, []tw.WorkerEntry{s.list[workerID(n)]})
+			}
+			for _, p := range prepare {
+				p(s)
+			}
 			s.owner = s.take("d0")
-			for range 60 {
+			for range s.acts {
 				s.act()
 				time.Sleep(time.Duration(20+s.rand.IntN(400)) * time.Millisecond)
 			}
@@ -69,11 +89,23 @@
 	owner *run.Owner
 	taken []tw.SubmissionID
 	next  int
+	// lives are those of each machine, the present one last.
+	lives [][]tw.WorkerEntry
+	// newLives: machines begin new lives.
+	newLives bool
+	// acts is how many things are done to the pool.
+	acts int
 }
 
+func beginLives(s *soak) { s.newLives, s.acts = true, 150 }
+
 // act does one random thing; submissions are the most frequent.
 func (s *soak) act() {
-	id := workerID(s.rand.IntN(6))
+	if s.newLives && s.rand.IntN(3) == 0 {
+		s.actOnLives(s.rand.IntN(soakMachines))
+		return
+	}
+	id := s.present(s.rand.IntN(soakMachines)).ID
 	switch s.rand.IntN(15) {
 	case 0, 1, 2, 3, 4:
 		s.submitAny()
@@ -86,6 +118,9 @@
 	case 8:
 		s.fleet.Set(id, func(w *standin.SimWorker) { w.Hang = !w.Hang })
 	case 9:
+		if s.newLives && s.rand.IntN(5) > 0 {
+			return // owners must last, as entries count for less after a takeover
+		}
 		s.owner = s.take(tw.DaemonID(fmt.Sprintf("d%d", len(s.opened))))
 	case 10:
 		s.kv.SetFaults(standin.KVFaults{Down: s.rand.IntN(2) == 0, LoseAnswers: s.rand.IntN(3), LateWrites: s.rand.IntN(2)})
@@ -153,7 +188,35 @@
 	_ = s.owner.Cancel(ctx, id) // it may fail while the store does
 }
 
-// crash ends a worker's life; the machine comes back as another.
+// present is the present life of a machine, or its last one.
+func (s *soak) present(n int) tw.WorkerEntry { return s.lives[n][len(s.lives[n])-1] }
+
+// actOnLives does one random thing to the lives of a machine or to their entries.
+func (s *soak) actOnLives(n int) {
+	present := s.present(n)
+	switch s.rand.IntN(4) {
+	case 0:
+		next := s.reborn(present.ID, tw.WorkerID(fmt.Sprintf("w%d-%c", n, rune('a'+len(s.lives[n])))))
+		s.lives[n] = append(s.lives[n], next)
+		if s.rand.IntN(2) == 0 {
+			s.list[next.ID] = next
+		}
+	case 1:
+		s.list[present.ID] = present
+	case 2:
+		former := s.lives[n][s.rand.IntN(len(s.lives[n]))]
+		s.list[former.ID] = former
+	case 3:
+		for _, life := range s.lives[n] {
+			if s.rand.IntN(2) == 0 {
+				delete(s.list, life.ID)
+			}
+		}
+	}
+	s.feed(s.owner)
+}
+
+// crash ends a worker's life, and leaves its machine down.
 func (s *soak) crash(id tw.WorkerID) {
 	if s.list[id].ID == "" {
 		return
@@ -168,8 +231,10 @@
 	s.kv.DoLate()
 	s.kv.SetFaults(standin.KVFaults{})
 	s.fleet.DoLate()
-	for n := range 6 {
-		s.fleet.Set(workerID(n), func(w *standin.SimWorker) { w.Silent, w.Hang, w.LateStarts = false, false, 0 })
+	for n := range soakMachines {
+		present := s.present(n)
+		s.list[present.ID] = present
+		s.fleet.Set(present.ID, func(w *standin.SimWorker) { w.Silent, w.Hang, w.LateStarts = false, false, 0 })
 	}
 	for n := range freshWorkers {
 		s.addWorker(100 + n)
