Failing test: a run between a worker's two lists

A worker lists at most 500 ends at once. A run that ended beyond these is in neither list, and the owner takes it for gone and starts it again.

--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -52,3 +52,17 @@
 	}
 	return k.KV.Get(ctx, key)
 }
+
+// shortLists lists at most so many ends at once, the oldest first, as workers do.
+type shortLists struct {
+	tw.WorkerOrders
+	most int
+}
+
+func (s *shortLists) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
+	report, err := s.WorkerOrders.Hold(ctx, to, order)
+	if len(report.Ended) > s.most {
+		report.Ended = report.Ended[:s.most]
+	}
+	return report, err
+}
