--- a/run/look.go
+++ b/run/look.go
@@ -205,6 +205,9 @@
 		}
 		o.takeProgress(r, running)
 	}
+	if len(result.report.Ended) >= tw.MaxEndsListed {
+		return // a run that is not listed may be among the ends that are still to come
+	}
 	for key, r := range w.runs {
 		if listed[key] || r.visibleFrom > result.seq {
 			continue
--- a/worker.go
+++ b/worker.go
@@ -115,6 +115,10 @@
 	}
 )
 
+// MaxEndsListed is how many ends a worker lists in one answer; further ones come
+// once these are confirmed.
+const MaxEndsListed = 500
+
 // Reasons of refused orders.
 const (
 	// RefusedFence: a newer owner has given orders.
