--- a/run/look.go
+++ b/run/look.go
@@ -130,7 +130,10 @@
 	w.lookedAt = now
 	w.told = max(w.told, hold.Seen)
 	first := !w.known
-	w.known, w.inheritedDoubt = true, false
+	w.known = true
+	if !full(result.report) {
+		w.inheritedDoubt = false
+	}
 	o.takeEnds(w, result.report.Ended)
 	o.takeRunning(w, result)
 	if first {
@@ -205,8 +208,8 @@
 		}
 		o.takeProgress(r, running)
 	}
-	if len(result.report.Ended) >= tw.MaxEndsListed {
-		return // a run that is not listed may be among the ends that are still to come
+	if full(result.report) {
+		return
 	}
 	for key, r := range w.runs {
 		if listed[key] || r.visibleFrom > result.seq {
@@ -216,6 +219,10 @@
 	}
 }
 
+// full tells whether a report may lack ends. A run that it does not list proves
+// nothing then, as it may be among the ends that are still to come.
+func full(report tw.HoldReport) bool { return len(report.Ended) >= tw.MaxEndsListed }
+
 // adopt takes up a run of a former owner, or one whose start was given up.
 func (o *Owner) adopt(w *worker, listed tw.RunningSubtask) *runState {
 	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, movedAt: o.now, pace: fullPace}
