--- a/run/end.go
+++ b/run/end.go
@@ -17,7 +17,7 @@
 	if r != nil {
 		t = r.task
 	} else if sub != nil {
-		t = sub.task(e.Subtask)
+		t = o.taskOf(sub, e.Subtask)
 	}
 	o.logEnd(w, e, r)
 	if sub == nil || !sub.durable {
--- a/run/look.go
+++ b/run/look.go
@@ -228,7 +228,7 @@
 	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, movedAt: o.now, pace: fullPace}
 	var t *task
 	if sub := o.submissions[listed.Subtask.Submission]; sub != nil {
-		t = sub.task(listed.Subtask)
+		t = o.taskOf(sub, listed.Subtask)
 	}
 	if t == nil {
 		// Nothing is known of its needs: it is stopped, and takes the whole
@@ -253,6 +253,16 @@
 	return r
 }
 
+// taskOf finds a subtask of which a worker tells, or nil. Its repetition may not be
+// due here yet although a former owner, whose clock was ahead, has started it: not
+// opened, its end would be confirmed but not recorded, and it would run again.
+func (o *Owner) taskOf(sub *submission, id tw.SubtaskID) *task {
+	if sub.durable && !sub.over() && id.Repetition >= sub.nextRep {
+		o.openBelow(sub, id.Repetition+1)
+	}
+	return sub.task(id)
+}
+
 // strayTask stands for a subtask of which nothing is known.
 func strayTask(id tw.SubtaskID) *task {
 	sub := &submission{Submission: tw.Submission{ID: id.Submission}, final: tw.Cancelled}
--- a/run/owner.go
+++ b/run/owner.go
@@ -196,9 +196,12 @@
 }
 
 // open opens what is due.
-func (o *Owner) open(sub *submission) {
+func (o *Owner) open(sub *submission) { o.openBelow(sub, 0) }
+
+// openBelow opens what is due, and the repetitions below a number in any case.
+func (o *Owner) openBelow(sub *submission, early int) {
 	begun := sub.begun
-	sub.openDue(o.clock.Now())
+	sub.openDue(o.clock.Now(), early)
 	if sub.nextRep < sub.Repetitions() {
 		o.timed[sub.ID] = sub
 	} else {
--- a/run/submission.go
+++ b/run/submission.go
@@ -135,15 +135,16 @@
 	return sub
 }
 
-// openDue opens the repetitions that are due. What has no time of its own is
-// due at once, whatever the accepting daemon's time of day was.
-func (s *submission) openDue(now time.Time) {
+// openDue opens the repetitions that are due, and those below early in any case.
+// What has no time of its own is due at once, whatever the accepting daemon's time
+// of day was.
+func (s *submission) openDue(now time.Time, early int) {
 	for s.nextRep < s.Repetitions() {
 		due := s.Due(s.nextRep)
-		if due.After(now) && s.Timed() {
+		if due.After(now) && s.Timed() && s.nextRep >= early {
 			return
 		}
-		if due.After(now) {
+		if due.After(now) && !s.Timed() {
 			due = now
 		}
 		s.openRepetition(s.nextRep, due)
--- a/run/unclaimed.go
+++ b/run/unclaimed.go
@@ -35,7 +35,7 @@
 			if r.task.id.Submission != sub.ID || r.task.step.rep.sub == sub {
 				continue
 			}
-			t := sub.task(r.task.id)
+			t := o.taskOf(sub, r.task.id)
 			if t == nil {
 				continue
 			}
@@ -71,7 +71,7 @@
 	ends := o.unclaimed[sub.ID]
 	delete(o.unclaimed, sub.ID)
 	for _, kept := range ends {
-		if t := sub.task(kept.end.Subtask); t != nil {
+		if t := o.taskOf(sub, kept.end.Subtask); t != nil {
 			o.applyEnd(kept.w, t, kept.end)
 		}
 	}
