--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -38,12 +38,14 @@
 // office is a manager with all that it needs.
 type office struct {
 	*WithT
-	t       *testing.T
-	kv      *standin.KV
-	cloud   *standin.Cloud
-	census  *run.Census
-	reports *reports
-	waves   []tw.MaintenanceWave
+	t     *testing.T
+	kv    *standin.KV
+	cloud *standin.Cloud
+	// machines is the cloud, or what stands before it.
+	machines tw.Machines
+	census   *run.Census
+	reports  *reports
+	waves    []tw.MaintenanceWave
 }
 
 func newOffice(t *testing.T) *office {
@@ -52,6 +54,7 @@
 		cloud:   standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, Latency: 20 * time.Millisecond}.New(),
 		reports: &reports{loads: map[tw.PoolID][]run.WorkerLoad{}, told: map[tw.PoolID]run.Directions{}},
 	}
+	o.machines = o.cloud
 	o.census = run.CensusConfig{Machines: o.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
 	return o
 }
@@ -73,7 +76,7 @@
 	recent, err := ledger.FindOrders(o.t.Context(), o.kv)
 	o.Expect(err).NotTo(HaveOccurred())
 	return maintenance.Config{
-		Book: book, Recent: recent, Holder: string(daemon), KV: o.kv, Machines: o.cloud, Census: o.census, Owners: o.reports,
+		Book: book, Recent: recent, Holder: string(daemon), KV: o.kv, Machines: o.machines, Census: o.census, Owners: o.reports,
 		Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet(),
 		Waves: func() []tw.MaintenanceWave { return o.waves },
 		Queue: func() *tw.QueueConfig {
