Take an order of a machine for settled only on proof

An order without an answer is settled by a list that shows its effect, by an answer that holds for all its tries, or by time; not by another worker on the machine, and not by the refusal of a later try.

--- a/maintenance/orders.go
+++ b/maintenance/orders.go
@@ -40,11 +40,15 @@
 		if !list.Asked.After(order.Since) {
 			continue
 		}
+		if order.Unclear && order.shown(machine) {
+			order.Unclear = false
+			m.ordered[id] = order
+		}
 		patience := orderShown
 		back := machine.State == tw.MachineUp
 		if order.Unclear {
 			patience = unclearShown
-			back = back && machine.Worker != order.Worker
+			back = false
 		}
 		if !found || back || m.Clock.Now().Sub(order.Since) > patience {
 			delete(m.ordered, id)
@@ -52,6 +56,16 @@
 	}
 }
 
+// shown tells whether a list that was asked for after an order without an answer
+// proves that it was carried out. Another worker on the machine does not: the former
+// one may have crashed, and the order may still be carried out.
+func (o *Order) shown(machine tw.Machine) bool {
+	if o.Wave != 0 {
+		return machine.State == tw.MachineMaintenance
+	}
+	return machine.Pool == o.Pool
+}
+
 // confirm makes sure that this daemon still manages the machines.
 func (m *Manager) confirm() error {
 	now := m.Clock.Now()
@@ -99,19 +113,34 @@
 func (m *Manager) give(ctx context.Context, order Order) error {
 	by := tw.MachineHolder{Name: m.Holder, Fence: m.fence}
 	var err error
-	for range orderTries {
+	for try := range orderTries {
 		if order.Wave != 0 {
 			err = m.Machines.Maintain(ctx, by, order.Machine, order.Wave)
 		} else {
 			err = m.Machines.Move(ctx, by, order.Machine, order.Pool)
 		}
-		if !errors.Is(err, tw.ErrUnclear) || ctx.Err() != nil {
-			return err
+		switch {
+		case errors.Is(err, tw.ErrUnclear) && ctx.Err() == nil:
+			continue
+		case try > 0 && !settles(err):
+			// This says nothing of the tries without an answer: they may be carried out
+			// late, when another machine of the wave is down.
+			return errors.Wrapf(tw.ErrUnclear, "maintenance: an earlier try was not answered, the last one: %v", err)
 		}
+		return err
 	}
 	return err
 }
 
+// settles tells whether the answer to one try of an order holds for all of them.
+func settles(err error) bool {
+	var refused *tw.MachineRefused
+	if errors.As(err, &refused) {
+		return refused.Reason == tw.MachineUnknown || refused.Reason == tw.MachineNotInWave
+	}
+	return err == nil
+}
+
 // answered takes up the answer to an order.
 func (m *Manager) answered(order Order, err error) {
 	m.Log.Info("maintenance: ordered", zap.String("instance", string(order.Machine)), zap.Int64("wave", order.Wave),
