--- a/maintenance/orders_test.go
+++ b/maintenance/orders_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
 // lateMachines leaves the first maintenance order without an answer and carries it
@@ -113,3 +114,62 @@
 		})
 	}
 }
+
+// slowMachines answers the first maintenance order not at all, and only gives that
+// up after a while.
+type slowMachines struct {
+	tw.Machines
+	once sync.Once
+	wait time.Duration
+}
+
+func (s *slowMachines) Maintain(ctx context.Context, by tw.MachineHolder, machine tw.InstanceID, wave int64) error {
+	lost := false
+	s.once.Do(func() { lost = true })
+	if !lost {
+		return s.Machines.Maintain(ctx, by, machine, wave)
+	}
+	select {
+	case <-time.After(s.wait):
+	case <-ctx.Done():
+	}
+	return tw.ErrUnclear
+}
+
+// A manager records its orders before it gives them, and may give one up to 1.7 s
+// later, as a try without an answer is repeated. Its successor took the record's time
+// for the order's: it counted the time between two holders from the moment at which
+// it took over, 0.7 s added. The former manager's second try was carried out 1 s
+// after the record, and the successor's order for the same machine came 2.8 s after
+// that, where 3 s must lie between two holders.
+func TestSuccessorOfAManagerWhoseOrderIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice(t)
+		defer o.census.Close()
+		o.machine("m1", 0)
+		o.machine("m2", 0)
+		o.waveOf("m1")
+		o.machines = &slowMachines{Machines: o.cloud, wait: time.Second}
+		a := o.manage("a")
+		defer a.Close()
+		recorded := func() bool {
+			orders, err := ledger.FindOrders(t.Context(), o.kv)
+			return err == nil && len(orders) > 0
+		}
+		o.Eventually(recorded, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+		o.waves = append(o.waves, tw.MaintenanceWave{Number: 2, Machines: []tw.InstanceID{"m1"}, Within: 30 * time.Second, AtOnce: 1})
+		b := o.manage("b")
+		defer b.Close()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			machines, err := o.cloud.List(t.Context())
+			o.Expect(err).NotTo(HaveOccurred())
+			o.load("m1", machines[0].Worker, 0)
+		}
+		orders := o.cloud.Orders()
+		o.Expect(orders).To(HaveLen(2))
+		o.Expect(orders[0].By.Name).To(Equal("a"))
+		o.Expect(orders[1].By.Name).To(Equal("b"))
+		o.Expect(orders[1].At.Sub(orders[0].At)).To(BeNumerically(">=", 3*time.Second))
+	})
+}
