--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -94,8 +94,6 @@
 	// listAge is how old the list of machines may be to act on it; it is read
 	// several times a second.
 	listAge = time.Second
-	// holderMargin is added to the time between two holders.
-	holderMargin = 700 * time.Millisecond
 )
 
 // New starts the duty; Close ends it.
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -47,8 +47,8 @@
 	now := m.Clock.Now()
 	for id, at := range recent {
 		// The former manager's time of day may be ahead, but what it recorded
-		// happened before this one began.
-		latest := now.Add(m.HolderTime + holderMargin)
+		// happened before this one began. The order itself may come later than that.
+		latest := now.Add(m.HolderTime + orderTime)
 		until := at.Add(m.HolderTime + orderTime + clockReserve)
 		if latest.Before(until) {
 			until = latest
