--- /dev/null
+++ b/run/loop_test.go
@@ -0,0 +1,36 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// handClock is a clock that a test moves by hand.
+type handClock struct {
+	tw.SystemClock
+	at time.Time
+}
+
+func (c *handClock) Now() time.Time { return c.at }
+
+// The loop took the time once and then handled up to 1,024 events by it. Where one of
+// them took long, as on a daemon that got no processor time meanwhile, the answer of
+// a worker that had come during it was noted with a time before it was given. The
+// worker's clock was then taken to be ahead by that much, here 3 s, and so its grants
+// ran out so much later than the owner believed, which starts again what has lapsed.
+func TestDrainEventsByTheirTime(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Now()
+	clock := &handClock{at: began}
+	o := &Owner{clock: clock, now: began, events: make(chan func(), eventQueue)}
+	w := &worker{}
+	const answered tw.WorkerClock = 5000
+	o.events <- func() { clock.at = began.Add(3 * time.Second) } // it took so long
+	o.events <- func() { w.heard(o.now, answered) }
+	o.drainEvents()
+	g.Expect(w.clockNow(clock.at)).To(Equal(answered))
+}
