--- a/run/owner.go
+++ b/run/owner.go
@@ -287,6 +287,9 @@
 	for range eventQueue {
 		select {
 		case event := <-o.events:
+			// An answer that came after the first event must not be noted with its time:
+			// the worker's clock would be taken to be ahead.
+			o.now = o.clock.Now()
 			event()
 		default:
 			return
