Failing test: the lapse of a late start on a worker whose clock is slow

The mend is in clockNow: time that has passed since the worker's last answer counts as it does on the slowest clock. Not mended in this commit.

--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -66,3 +66,30 @@
 	}
 	return report, err
 }
+
+// slowClocks makes the clocks of all workers run slow by a share.
+type slowClocks struct {
+	tw.WorkerOrders
+	share float64
+}
+
+func (s *slowClocks) shown(c tw.WorkerClock) tw.WorkerClock {
+	return tw.WorkerClock(float64(c) * (1 - s.share))
+}
+
+func (s *slowClocks) meant(c tw.WorkerClock) tw.WorkerClock {
+	return tw.WorkerClock(float64(c) / (1 - s.share))
+}
+
+func (s *slowClocks) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
+	order.Deadline = s.meant(order.Deadline)
+	report, err := s.WorkerOrders.Hold(ctx, to, order)
+	report.Clock = s.shown(report.Clock)
+	return report, err
+}
+
+func (s *slowClocks) Start(ctx context.Context, to tw.WorkerRef, order tw.StartOrder) (tw.WorkerClock, error) {
+	order.Deadline = s.meant(order.Deadline)
+	clock, err := s.WorkerOrders.Start(ctx, to, order)
+	return s.shown(clock), err
+}
