--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -78,6 +78,9 @@
 		deadline time.Time
 		runs     map[tw.SubtaskID]*simRun
 		ended    []tw.EndedSubtask
+		// again are the ends as done after which the subtask was started once more,
+		// by sequence.
+		again    map[int64]bool
 		sequence int64
 		// lapsedUpTo is the last end that came before the worker's grants ran out:
 		// whoever grants may take what it was not told of for lost from then on.
@@ -116,7 +119,7 @@
 	defer f.mu.Unlock()
 	w := &SimWorker{
 		Entry: entry, boot: f.config.Clock.Now(), runs: map[tw.SubtaskID]*simRun{},
-		barred: map[tw.SubtaskID]tw.RunNumber{}, changed: make(chan struct{}),
+		again: map[int64]bool{}, barred: map[tw.SubtaskID]tw.RunNumber{}, changed: make(chan struct{}),
 	}
 	f.workers[entry.ID] = w
 	return w
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -75,6 +75,7 @@
 	if !p.Copies && f.noted[order.Subtask] {
 		f.note("TWICE: %s was done", order.Subtask)
 	}
+	f.noteAgain(order.Subtask)
 	for _, earlier := range p.After {
 		if !f.done[earlier] {
 			f.note("ORDER: %s before %s", order.Subtask, earlier)
@@ -85,6 +86,18 @@
 	}
 }
 
+// noteAgain notes a start at the ends as done that the subtask has had: should the
+// caller confirm one of them later, it knew of work that it did twice.
+func (f *Fleet) noteAgain(id tw.SubtaskID) {
+	for _, w := range f.workers {
+		for _, e := range w.ended {
+			if e.Subtask == id && e.Kind == tw.EndDone {
+				w.again[e.Sequence] = true
+			}
+		}
+	}
+}
+
 func (f *Fleet) note(format string, args ...any) {
 	f.broken = append(f.broken, fmt.Sprintf(format, args...))
 }
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -112,9 +112,14 @@
 			continue
 		}
 		f.noted[e.Subtask] = true
-		again := e.Sequence > w.lapsedUpTo && f.running(e.Subtask) > 0
-		if !f.profiles[e.Subtask].Copies && again {
+		if f.profiles[e.Subtask].Copies || e.Sequence <= w.lapsedUpTo {
+			continue
+		}
+		switch {
+		case f.running(e.Subtask) > 0:
 			f.note("TWICE: %s runs though it is done", e.Subtask)
+		case w.again[e.Sequence]:
+			f.note("TWICE: %s was started again though it was done", e.Subtask)
 		}
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e tw.EndedSubtask) bool { return e.Sequence <= seen })
