--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -37,6 +37,7 @@
 	census *run.Census
 	list   map[tw.WorkerID]tw.WorkerEntry
 	opened []*run.Owner
+	books  int
 	// read counts how often an owner wanted the list of workers read anew.
 	read int
 }
@@ -81,18 +82,26 @@
 }
 
 func (r *rig) open(daemon tw.DaemonID, kv tw.KV, orders tw.WorkerOrders) *run.Owner {
-	self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.1:1", Life: tw.Incarnation(len(r.opened) + 1)}
+	return r.begin(r.openBook(daemon, kv), orders)
+}
+
+// openBook makes a daemon the owner of the pool in the store; begin starts its duties.
+func (r *rig) openBook(daemon tw.DaemonID, kv tw.KV) run.Config {
+	r.books++
+	self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.1:1", Life: tw.Incarnation(r.books)}
 	book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: self}.Open(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
 	loaded, err := book.Load(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
 	self.Fence = book.Fence()
-	o := run.Config{
-		Book: book, Loaded: loaded, Self: self, KV: kv, Orders: orders, Advisor: noAdvisor{}, Census: r.census,
-		ReadWorkers: func() { r.read++ },
-		Clock:       tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(),
-		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
-	}.New()
+	return run.Config{Book: book, Loaded: loaded, Self: self, KV: kv}
+}
+
+func (r *rig) begin(c run.Config, orders tw.WorkerOrders) *run.Owner {
+	c.Orders, c.Advisor, c.Census, c.ReadWorkers = orders, noAdvisor{}, r.census, func() { r.read++ }
+	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), metrics.NewSet()
+	c.Bounds = run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute}
+	o := c.New()
 	r.opened = append(r.opened, o)
 	r.feed(o)
 	return o
--- a/run/takeover_test.go
+++ b/run/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -100,4 +101,37 @@
 
 func TestTakeoverWithLateLists(t *testing.T) { playCases(t, lateListCases) }
 
+// A daemon takes a pool, and is held up while it reads the submissions. Meanwhile
+// another one takes the pool, which does not reach the worker of a run and waits until
+// every former owner's grants there have run out: 6 s after its ownership was last
+// confirmed nobody gives orders. But the first one, cut off from the store by now,
+// counted these 6 s from when it had read all, not from its write. In the log it is
+// "owner: taken" at 6.041 s with fence 2, after the one with fence 3 at 3.041 s, and
+// prolongs the run; the second owner has it "lapsed" at 15.441 s and starts the subtask
+// elsewhere while the first run goes on.
+func TestTakeoverThatIsHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		defer r.end()
+		former := r.take("former")
+		r.submit(former, lasting("s1", 1))
+		time.Sleep(2 * time.Second)
+		on := r.fleet.RunningOn(subtask("s1", 0, 0))
+		r.Expect(on).To(Equal([]tw.WorkerID{workerID(0)}))
+		former.Close()
+		nearOnly, farOnly := &cutOrders{WorkerOrders: r.fleet}, &cutOrders{WorkerOrders: r.fleet}
+		nearOnly.lose(workerID(1))
+		farOnly.lose(workerID(0))
+		heldUp := r.openBook("a", &cutKV{KV: r.kv, orders: nearOnly})
+		time.Sleep(time.Second)
+		b := r.takeCut("b", farOnly)
+		time.Sleep(3 * time.Second)
+		nearOnly.loseStore()
+		r.begin(heldUp, nearOnly)
+		r.Eventually(r.fleet.Starts, 15*time.Second, 10*time.Millisecond).Should(Equal(2))
+		r.kept()
+		r.Expect(r.state(b, "s1")).To(Equal(tw.Started))
+	})
+}
+
 func TestTakeoverOfEarlyRuns(t *testing.T) { playCases(t, earlyCases) }
