--- a/ledger/book.go
+++ b/ledger/book.go
@@ -34,6 +34,8 @@
 		head  head
 		// revision of the head record, which the next write demands.
 		revision tw.KVRevision
+		// confirmed is when the last write that was done was first sent.
+		confirmed time.Time
 	}
 
 	// Change is what one submission contributes to a write.
@@ -128,6 +130,10 @@
 // Fence is the number of this ownership.
 func (b *Book) Fence() tw.Fence { return b.head.Fence }
 
+// Confirmed is a time at which nobody had opened the book after this daemon: when its
+// last successful write was sent.
+func (b *Book) Confirmed() time.Time { return b.confirmed }
+
 // First tells whether nobody has opened the book before.
 func (b *Book) First() bool { return b.head.Fence == 1 }
 
@@ -151,12 +157,13 @@
 		next := b.head
 		next.Count++
 		value := encode(next)
+		sent := b.clock.Now()
 		revision, conflict, err := b.settle(ctx, b.transaction(changes, results, value), value)
 		if err != nil {
 			return nil, err
 		}
 		if conflict == nil {
-			b.head, b.revision = next, revision
+			b.head, b.revision, b.confirmed = next, revision, sent
 			return results, nil
 		}
 		if err := b.sortOut(conflict, changes, results); err != nil {
--- a/run/owner.go
+++ b/run/owner.go
@@ -142,7 +142,9 @@
 	o.metrics = newOwnerMetrics(c.Metrics, c.Self.Pool)
 	o.advisor = newAdviser(o, c.Advisor)
 	o.writer = newWriter(o, c.Book)
-	o.permit.extend(now.Add(permitTime))
+	// Reading the submissions may have taken long, and another daemon may have taken
+	// the pool since: it counts on this owner's grants from its last write.
+	o.permit.extend(c.Book.Confirmed().Add(permitTime))
 	for _, l := range c.Loaded {
 		o.takeUp(l)
 	}
--- a/run/writer.go
+++ b/run/writer.go
@@ -51,7 +51,7 @@
 func newWriter(o *Owner, book *ledger.Book) *writer {
 	w := &writer{
 		o: o, book: book, jobs: make(chan writeJob, 1), done: make(chan struct{}),
-		dirty: map[*submission]bool{}, confirmed: o.now, lastSent: o.now,
+		dirty: map[*submission]bool{}, confirmed: book.Confirmed(), lastSent: o.now,
 	}
 	go func() {
 		defer close(w.done)
