--- a/run/worker_test.go
+++ b/run/worker_test.go
@@ -111,6 +111,27 @@
 		}
 		r.Expect(report.Workers).To(HaveLen(4))
 	},
+	// An entry that was missing for 2.5 s is no proof that its worker has ended: the
+	// store may have dropped it. The owner forgot the idle worker as one that had
+	// ended, "not listed any more, and nothing of it is left", and passed over its
+	// entry when it came back, as long as that stayed.
+	"takes an idle worker up again whose entry comes back": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(7 * time.Second)
+		entry := r.list[workerID(0)]
+		delete(r.list, entry.ID)
+		r.feed(o)
+		time.Sleep(4 * time.Second)
+		r.list[entry.ID] = entry
+		r.feed(o)
+		time.Sleep(time.Second)
+		r.feed(o)
+		report, err := o.Report(r.ctx, run.Directions{})
+		r.Expect(err).NotTo(HaveOccurred())
+		r.Expect(report.Workers).To(ContainElement(And(
+			HaveField("Worker", entry.ID), HaveField("Sound", true),
+		)))
+	},
 	"says that it does not know what runs before a worker has answered": func(r *rig) {
 		a := r.take("a")
 		r.submit(a, lasting("s1", 1))
