--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/queue"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -90,10 +91,22 @@
 // ReportOf asks the owner of a pool how busy it is, and gives it its
 // directions.
 func (d *QueueDaemon) ReportOf(ctx context.Context, pool tw.PoolID, directions run.Directions) (run.Report, error) {
-	if owner := d.owners.Local(pool); owner != nil {
-		return owner.Report(ctx, directions)
-	}
 	owner, found := d.members.Owner(pool)
+	report, err := d.reportFrom(ctx, owner, found, pool, directions)
+	if err == nil && report.Fence < owner.Fence {
+		// A former owner doesn't know of the work that its successor has started.
+		return run.Report{}, run.ErrNotOwner
+	}
+	return report, err
+}
+
+// reportFrom asks the owner here, if there is one, else the one that is known.
+func (d *QueueDaemon) reportFrom(
+	ctx context.Context, owner ledger.Owner, found bool, pool tw.PoolID, directions run.Directions,
+) (run.Report, error) {
+	if local := d.owners.Local(pool); local != nil {
+		return local.Report(ctx, directions)
+	}
 	if !found {
 		return run.Report{}, run.ErrNotOwner
 	}
