--- a/ledger/records.go
+++ b/ledger/records.go
@@ -88,6 +88,9 @@
 	WaveProgress struct {
 		Done     []tw.InstanceID `json:"done"`
 		Finished bool            `json:"finished"`
+		// Given are machines whose maintenance was ordered, or was to be, and of which
+		// no answer is recorded.
+		Given []tw.InstanceID `json:"given,omitempty"`
 	}
 
 	// Bits is a set of small numbers.
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -199,6 +199,7 @@
 		w.Done[id] = true
 	}
 	w.Finished = progress.Finished
+	m.inherit(w, progress.Given)
 	return w
 }
 
--- a/maintenance/orders.go
+++ b/maintenance/orders.go
@@ -37,13 +37,13 @@
 func (m *Manager) settleOrders(list *run.MachineList) {
 	for id, order := range m.ordered {
 		machine, found := list.Machines[id]
-		if !list.Asked.After(order.Since) {
-			continue
-		}
 		if order.Unclear && order.shown(machine) {
 			order.Unclear = false
 			m.ordered[id] = order
 		}
+		if !list.Asked.After(order.Since) {
+			continue
+		}
 		patience := orderShown
 		back := machine.State == tw.MachineUp
 		if order.Unclear {
@@ -56,9 +56,9 @@
 	}
 }
 
-// shown tells whether a list that was asked for after an order without an answer
-// proves that it was carried out. Another worker on the machine does not: the former
-// one may have crashed, and the order may still be carried out.
+// shown tells whether a list proves that an order without an answer was carried out.
+// Another worker on the machine is no proof: the former one may have crashed, and the
+// order may still be carried out.
 func (o *Order) shown(machine tw.Machine) bool {
 	if o.Wave != 0 {
 		return machine.State == tw.MachineMaintenance
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -37,10 +37,40 @@
 	for _, order := range orders {
 		m.recent[order.Machine] = now
 	}
-	_, err := m.Book.Write(m.ctx, []ledger.Change{ledger.RecordOrders(m.recent)})
+	changes := []ledger.Change{ledger.RecordOrders(m.recent)}
+	for _, w := range m.waves {
+		if slices.ContainsFunc(orders, func(o Order) bool { return o.Wave == w.Number }) {
+			changes = append(changes, ledger.AdvanceWave(w.Number, m.progress(w, orders)))
+		}
+	}
+	_, err := m.Book.Write(m.ctx, changes)
 	return err
 }
 
+// progress is what is recorded of a wave before some orders are given.
+func (m *Manager) progress(w *Wave, orders []Order) ledger.WaveProgress {
+	given := map[tw.InstanceID]bool{}
+	for _, order := range slices.AppendSeq(slices.Clone(orders), maps.Values(m.ordered)) {
+		if order.Wave == w.Number && !w.Done[order.Machine] {
+			given[order.Machine] = true
+		}
+	}
+	return ledger.WaveProgress{Done: slices.Sorted(maps.Keys(w.Done)), Given: slices.Sorted(maps.Keys(given))}
+}
+
+// inherit takes the orders that a former manager may have given for ordered: they may
+// be carried out late, when another machine of the wave is down.
+func (m *Manager) inherit(w *Wave, given []tw.InstanceID) {
+	for _, id := range given {
+		if !w.Done[id] {
+			m.ordered[id] = Order{
+				Machine: id, Wave: w.Number, Since: m.Clock.Now().Add(orderTime), Unclear: true,
+				Why: "a former manager may have ordered it",
+			}
+		}
+	}
+}
+
 // blockRecent keeps the machines that a former manager changed lately from
 // being changed by this one before the time between two holders has passed.
 func (m *Manager) blockRecent(recent map[tw.InstanceID]time.Time) {
@@ -69,7 +99,8 @@
 		if len(w.Done) == w.reported && !finished && w.announced {
 			continue
 		}
-		progress := ledger.WaveProgress{Done: slices.Sorted(maps.Keys(w.Done)), Finished: finished}
+		progress := m.progress(w, nil)
+		progress.Finished = finished
 		change := ledger.AdvanceWave(w.Number, progress)
 		change.Puts = append(change.Puts, m.WaveStatus(w.Number, finished))
 		if _, err := m.Book.Write(m.ctx, []ledger.Change{change}); err != nil {
