--- a/maintenance/orders_test.go
+++ b/maintenance/orders_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
@@ -116,6 +117,22 @@
 // later the platform carried the former manager's order out, so that two machines
 // were down for a wave that allows one.
 func TestSuccessorOfAManagerWhoseOrderIsLate(t *testing.T) {
+	playLateOrder(t, func(*office) {})
+}
+
+// The same, while the successor's first read of the wave's record fails. It took that
+// for a wave of which nothing was recorded.
+func TestSuccessorThatCannotReadAWaveAtOnce(t *testing.T) {
+	playLateOrder(t, func(o *office) {
+		o.kv.SetFaults(standin.KVFaults{Down: true})
+		time.Sleep(50 * time.Millisecond)
+		o.kv.SetFaults(standin.KVFaults{})
+	})
+}
+
+// playLateOrder has a manager's order carried out when its successor has begun, of
+// which something happens to the beginning.
+func playLateOrder(t *testing.T, atFirst func(o *office)) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice(t)
 		defer o.census.Close()
@@ -132,6 +149,7 @@
 		o.machines = o.cloud
 		b := o.manage("b")
 		defer b.Close()
+		atFirst(o)
 		time.Sleep(1500 * time.Millisecond)
 		o.Expect(late.late()).To(Succeed())
 		time.Sleep(3 * time.Second)
