--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -176,31 +176,32 @@
 	return m.finishWaves(list)
 }
 
-// takeWaves takes up the waves that the operators asked for.
+// takeWaves takes up the waves that the operators asked for. One whose record can't be
+// read is taken up in a later pass: machines may be down for it.
 func (m *Manager) takeWaves() {
 	for _, wave := range m.Waves() {
-		have := m.waves[wave.Number]
-		if have == nil {
-			m.waves[wave.Number] = m.newWave(wave)
+		if have := m.waves[wave.Number]; have != nil {
+			have.MaintenanceWave = wave
 			continue
 		}
-		have.MaintenanceWave = wave
+		if err := m.takeWave(wave); err != nil {
+			m.Log.Warn("wave: progress not readable, read again", zap.Int64("wave", wave.Number), logsink.Err(err))
+		}
 	}
 }
 
-func (m *Manager) newWave(wave tw.MaintenanceWave) *Wave {
-	w := &Wave{MaintenanceWave: wave, Seen: m.Clock.Now(), Done: map[tw.InstanceID]bool{}}
+func (m *Manager) takeWave(wave tw.MaintenanceWave) error {
 	progress, err := ledger.FindWave(m.ctx, m.KV, wave.Number)
 	if err != nil {
-		m.Log.Warn("wave: progress not readable, machines are asked about again", zap.Int64("wave", wave.Number), logsink.Err(err))
-		return w
+		return err
 	}
+	w := &Wave{MaintenanceWave: wave, Seen: m.Clock.Now(), Done: map[tw.InstanceID]bool{}, Finished: progress.Finished}
 	for _, id := range progress.Done {
 		w.Done[id] = true
 	}
-	w.Finished = progress.Finished
+	m.waves[wave.Number] = w
 	m.inherit(w, progress.Given)
-	return w
+	return nil
 }
 
 func (m *Manager) state(config *tw.QueueConfig, list *run.MachineList) *State {
