--- a/run/look.go
+++ b/run/look.go
@@ -130,7 +130,10 @@
 	w.lookedAt = now
 	w.told = max(w.told, hold.Seen)
 	first := !w.known
-	w.known, w.inheritedDoubt = true, false
+	w.known = true
+	if !full(result.report) {
+		w.inheritedDoubt = false
+	}
 	o.takeEnds(w, result.report.Ended)
 	o.takeRunning(w, result)
 	if first {
@@ -205,6 +208,9 @@
 		}
 		o.takeProgress(r, running)
 	}
+	if full(result.report) {
+		return
+	}
 	for key, r := range w.runs {
 		if listed[key] || r.visibleFrom > result.seq {
 			continue
@@ -213,12 +219,16 @@
 	}
 }
 
+// full tells whether a report may lack ends. A run that it does not list proves
+// nothing then, as it may be among the ends that are still to come.
+func full(report tw.HoldReport) bool { return len(report.Ended) >= tw.MaxEndsListed }
+
 // adopt takes up a run of a former owner, or one whose start was given up.
 func (o *Owner) adopt(w *worker, listed tw.RunningSubtask) *runState {
 	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, movedAt: o.now, pace: fullPace}
 	var t *task
 	if sub := o.submissions[listed.Subtask.Submission]; sub != nil {
-		t = sub.task(listed.Subtask)
+		t = o.taskOf(sub, listed.Subtask)
 	}
 	if t == nil {
 		// Nothing is known of its needs: it is stopped, and takes the whole
@@ -243,6 +253,16 @@
 	return r
 }
 
+// taskOf finds a subtask of which a worker tells, or nil. Its repetition may not be
+// due here yet although a former owner, whose clock was ahead, has started it: not
+// opened, its end would be confirmed but not recorded, and it would run again.
+func (o *Owner) taskOf(sub *submission, id tw.SubtaskID) *task {
+	if sub.durable && !sub.over() && id.Repetition >= sub.nextRep {
+		o.openBelow(sub, id.Repetition+1)
+	}
+	return sub.task(id)
+}
+
 // strayTask stands for a subtask of which nothing is known.
 func strayTask(id tw.SubtaskID) *task {
 	sub := &submission{Submission: tw.Submission{ID: id.Submission}, final: tw.Cancelled}
--- a/run/owner.go
+++ b/run/owner.go
@@ -143,7 +143,9 @@
 	o.metrics = newOwnerMetrics(c.Metrics, c.Self.Pool)
 	o.advisor = newAdviser(o, c.Advisor)
 	o.writer = newWriter(o, c.Book)
-	o.permit.extend(now.Add(permitTime))
+	// Reading the submissions may have taken long, and another daemon may have taken
+	// the pool since: it counts on this owner's grants from its last write.
+	o.permit.extend(c.Book.Confirmed().Add(permitTime))
 	for _, l := range c.Loaded {
 		o.takeUp(l)
 	}
@@ -197,9 +199,12 @@
 }
 
 // open opens what is due.
-func (o *Owner) open(sub *submission) {
+func (o *Owner) open(sub *submission) { o.openBelow(sub, 0) }
+
+// openBelow opens what is due, and the repetitions below a number in any case.
+func (o *Owner) openBelow(sub *submission, early int) {
 	begun := sub.begun
-	sub.openDue(o.clock.Now())
+	sub.openDue(o.clock.Now(), early)
 	if sub.nextRep < sub.Repetitions() {
 		o.timed[sub.ID] = sub
 	} else {
@@ -285,6 +290,9 @@
 	for range eventQueue {
 		select {
 		case event := <-o.events:
+			// An answer that came after the first event must not be noted with its time:
+			// the worker's clock would be taken to be ahead.
+			o.now = o.clock.Now()
 			event()
 		default:
 			return
