Reckon with slow clocks of idle workers, and with all workers until a former owner's grants are over

Cause of two further ways to run twice, each with its test, red before (run/lapse_test.go, run/takeover_test.go): a worker's clock may run 2% slow, and the deadline of a start on one that had been idle was up to that much of the idle time too late; and a worker that an owner first learned of more than 5 s after its takeover was not waited for.

--- a/run/feed.go
+++ b/run/feed.go
@@ -113,10 +113,11 @@
 	w := &worker{
 		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(),
 		// Whoever owned the pool before may have prolonged what runs there
-		// until its permit ended.
+		// until its permit ended. Workers that really are new answer their first
+		// look at once, so that this costs nothing.
 		doubtUntil: o.takenAt.Add(permitTime + o.holdBound()),
 	}
-	w.inheritedDoubt = o.now.Sub(o.takenAt) < settleTime
+	w.inheritedDoubt = o.now.Before(w.doubtUntil)
 	w.session = newSession(o, entry.Ref())
 	o.workers[entry.ID] = w
 	o.ranks[w.rank] = true
@@ -128,11 +129,6 @@
 	return w
 }
 
-// settleTime is how long after a takeover a worker that appears counts as one
-// that the former owner may have used. Workers that really are new answer
-// their first look at once, so that this costs nothing.
-const settleTime = 5 * time.Second
-
 // holdBound is the local time for which a hold can keep work alive.
 func (o *Owner) holdBound() time.Duration {
 	return time.Duration(float64(o.bounds.MaxHold)*clockDrift) + grantMargin
--- a/run/worker.go
+++ b/run/worker.go
@@ -96,7 +96,9 @@
 // clockNow is an estimate of the worker's clock that does not run ahead by
 // more than the way of an order.
 func (w *worker) clockNow(now time.Time) tw.WorkerClock {
-	return w.clock.Add(now.Sub(w.clockAt))
+	// Reckoned without the drift, the deadline of a start on a worker that was idle for
+	// a minute was 1.2 s beyond what its owner counted on.
+	return w.clock.Add(time.Duration(float64(now.Sub(w.clockAt)) / clockDrift))
 }
 
 // heard notes the worker's clock as read from an answer.
