Believe a list of machines only about a worker that does not answer

"Unless it has answered since" hardly helped, as a list is consulted within 0.3 s and an idle worker is not looked at. Now such a list has the worker looked at once, for as long as orders are waited for, and only silence confirms it. A life that has ended is no proof against another; one that the manager's list still names after 3 s is looked at again, as it was ignored for the rest of an ownership. Lives of a machine are told apart also where an entry changes its machine, and a new owner has the list of machines read anew at once.

Repetitions that were opened early, because a former owner's clock was ahead, are taken up but begin when they are due.

--- a/run/feed.go
+++ b/run/feed.go
@@ -35,11 +35,10 @@
 		if w := o.workers[id]; w != nil {
 			o.bury(w, "its machine was ordered away")
 		}
-		o.ended[id] = o.now // also if it was not known here
+		o.noteEnded(id) // also if it was not known here
 	}
 	for _, id := range d.Running {
-		_, ended := o.ended[id]
-		if w := o.workers[id]; !ended && (w == nil || !w.listed) {
+		if w := o.workers[id]; o.runsAfterAll(id) && (w == nil || !w.listed) {
 			o.readWorkers()
 			return
 		}
@@ -66,13 +65,14 @@
 func (o *Owner) setWorkers(list WorkerList) {
 	o.feedAt = list.Settled
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
-		if _, ended := o.ended[id]; ended {
-			o.ended[id] = o.now
+		if life, ended := o.ended[id]; ended {
+			life.seen = o.now
+			o.ended[id] = life
 			continue
 		}
 		o.setWorker(list.Workers[id])
 	}
-	maps.DeleteFunc(o.ended, func(_ tw.WorkerID, at time.Time) bool { return o.now.Sub(at) > endedKept })
+	maps.DeleteFunc(o.ended, func(_ tw.WorkerID, life endedLife) bool { return o.now.Sub(life.seen) > endedKept })
 	for id, w := range o.workers {
 		if _, listed := list.Workers[id]; listed {
 			continue
@@ -102,9 +102,13 @@
 		w.looking = false
 		w.nextLook = o.now
 	}
-	o.dropLife(w)
+	if w.entry.Instance != entry.Instance {
+		o.dropLife(w)
+		w.entry.Instance, w.rivalFrom = entry.Instance, time.Time{}
+		o.addLife(w)
+		o.noteRivals(w)
+	}
 	w.entry = entry
-	o.addLife(w)
 	w.listed = true
 	w.leaving = o.vacate[entry.Instance]
 }
@@ -149,6 +153,12 @@
 	if len(o.vacate) > 0 && o.now.Sub(o.vacateAt) > vacateTime {
 		o.setVacate(nil)
 	}
+	if !o.counted {
+		// The census takes no wish for a list while it has one that is nearly new, be
+		// that from before the takeover.
+		o.census.Want(o.now)
+		next = o.now.Add(censusGap / 4)
+	}
 	for _, w := range o.workers {
 		if !w.listed && o.mayDrop(w) {
 			o.forget(w, "not listed any more, and nothing of it is left")
--- a/run/lives.go
+++ b/run/lives.go
@@ -21,6 +21,14 @@
 // down (plays with workers cut off for 6 s).
 const endedKept = time.Minute
 
+// endedShown is how long the manager's list of machines may name a life that has ended:
+// it acts on lists of up to a second, and asks for reports several times a second.
+const endedShown = 3 * time.Second
+
+// endedLife is a worker's life that has ended: when that was known, and when its entry
+// was last seen.
+type endedLife struct{ since, seen time.Time }
+
 // addLife and dropLife keep the index of the workers of each machine: without it
 // each new list of workers compared all workers with all others.
 func (o *Owner) addLife(w *worker) {
@@ -35,6 +43,9 @@
 		delete(o.lives, id)
 		return
 	}
+	if len(left) == 1 {
+		left[0].rivalFrom = time.Time{}
+	}
 	o.lives[id] = left
 }
 
@@ -75,27 +86,54 @@
 		o.addUnlisted(list)
 	}
 	for _, w := range o.workers {
-		if why := o.endBy(list, w); why != "" {
+		why := o.endBy(list, w)
+		switch {
+		case why == "":
+		case w.silentFrom.IsZero() && w.entry.Address != "":
+			o.check(w, list)
+		default:
 			o.bury(w, why)
 		}
 	}
 }
 
-// endBy is why a list of machines proves that a worker's life has ended; empty if it
-// does not. A worker that has answered since the list was asked for lives on.
+// check looks at a worker whose life has ended by a list of machines. Only if it does
+// not answer is the list believed: pages of a list are no snapshot, and a list may lag.
+func (o *Owner) check(w *worker, list *MachineList) {
+	if w.checking() {
+		return
+	}
+	w.checkFor = list.Asked
+	if w.known {
+		w.nextLook = o.now
+		w.session.interrupt() // it may wait for an end to report
+	}
+}
+
+// checking tells whether a look is under way because of a list that says that the
+// worker's life has ended.
+func (w *worker) checking() bool { return w.checkFor.After(w.clockAt) }
+
+// endBy is why a worker's life has ended by a list of machines; empty if it has not, or
+// if the list does not tell. A worker that has answered since the list was asked for
+// lives on.
 func (o *Owner) endBy(list *MachineList, w *worker) string {
 	from := w.doubtFrom()
 	if w.entry.Instance == "" || from.IsZero() || !list.Asked.After(from) || w.clockAt.After(list.Asked) {
 		return ""
 	}
 	machine, found := list.Machines[w.entry.Instance]
-	switch {
-	case !found:
+	if !found {
 		return "its machine has left"
-	case machine.State != tw.MachineUp:
+	}
+	switch machine.State {
+	case tw.MachineMoving, tw.MachineMaintenance, tw.MachineDown:
 		return "its machine is " + string(machine.State)
-	case machine.Worker != "" && machine.Worker != w.entry.ID:
-		return "its machine runs another worker"
+	case tw.MachineUp:
+		_, former := o.ended[machine.Worker]
+		if machine.Worker != "" && machine.Worker != w.entry.ID && !former {
+			return "its machine runs another worker"
+		}
 	}
 	return ""
 }
@@ -122,13 +160,31 @@
 
 // bury drops a worker whose life has certainly ended, with all that ran there.
 func (o *Owner) bury(w *worker, why string) {
-	o.ended[w.entry.ID] = o.now // its entry must not be taken for a new worker
+	o.noteEnded(w.entry.ID) // its entry must not be taken for a new worker
 	o.forget(w, why)
 	for _, r := range w.runs {
 		o.runGone(r, "its worker has ended")
 	}
 }
 
+// noteEnded notes that a life has ended, whether or not it was known here.
+func (o *Owner) noteEnded(id tw.WorkerID) { o.ended[id] = endedLife{since: o.now, seen: o.now} }
+
+// runsAfterAll forgets that a life has ended if the list of machines still names it
+// long after. If that is wrong, it costs a look.
+func (o *Owner) runsAfterAll(id tw.WorkerID) bool {
+	life, ended := o.ended[id]
+	if !ended {
+		return true
+	}
+	if o.now.Sub(life.since) < endedShown {
+		return false
+	}
+	o.log.Warn("worker: its machine still runs it", zap.String("worker", string(id)), zap.Duration("since", o.now.Sub(life.since)))
+	delete(o.ended, id)
+	return true
+}
+
 // forget drops a worker; if it lives, its entry brings it back.
 func (o *Owner) forget(w *worker, why string) {
 	o.log.Info("worker: ended", zap.String("worker", string(w.entry.ID)), zap.String("why", why),
@@ -139,8 +195,5 @@
 	delete(o.ranks, w.rank)
 	o.byPlace = nil
 	o.dropLife(w)
-	if rest := o.lives[w.entry.Instance]; len(rest) == 1 {
-		rest[0].rivalFrom = time.Time{}
-	}
 	o.placeSoon = true
 }
--- a/run/lives_test.go
+++ b/run/lives_test.go
@@ -107,6 +107,35 @@
 		r.fill(o)
 		r.keepsAll(present)
 	},
+	"starts nothing again that ends on the present worker meanwhile": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(settled)
+		former, present := r.crash(o, 0)
+		full := submission("s0", 12)
+		full.Steps[0].MaxPerWorker = 4
+		full.Steps[0].Estimate = time.Minute
+		r.list[present.ID] = r.draining(present, true)
+		r.feed(o)
+		r.submit(o, full) // so that nothing else has room
+		time.Sleep(500 * time.Millisecond)
+		r.relist(o, r.draining(present, false))
+		s := submission("s1", 1)
+		s.Steps[0].Estimate = 2 * time.Second
+		r.submit(o, s)
+		time.Sleep(500 * time.Millisecond)
+		r.Expect(r.fleet.RunningOn(subtask("s1", 0, 0))).To(Equal([]tw.WorkerID{present.ID}))
+		r.relist(o, former)
+		time.Sleep(2 * time.Second) // it has ended there by now
+		delete(r.list, former.ID)
+		delete(r.list, present.ID)
+		r.addWorker(9)
+		r.feed(o)
+		time.Sleep(200 * time.Millisecond)
+		r.relist(o, present)
+		time.Sleep(3 * time.Second) // its ends are recorded and confirmed by now
+		r.kept()
+		r.Expect(r.fleet.Starts()).To(Equal(13))
+	},
 	"takes no note of an end after it has started the subtask again": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(settled)
@@ -169,6 +198,12 @@
 	return entry
 }
 
+// draining is an entry with its worker's word on whether it drains.
+func (r *rig) draining(entry tw.WorkerEntry, drains bool) tw.WorkerEntry {
+	entry.Draining = drains
+	return entry
+}
+
 // runs says in the list of machines which life a machine runs.
 func (r *rig) runs(entry tw.WorkerEntry) {
 	r.cloud.Add(tw.Machine{
--- a/run/look.go
+++ b/run/look.go
@@ -40,7 +40,7 @@
 // lookDue tells whether and when a worker is to be looked at next, and whether
 // the look may wait for an end to report.
 func (o *Owner) lookDue(w *worker) (at time.Time, mayWait, wanted bool) {
-	if w.unanswered > 0 || !w.known {
+	if w.unanswered > 0 || !w.known || w.checking() {
 		return w.nextLook, false, true
 	}
 	if len(w.runs) == 0 {
@@ -104,7 +104,11 @@
 	w.looking = true
 	o.metrics.looks.Inc()
 	session := w.session
-	session.looks <- lookOrder{hold: hold, seq: o.lookSeq, done: func(result lookResult) {
+	limit := time.Duration(0)
+	if w.known && w.checking() {
+		limit = o.patience.limit(o.now)
+	}
+	session.looks <- lookOrder{hold: hold, seq: o.lookSeq, limit: limit, done: func(result lookResult) {
 		if w.session == session {
 			o.looked(w, hold, result)
 		}
--- a/run/owner.go
+++ b/run/owner.go
@@ -51,7 +51,8 @@
 	submissions map[tw.SubmissionID]*submission
 	// live are the submissions that have not ended.
 	live map[tw.SubmissionID]*submission
-	// timed are the live submissions with repetitions that are still to come.
+	// timed are the live submissions with repetitions that are still to come or to
+	// begin.
 	timed   map[tw.SubmissionID]*submission
 	waiting map[tw.RouteName]int
 	workers map[tw.WorkerID]*worker
@@ -82,9 +83,8 @@
 	writer     *writer
 	learned    map[learnKey]correction
 	usual      usualWork
-	// ended are workers whose life has ended, by when they were last heard of:
-	// their entries may linger or come back.
-	ended map[tw.WorkerID]time.Time
+	// ended are workers whose life has ended: their entries may linger or come back.
+	ended map[tw.WorkerID]endedLife
 	// unclaimed are ends of subtasks whose submission is not known here, by
 	// submission. A former owner that was told of it later may have run them.
 	unclaimed map[tw.SubmissionID][]unclaimedEnd
@@ -132,7 +132,7 @@
 		lives:       map[tw.InstanceID][]*worker{},
 		ranks:       map[int]bool{},
 		learned:     map[learnKey]correction{},
-		ended:       map[tw.WorkerID]time.Time{},
+		ended:       map[tw.WorkerID]endedLife{},
 		unclaimed:   map[tw.SubmissionID][]unclaimedEnd{},
 		runCounter:  tw.RunNumber(c.Book.Fence()) * runBase,
 		placeSoon:   true,
@@ -205,7 +205,7 @@
 func (o *Owner) openBelow(sub *submission, early int) {
 	begun := sub.begun
 	sub.openDue(o.clock.Now(), early)
-	if sub.nextRep < sub.Repetitions() {
+	if sub.waits() {
 		o.timed[sub.ID] = sub
 	} else {
 		delete(o.timed, sub.ID)
--- a/run/place.go
+++ b/run/place.go
@@ -19,11 +19,16 @@
 		if sub.over() {
 			continue
 		}
-		if due := sub.Due(sub.nextRep); o.now.Before(due) {
+		begun, due := sub.beginDue(o.now)
+		o.placeSoon = o.placeSoon || begun
+		next = earlier(next, due)
+		if due := sub.Due(sub.nextRep); sub.nextRep < sub.Repetitions() && o.now.Before(due) {
 			next = earlier(next, due)
 			continue
 		}
-		o.open(sub)
+		if !sub.waits() || sub.nextRep < sub.Repetitions() {
+			o.open(sub)
+		}
 	}
 	return next
 }
@@ -144,7 +149,9 @@
 			continue
 		}
 		for _, rep := range sub.reps {
-			out = o.groupsOf(rep, out)
+			if !rep.early {
+				out = o.groupsOf(rep, out)
+			}
 		}
 	}
 	return out
--- a/run/session.go
+++ b/run/session.go
@@ -39,7 +39,9 @@
 	lookOrder struct {
 		hold tw.HoldOrder
 		seq  int64
-		done func(look lookResult)
+		// limit bounds the look; zero for as long as its wait and an order take.
+		limit time.Duration
+		done  func(look lookResult)
 	}
 
 	lookResult struct {
@@ -99,7 +101,7 @@
 		case l := <-s.looks:
 			result := lookResult{seq: l.seq, err: errNotSent}
 			if s.permit.valid(s.clock.Now()) {
-				result.report, result.err = s.lookOnce(ctx, l.hold)
+				result.report, result.err = s.lookOnce(ctx, l)
 			}
 			s.report(ctx, func() { l.done(result) })
 		}
@@ -107,11 +109,17 @@
 }
 
 // lookOnce gives one hold, unless it is interrupted.
-func (s *session) lookOnce(ctx context.Context, hold tw.HoldOrder) (tw.HoldReport, error) {
+func (s *session) lookOnce(ctx context.Context, l lookOrder) (tw.HoldReport, error) {
 	lookCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.stopLook.Store(&cancel)
-	report, err := s.orders.Hold(lookCtx, s.ref, hold)
+	callCtx := lookCtx
+	if l.limit > 0 {
+		limited, cancelCall := context.WithTimeout(lookCtx, l.limit)
+		defer cancelCall()
+		callCtx = limited
+	}
+	report, err := s.orders.Hold(callCtx, s.ref, l.hold)
 	if err != nil && lookCtx.Err() != nil && ctx.Err() == nil {
 		return report, errNotSent
 	}
--- a/run/submission.go
+++ b/run/submission.go
@@ -43,6 +43,8 @@
 		due   time.Time
 		steps []*step
 		open  int // steps that are not done
+		// early: it was opened before it is due; nothing of it is started yet.
+		early bool
 	}
 
 	// step is one step of a repetition.
@@ -148,10 +150,38 @@
 			due = now
 		}
 		s.openRepetition(s.nextRep, due)
+		if rep := s.reps[s.nextRep]; rep != nil {
+			rep.early = due.After(now)
+		}
 		s.nextRep++
 	}
 }
 
+// waits tells whether a repetition is still to come or to begin.
+func (s *submission) waits() bool {
+	for _, rep := range s.reps {
+		if rep.early {
+			return true
+		}
+	}
+	return s.nextRep < s.Repetitions()
+}
+
+// beginDue lets the repetitions begin that were opened early and are due now. It returns
+// when the next one is.
+func (s *submission) beginDue(now time.Time) (begun bool, next time.Time) {
+	for _, rep := range s.reps {
+		switch {
+		case !rep.early:
+		case now.Before(rep.due):
+			next = earlier(rep.due, next)
+		default:
+			rep.early, begun = false, true
+		}
+	}
+	return begun, next
+}
+
 // finishedEarly tells whether a repetition beyond the first open one is done.
 func (s *submission) finishedEarly(k int) bool {
 	recorded := s.progress.Repetitions[k]
--- a/run/worker.go
+++ b/run/worker.go
@@ -41,10 +41,13 @@
 		clock   tw.WorkerClock // as of clockAt
 		clockAt time.Time
 
-		looking    bool
-		lookedAt   time.Time // of the last answer
-		nextLook   time.Time // not before
-		unanswered int       // orders in a row without an answer
+		looking  bool
+		lookedAt time.Time // of the last answer
+		nextLook time.Time // not before
+		// checkFor is when the list of machines was asked for that says that this
+		// life has ended, until it answers.
+		checkFor   time.Time
+		unanswered int // orders in a row without an answer
 		silentFrom time.Time
 
 		health   workerHealth
