Test: a daemon that has just registered grants a key that others hold

A daemon may send to instances as soon as it is in the roster and has read the plan, but it hears the other daemons of its hall only with the next heartbeat, up to 1.5 s later. Until then its list of live daemons holds itself alone, so that it asks nobody for a claim, needs no quorum, and grants a key that other daemons hold: the request runs twice. That a daemon was not heard yet is taken for proof that there is none, though the roster, read a moment before, names it.

--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -135,10 +135,11 @@
 	network  *network
 	operator *Operator
 	log      *zap.Logger // of the nodes; nil for none
+	pace     Pace
 }
 
 func newBed() *bed {
-	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork()}
+	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), pace: fast}
 	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
 	for i := range 4 {
 		b.platform.SetInstance(tw.Instance{
@@ -191,7 +192,7 @@
 		Peers:      b.network,
 		Dispatcher: r,
 		Seeds:      []string{"d1", "d2"},
-		Pace:       fast,
+		Pace:       b.pace,
 		Log:        b.log,
 	}.New()
 	b.network.set(string(id), n)
@@ -217,6 +218,12 @@
 	return current.Revision
 }
 
+func (b *bed) roster() []tw.RosterMember {
+	roster, err := b.operator.Roster(context.Background(), "h1")
+	Expect(err).NotTo(HaveOccurred())
+	return roster.Members
+}
+
 func (b *bed) state(id tw.InstanceID) tw.State {
 	plan := b.plan()
 	if a := plan.Find(id); a != nil {
