Ask the daemons of the roster for claims until they are heard

A daemon that has just registered counts those in the roster among the holders of claims for as long as silence is borne with, so that it neither grants a key that they hold nor takes itself for the only one. One whose process is gone says so at once; one that is silent costs the keyed requests of this daemon a call's time-out, for those first seconds only.

--- a/control/claims.go
+++ b/control/claims.go
@@ -21,7 +21,7 @@
 	table   *claimTable
 	peers   tw.Peers
 	self    tw.DaemonID
-	hall    func() []tw.Member // live daemons of the hall, self included
+	hall    func() []tw.Member // daemons of the hall that may hold claims, self included
 	metrics *metrics.Set
 }
 
--- a/control/members.go
+++ b/control/members.go
@@ -24,6 +24,9 @@
 	heardMember struct {
 		tw.Member
 		heard time.Time // when its beat last grew
+		// learned is when this daemon registered and found it in the roster;
+		// zero once it was heard.
+		learned time.Time
 	}
 )
 
@@ -92,6 +95,21 @@
 	return out
 }
 
+// holders lists the daemons that may hold claims, in no order: the live ones, and those
+// found in the roster when this one registered, until they are heard or count as
+// down. A daemon that did not ask these either granted keys that they held.
+func (t *members) holders(keep func(tw.Member) bool) []tw.Member {
+	out := t.live(keep)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.table {
+		if !m.learned.IsZero() && t.clock.Now().Sub(m.learned) <= t.patienceWith(m.Member) && keep(m.Member) {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
 // heardOfLate lists the daemons that are not down, in no order, and drops those
 // silent for long. The lock is held.
 func (t *members) heardOfLate(keep func(tw.Member) bool) []heardMember {
--- a/control/node.go
+++ b/control/node.go
@@ -125,7 +125,7 @@
 		table:   newClaimTable(c.Clock, c.Pace.ClaimKeep, claimLimit),
 		peers:   c.Peers,
 		self:    c.Self.ID,
-		hall:    n.hallMembers,
+		hall:    n.claimHolders,
 		metrics: c.Metrics,
 	}
 	n.planner = newPlanner(n)
--- a/control/rosters.go
+++ b/control/rosters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,18 +13,25 @@
 // learnAddress notes a registered daemon that was not heard yet, so that the
 // next heartbeat may reach it. It does not count as live before it answers.
 func (n *Node) learnAddress(m tw.RosterMember) {
-	n.learn(m, n.cfg.Self.Hall)
+	var learned time.Time
+	if !n.know.view().Registered {
+		learned = n.cfg.Clock.Now()
+	}
+	n.learn(m, n.cfg.Self.Hall, learned)
 }
 
-func (n *Node) learn(m tw.RosterMember, hall tw.HallID) {
+// learn notes a daemon of a roster; learned is zero if it is not to be asked for
+// claims before it is heard.
+func (n *Node) learn(m tw.RosterMember, hall tw.HallID, learned time.Time) {
 	n.members.mu.Lock()
 	defer n.members.mu.Unlock()
 	if _, known := n.members.table[m.ID]; known || m.ID == n.cfg.Self.ID {
 		return
 	}
 	n.members.table[m.ID] = heardMember{
-		Member: tw.Member{ID: m.ID, Hall: hall, Instance: m.Instance, Address: m.Address, Gateway: m.Gateway},
-		heard:  n.cfg.Clock.Now().Add(-forgetAfter / 2), // not live
+		Member:  tw.Member{ID: m.ID, Hall: hall, Instance: m.Instance, Address: m.Address, Gateway: m.Gateway},
+		heard:   n.cfg.Clock.Now().Add(-forgetAfter / 2), // not live
+		learned: learned,
 	}
 }
 
@@ -49,7 +57,7 @@
 			continue
 		}
 		for _, m := range roster.Members {
-			n.learn(m, hall)
+			n.learn(m, hall, time.Time{})
 		}
 	}
 }
--- a/control/self.go
+++ b/control/self.go
@@ -29,6 +29,12 @@
 	return n.members.live(func(m tw.Member) bool { return m.Hall == n.cfg.Self.Hall })
 }
 
+// claimHolders lists the hall's daemons that may hold claims, this one included.
+func (n *Node) claimHolders() []tw.Member {
+	n.hallMembers() // hears this daemon itself
+	return n.members.holders(func(m tw.Member) bool { return m.Hall == n.cfg.Self.Hall })
+}
+
 // remoteMembers lists the live daemons of other halls.
 func (n *Node) remoteMembers() []tw.Member {
 	return n.members.live(func(m tw.Member) bool { return m.Hall != n.cfg.Self.Hall })
