Test: an instance that the list loses for a moment is released unasked

While nothing is on its way, the planner does not read the roster, and gives the decision no members. An instance that is missing from the list then drains and is released in one and the same pass, since nobody is there who has not acknowledged: it leaves the plan while daemons still send to it, and when the list, which lags, has it again, it is a spare that may join another pool at once. That no member was read is taken for proof that none has to let go; the property test never saw it, as its planners always read the roster. Red on the code as it is, in the decision and with two daemons.

--- a/control/node_test.go
+++ b/control/node_test.go
@@ -191,6 +191,20 @@
 		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
 	})
 
+	It("waits for work in flight on an instance that the list loses for a moment", func() {
+		b, _, two, id := drained()
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		two.setLoads(tw.Load{Instance: id, Job: "j", InFlight: 1})
+		lost := b.platform.Instance(id)
+		b.platform.RemoveInstance(id)
+		Eventually(func() tw.State { return b.state(id) }, patient).ShouldNot(Equal(tw.Serving))
+		Expect(b.state(id)).To(Equal(tw.Draining))
+		b.platform.SetInstance(lost)
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		two.setLoads()
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Spare))
+	})
+
 	It("waits for a daemon that is cut off, while a spare serves", func() {
 		b, _, _, id := drained()
 		planner := "d1"
--- a/fleet/decide_test.go
+++ b/fleet/decide_test.go
@@ -233,6 +233,17 @@
 		})
 	}
 
+	It("releases nothing in the pass that drains it, whoever is in the roster", func() {
+		h := newHall(pools(2, 3), 12)
+		h.settle()
+		h.lose(is("w000"))
+		h.in.Members = nil // as at rest: the roster is read once something is on its way
+		out := Decide(h.in)
+		a := out.Plan.Find("w000")
+		Expect(a).NotTo(BeNil())
+		Expect(a.State).To(Equal(tw.Draining))
+	})
+
 	It("keeps the budget and the bound on moves through a wave", func() {
 		h := newHall(pools(5, 10), 60)
 		h.settle()
--- a/internal/standin/platform_instances.go
+++ b/internal/standin/platform_instances.go
@@ -22,6 +22,13 @@
 	p.version++
 }
 
+// Instance is an instance of the list; its id is empty if there is none.
+func (p *Platform) Instance(id tw.InstanceID) tw.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.instances[id]
+}
+
 // SetPhase marks an instance live or leaving.
 func (p *Platform) SetPhase(id tw.InstanceID, phase tw.Phase) {
 	p.mu.Lock()
