Release nothing under a plan that is not written yet

An acknowledgement of a generation cannot exist before the plan that has it. With that, an instance that the list lost while nothing else was on its way drains like any other, as DESIGN.md says.

--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -114,6 +114,11 @@
 // generation and has nothing left in flight on the instance; an empty job
 // stands for all jobs.
 func (in *Input) released(id tw.InstanceID, job tw.JobID, gen tw.Generation) bool {
+	// Nobody has read a plan that is not written yet, and at rest Members are not
+	// even asked: an instance that the list lost was freed at once, under its work.
+	if gen > in.Plan.Generation {
+		return false
+	}
 	for _, m := range in.Members {
 		if m.Acked < gen {
 			return false
