Test: daemons that are taken out of the roster though they may live

A daemon is taken out of the roster, so that no handover waits for it, once its instance was unlisted and itself silent for 30 s. Three ways in which that was not so: one read of the list counts for as long as no other comes; an absence noted while a handover was on its way counts on through minutes in which the instance was listed, as the list is only looked at during handovers; and a new life that has just registered is taken out for the absence and the silence of the former one. A daemon that is cut off and works on under its plan is then waited for no more, and an instance may be in two pools. What is missing from one read is taken for gone all the time since another.

--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -132,6 +132,7 @@
 // bed is one or more nodes over a stand-in platform, in memory.
 type bed struct {
 	platform *standin.Platform
+	list     tw.InstanceList // the platform's, as the nodes reach it
 	network  *network
 	operator *Operator
 	log      *zap.Logger // of the nodes; nil for none
@@ -140,6 +141,7 @@
 
 func newBed() *bed {
 	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), pace: fast}
+	b.list = b.platform
 	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
 	for i := range 4 {
 		b.platform.SetInstance(tw.Instance{
@@ -174,8 +176,15 @@
 	Dead:     time.Second,
 }
 
-// node starts a daemon's control over a store.
+// node starts a daemon's control over a store, for the time of a spec.
 func (b *bed) node(id tw.DaemonID, store tw.Store) (*Node, *recorder) {
+	n, r := b.start(id, 1, store)
+	DeferCleanup(n.Close)
+	return n, r
+}
+
+// start starts a life of a daemon's control over a store.
+func (b *bed) start(id tw.DaemonID, life tw.Incarnation, store tw.Store) (*Node, *recorder) {
 	r := &recorder{}
 	n := Config{
 		Self: tw.Member{
@@ -184,10 +193,10 @@
 			Instance:    tw.InstanceID(id),
 			Address:     string(id),
 			Gateway:     "gateway of " + string(id),
-			Incarnation: 1,
+			Incarnation: life,
 		},
 		Documents:  b.documents(store),
-		Instances:  b.platform,
+		Instances:  b.list,
 		Workers:    b.platform,
 		Peers:      b.network,
 		Dispatcher: r,
@@ -196,7 +205,6 @@
 		Log:        b.log,
 	}.New()
 	b.network.set(string(id), n)
-	DeferCleanup(n.Close)
 	return n, r
 }
 
