Take a daemon out of the roster only for its own life's absence, read after read

Every read of the list counts, the time runs to the last read and from when this life was first asked for, and only that life is taken out. The unit test of the absence passes its reads to it as the node does; what it demands is the same.

--- a/control/knowledge.go
+++ b/control/knowledge.go
@@ -81,16 +81,17 @@
 	return true, nil
 }
 
-// offerList takes an instance list if it is newer.
-func (k *knowledge) offerList(list tw.InstanceSnapshot) {
+// offerList takes an instance list if it is newer; it tells whether it was.
+func (k *knowledge) offerList(list tw.InstanceSnapshot) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.listed && list.Version <= k.list.Version {
-		return
+		return false
 	}
 	k.list, k.listed = list, true
 	k.signal()
 	token(k.news)
+	return true
 }
 
 // register notes that the daemon is in the roster. The plan must be read from
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -126,11 +126,16 @@
 			clock := fakeclock.New()
 			a := newAbsence(clock)
 			list := tw.InstanceSnapshot{Instances: rows[name].list}
-			Expect(a.gone("e1", list)).To(BeFalse())
+			daemon := tw.RosterMember{ID: "d1", Instance: "e1", Incarnation: 1}
+			gone := func() bool {
+				a.see(list)
+				return a.gone(daemon, list)
+			}
+			Expect(gone()).To(BeFalse())
 			clock.Advance(absentFor - time.Second)
-			Expect(a.gone("e1", list)).To(BeFalse())
+			Expect(gone()).To(BeFalse())
 			clock.Advance(time.Second)
-			Expect(a.gone("e1", list)).To(Equal(rows[name].gone))
+			Expect(gone()).To(Equal(rows[name].gone))
 		})
 	}
 })
--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -119,11 +120,13 @@
 		return
 	}
 	for _, m := range roster.Members {
-		if !p.absent.gone(m.Instance, list) || !p.node.members.silent(m.ID, absentFor) {
+		if !p.absent.gone(m, list) || !p.node.members.silent(m.ID, absentFor) {
 			continue
 		}
 		p.log.Info("daemon is gone with its instance", zap.String("daemon", string(m.ID)))
-		err := p.node.updateRoster(ctx, func(r tw.Roster) (tw.Roster, bool) { return r.Without(m.ID), true })
+		err := p.node.updateRoster(ctx, func(r tw.Roster) (tw.Roster, bool) {
+			return r.Without(m.ID), slices.Contains(r.Members, m) // a new life may have come meanwhile
+		})
 		if err != nil {
 			return
 		}
--- a/control/watch.go
+++ b/control/watch.go
@@ -64,8 +64,11 @@
 	for {
 		seen, _ := n.know.instances()
 		list, err := n.cfg.Instances.List(ctx, n.cfg.Self.Hall, seen.Version)
-		if err == nil {
-			n.know.offerList(list)
+		switch {
+		case err == nil && n.know.offerList(list):
+			n.planner.absent.see(list)
+		case errors.Is(err, tw.ErrNoChange):
+			n.planner.absent.see(seen)
 		}
 		if !n.sleep(ctx, n.jitter(n.cfg.Pace.List)) {
 			return
