Test: a planner stands still when its predecessor's epoch is above its own

When the store has forgotten its leases, the one that plans next takes an epoch above that of the plan which it holds, and fences: it writes the same plan, of the same generation, under that epoch. A daemon that holds the plan of that generation already does not take it again, so that it knows of no such epoch; once it has the lease itself, whose epochs count from 1 again, it takes the stored plan for that of a newer planner and gives up, and then has the lease again, and so on: nobody plans for the hall. A counter that starts again is taken for an older one.

--- a/control/node_test.go
+++ b/control/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -292,6 +293,27 @@
 		Expect(logs.FilterMessage("planning for the hall").Len()).To(Equal(1))
 	})
 
+	It("plans on when its predecessor's epoch is above its own, though it knew that plan already", func() {
+		b := newBed()
+		b.node("d1", b.platform)
+		b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		// As a planner leaves it that took over after the store forgot its leases:
+		// its fence has an epoch above the plan's, and the lease counts from 1 again.
+		Expect(b.operator.documents.Update(GinkgoT().Context(), tw.PlanKey("h1"), func(body json.RawMessage) (any, error) {
+			var plan tw.Plan
+			err := json.Unmarshal(body, &plan)
+			plan.Epoch = 50
+			return plan, err
+		})).To(Succeed())
+		lost := firstServing(b)
+		b.platform.RemoveInstance(lost)
+		Eventually(func() tw.State { return b.state(lost) }, patient).Should(BeEmpty())
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+	})
+
 	It("fences its predecessor by writing the plan before anything else", func() {
 		b := newBed()
 		one, _ := b.node("d1", b.platform)
