--- a/control/knowledge.go
+++ b/control/knowledge.go
@@ -65,7 +65,9 @@
 	return k.behind
 }
 
-// offerPlan takes a plan if it is newer.
+// offerPlan takes a plan if it is newer. One of the same generation and a higher
+// epoch is a planner's fence: who does not know its epoch takes itself for deposed
+// when it plans next, after the store has forgotten its leases.
 func (k *knowledge) offerPlan(body json.RawMessage) (bool, error) {
 	plan := &tw.Plan{}
 	if err := json.Unmarshal(body, plan); err != nil {
@@ -73,7 +75,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.plan != nil && plan.Generation <= k.plan.Generation {
+	if k.plan != nil && !plan.After(k.plan) {
 		return false, nil
 	}
 	k.planBody, k.plan = body, plan
--- a/plan.go
+++ b/plan.go
@@ -33,6 +33,14 @@
 	return nil
 }
 
+// After tells whether the plan was written after another one of its hall.
+func (p *Plan) After(q *Plan) bool {
+	if p.Generation != q.Generation {
+		return p.Generation > q.Generation
+	}
+	return p.Epoch > q.Epoch
+}
+
 // Clone copies the plan deeply.
 func (p *Plan) Clone() Plan {
 	c := *p
