Test: a restarted planner does not fence its own former life

A lease is held in the name of the daemon, not of its life, so that a daemon that is killed and started again within the lease's time has the same epoch and takes itself for the one that wrote the plan. It then fences nothing: a plan that its former life had sent, carried out late, still finds the version it was to replace, after the new life has taken its drains out of the ledgers and others may have used the budget. A renewal is taken for the same holder's. Red on the code as it is.

--- a/control/node_test.go
+++ b/control/node_test.go
@@ -328,6 +328,27 @@
 		Expect(b.plan().Generation).To(Equal(before.Generation))
 	})
 
+	It("fences a former life of its own daemon, which had the same epoch", func() {
+		b := newBed()
+		one, _ := b.node("d1", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		one.Close() // as a process that was killed, with a write still on its way
+		late, err := b.platform.Get(GinkgoT().Context(), tw.PlanKey("h1"))
+		Expect(err).NotTo(HaveOccurred())
+		two, _ := b.start("d1", 2, b.platform)
+		DeferCleanup(two.Close)
+		Eventually(func() bool { return two.planner.held.Load() }, patient).Should(BeTrue())
+		Eventually(func() tw.Version {
+			item, err := b.platform.Get(context.Background(), tw.PlanKey("h1"))
+			Expect(err).NotTo(HaveOccurred())
+			return item.Version
+		}, "1s").Should(BeNumerically(">", late.Version))
+		_, err = b.platform.Put(GinkgoT().Context(), tw.PlanKey("h1"), late.Value, late.Version)
+		Expect(err).To(MatchError(tw.ErrConflict))
+	})
+
 	It("is one daemon at a time", func() {
 		b := newBed()
 		one, _ := b.node("d1", b.platform)
