--- a/control/planner.go
+++ b/control/planner.go
@@ -26,6 +26,7 @@
 	epoch   tw.Epoch        // the plans'; the same, unless the store has forgotten it
 	stored  platform.Stored // the plan as last read or written
 	loaded  bool
+	fenced  bool // nothing that was sent before the lease was taken can replace the plan
 	plan    tw.Plan
 	tasks   []tw.Task
 	known   bool      // tasks are those of the platform
@@ -120,7 +121,7 @@
 func (p *planner) take(epoch tw.Epoch) {
 	p.held.Store(true)
 	p.granted, p.epoch = epoch, epoch
-	p.loaded = false
+	p.loaded, p.fenced = false, false
 	p.askAt, p.lookAt = time.Time{}, time.Time{}
 	p.log.Info("planning for the hall", zap.Uint64("epoch", uint64(epoch)))
 	view := p.node.know.view()
@@ -228,12 +229,13 @@
 		p.epoch = plan.Epoch + 1 // the store has forgotten our epochs
 	}
 	p.stored, p.plan = stored, plan
-	if older || stored.Body != nil && plan.Epoch != p.epoch {
+	// A former life of this daemon has planned under the same epoch.
+	if older || stored.Body != nil && (plan.Epoch != p.epoch || !p.fenced) {
 		if err := p.fence(ctx); err != nil {
 			return err
 		}
 	}
-	p.loaded = true
+	p.loaded, p.fenced = true, true
 	return nil
 }
 
