Test: a move does not wait for a daemon that the store's roster has lost

When the store comes back older, its roster may lack a daemon that registered since. The daemon looks once in 15 s whether it is still there; until then it sends under its plan, and the planner, which hears it all the time, waits neither for its acknowledgement nor for its work in flight. That it is missing from one read is taken for proof that it sends nothing. PROMISES.md names a store that comes back older among what fails safely.

--- a/control/node_test.go
+++ b/control/node_test.go
@@ -221,6 +221,27 @@
 		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
 	})
 
+	It("waits for work in flight at a daemon that the store's roster has lost", func() {
+		b := newBed()
+		b.pace.Roster = time.Minute // the daemon has not looked yet whether it is still there
+		b.node("d1", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		older, err := b.platform.Get(GinkgoT().Context(), tw.RosterKey("h1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, two := b.node("d2", b.platform)
+		Eventually(func() bool { return two.seen().Registered }, patient).Should(BeTrue())
+		Expect(b.roster()).To(HaveLen(2))
+		id := firstServing(b)
+		two.setLoads(tw.Load{Instance: id, Job: "j", InFlight: 1})
+		b.platform.Restore(tw.RosterKey("h1"), older)
+		b.platform.SetPhase(id, tw.Leaving)
+		Eventually(func() tw.State { return b.state(id) }, patient).ShouldNot(Equal(tw.Serving))
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		two.setLoads()
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
+	})
+
 	It("waits no longer for a daemon that is attested to be gone", func() {
 		b, _, _, id := drained()
 		Expect(b.operator.documents.Update(GinkgoT().Context(), tw.RosterKey("h1"), addGhost)).To(Succeed())
