Wait also for the daemons that are heard though the roster lacks them

The cost: a move that begins within the time in which a daemon that stopped as planned still counts as live (3 to 6 s) waits for the rest of it.

--- a/control/planner_look.go
+++ b/control/planner_look.go
@@ -80,19 +80,32 @@
 			return nil, err
 		}
 	}
+	all := p.withUnregistered(roster)
 	var addresses []string
-	for _, m := range roster.Members {
+	for _, m := range all {
 		addresses = append(addresses, m.Address)
 	}
 	n.syncWith(ctx, addresses, true)
 	p.dropGone(ctx, roster)
-	out := make([]fleet.Member, 0, len(roster.Members))
-	for _, m := range roster.Members {
+	out := make([]fleet.Member, 0, len(all))
+	for _, m := range all {
 		out = append(out, p.member(m))
 	}
 	return out, nil
 }
 
+// withUnregistered adds the daemons that are heard of late to those of the roster:
+// the store may have come back with a roster from before they registered.
+func (p *planner) withUnregistered(roster tw.Roster) []tw.RosterMember {
+	all := slices.Clone(roster.Members)
+	for _, m := range p.node.hallMembers() {
+		if !slices.ContainsFunc(all, func(r tw.RosterMember) bool { return r.ID == m.ID }) {
+			all = append(all, tw.RosterMember{ID: m.ID, Incarnation: m.Incarnation, Address: m.Address})
+		}
+	}
+	return all
+}
+
 // member is what is known of a registered daemon; one that was not heard in
 // this life has acknowledged nothing.
 func (p *planner) member(m tw.RosterMember) fleet.Member {
