Test: an instance that comes back joins a pool under tasks of its former one

An instance that the list lacks leaves the plan without its tasks having ended, as nobody can tell of them. When the list, which lags, has it again, it is a spare and may join another pool in the same pass, though the platform lists the tasks of the former pool as running there: a drain waits for these, and this way does not. That it was not listed is taken for proof that what ran there has ended.

--- a/fleet/decide_test.go
+++ b/fleet/decide_test.go
@@ -244,6 +244,28 @@
 		Expect(a.State).To(Equal(tw.Draining))
 	})
 
+	It("gives an instance that comes back to no pool while tasks of its former one run there", func() {
+		h := newHall(pools(2, 3), 6)
+		h.settle()
+		id := h.serving("jp0")[0]
+		back := *h.find(id)
+		h.in.Instances = slices.DeleteFunc(h.in.Instances, is(id)) // the list lacks it; its task runs on
+		h.deaf[id] = true
+		h.settle()
+		Expect(h.state(id)).To(BeEmpty())
+		c := pools(2, 4) // pool p1 lacks an instance
+		c.Jobs[0].Replicas = 2
+		h.configure(c)
+		h.settle()
+		h.in.Instances = append(h.in.Instances, back)
+		h.settle()
+		Expect(h.state(id)).To(Equal(tw.Spare))
+		h.deaf[id] = false
+		h.settle()
+		Expect(h.in.Plan.Find(id).Pool).To(Equal(tw.PoolID("p1")))
+		Expect(h.state(id)).To(Equal(tw.Serving))
+	})
+
 	It("keeps the budget and the bound on moves through a wave", func() {
 		h := newHall(pools(5, 10), 60)
 		h.settle()
--- a/fleet/hall_test.go
+++ b/fleet/hall_test.go
@@ -26,6 +26,7 @@
 	tasks  map[tw.TaskID]tw.Task
 	paused map[tw.DaemonID]bool
 	fails  map[tw.InstanceID]bool // tasks that start there fail
+	deaf   map[tw.InstanceID]bool // orders to stop do not reach it
 	acked  map[tw.DaemonID]tw.Generation
 	moves  int // placements started
 }
@@ -36,6 +37,7 @@
 		tasks:  map[tw.TaskID]tw.Task{},
 		paused: map[tw.DaemonID]bool{},
 		fails:  map[tw.InstanceID]bool{},
+		deaf:   map[tw.InstanceID]bool{},
 		acked:  map[tw.DaemonID]tw.Generation{"d1": 0, "d2": 0},
 	}
 	h.in = Input{Hall: "h1", Revision: 1, Epoch: 1, TasksKnown: true}
@@ -126,7 +128,9 @@
 
 func (h *hall) carryOut(orders Orders) {
 	for _, id := range orders.Stop {
-		delete(h.tasks, id)
+		if !h.deaf[h.tasks[id].Instance] {
+			delete(h.tasks, id)
+		}
 	}
 	for _, t := range orders.Start {
 		t.State = tw.TaskRunning
