--- a/fleet/pools.go
+++ b/fleet/pools.go
@@ -195,7 +195,9 @@
 		if a.Pool == pool.ID && a.Active() {
 			racks[a.Rack]++
 		}
-		if a.State == tw.Spare && p.eligible(a, pool) && p.doomed[a.Instance].Code == "" {
+		// One that the list had lost may come back with tasks of its former pool.
+		idle := a.State == tw.Spare && p.onTask[a.Instance] == 0
+		if idle && p.eligible(a, pool) && p.doomed[a.Instance].Code == "" {
 			candidates = append(candidates, a)
 		}
 	}
