Test: a refused claim stays with a daemon that hears it after its release

A daemon that is told of a standing claim gives its own up at once, while its other questions are still on their way. At a daemon that hears the release first and the claim after it, the claim stays for the key's lifetime: once the standing one is released too, the key is not free, though its request was proved not to have run. The order of arrival is taken for the order in which the messages were sent. Nothing runs twice by it.

--- a/control/claims_test.go
+++ b/control/claims_test.go
@@ -1,12 +1,68 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
 )
 
+// slowClaims are peers of which one hears late of the claims of another.
+type slowClaims struct {
+	*network
+	from tw.DaemonID
+	to   string
+}
+
+func (s slowClaims) Claim(ctx context.Context, address string, claim tw.Claim) (tw.Claim, error) {
+	if claim.Holder == s.from && address == s.to && claim.State == tw.ClaimPending {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return s.network.Claim(ctx, address, claim)
+}
+
+var _ = Describe("a claim that is refused", func() {
+	It("does not keep the key from those who come once it is free", func() {
+		network := newNetwork()
+		var members []tw.Member
+		for i := range 3 {
+			id := fmt.Sprintf("d%d", i)
+			members = append(members, tw.Member{ID: tw.DaemonID(id), Address: id})
+		}
+		all := map[tw.DaemonID]*claims{}
+		for _, m := range members {
+			all[m.ID] = &claims{
+				table:   newClaimTable(fakeclock.New(), time.Minute, 100),
+				peers:   slowClaims{network: network, from: "d1", to: "d2"},
+				self:    m.ID,
+				hall:    func() []tw.Member { return members },
+				metrics: metrics.NewSet(),
+			}
+			network.set(m.Address, claimsOnly{all[m.ID]})
+		}
+		standing := tw.Claim{Scope: "key", Body: "body", Holder: "d0", Nonce: "first", State: tw.ClaimPending}
+		all["d0"].table.put(standing) // d2 has missed it, or is new
+
+		_, refused := all["d1"].Claim(GinkgoT().Context(), "key", "body")
+		Expect(refused.Standing).To(Equal(standing))
+		time.Sleep(100 * time.Millisecond) // until d2 has heard all
+		all["d0"].Settle(standing, tw.ClaimReleased)
+		Eventually(func() bool {
+			again, result := all["d0"].Claim(context.Background(), "key", "body")
+			if result.Granted {
+				all["d0"].Settle(again, tw.ClaimReleased)
+			}
+			return result.Granted
+		}, "2s").Should(BeTrue())
+	})
+})
+
 var _ = Describe("a daemon that has just registered", func() {
 	// It may send to instances as soon as it has the plan, but hears the other
 	// daemons only with the next heartbeat.
