--- a/control/claims.go
+++ b/control/claims.go
@@ -50,7 +50,8 @@
 	}
 	hall := c.hall()
 	kept, gone := 1, 0
-	for answer := range c.ask(ctx, c.holders(scope, hall), claim) {
+	answers := c.ask(ctx, c.holders(scope, hall), claim)
+	for answer := range answers {
 		switch {
 		case errors.Is(answer.err, tw.ErrGone):
 			gone++ // and what it held is gone with it
@@ -59,13 +60,13 @@
 			kept++
 		case answer.claim.Holder != "":
 			c.count("standing")
-			c.tell(claim, tw.ClaimReleased, hall)
+			c.giveUp(claim, answers, hall)
 			return claim, tw.ClaimResult{Standing: answer.claim}
 		}
 	}
 	if kept < min(claimQuorum, len(hall)-gone) {
 		c.count("unavailable")
-		c.tell(claim, tw.ClaimReleased, hall)
+		c.giveUp(claim, answers, hall)
 		return claim, tw.ClaimResult{}
 	}
 	c.count("granted")
@@ -88,6 +89,18 @@
 	c.ask(context.Background(), c.holders(claim.Scope, hall), claim)
 }
 
+// giveUp releases a claim: here at once, and with its holders when all have
+// answered, as a release that overtakes the claim leaves it standing there.
+func (c *claims) giveUp(claim tw.Claim, answers <-chan claimAnswer, hall []tw.Member) {
+	claim.State = tw.ClaimReleased
+	c.table.put(claim)
+	go func() {
+		for range answers { // whatever they say
+		}
+		c.tell(claim, tw.ClaimReleased, hall)
+	}()
+}
+
 // ask sends a claim to peers at the same time, and yields what they answer.
 func (c *claims) ask(ctx context.Context, peers []tw.Member, claim tw.Claim) <-chan claimAnswer {
 	out := make(chan claimAnswer, len(peers))
