Test: a daemon whose clock went back over its restart is not heard

Lives are numbered by the wall clock. A daemon that left the roster as planned and came back after its clock was set back has a lower number than its former life: the others drop its heartbeats as those of an earlier life until they forget the former one, ten minutes later. Until then it counts as down: its acknowledgements are not heard, so that every move of its hall waits, and it is asked for no claim. (While the roster still has the former life, the daemon takes a number above it.) A counter that starts again is taken for an earlier life.

--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -95,6 +95,22 @@
 		})
 	}
 
+	It("takes a life with a lower number once the other is down", func() {
+		clock := fakeclock.New()
+		t := newMembers(clock, "", time.Second)
+		all := func(tw.Member) bool { return true }
+		t.hear(tw.Member{ID: "a", Incarnation: 9, Beat: 1}, true)
+		later := tw.Member{ID: "a", Incarnation: 8, Beat: 1} // its clock went back while it was away
+		t.hear(later, true)
+		Expect(t.live(all)[0].Incarnation).To(Equal(tw.Incarnation(9)))
+		clock.Advance(2 * time.Second)
+		t.hear(later, false)
+		Expect(t.live(all)).To(BeEmpty(), "hearsay may be of an earlier life")
+		t.hear(later, true)
+		Expect(t.live(all)).To(HaveLen(1))
+		Expect(t.live(all)[0].Incarnation).To(Equal(tw.Incarnation(8)))
+	})
+
 	It("counts a silent daemon as down", func() {
 		clock := fakeclock.New()
 		t := newMembers(clock, "", time.Second)
