--- a/control/members.go
+++ b/control/members.go
@@ -35,12 +35,14 @@
 }
 
 // hear takes in a heartbeat, direct or by hearsay. An earlier life or an older
-// beat changes nothing; a report stands until the same life sends a new one.
+// beat changes nothing; a report stands until the same life sends a new one. Who
+// speaks for itself while the other life is down is no earlier one: the wall clock,
+// which lives are numbered by, went back over its restart.
 func (t *members) hear(m tw.Member, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.table[m.ID]
-	if known && m.Incarnation < old.Incarnation {
+	if known && m.Incarnation < old.Incarnation && !(direct && t.down(old)) {
 		return
 	}
 	same := known && m.Incarnation == old.Incarnation
@@ -116,18 +118,22 @@
 	now := t.clock.Now()
 	var out []heardMember
 	for id, m := range t.table {
-		age := now.Sub(m.heard)
-		if age > forgetAfter {
+		if now.Sub(m.heard) > forgetAfter {
 			delete(t.table, id)
 			continue
 		}
-		if age <= t.patienceWith(m.Member) && keep(m.Member) {
+		if !t.down(m) && keep(m.Member) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// down tells whether a daemon has been silent for too long. The lock is held.
+func (t *members) down(m heardMember) bool {
+	return t.clock.Now().Sub(m.heard) > t.patienceWith(m.Member)
+}
+
 // patienceWith is the silence after which a daemon counts as down. The more
 // there are, the longer news of one takes. The lock is held.
 func (t *members) patienceWith(m tw.Member) time.Duration {
