Test: a planner past its lease stops its successor's tasks and frees its drains

Only the write of a plan asks whether the lease still holds. A pass that changes nothing gives its orders without that: if the look at the tasks outlasted the lease (a process that is paused, a store that is cut off and a slow answer), it sees the tasks that its successor has started, which its own plan does not have, and stops them under the requests that they serve. Likewise it takes all entries of its hall out of a ledger, also its successor's, whose drains then are charged to nobody. What came later is taken for what is left over. Red on the code as it is.

--- /dev/null
+++ b/control/planner_test.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/platform"
+)
+
+// slowWorkers lists the tasks late, and notes what it is told to stop.
+type slowWorkers struct {
+	tw.Workers
+	mu      sync.Mutex
+	delay   time.Duration
+	stopped []tw.TaskID
+}
+
+func (w *slowWorkers) setDelay(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay = d
+}
+
+func (w *slowWorkers) Tasks(ctx context.Context, hall tw.HallID) ([]tw.Task, error) {
+	w.mu.Lock()
+	delay := w.delay
+	w.mu.Unlock()
+	time.Sleep(delay)
+	return w.Workers.Tasks(ctx, hall)
+}
+
+func (w *slowWorkers) Stop(ctx context.Context, id tw.TaskID) error {
+	w.mu.Lock()
+	w.stopped = append(w.stopped, id)
+	w.mu.Unlock()
+	return w.Workers.Stop(ctx, id)
+}
+
+// TestPlannerPastItsLease: a planner that is cut off from the store, and whose look at
+// the tasks outlasts its lease, sees those of its successor; it must not stop them.
+func TestPlannerPastItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newBed()
+		b.pace = Pace{}
+		_, err := b.operator.Apply(t.Context(), source, "test", 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		store := &cutStore{Store: b.platform}
+		list := &cutList{InstanceList: b.platform}
+		workers := &slowWorkers{Workers: b.platform}
+		b.list, b.workers = list, workers
+		one, _ := b.start("d1", 1, store)
+		defer one.Close()
+		time.Sleep(10 * time.Second)
+		g.Expect(one.planner.held.Load()).To(BeTrue())
+		b.list, b.workers = b.platform, b.platform
+		two, _ := b.start("d2", 1, b.platform)
+		defer two.Close()
+		time.Sleep(30 * time.Second)
+
+		workers.setDelay(40 * time.Second) // as in a process that is paused
+		time.Sleep(10 * time.Second)       // until it looks
+		store.set(true)
+		list.cut.Store(true)
+		b.network.setCut("d1", true)
+		more := strings.Replace(source, "replicas = 2", "replicas = 3", 1)
+		_, err = b.operator.Apply(t.Context(), more, "test", 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Minute)
+		g.Expect(two.planner.held.Load()).To(BeTrue())
+		plan, err := b.operator.Plan(t.Context(), "h1")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(serving(plan)).To(Equal(3))
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		g.Expect(workers.stopped).To(BeEmpty())
+	})
+}
+
+var _ = Describe("a planner whose lease has lapsed", func() {
+	It("leaves its successor's drains in the ledgers", func() {
+		b := newBed()
+		n, _ := b.node("d1", b.platform)
+		entry := tw.Disruption{Instance: "w0", Hall: "h1"}
+		_, err := b.operator.documents.Write(GinkgoT().Context(), tw.BudgetKey("s"), platform.Stored{},
+			tw.Ledger{Disruptions: []tw.Disruption{entry}})
+		Expect(err).NotTo(HaveOccurred())
+		late := newPlanner(n)
+		late.take(1)
+		late.until = time.Now().Add(-time.Second)
+		late.owed["s"] = true
+		config, err := ParseConfig(source)
+		Expect(err).NotTo(HaveOccurred())
+		late.settleLedgers(GinkgoT().Context(), config)
+		held, err := late.readLedger(GinkgoT().Context(), "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.ledger.Has("w0")).To(BeTrue())
+	})
+})
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -133,6 +133,7 @@
 type bed struct {
 	platform *standin.Platform
 	list     tw.InstanceList // the platform's, as the nodes reach it
+	workers  tw.Workers      // likewise
 	network  *network
 	operator *Operator
 	log      *zap.Logger // of the nodes; nil for none
@@ -141,7 +142,7 @@
 
 func newBed() *bed {
 	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), pace: fast}
-	b.list = b.platform
+	b.list, b.workers = b.platform, b.platform
 	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
 	for i := range 4 {
 		b.platform.SetInstance(tw.Instance{
@@ -197,7 +198,7 @@
 		},
 		Documents:  b.documents(store),
 		Instances:  b.list,
-		Workers:    b.platform,
+		Workers:    b.workers,
 		Peers:      b.network,
 		Dispatcher: r,
 		Seeds:      []string{"d1", "d2"},
