--- a/control/ledger.go
+++ b/control/ledger.go
@@ -141,6 +141,9 @@
 			continue
 		}
 		err := p.node.cfg.Documents.Update(ctx, tw.BudgetKey(service), func(body json.RawMessage) (any, error) {
+			if !p.holds() { // what was read may have a successor's entries
+				return nil, ErrLostLease
+			}
 			return p.withoutOwn(body)
 		})
 		if err == nil {
--- a/control/planner.go
+++ b/control/planner.go
@@ -198,6 +198,10 @@
 		}
 	}
 	p.settleLedgers(ctx, in.Config)
+	// Tasks that were listed after the lease had lapsed may be a successor's.
+	if !p.holds() {
+		return ErrLostLease
+	}
 	return p.order(ctx, fleet.Actions(in))
 }
 
