--- /dev/null
+++ b/control/claims_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
+)
+
+// slowClaims are peers of which one hears late of the claims of another.
+type slowClaims struct {
+	*network
+	from tw.DaemonID
+	to   string
+}
+
+func (s slowClaims) Claim(ctx context.Context, address string, claim tw.Claim) (tw.Claim, error) {
+	if claim.Holder == s.from && address == s.to && claim.State == tw.ClaimPending {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return s.network.Claim(ctx, address, claim)
+}
+
+var _ = Describe("a claim that is refused", func() {
+	It("does not keep the key from those who come once it is free", func() {
+		network := newNetwork()
+		var members []tw.Member
+		for i := range 3 {
+			id := fmt.Sprintf("d%d", i)
+			members = append(members, tw.Member{ID: tw.DaemonID(id), Address: id})
+		}
+		all := map[tw.DaemonID]*claims{}
+		for _, m := range members {
+			all[m.ID] = &claims{
+				table:   newClaimTable(fakeclock.New(), time.Minute, 100),
+				peers:   slowClaims{network: network, from: "d1", to: "d2"},
+				self:    m.ID,
+				hall:    func() []tw.Member { return members },
+				metrics: metrics.NewSet(),
+			}
+			network.set(m.Address, claimsOnly{all[m.ID]})
+		}
+		standing := tw.Claim{Scope: "key", Body: "body", Holder: "d0", Nonce: "first", State: tw.ClaimPending}
+		all["d0"].table.put(standing) // d2 has missed it, or is new
+
+		_, refused := all["d1"].Claim(GinkgoT().Context(), "key", "body")
+		Expect(refused.Standing).To(Equal(standing))
+		time.Sleep(100 * time.Millisecond) // until d2 has heard all
+		all["d0"].Settle(standing, tw.ClaimReleased)
+		Eventually(func() bool {
+			again, result := all["d0"].Claim(context.Background(), "key", "body")
+			if result.Granted {
+				all["d0"].Settle(again, tw.ClaimReleased)
+			}
+			return result.Granted
+		}, "2s").Should(BeTrue())
+	})
+})
+
+var _ = Describe("a daemon that has just registered", func() {
+	// It may send to instances as soon as it has the plan, but hears the other
+	// daemons only with the next heartbeat.
+	It("grants no key that the daemons in the roster hold", func() {
+		b := newBed()
+		b.pace.Sync = time.Second
+		one, _ := b.node("d1", b.platform)
+		two, _ := b.node("d2", b.platform)
+		b.apply(0)
+		for _, n := range []*Node{one, two} {
+			Eventually(func() int { return len(n.hallMembers()) }, patient).Should(Equal(2))
+		}
+		_, first := one.Claims().Claim(GinkgoT().Context(), "key", "body")
+		Expect(first.Granted).To(BeTrue())
+		b.network.setCut("d1", true) // with its caller's answer: the caller repeats
+
+		three, view := b.node("d3", b.platform)
+		Eventually(func() bool { return view.seen().Registered }, patient, "1ms").Should(BeTrue())
+		_, again := three.Claims().Claim(GinkgoT().Context(), "key", "body")
+		Expect(again.Granted).To(BeFalse())
+	})
+
+	It("grants keys by itself when the others' processes are gone", func() {
+		b := newBed()
+		b.pace.Sync = time.Second
+		one, _ := b.node("d1", b.platform)
+		b.apply(0)
+		one.Close() // without leaving the roster
+		b.network.set("d1", nil)
+
+		two, view := b.node("d2", b.platform)
+		Eventually(func() bool { return view.seen().Registered }, patient, "1ms").Should(BeTrue())
+		_, result := two.Claims().Claim(GinkgoT().Context(), "key", "body")
+		Expect(result.Granted).To(BeTrue())
+	})
+
+	It("grants keys beside a daemon that stays silent, once that counts as down", func() {
+		b := newBed()
+		b.pace.Sync = time.Second
+		b.node("d1", b.platform)
+		b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return len(b.roster()) }, patient).Should(Equal(2))
+		b.network.setCut("d1", true)
+
+		three, view := b.node("d3", b.platform)
+		Eventually(func() bool { return view.seen().Registered }, patient, "1ms").Should(BeTrue())
+		_, result := three.Claims().Claim(GinkgoT().Context(), "key", "body")
+		Expect(result.Granted).To(BeTrue(), "with the other one")
+		b.network.setCut("d2", true)
+		Eventually(func() bool {
+			_, alone := three.Claims().Claim(GinkgoT().Context(), "another key", "body")
+			return alone.Granted
+		}, patient).Should(BeTrue())
+	})
+})
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -191,6 +192,20 @@
 		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
 	})
 
+	It("waits for work in flight on an instance that the list loses for a moment", func() {
+		b, _, two, id := drained()
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		two.setLoads(tw.Load{Instance: id, Job: "j", InFlight: 1})
+		lost := b.platform.Instance(id)
+		b.platform.RemoveInstance(id)
+		Eventually(func() tw.State { return b.state(id) }, patient).ShouldNot(Equal(tw.Serving))
+		Expect(b.state(id)).To(Equal(tw.Draining))
+		b.platform.SetInstance(lost)
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		two.setLoads()
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Spare))
+	})
+
 	It("waits for a daemon that is cut off, while a spare serves", func() {
 		b, _, _, id := drained()
 		planner := "d1"
@@ -206,6 +221,27 @@
 		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
 	})
 
+	It("waits for work in flight at a daemon that the store's roster has lost", func() {
+		b := newBed()
+		b.pace.Roster = time.Minute // the daemon has not looked yet whether it is still there
+		b.node("d1", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		older, err := b.platform.Get(GinkgoT().Context(), tw.RosterKey("h1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, two := b.node("d2", b.platform)
+		Eventually(func() bool { return two.seen().Registered }, patient).Should(BeTrue())
+		Expect(b.roster()).To(HaveLen(2))
+		id := firstServing(b)
+		two.setLoads(tw.Load{Instance: id, Job: "j", InFlight: 1})
+		b.platform.Restore(tw.RosterKey("h1"), older)
+		b.platform.SetPhase(id, tw.Leaving)
+		Eventually(func() tw.State { return b.state(id) }, patient).ShouldNot(Equal(tw.Serving))
+		Consistently(func() tw.State { return b.state(id) }, "300ms").Should(Equal(tw.Draining))
+		two.setLoads()
+		Eventually(func() tw.State { return b.state(id) }, patient).Should(Equal(tw.Out))
+	})
+
 	It("waits no longer for a daemon that is attested to be gone", func() {
 		b, _, _, id := drained()
 		Expect(b.operator.documents.Update(GinkgoT().Context(), tw.RosterKey("h1"), addGhost)).To(Succeed())
@@ -278,6 +314,27 @@
 		Expect(logs.FilterMessage("planning for the hall").Len()).To(Equal(1))
 	})
 
+	It("plans on when its predecessor's epoch is above its own, though it knew that plan already", func() {
+		b := newBed()
+		b.node("d1", b.platform)
+		b.node("d2", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		// As a planner leaves it that took over after the store forgot its leases:
+		// its fence has an epoch above the plan's, and the lease counts from 1 again.
+		Expect(b.operator.documents.Update(GinkgoT().Context(), tw.PlanKey("h1"), func(body json.RawMessage) (any, error) {
+			var plan tw.Plan
+			err := json.Unmarshal(body, &plan)
+			plan.Epoch = 50
+			return plan, err
+		})).To(Succeed())
+		lost := firstServing(b)
+		b.platform.RemoveInstance(lost)
+		Eventually(func() tw.State { return b.state(lost) }, patient).Should(BeEmpty())
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+	})
+
 	It("fences its predecessor by writing the plan before anything else", func() {
 		b := newBed()
 		one, _ := b.node("d1", b.platform)
@@ -292,6 +349,27 @@
 		Expect(b.plan().Generation).To(Equal(before.Generation))
 	})
 
+	It("fences a former life of its own daemon, which had the same epoch", func() {
+		b := newBed()
+		one, _ := b.node("d1", b.platform)
+		b.apply(0)
+		Eventually(func() int { return serving(b.plan()) }, patient).Should(Equal(2))
+		Eventually(func() tw.PlacementState { return b.pendingState() }, patient).Should(BeEmpty())
+		one.Close() // as a process that was killed, with a write still on its way
+		late, err := b.platform.Get(GinkgoT().Context(), tw.PlanKey("h1"))
+		Expect(err).NotTo(HaveOccurred())
+		two, _ := b.start("d1", 2, b.platform)
+		DeferCleanup(two.Close)
+		Eventually(func() bool { return two.planner.held.Load() }, patient).Should(BeTrue())
+		Eventually(func() tw.Version {
+			item, err := b.platform.Get(context.Background(), tw.PlanKey("h1"))
+			Expect(err).NotTo(HaveOccurred())
+			return item.Version
+		}, "1s").Should(BeNumerically(">", late.Version))
+		_, err = b.platform.Put(GinkgoT().Context(), tw.PlanKey("h1"), late.Value, late.Version)
+		Expect(err).To(MatchError(tw.ErrConflict))
+	})
+
 	It("is one daemon at a time", func() {
 		b := newBed()
 		one, _ := b.node("d1", b.platform)
--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -95,6 +95,22 @@
 		})
 	}
 
+	It("takes a life with a lower number once the other is down", func() {
+		clock := fakeclock.New()
+		t := newMembers(clock, "", time.Second)
+		all := func(tw.Member) bool { return true }
+		t.hear(tw.Member{ID: "a", Incarnation: 9, Beat: 1}, true)
+		later := tw.Member{ID: "a", Incarnation: 8, Beat: 1} // its clock went back while it was away
+		t.hear(later, true)
+		Expect(t.live(all)[0].Incarnation).To(Equal(tw.Incarnation(9)))
+		clock.Advance(2 * time.Second)
+		t.hear(later, false)
+		Expect(t.live(all)).To(BeEmpty(), "hearsay may be of an earlier life")
+		t.hear(later, true)
+		Expect(t.live(all)).To(HaveLen(1))
+		Expect(t.live(all)[0].Incarnation).To(Equal(tw.Incarnation(8)))
+	})
+
 	It("counts a silent daemon as down", func() {
 		clock := fakeclock.New()
 		t := newMembers(clock, "", time.Second)
@@ -126,11 +142,16 @@
 			clock := fakeclock.New()
 			a := newAbsence(clock)
 			list := tw.InstanceSnapshot{Instances: rows[name].list}
-			Expect(a.gone("e1", list)).To(BeFalse())
+			daemon := tw.RosterMember{ID: "d1", Instance: "e1", Incarnation: 1}
+			gone := func() bool {
+				a.see(list)
+				return a.gone(daemon, list)
+			}
+			Expect(gone()).To(BeFalse())
 			clock.Advance(absentFor - time.Second)
-			Expect(a.gone("e1", list)).To(BeFalse())
+			Expect(gone()).To(BeFalse())
 			clock.Advance(time.Second)
-			Expect(a.gone("e1", list)).To(Equal(rows[name].gone))
+			Expect(gone()).To(Equal(rows[name].gone))
 		})
 	}
 })
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -132,13 +132,17 @@
 // bed is one or more nodes over a stand-in platform, in memory.
 type bed struct {
 	platform *standin.Platform
+	list     tw.InstanceList // the platform's, as the nodes reach it
+	workers  tw.Workers      // likewise
 	network  *network
 	operator *Operator
 	log      *zap.Logger // of the nodes; nil for none
+	pace     Pace
 }
 
 func newBed() *bed {
-	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork()}
+	b := &bed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), pace: fast}
+	b.list, b.workers = b.platform, b.platform
 	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
 	for i := range 4 {
 		b.platform.SetInstance(tw.Instance{
@@ -173,8 +177,15 @@
 	Dead:     time.Second,
 }
 
-// node starts a daemon's control over a store.
+// node starts a daemon's control over a store, for the time of a spec.
 func (b *bed) node(id tw.DaemonID, store tw.Store) (*Node, *recorder) {
+	n, r := b.start(id, 1, store)
+	DeferCleanup(n.Close)
+	return n, r
+}
+
+// start starts a life of a daemon's control over a store.
+func (b *bed) start(id tw.DaemonID, life tw.Incarnation, store tw.Store) (*Node, *recorder) {
 	r := &recorder{}
 	n := Config{
 		Self: tw.Member{
@@ -183,19 +194,18 @@
 			Instance:    tw.InstanceID(id),
 			Address:     string(id),
 			Gateway:     "gateway of " + string(id),
-			Incarnation: 1,
+			Incarnation: life,
 		},
 		Documents:  b.documents(store),
-		Instances:  b.platform,
-		Workers:    b.platform,
+		Instances:  b.list,
+		Workers:    b.workers,
 		Peers:      b.network,
 		Dispatcher: r,
 		Seeds:      []string{"d1", "d2"},
-		Pace:       fast,
+		Pace:       b.pace,
 		Log:        b.log,
 	}.New()
 	b.network.set(string(id), n)
-	DeferCleanup(n.Close)
 	return n, r
 }
 
@@ -217,6 +227,12 @@
 	return current.Revision
 }
 
+func (b *bed) roster() []tw.RosterMember {
+	roster, err := b.operator.Roster(context.Background(), "h1")
+	Expect(err).NotTo(HaveOccurred())
+	return roster.Members
+}
+
 func (b *bed) state(id tw.InstanceID) tw.State {
 	plan := b.plan()
 	if a := plan.Find(id); a != nil {
