Let the loop's duties say when they are due

earlier took a first time of zero for the earlier one, so that what was to come next (a look, a repetition, a doubt) waited for another event, 200 ms at most.

--- a/run/loop_test.go
+++ b/run/loop_test.go
@@ -34,3 +34,21 @@
 	o.drainEvents()
 	g.Expect(w.clockNow(clock.at)).To(Equal(answered))
 }
+
+// Zero is never, for both of the times. Where the first was zero the result was, so that
+// no duty of the loop ever said when it is due next, and waited for another event.
+func TestEarlier(t *testing.T) {
+	soon := time.Now()
+	late := soon.Add(time.Second)
+	for name, c := range map[string]struct{ a, b, want time.Time }{
+		"the first":     {soon, late, soon},
+		"the second":    {late, soon, soon},
+		"never, a time": {time.Time{}, late, late},
+		"a time, never": {late, time.Time{}, late},
+		"never":         {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(earlier(c.a, c.b)).To(Equal(c.want))
+		})
+	}
+}
--- a/run/owner.go
+++ b/run/owner.go
@@ -376,7 +376,7 @@
 
 // earlier is the earlier of two times; zero is never.
 func earlier(a, b time.Time) time.Time {
-	if b.IsZero() || a.Before(b) {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
 		return a
 	}
 	return b
--- a/run/takeover_test.go
+++ b/run/takeover_test.go
@@ -27,6 +27,19 @@
 		r.kept()
 		r.Expect(r.fleet.Starts()).To(Equal(2))
 	},
+	"starts nothing else of a repetition before it is due": func(r *rig) {
+		a := r.take("a")
+		s := submission("s1", 2)
+		s.Schedule = tw.Schedule{Times: 1, First: time.Now().Add(3 * time.Second)}
+		r.submit(a, s)
+		a.Close()
+		r.startAs(1, 0, subtask("s1", 0, 0))
+		r.take("b")
+		time.Sleep(2 * time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(1))
+		time.Sleep(1200 * time.Millisecond)
+		r.Expect(r.fleet.Starts()).To(Equal(2))
+	},
 	"lets a run of a repetition that is not due yet go on": func(r *rig) {
 		s := r.timed(3 * time.Second)
 		r.startAs(1, 0, subtask("s1", 0, 0))
