Let a proxy silence its present connections for good

Links of a proxy are kept as pairs. Those that are silenced pass nothing any more, neither bytes nor the end of either side nor a reset, also once the proxy is sound again; connections made later pass. A spec of the proxy shows it.

--- a/e2e/proxy_test.go
+++ b/e2e/proxy_test.go
@@ -29,22 +29,32 @@
 	linkPoll = 20 * time.Millisecond
 )
 
-// proxy passes TCP connections on over loopback and misbehaves on demand.
-type proxy struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	fault linkFault
-	conns map[net.Conn]bool // those open on either side
-	ended bool
-}
+type (
+	// proxy passes TCP connections on over loopback and misbehaves on demand.
+	proxy struct {
+		listener net.Listener
+		target   string
+
+		mu    sync.Mutex
+		fault linkFault
+		links map[*link]bool // those open
+		ended bool
+	}
+
+	// link is one connection through a proxy.
+	link struct {
+		in, out net.Conn
+		// silent links pass nothing any more, neither bytes nor their end. Only the
+		// end of the proxy closes them.
+		silent bool
+	}
+)
 
 // newProxy starts a proxy to an address; it ends with the test.
 func newProxy(target string) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, links: map[*link]bool{}}
 	go p.accept()
 	DeferCleanup(p.close)
 	return p
@@ -52,34 +62,57 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// set changes what the proxy does; a reset ends the present connections.
+// set changes what the proxy does; a reset ends the present connections, but for
+// those that are silent for good.
 func (p *proxy) set(fault linkFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = fault
-	if fault == linkReset {
-		p.endAll()
+	if fault != linkReset {
+		return
+	}
+	for l := range p.links {
+		if !l.silent {
+			l.reset()
+		}
 	}
 }
 
-// endAll resets all connections. The caller holds the lock.
-func (p *proxy) endAll() {
-	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // so that the peer sees a reset
+// silence makes the present connections silent for good, also once the proxy is
+// sound again; those that come later pass. It returns how many these are.
+func (p *proxy) silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for l := range p.links {
+		if !l.silent {
+			l.silent = true
+			count++
 		}
-		_ = c.Close()
 	}
+	return count
 }
 
 func (p *proxy) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ended = true
-	p.endAll()
+	for l := range p.links {
+		l.reset()
+	}
 	_ = p.listener.Close()
 }
 
+// reset ends both sides so that their peers see a reset.
+func (l *link) reset() {
+	for _, c := range []net.Conn{l.in, l.out} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // now is what the proxy does at present.
 func (p *proxy) now() (fault linkFault, ended bool) {
 	p.mu.Lock()
@@ -104,24 +137,19 @@
 			_ = in.Close()
 			continue
 		}
+		l := &link{in: in, out: out}
 		p.mu.Lock()
-		p.conns[in], p.conns[out] = true, true
+		p.links[l] = true
 		p.mu.Unlock()
-		go p.pass(in, out, false)
-		go p.pass(out, in, true)
+		go p.pass(l, in, out, false)
+		go p.pass(l, out, in, true)
 	}
 }
 
 // pass copies one direction until either end closes; answers tells whether it
 // is the direction from the target.
-func (p *proxy) pass(from, to net.Conn, answers bool) {
-	defer func() {
-		_ = from.Close()
-		_ = to.Close()
-		p.mu.Lock()
-		delete(p.conns, from)
-		p.mu.Unlock()
-	}()
+func (p *proxy) pass(l *link, from, to net.Conn, answers bool) {
+	defer p.end(l)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -131,12 +159,34 @@
 		if err != nil {
 			return
 		}
+		if p.silenced(l) {
+			continue
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
 }
 
+// end closes a link one of whose peers has closed it. The other one must not learn
+// that of a silent link.
+func (p *proxy) end(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.silent && !p.ended {
+		return
+	}
+	_ = l.in.Close()
+	_ = l.out.Close()
+	delete(p.links, l)
+}
+
+func (p *proxy) silenced(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return l.silent
+}
+
 // hold delays what passes as the fault says; false if the proxy has ended.
 func (p *proxy) hold(answers bool) bool {
 	for {
@@ -154,3 +204,51 @@
 		}
 	}
 }
+
+// exchange sends a byte and waits for a while for one that comes back.
+func exchange(c net.Conn) error {
+	Expect(c.SetDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+	if _, err := c.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := c.Read(make([]byte, 1))
+	return err
+}
+
+var _ = Describe("a proxy", func() {
+	It("silences the connections of one moment for good, and no others", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		served := make(chan net.Conn, 2)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				served <- c
+				go func() { _, _ = io.Copy(c, c) }() // until the test ends it
+			}
+		}()
+		p := newProxy(l.Addr().String())
+		dial := func() net.Conn {
+			c, err := net.Dial("tcp", p.address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			return c
+		}
+		old := dial()
+		Expect(exchange(old)).To(Succeed())
+		Expect(p.silence()).To(Equal(1))
+		fresh := dial()
+		Expect(exchange(fresh)).To(Succeed())
+		p.set(linkReset)
+		p.set(linkSound)
+		Expect(exchange(fresh)).NotTo(Succeed())
+		Expect(exchange(old)).To(MatchError(ContainSubstring("i/o timeout")))
+		Expect((<-served).Close()).To(Succeed())
+		Expect(exchange(old)).To(MatchError(ContainSubstring("i/o timeout")))
+		Expect(p.silence()).To(BeZero())
+	})
+})
