Soak: connections that fall silent for good

One more event of the process soak: the present connections of one daemon to the store and all of one worker's, or in two cases of three every one, fall silent for good.

--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -75,6 +77,21 @@
 		s.fleet.Set(tw.WorkerID(fmt.Sprintf("w%d", t.worker)), func(w *standin.SimWorker) { w.LateStarts = t.count })
 		return s.fleet.DoLate
 	}},
+	{"connections silent", func(s *soak, t faultTarget) func() {
+		silenced := []*proxy{s.stores[t.daemon], s.links[t.worker]}
+		if t.count > 1 {
+			silenced = s.proxies()
+		}
+		for _, p := range silenced {
+			p.silence()
+		}
+		return func() {} // they stay so
+	}},
+}
+
+// proxies are those to the store and to the workers.
+func (s *soak) proxies() []*proxy {
+	return slices.Concat(slices.Collect(maps.Values(s.stores)), s.links)
 }
 
 // act lets one fault come and, after a while, end. Faults overlap.
@@ -88,7 +105,8 @@
 	target.link = linkFault(1 + s.random.IntN(4)) // any but linkSound
 	target.count = 1 + s.random.IntN(3)
 	fault := soakFaults[s.random.IntN(len(soakFaults))]
-	GinkgoWriter.Printf("fault: %s %s w%d link fault %d for %v\n", fault.name, target.daemon, target.worker, target.link, lasts)
+	GinkgoWriter.Printf("fault: %s %s w%d link fault %d count %d for %v\n",
+		fault.name, target.daemon, target.worker, target.link, target.count, lasts)
 	s.faults.Go(func() {
 		heal := fault.begin(s, target)
 		time.Sleep(lasts)
