Take up cancels of the inbox with the submissions that they are for

A daemon that did not reach a pool's owner leaves a cancel in the inbox and answers it. The next owner knew the submission from the store, started it, and read the inbox only then; a run that ended so was shown as completed. The load reads the inbox in any case and dropped its cancels.

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -20,6 +20,8 @@
 		// InInbox: the message by which another daemon kept it is still there, so
 		// that no owner has started anything of it.
 		InInbox bool
+		// CancelInInbox: so is a cancel that another daemon has answered.
+		CancelInInbox bool
 	}
 )
 
@@ -41,7 +43,7 @@
 	}
 	// Read after the submissions, so that of none that stands among them the
 	// message is missed.
-	inInbox, err := b.loadInbox(ctx)
+	inbox, err := b.loadInbox(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +57,10 @@
 			continue
 		}
 		id := idOfKey(item.Key, submissionPrefix)
-		out = append(out, Loaded{ID: id, Record: record, Progress: progress[id], InInbox: inInbox[id]})
+		out = append(out, Loaded{
+			ID: id, Record: record, Progress: progress[id],
+			InInbox: inbox[InboxRecord{Kind: InboxSubmitted, ID: id}], CancelInInbox: inbox[InboxRecord{Kind: InboxCancel, ID: id}],
+		})
 	}
 	return out, nil
 }
@@ -77,21 +82,19 @@
 	return out, nil
 }
 
-// loadInbox lists the submissions of which the inbox tells.
-func (b *Book) loadInbox(ctx context.Context) (map[tw.SubmissionID]bool, error) {
+// loadInbox lists the messages of the inbox.
+func (b *Book) loadInbox(ctx context.Context) (map[InboxRecord]bool, error) {
 	items, _, err := b.kv.Range(ctx, InboxPrefix(b.owner.Pool))
 	if err != nil {
 		return nil, errors.Wrap(err, "ledger.Load: inbox")
 	}
-	out := map[tw.SubmissionID]bool{}
+	out := map[InboxRecord]bool{}
 	for _, item := range items {
 		message, err := DecodeInbox(item)
 		if err != nil {
 			return nil, err
 		}
-		if message.Kind == InboxSubmitted {
-			out[message.ID] = true
-		}
+		out[message] = true
 	}
 	return out, nil
 }
--- a/run/owner.go
+++ b/run/owner.go
@@ -178,6 +178,10 @@
 	}
 	o.claimRuns(sub)
 	o.claimEnds(sub)
+	if l.CancelInInbox {
+		// Read with the inbox's other messages, a while later, it was started before.
+		o.followMessage(ledger.InboxRecord{Kind: ledger.InboxCancel, ID: sub.ID})
+	}
 }
 
 func (o *Owner) add(sub *submission) {
