--- a/run/lives_test.go
+++ b/run/lives_test.go
@@ -25,18 +25,12 @@
 //	11.6055 worker: ended   i-5acae62918  another worker answers at its address
 var livesCases = map[string]func(r *rig){
 	"keeps the present worker when the entry of a former one comes back": func(r *rig) {
-		o := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(o, 0)
-		r.fill(o)
+		o, former, present := r.secondLife(sameAddress)
 		r.relist(o, former)
 		r.keepsAll(present)
 	},
 	"keeps it while it is silent for a moment": func(r *rig) {
-		o := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(o, 0)
-		r.fill(o)
+		o, former, present := r.secondLife(sameAddress)
 		r.fleet.Set(present.ID, func(w *standin.SimWorker) { w.Silent = true })
 		time.Sleep(200 * time.Millisecond)
 		r.relist(o, former)
@@ -45,19 +39,13 @@
 		r.keepsAll(present)
 	},
 	"keeps it while the list of machines is not readable": func(r *rig) {
-		o := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(o, 0)
-		r.fill(o)
+		o, former, present := r.secondLife(sameAddress)
 		r.cloud.SetDown(true)
 		r.relist(o, former)
 		r.keepsAll(present)
 	},
 	"keeps it when its own entry has lapsed meanwhile": func(r *rig) {
-		o := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(o, 0)
-		r.fill(o)
+		o, former, present := r.secondLife(sameAddress)
 		delete(r.list, present.ID)
 		r.relist(o, former)
 		time.Sleep(time.Second)
@@ -83,13 +71,7 @@
 		r.keepsAll(present)
 	},
 	"keeps it when a new owner sees the former entry later": func(r *rig) {
-		a := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(a, 0)
-		r.fill(a)
-		a.Close()
-		b := r.take("b")
-		time.Sleep(settled)
+		b, former, present := r.inheritSecondLife(sameAddress)
 		r.relist(b, former)
 		r.keepsAll(present)
 	},
@@ -110,7 +92,7 @@
 	"starts nothing again that ends on the present worker meanwhile": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(settled)
-		former, present := r.crash(o, 0)
+		former, present := r.crash(o, 0, sameAddress)
 		full := submission("s0", 12)
 		full.Steps[0].MaxPerWorker = 4
 		full.Steps[0].Estimate = time.Minute
@@ -139,7 +121,7 @@
 	"takes no note of an end after it has started the subtask again": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(settled)
-		former, present := r.crash(o, 0)
+		former, present := r.crash(o, 0, sameAddress)
 		s := submission("s1", 4)
 		s.Steps[0].Estimate = 3 * time.Second
 		s.Steps[0].MaxPerWorker = 1
@@ -164,23 +146,52 @@
 // former owner may have used.
 const settled = 7 * time.Second
 
+// sameAddress has the next life of a machine listen where the former one did.
+const sameAddress = ""
+
 func TestLivesOfAMachine(t *testing.T) { playCases(t, livesCases) }
 
 // crash ends a worker, waits until the owner knows that and its entry has gone, and
-// lists the machine's next life.
-func (r *rig) crash(o *run.Owner, n int) (former, present tw.WorkerEntry) {
+// lists the machine's next life, which listens at the same address or at another.
+func (r *rig) crash(o *run.Owner, n int, address string) (former, present tw.WorkerEntry) {
 	former = r.list[workerID(n)]
 	r.fleet.Kill(former.ID)
 	r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineDown})
 	delete(r.list, former.ID)
 	r.feed(o)
 	time.Sleep(2 * time.Second)
-	present = r.reborn(former.ID, "present")
+	present = former
+	present.ID = "present"
+	if address != sameAddress {
+		present.Address = address
+	}
+	r.fleet.Add(present)
+	r.runs(present)
 	r.relist(o, present)
 	time.Sleep(time.Second)
 	return former, present
 }
 
+// secondLife has an owner of whose machines one is in its second life, and subtasks of
+// s1 on all of them.
+func (r *rig) secondLife(address string) (o *run.Owner, former, present tw.WorkerEntry) {
+	o = r.take("a")
+	time.Sleep(settled)
+	former, present = r.crash(o, 0, address)
+	r.fill(o)
+	return o, former, present
+}
+
+// inheritSecondLife does so for the owner after that, which does not know the former
+// life.
+func (r *rig) inheritSecondLife(address string) (o *run.Owner, former, present tw.WorkerEntry) {
+	a, former, present := r.secondLife(address)
+	a.Close()
+	o = r.take("b")
+	time.Sleep(settled)
+	return o, former, present
+}
+
 // fill runs one subtask of s1 on each of four workers, and then adds another on which
 // they could be started again.
 func (r *rig) fill(o *run.Owner) {
--- a/run/proof_test.go
+++ b/run/proof_test.go
@@ -18,13 +18,7 @@
 // answers.
 var proofCases = map[string]func(r *rig){
 	"keeps a worker that answers while the list of machines lags": func(r *rig) {
-		a := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(a, 0)
-		r.fill(a)
-		a.Close()
-		b := r.take("b")
-		time.Sleep(settled)
+		b, former, present := r.inheritSecondLife(sameAddress)
 		r.runs(former) // the list of machines tells of what was a second ago
 		r.relist(b, former)
 		time.Sleep(time.Second)
@@ -32,13 +26,7 @@
 		r.keepsAll(present)
 	},
 	"keeps the present worker when a former one is listed with no machine at first": func(r *rig) {
-		a := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crash(a, 0)
-		r.fill(a)
-		a.Close()
-		b := r.take("b")
-		time.Sleep(settled)
+		b, former, present := r.inheritSecondLife(sameAddress)
 		bare := former
 		bare.Instance, bare.Address = "", ""
 		r.relist(b, bare)
@@ -99,7 +87,7 @@
 	"takes a life for ended for good when it was ordered away or its address is another's": func(r *rig) {
 		a := r.take("a")
 		time.Sleep(settled)
-		former, _ := r.crash(a, 0)
+		former, _ := r.crash(a, 0, sameAddress)
 		a.Close()
 		b := r.take("b")
 		time.Sleep(settled)
@@ -127,7 +115,7 @@
 	"reads no list of machines any more once a former life is known as ended": func(r *rig) {
 		a := r.take("a")
 		time.Sleep(settled)
-		former, _ := r.crash(a, 0)
+		former, _ := r.crash(a, 0, sameAddress)
 		a.Close()
 		b := r.take("b")
 		time.Sleep(settled)
@@ -202,7 +190,7 @@
 	"reads no list of machines any more once the lives of a machine are told apart": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(settled)
-		r.crash(o, 0)
+		r.crash(o, 0, sameAddress)
 		x := r.list[workerID(1)]
 		stray := x
 		stray.ID, stray.Address = "stray", "10.0.0.98:1"
@@ -233,13 +221,7 @@
 		r.Eventually(r.fleet.Starts, 350*time.Millisecond, 10*time.Millisecond).Should(Equal(8))
 	},
 	"keeps a worker that answers while the list of machines names a former life elsewhere": func(r *rig) {
-		a := r.take("a")
-		time.Sleep(settled)
-		former, present := r.crashTo(a, 0, "10.0.0.99:1")
-		r.fill(a)
-		a.Close()
-		b := r.take("b")
-		time.Sleep(settled)
+		b, former, present := r.inheritSecondLife("10.0.0.99:1")
 		r.runs(former) // the list of machines tells of what was a second ago
 		r.relist(b, former)
 		time.Sleep(time.Second)
@@ -297,20 +279,3 @@
 	}
 	r.census = run.CensusConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
 }
-
-// crashTo is crash with the next life at another address.
-func (r *rig) crashTo(o *run.Owner, n int, address string) (former, present tw.WorkerEntry) {
-	former = r.list[workerID(n)]
-	r.fleet.Kill(former.ID)
-	r.cloud.Add(tw.Machine{ID: former.Instance, Pool: pool, State: tw.MachineDown})
-	delete(r.list, former.ID)
-	r.feed(o)
-	time.Sleep(2 * time.Second)
-	present = former
-	present.ID, present.Address = "present", address
-	r.fleet.Add(present)
-	r.runs(present)
-	r.relist(o, present)
-	time.Sleep(time.Second)
-	return former, present
-}
