Failing test: inherited work beside a worker that neither answers nor is silent

A worker that turns away its looks, or whose entry has no address, kept its doubt of a takeover for as long as it was listed.

--- a/run/takeover_test.go
+++ b/run/takeover_test.go
@@ -1,6 +1,7 @@
 package run_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -148,3 +149,57 @@
 }
 
 func TestTakeoverOfEarlyRuns(t *testing.T) { playCases(t, earlyCases) }
+
+// refusingCases are what a new owner does beside a worker that never answers its looks
+// and is never silent either: it turns them away as unhealthy, or its entry has no
+// address. All that a former owner granted there has lapsed 12.3 s after the takeover,
+// but the doubt about it ended with an answer or with silence only, so that inherited
+// work stood still as long as that worker was listed.
+var refusingCases = map[string]func(r *rig){
+	"goes on though a worker turns away its looks": func(r *rig) {
+		r.inherit(800 * time.Millisecond)
+		r.addWorker(9)
+		b := r.open("b", r.kv, &refusingOrders{WorkerOrders: r.fleet, id: workerID(9)})
+		r.eventually(b, "s1", tw.Succeeded, 15*time.Second)
+	},
+	"goes on though one that is listed later does": func(r *rig) {
+		r.inherit(9 * time.Second)
+		b := r.open("b", r.kv, &refusingOrders{WorkerOrders: r.fleet, id: workerID(9)})
+		time.Sleep(7 * time.Second)
+		r.addWorker(9)
+		r.feed(b)
+		r.eventually(b, "s1", tw.Succeeded, 8*time.Second)
+	},
+	"goes on though a worker is listed without an address": func(r *rig) {
+		r.inherit(800 * time.Millisecond)
+		r.list["bare"] = tw.WorkerEntry{ID: "bare", Pool: pool}
+		b := r.take("b")
+		r.eventually(b, "s1", tw.Succeeded, 15*time.Second)
+	},
+}
+
+// inherit leaves s1 to a new owner, with the first of its two steps under way.
+func (r *rig) inherit(first time.Duration) {
+	a := r.take("a")
+	time.Sleep(time.Second)
+	s := submission("s1", 4, 4)
+	s.Steps[0].Estimate = first
+	r.submit(a, s)
+	time.Sleep(500 * time.Millisecond)
+	a.Close()
+}
+
+// refusingOrders has one worker turn away every look, as an unhealthy one does.
+type refusingOrders struct {
+	tw.WorkerOrders
+	id tw.WorkerID
+}
+
+func (f *refusingOrders) Hold(ctx context.Context, to tw.WorkerRef, order tw.HoldOrder) (tw.HoldReport, error) {
+	if to.ID == f.id {
+		return tw.HoldReport{}, &tw.OrderRefused{Reason: tw.RefusedUnhealthy}
+	}
+	return f.WorkerOrders.Hold(ctx, to, order)
+}
+
+func TestTakeoverBesideAWorkerThatRefuses(t *testing.T) { playCases(t, refusingCases) }
