--- a/run/feed.go
+++ b/run/feed.go
@@ -172,7 +172,7 @@
 			o.census.Want(o.now)
 		}
 		if !w.doubtUntil.IsZero() && !o.now.Before(w.doubtUntil) {
-			if !w.listed || w.unanswered > 0 {
+			if !w.listed || w.unanswered > 0 || !w.known {
 				o.expire(w)
 			}
 		}
