--- a/run/submission.go
+++ b/run/submission.go
@@ -26,7 +26,9 @@
 		reps     map[int]*repetition
 		// nextRep is the first repetition that has not been opened yet.
 		nextRep int
-		begun   bool
+		// early: some of reps may be; each step of the loop asks for it.
+		early bool
+		begun bool
 		// ending is the final state that is to be recorded, final the one
 		// that is recorded.
 		ending  tw.SubmissionState
@@ -152,29 +154,27 @@
 		s.openRepetition(s.nextRep, due)
 		if rep := s.reps[s.nextRep]; rep != nil {
 			rep.early = due.After(now)
+			s.early = s.early || rep.early
 		}
 		s.nextRep++
 	}
 }
 
 // waits tells whether a repetition is still to come or to begin.
-func (s *submission) waits() bool {
-	for _, rep := range s.reps {
-		if rep.early {
-			return true
-		}
-	}
-	return s.nextRep < s.Repetitions()
-}
+func (s *submission) waits() bool { return s.early || s.nextRep < s.Repetitions() }
 
 // beginDue lets the repetitions begin that were opened early and are due now. It returns
 // when the next one is.
 func (s *submission) beginDue(now time.Time) (begun bool, next time.Time) {
+	if !s.early {
+		return false, time.Time{}
+	}
+	s.early = false
 	for _, rep := range s.reps {
 		switch {
 		case !rep.early:
 		case now.Before(rep.due):
-			next = earlier(rep.due, next)
+			s.early, next = true, earlier(rep.due, next)
 		default:
 			rep.early, begun = false, true
 		}
