Failing test: two tables that tell each other of a daemon's former life for good

A daemon's clock went back over its restart. Each table takes the life with the lower number once the other one is down there, and gives that up again for hearsay of the former life from a table where it is not down yet. It counts as heard anew then, and so they go on.

--- a/control/parts_test.go
+++ b/control/parts_test.go
@@ -111,6 +111,38 @@
 		Expect(t.live(all)[0].Incarnation).To(Equal(tw.Incarnation(8)))
 	})
 
+	// Hearsay of the former life came back from the other table each time, as news.
+	It("agrees with another table on a life with a lower number", func() {
+		clock := fakeclock.New()
+		all := func(tw.Member) bool { return true }
+		one, two := newMembers(clock, "", time.Second), newMembers(clock, "", time.Second)
+		former := tw.Member{ID: "a", Incarnation: 9, Beat: 1}
+		one.hear(former, true)
+		clock.Advance(500 * time.Millisecond)
+		two.hear(former, true)
+		beat := uint64(0)
+		exchange := func() {
+			clock.Advance(100 * time.Millisecond)
+			beat++
+			one.hear(tw.Member{ID: "a", Incarnation: 8, Beat: beat}, true)
+			two.hear(tw.Member{ID: "a", Incarnation: 8, Beat: beat}, true)
+			for _, m := range one.freshest(1, all) {
+				two.hear(m, false)
+			}
+			for _, m := range two.freshest(1, all) {
+				one.hear(m, false)
+			}
+		}
+		for range 50 {
+			exchange()
+		}
+		for range 50 {
+			exchange()
+			Expect(one.live(all)).To(ConsistOf(HaveField("Incarnation", tw.Incarnation(8))))
+			Expect(two.live(all)).To(ConsistOf(HaveField("Incarnation", tw.Incarnation(8))))
+		}
+	})
+
 	It("counts a silent daemon as down", func() {
 		clock := fakeclock.New()
 		t := newMembers(clock, "", time.Second)
