--- a/control/members.go
+++ b/control/members.go
@@ -27,6 +27,8 @@
 		// learned is when this daemon registered and found it in the roster;
 		// zero once it was heard.
 		learned time.Time
+		// former is the highest number of an earlier life, if this life has a lower one.
+		former tw.Incarnation
 	}
 )
 
@@ -45,11 +47,17 @@
 	if known && m.Incarnation < old.Incarnation && !(direct && t.down(old)) {
 		return
 	}
+	if !direct && m.Incarnation > old.Incarnation && m.Incarnation <= old.former {
+		return // others may not know yet that it is down
+	}
 	same := known && m.Incarnation == old.Incarnation
 	if same && (m.Beat < old.Beat || m.Beat == old.Beat && !direct) {
 		return
 	}
 	next := heardMember{Member: m, heard: t.clock.Now()}
+	if former := max(old.former, old.Incarnation); former > m.Incarnation {
+		next.former = former
+	}
 	if !direct {
 		next.Report = nil
 	}
