--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -107,8 +107,10 @@
 }
 
 // drain says that a worker is leaving.
-func (r *rig) drain(o *run.Owner, n int) {
-	entry := r.list[workerID(n)]
+func (r *rig) drain(o *run.Owner, n int) { r.drainWorker(o, workerID(n)) }
+
+func (r *rig) drainWorker(o *run.Owner, id tw.WorkerID) {
+	entry := r.list[id]
 	entry.Draining = true
 	r.list[entry.ID] = entry
 	r.feed(o)
