Cancel in the inbox at a takeover: failing test

Load reads the messages of the inbox and keeps those of submissions alone, so that a new owner starts what the callers were told is cancelled, until its watch of the inbox has answered. Red on this code.

--- a/run/inbox_test.go
+++ b/run/inbox_test.go
@@ -45,6 +45,28 @@
 		r.kv.SetFaults(standin.KVFaults{})
 		r.eventually(o, "s1", tw.Succeeded, 5*time.Second)
 	},
+	// A daemon that did not reach the owner had left the cancel in the inbox and had
+	// answered it. The next owner knew the submission from the store, started it, and
+	// read the inbox only then. In three plays with real processes whose connections fell
+	// silent there were 3, 1 and 2 such starts; one of them ran to its end, so that what
+	// had been cancelled was recorded as succeeded:
+	//
+	//	460.926  submission: kept without the owner
+	//	462.625  owner: taken                 fence 5
+	//	462.655  run: ordered                 fence 5
+	//	462.746  watch: store answers         the inbox
+	//	462.749  submission: ends             cancelled, asked by the caller
+	"starts nothing whose cancel is in the inbox when it takes over": func(r *rig) {
+		r.take("a").Close()
+		r.leave(submission("s1", 2))
+		_, err := r.kv.Commit(r.ctx, ledger.AskCancel(pool, "s1"))
+		r.Expect(err).NotTo(HaveOccurred())
+		b := r.take("b")
+		time.Sleep(500 * time.Millisecond) // the inbox is read so much later
+		b.Inbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: "s1"})
+		r.eventually(b, "s1", tw.Cancelled, 5*time.Second)
+		r.Expect(r.fleet.Starts()).To(BeZero())
+	},
 	"goes on trying to read what another daemon has kept": func(r *rig) {
 		kv := &blindKV{KV: r.kv}
 		o := r.open("a", kv, r.fleet)
