--- a/run/inbox_test.go
+++ b/run/inbox_test.go
@@ -47,9 +47,15 @@
 	},
 	// A daemon that did not reach the owner had left the cancel in the inbox and had
 	// answered it. The next owner knew the submission from the store, started it, and
-	// read the inbox only then: of three runs with real processes each had one to three
-	// such starts, and one of them ran to its end, so that what had been cancelled was
-	// shown as completed.
+	// read the inbox only then. In three plays with real processes whose connections fell
+	// silent there were 3, 1 and 2 such starts; one of them ran to its end, so that what
+	// had been cancelled was recorded as succeeded:
+	//
+	//	460.926  submission: kept without the owner
+	//	462.625  owner: taken                 fence 5
+	//	462.655  run: ordered                 fence 5
+	//	462.746  watch: store answers         the inbox
+	//	462.749  submission: ends             cancelled, asked by the caller
 	"starts nothing whose cancel is in the inbox when it takes over": func(r *rig) {
 		r.take("a").Close()
 		r.leave(submission("s1", 2))
