--- a/run/lives.go
+++ b/run/lives.go
@@ -12,9 +12,9 @@
 // A machine runs one life of a worker at a time. Which of those that are known is
 // the present one is never told by the order in which entries come: a write may be
 // held up by a cut, and an entry that lapsed may be written once more. What proves
-// that a life has ended is the word of another one at its address, the platform's
-// list of machines if it was asked for after the doubt began, or an answered order
-// that took the machine away.
+// that a life has ended is the word of another one at its address, an answered order
+// that took the machine away, or silence together with the platform's list of machines,
+// if that was asked for after the doubt began.
 
 // endedKept is how long a life that has ended is remembered after its entry was last
 // seen: entries of former lives came back 4 to 5 s after their machine was known as
