--- a/run/owner.go
+++ b/run/owner.go
@@ -206,9 +206,9 @@
 func (o *Owner) open(sub *submission) { o.openBelow(sub, 0) }
 
 // openBelow opens what is due, and the repetitions below a number in any case.
-func (o *Owner) openBelow(sub *submission, early int) {
+func (o *Owner) openBelow(sub *submission, below int) {
 	begun := sub.begun
-	sub.openDue(o.clock.Now(), early)
+	sub.openDue(o.clock.Now(), below)
 	if sub.waits() {
 		o.timed[sub.ID] = sub
 	} else {
--- a/run/submission.go
+++ b/run/submission.go
@@ -139,13 +139,13 @@
 	return sub
 }
 
-// openDue opens the repetitions that are due, and those below early in any case.
+// openDue opens the repetitions that are due, and those below a number in any case.
 // What has no time of its own is due at once, whatever the accepting daemon's time
 // of day was.
-func (s *submission) openDue(now time.Time, early int) {
+func (s *submission) openDue(now time.Time, below int) {
 	for s.nextRep < s.Repetitions() {
 		due := s.Due(s.nextRep)
-		if due.After(now) && s.Timed() && s.nextRep >= early {
+		if due.After(now) && s.Timed() && s.nextRep >= below {
 			return
 		}
 		if due.After(now) && !s.Timed() {
