Failing test: a start on an idle former worker while the list of machines is not readable

The entry of the machine's next life is known, but the former worker is not looked at, as nothing runs there, and takes new work until that was not answered: one subtask of four waits until its grant has lapsed.

--- a/run/lives_test.go
+++ b/run/lives_test.go
@@ -107,6 +107,20 @@
 		r.fill(o)
 		r.keepsAll(present)
 	},
+	"gives an idle former worker nothing while the list of machines is not readable": func(r *rig) {
+		o := r.take("a")
+		time.Sleep(settled)
+		former := r.list[workerID(0)]
+		r.cloud.SetDown(true)
+		r.fleet.Kill(former.ID)
+		present := former
+		present.ID, present.Address = "present", "10.0.0.99:1"
+		r.fleet.Add(present)
+		r.relist(o, present)
+		time.Sleep(time.Second)
+		r.submit(o, lasting("s1", 4))
+		r.Eventually(r.fleet.Starts, time.Second).Should(Equal(4))
+	},
 	"starts nothing again that ends on the present worker meanwhile": func(r *rig) {
 		o := r.take("a")
 		time.Sleep(settled)
