--- a/run/lives.go
+++ b/run/lives.go
@@ -114,6 +114,11 @@
 // worker's life has ended.
 func (w *worker) checking() bool { return w.checkFor.After(w.clockAt) }
 
+// questioned tells whether a look is to show that a worker lives. One on which nothing
+// runs isn't looked at otherwise, and would get new work although its machine's next life
+// is known.
+func (w *worker) questioned() bool { return w.checking() || w.rivalFrom.After(w.lookedAt) }
+
 // endBy is why a worker's life has ended by a list of machines; empty if it has not, or
 // if the list does not tell. A worker that has answered since the list was asked for
 // lives on.
--- a/run/look.go
+++ b/run/look.go
@@ -40,7 +40,7 @@
 // lookDue tells whether and when a worker is to be looked at next, and whether
 // the look may wait for an end to report.
 func (o *Owner) lookDue(w *worker) (at time.Time, mayWait, wanted bool) {
-	if w.unanswered > 0 || !w.known || w.checking() {
+	if w.unanswered > 0 || !w.known || w.questioned() {
 		return w.nextLook, false, true
 	}
 	if len(w.runs) == 0 {
@@ -105,7 +105,7 @@
 	o.metrics.looks.Inc()
 	session := w.session
 	limit := time.Duration(0)
-	if w.known && w.checking() {
+	if w.known && w.questioned() {
 		limit = o.patience.limit(o.now)
 	}
 	session.looks <- lookOrder{hold: hold, seq: o.lookSeq, limit: limit, done: func(result lookResult) {
