--- a/control/members.go
+++ b/control/members.go
@@ -109,9 +109,12 @@
 // found in the roster when this one registered, until they are heard or count as
 // down. A daemon that did not ask these either granted keys that they held.
 func (t *members) holders(keep func(tw.Member) bool) []tw.Member {
-	out := t.live(keep)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var out []tw.Member
+	for _, m := range t.heardOfLate(keep) {
+		out = append(out, m.Member)
+	}
 	for _, m := range t.table {
 		if !m.learned.IsZero() && t.clock.Now().Sub(m.learned) <= t.patienceWith(m.Member) && keep(m.Member) {
 			out = append(out, m.Member)
