Log each run that goes with its worker, and how long after its start

Which of the subtasks on a worker that ended are to blame could only be put together from the orders before: the line tells a subtask that brings its workers down from one that is unlucky.

--- a/run/start.go
+++ b/run/start.go
@@ -202,6 +202,9 @@
 	t := r.task
 	t.drop(r)
 	t.endedAt, t.lostAt = o.now, o.now
+	o.log.Info("run: gone", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
+		zap.String("worker", string(r.w.entry.ID)), zap.String("why", why), zap.Stringer("phase", r.phase),
+		zap.Duration("since_start", o.now.Sub(r.startedAt)), r.w.answerAge(o.now))
 	o.writer.confirmAfter(o.now)
 	o.placeSoon = true
 	if t.step.spec.Gang {
