Failing test: a subtask that brings down worker after worker

The stand-in's workers can crash under a subtask, and note a fourth promise: no third start after the third crash.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -14,7 +14,9 @@
 		Need     tw.Resources
 		Duration time.Duration
 		// Fails is whether each run fails at its end.
-		Fails   bool
+		Fails bool
+		// Crashes is whether each run brings its worker down soon after its start.
+		Crashes bool
 		Lasting bool
 		Copies  bool
 		// Serves users of its own, Fills takes what others leave and disturbs
@@ -52,8 +54,11 @@
 		// which the caller has confirmed that end.
 		done, noted map[tw.SubtaskID]bool
 		failed      map[tw.SubtaskID]int
-		broken      []string
-		starts      int
+		crashes     map[tw.SubtaskID]crashCount
+		// crashed are workers that a run has brought down since Crashed was called.
+		crashed []tw.WorkerEntry
+		broken  []string
+		starts  int
 		// begun are the submissions of which anything was ever started.
 		begun map[tw.SubmissionID]bool
 	}
@@ -90,6 +95,14 @@
 		late    []tw.StartOrder
 		changed chan struct{}
 		dead    bool
+		// reset: it is dead, and its address refuses connections; else it is silent.
+		reset bool
+	}
+
+	// crashCount is what became of the runs of a subtask that crashes its workers.
+	crashCount struct {
+		workers int // that have crashed under it
+		starts  int // after the last crash that its promise is about
 	}
 
 	simRun struct {
@@ -109,7 +122,7 @@
 	return &Fleet{
 		config: c, workers: map[tw.WorkerID]*SimWorker{}, profiles: map[tw.SubtaskID]Profile{},
 		done: map[tw.SubtaskID]bool{}, noted: map[tw.SubtaskID]bool{}, failed: map[tw.SubtaskID]int{},
-		begun: map[tw.SubmissionID]bool{},
+		begun: map[tw.SubmissionID]bool{}, crashes: map[tw.SubtaskID]crashCount{},
 	}
 }
 
@@ -141,6 +154,11 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	f.settle(w)
+	w.end()
+}
+
+// end ends a worker's life.
+func (w *SimWorker) end() {
 	w.dead = true
 	w.runs = map[tw.SubtaskID]*simRun{}
 	w.late = nil
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -57,6 +57,9 @@
 	f.starts++
 	f.begun[order.Subtask.Submission] = true
 	w.wake()
+	if profile.Crashes {
+		f.crashSoon(w, order.Subtask)
+	}
 	return now, nil
 }
 
@@ -197,7 +200,11 @@
 	if !w.Silent && !w.dead {
 		return w, nil
 	}
+	reset := w.reset
 	f.mu.Unlock()
+	if reset {
+		return nil, errors.Wrap(tw.ErrUnclear, "standin: connection reset")
+	}
 	select {
 	case <-f.config.Clock.After(silence):
 	case <-ctx.Done():
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -40,6 +40,16 @@
 	books  int
 	// read counts how often an owner wanted the list of workers read anew.
 	read int
+	// reboots are the machines whose workers have crashed, booted counts those that
+	// run a worker again.
+	reboots []reboot
+	booted  int
+}
+
+// reboot is when a machine runs a worker again.
+type reboot struct {
+	entry tw.WorkerEntry
+	at    time.Time
 }
 
 func newRig(t *testing.T, workers int) *rig {
