Give up a subtask that brings its workers down, and try suspects apart

Cause: what a subtask does to its workers was remembered nowhere. Ruled out: workers that end for reasons of their own (the named runs ended 0 to 10 ms after they began, on six of six workers), and counts lost by takeovers (there was none to lose).

Change: a worker that ends unplanned counts against the runs that it has not outlasted by 0.25 s of its own clock. The count is recorded before the next start, and goes back to nothing once a worker outlasts a run. Who has a count is tried apart: the suspects of one step on a worker where nothing else was started of late, which gets no new work until they are cleared.

--- a/ledger/records.go
+++ b/ledger/records.go
@@ -82,6 +82,9 @@
 		// Failures are the runs that failed, so that none counts twice.
 		Failures map[int][]tw.RunNumber `json:"failures,omitempty"`
 		Saved    map[int]tw.Checkpoint  `json:"saved,omitempty"`
+		// Crashes counts the workers in a row that have ended soon after a subtask was
+		// started there.
+		Crashes map[int]int `json:"crashes,omitempty"`
 	}
 
 	// WaveProgress is what has come of a maintenance wave.
--- a/run/end.go
+++ b/run/end.go
@@ -47,6 +47,7 @@
 	case tw.EndDone:
 		o.taskDone(t, e.Run)
 	case tw.EndFailed:
+		o.exonerate(t)
 		o.taskFailed(w, t, e.Run)
 	default:
 		o.taskInterrupted(t, e)
--- a/run/feed.go
+++ b/run/feed.go
@@ -33,7 +33,7 @@
 	o.setVacate(machines)
 	for _, id := range d.Gone {
 		if w := o.workers[id]; w != nil {
-			o.bury(w, "its machine was ordered away")
+			o.bury(w, orderedAway)
 		}
 		o.noteEnded(id) // also if it was not known here
 	}
@@ -204,6 +204,7 @@
 		zap.Duration("silent", o.now.Sub(w.silentFrom)), zap.Int("runs", len(w.runs)))
 	w.inheritedDoubt = false
 	w.known = false // it must be looked at before it is used again
+	o.blame(w)
 	for _, r := range w.runs {
 		o.runGone(r, "lapsed on a silent worker")
 	}
--- a/run/lives.go
+++ b/run/lives.go
@@ -25,6 +25,18 @@
 // it acts on lists of up to a second, and asks for reports several times a second.
 const endedShown = 3 * time.Second
 
+// lifeEnd is why a worker's life has ended; planned: what ran there has not brought it
+// down. The zero value says that it has not ended.
+type lifeEnd struct {
+	why     string
+	planned bool
+}
+
+var (
+	orderedAway = lifeEnd{why: "its machine was ordered away", planned: true}
+	replaced    = lifeEnd{why: "another worker answers at its address"}
+)
+
 // endedLife is a worker's life that has ended: when that was known, and when its entry
 // was last seen.
 type endedLife struct{ since, seen time.Time }
@@ -86,13 +98,13 @@
 		o.addUnlisted(list)
 	}
 	for _, w := range o.workers {
-		why := o.endBy(list, w)
+		end := o.endBy(list, w)
 		switch {
-		case why == "":
+		case end == lifeEnd{}:
 		case w.silentFrom.IsZero() && w.entry.Address != "":
 			o.check(w, list)
 		default:
-			o.bury(w, why)
+			o.bury(w, end)
 		}
 	}
 }
@@ -119,28 +131,30 @@
 // is known.
 func (w *worker) questioned() bool { return w.checking() || w.rivalFrom.After(w.lookedAt) }
 
-// endBy is why a worker's life has ended by a list of machines; empty if it has not, or
+// endBy is why a worker's life has ended by a list of machines; zero if it has not, or
 // if the list does not tell. A worker that has answered since the list was asked for
 // lives on.
-func (o *Owner) endBy(list *MachineList, w *worker) string {
+func (o *Owner) endBy(list *MachineList, w *worker) lifeEnd {
 	from := w.doubtFrom()
 	if w.entry.Instance == "" || from.IsZero() || !list.Asked.After(from) || w.clockAt.After(list.Asked) {
-		return ""
+		return lifeEnd{}
 	}
 	machine, found := list.Machines[w.entry.Instance]
 	if !found {
-		return "its machine has left"
+		return lifeEnd{why: "its machine has left"}
 	}
 	switch machine.State {
-	case tw.MachineMoving, tw.MachineMaintenance, tw.MachineDown:
-		return "its machine is " + string(machine.State)
+	case tw.MachineMoving, tw.MachineMaintenance:
+		return lifeEnd{why: "its machine is " + string(machine.State), planned: true}
+	case tw.MachineDown:
+		return lifeEnd{why: "its machine is " + string(machine.State)}
 	case tw.MachineUp:
 		_, former := o.ended[machine.Worker]
 		if machine.Worker != "" && machine.Worker != w.entry.ID && !former {
-			return "its machine runs another worker"
+			return lifeEnd{why: "its machine runs another worker"}
 		}
 	}
-	return ""
+	return lifeEnd{}
 }
 
 // addUnlisted adds the workers of the pool that run without an entry in the
@@ -164,9 +178,12 @@
 }
 
 // bury drops a worker whose life has certainly ended, with all that ran there.
-func (o *Owner) bury(w *worker, why string) {
+func (o *Owner) bury(w *worker, end lifeEnd) {
 	o.noteEnded(w.entry.ID) // its entry must not be taken for a new worker
-	o.forget(w, why)
+	o.forget(w, end.why)
+	if !end.planned {
+		o.blame(w)
+	}
 	for _, r := range w.runs {
 		o.runGone(r, "its worker has ended")
 	}
--- a/run/look.go
+++ b/run/look.go
@@ -70,6 +70,9 @@
 
 // lookWait is shorter where tails are to be watched or a run is overdue.
 func (o *Owner) lookWait(w *worker) time.Duration {
+	if w.tally.trials > 0 {
+		return min(max(0, w.trialDue().Sub(o.now)), closeLook)
+	}
 	serving, fillers := false, false
 	for _, r := range w.runs {
 		if r.phase == unclear || r.phase == blocked {
@@ -140,6 +143,7 @@
 	}
 	o.takeEnds(w, result.report.Ended)
 	o.takeRunning(w, result)
+	o.exonerateOn(w)
 	if first {
 		o.log.Info("worker: answers", zap.String("worker", string(w.entry.ID)),
 			zap.Int("running", len(result.report.Running)), zap.Int("ended", len(result.report.Ended)))
@@ -167,7 +171,7 @@
 func (o *Owner) lookFailed(w *worker, err error) {
 	switch {
 	case tw.RefusedFor(err, tw.RefusedLife):
-		o.bury(w, "another worker answers at its address")
+		o.bury(w, replaced)
 		return
 	case tw.RefusedFor(err, tw.RefusedFence):
 		o.depose("a worker has a newer owner")
@@ -210,7 +214,7 @@
 		if r == nil {
 			r = o.adopt(w, running)
 		}
-		o.takeProgress(r, running)
+		o.takeProgress(r, running, result.report.Clock)
 	}
 	if full(result.report) {
 		return
@@ -243,6 +247,8 @@
 		r.claim = t.step.spec.Claim()
 	}
 	r.task = t
+	r.sent.Store(true)
+	r.trial = t.suspect()
 	t.runs = append(t.runs, r)
 	w.add(r)
 	sub := t.step.rep.sub
@@ -274,7 +280,8 @@
 	return &task{id: id, step: st}
 }
 
-func (o *Owner) takeProgress(r *runState, running tw.RunningSubtask) {
+func (o *Owner) takeProgress(r *runState, running tw.RunningSubtask, clock tw.WorkerClock) {
+	r.seen(clock)
 	if r.phase == starting || r.phase == unclear {
 		o.confirmStart(r)
 	}
--- a/run/place.go
+++ b/run/place.go
@@ -63,18 +63,33 @@
 		return
 	}
 	began := o.clock.Now()
-	groups := o.groups()
-	if len(groups) == 0 {
+	groups, trials := o.groups()
+	if len(groups)+len(trials) == 0 {
 		return
 	}
 	offers := make([]*schedule.Worker, 0, len(o.workers))
 	for _, w := range o.sorted() {
-		if w.usable(o.now) && !w.leaving {
+		if w.usable(o.now) && !w.leaving && w.tally.trials == 0 {
 			offers = append(offers, w.offer())
 		}
 	}
+	offers = o.placeTrials(trials, offers)
 	placements := schedule.Place(groups, offers)
 	o.logWaiting(groups, offers, placements)
+	o.startPlaced(placements)
+	o.preempt(groups, offers, placements)
+	if len(trials) > 0 {
+		// What is left of them is tried as soon as a worker is quiet.
+		o.preemptAt = earlier(o.now.Add(trialRetry), o.preemptAt)
+	}
+	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
+}
+
+// trialRetry is the pause between placement passes while suspects wait.
+const trialRetry = 50 * time.Millisecond
+
+// startPlaced orders what was placed to be started.
+func (o *Owner) startPlaced(placements []schedule.Placement) {
 	gangRuns := map[*step]tw.RunNumber{}
 	for _, p := range placements {
 		t := o.submissions[p.Subtask.Submission].task(p.Subtask)
@@ -88,8 +103,6 @@
 		}
 		o.start(t, w, run, o.advisor.ticket(t.step, w.entry.ID))
 	}
-	o.preempt(groups, offers, placements)
-	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
 // sorted are the workers in about the order in which placement wants them, so that
@@ -140,9 +153,9 @@
 	waitLogEvery = time.Second
 )
 
-// groups gathers the subtasks that wait for a worker, by step.
-func (o *Owner) groups() []*schedule.Group {
-	var out []*schedule.Group
+// groups gathers the subtasks that wait for a worker, by step, and apart from them the
+// suspects that are to be tried alone.
+func (o *Owner) groups() (groups, trials []*schedule.Group) {
 	blocked := o.inheritedDoubts()
 	for _, sub := range o.live {
 		if sub.over() || sub.held || sub.inherited && blocked {
@@ -150,14 +163,14 @@
 		}
 		for _, rep := range sub.reps {
 			if !rep.early {
-				out = o.groupsOf(rep, out)
+				groups, trials = o.groupsOf(rep, groups, trials)
 			}
 		}
 	}
-	return out
+	return groups, trials
 }
 
-func (o *Owner) groupsOf(rep *repetition, out []*schedule.Group) []*schedule.Group {
+func (o *Owner) groupsOf(rep *repetition, groups, trials []*schedule.Group) (_, _ []*schedule.Group) {
 	var rest []time.Duration
 	for _, st := range rep.steps {
 		if st.done == st.spec.Count || !st.ready() {
@@ -166,7 +179,7 @@
 		if st.readyAt.IsZero() {
 			st.readyAt = o.now
 		}
-		g := o.group(st)
+		g, suspects := o.group(st)
 		if g == nil {
 			continue
 		}
@@ -174,21 +187,31 @@
 			rest = o.chain(rep)
 		}
 		g.Urgency = o.urgency(st, rest[st.index])
-		out = append(out, g)
+		if len(suspects) > 0 {
+			trial := *g
+			trial.Subtasks = suspects
+			trials = append(trials, &trial)
+		}
+		if len(g.Subtasks) > 0 {
+			groups = append(groups, g)
+		}
 	}
-	return out
+	return groups, trials
 }
 
-// group is the step's waiting subtasks, or nil.
-func (o *Owner) group(st *step) *schedule.Group {
-	g := &schedule.Group{Step: st.spec}
+// group is the step's waiting subtasks, or nil. Those that are to be tried alone are not
+// in it.
+func (o *Owner) group(st *step) (g *schedule.Group, suspects []tw.SubtaskID) {
+	g = &schedule.Group{Step: st.spec}
 	if st.spec.MaxPerWorker > 0 {
 		g.OnWorker = st.onWorkers()
 	}
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
-		case !t.active() && !o.writer.confirmed.After(t.lostAt):
+		case !t.active() && (!o.writer.confirmed.After(t.lostAt) || !t.recorded()):
+		case !t.active() && o.awaitsTrial(t):
+			suspects = append(suspects, t.id)
 		case !t.active():
 			g.Subtasks = append(g.Subtasks, t.id)
 			o.avoidLast(g, t)
@@ -197,20 +220,20 @@
 			g.Avoid = avoiding(g.Avoid, t.id.Index, t.runs[0].w.entry.ID)
 		}
 	}
-	if len(g.Subtasks) == 0 {
-		return nil
+	if len(g.Subtasks)+len(suspects) == 0 {
+		return nil, nil
 	}
 	if st.spec.Gang && len(g.Subtasks) < st.spec.Count {
-		return nil // members of the last run are still to end
+		return nil, nil // members of the last run are still to end
 	}
 	if st.rep.sub.Policy.Advice.Asks() {
 		allowed, known := o.advisor.allowed(st)
 		if !known {
-			return nil
+			return nil, nil
 		}
 		g.Allowed = allowed
 	}
-	return g
+	return g, suspects
 }
 
 // onWorkers counts the step's runs by worker.
@@ -243,7 +266,7 @@
 
 // wantsCopy tells whether a second run of a subtask is worth its cost.
 func (o *Owner) wantsCopy(t *task) bool {
-	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 {
+	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 || t.suspect() {
 		return false
 	}
 	r := t.runs[0]
--- a/run/start.go
+++ b/run/start.go
@@ -24,7 +24,7 @@
 func (o *Owner) start(t *task, w *worker, run tw.RunNumber, ticket string) {
 	r := &runState{
 		task: t, run: run, w: w, phase: starting, claim: t.step.spec.Claim(),
-		startedAt: o.now, movedAt: o.now, pace: fullPace,
+		startedAt: o.now, movedAt: o.now, pace: fullPace, trial: t.suspect(),
 	}
 	sub := t.step.rep.sub
 	order := tw.StartOrder{
@@ -34,16 +34,23 @@
 	decided := o.now
 	sent := w.session.give(workOrder{
 		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
-		send:  func(ctx context.Context) (tw.WorkerClock, error) { return o.orders.Start(ctx, w.session.ref, order) },
-		done:  func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
+		send: func(ctx context.Context) (tw.WorkerClock, error) {
+			r.sent.Store(true)
+			return o.orders.Start(ctx, w.session.ref, order)
+		},
+		done: func(clock tw.WorkerClock, err error) { o.startAnswered(r, clock, err) },
 	})
 	if !sent {
 		o.metrics.started("queue full")
 		return
 	}
 	w.doubtUntil = o.now.Add(o.holdBound())
+	t.trialFrom = time.Time{}
 	t.runs = append(t.runs, r)
 	w.add(r)
+	if r.trial {
+		w.session.interrupt() // a look that waits would tell late that it is outlasted
+	}
 	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(run)),
 		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
 		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
@@ -74,6 +81,7 @@
 	case err == nil:
 		o.metrics.started("started")
 		w.heard(o.now, clock)
+		r.seen(clock)
 		o.confirmStart(r)
 	case errors.As(err, &refused):
 		o.startRefused(r, refused)
@@ -123,6 +131,7 @@
 // startRefused handles an order that the worker surely did not carry out.
 func (o *Owner) startRefused(r *runState, refused *tw.OrderRefused) {
 	w := r.w
+	r.sent.Store(false) // so it is not what ended the worker
 	o.metrics.started(string(refused.Reason))
 	o.logStart(r, refused)
 	w.heard(o.now, refused.Clock)
@@ -131,7 +140,7 @@
 		o.depose("a worker has a newer owner")
 		return
 	case tw.RefusedLife:
-		o.bury(w, "another worker answers at its address")
+		o.bury(w, replaced)
 		return
 	case tw.RefusedRoom, tw.RefusedUnhealthy:
 		w.roomFrom = o.now.Add(roomPause)
@@ -180,7 +189,7 @@
 	case tw.RefusedFor(err, tw.RefusedFence):
 		o.depose("a worker has a newer owner")
 	case tw.RefusedFor(err, tw.RefusedLife):
-		o.bury(w, "another worker answers at its address")
+		o.bury(w, replaced)
 	default:
 		var refused *tw.OrderRefused
 		if !errors.As(err, &refused) {
--- a/run/submission.go
+++ b/run/submission.go
@@ -26,6 +26,8 @@
 		reps     map[int]*repetition
 		// nextRep is the first repetition that has not been opened yet.
 		nextRep int
+		// recordedAt is when the last write of its progress that was done was sent.
+		recordedAt time.Time
 		// early: some of reps may be; each step of the loop asks for it.
 		early bool
 		begun bool
@@ -72,7 +74,11 @@
 		step     *step
 		done     bool
 		failures map[tw.RunNumber]bool
-		saved    tw.Checkpoint
+		// crashes are the workers in a row that have ended soon after it was started.
+		crashes int
+		// trialFrom is since when it could have been tried apart from other work.
+		trialFrom time.Time
+		saved     tw.Checkpoint
 		// runs are those that may exist on a worker.
 		runs []*runState
 		// lastWorker is where it failed last.
@@ -107,8 +113,12 @@
 		orderedAt time.Time
 		// why the run was told to stop.
 		why string
-		// withdrawn: its start must not be sent any more.
-		withdrawn atomic.Bool
+		// withdrawn: its start must not be sent any more; sent: it was.
+		withdrawn, sent atomic.Bool
+		// seenFrom is the worker's clock when it first told of the run; zero before.
+		seenFrom tw.WorkerClock
+		// trial: its subtask is a suspect, and the worker has not outlasted it yet.
+		trial bool
 	}
 )
 
@@ -240,6 +250,7 @@
 	for _, run := range recorded.Failures[t.id.Index] {
 		t.fail(run)
 	}
+	t.crashes = recorded.Crashes[t.id.Index]
 	t.saved = recorded.Saved[t.id.Index]
 }
 
--- /dev/null
+++ b/run/trial.go
@@ -0,0 +1,109 @@
+package run
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+// trialPatience is how long a suspect waits for a worker that is quiet and has room for
+// it; then it takes its turn with all other work.
+const trialPatience = 1500 * time.Millisecond
+
+// awaitsTrial tells whether a subtask is to be tried apart from other work. The members of
+// a gang have to be started together.
+func (o *Owner) awaitsTrial(t *task) bool {
+	return t.suspect() && !t.step.spec.Gang && (t.trialFrom.IsZero() || o.now.Sub(t.trialFrom) < trialPatience)
+}
+
+// recorded tells whether what is known of a suspect is in the store. Before that it must
+// not be started again: the next owner would count too few.
+func (t *task) recorded() bool {
+	return !t.suspect() || !t.step.rep.sub.recordedAt.Before(t.lostAt)
+}
+
+// placeTrials starts suspects, each step's on a worker where nothing else was started of
+// late, so that its end tells who caused it, and where little would end with it. It
+// returns the offers that are left for other work: a worker has the suspects of one step
+// at a time, and gets no new work until they are cleared. Where no worker is quiet, the
+// one that soonest will be gets none either.
+func (o *Owner) placeTrials(trials []*schedule.Group, offers []*schedule.Worker) []*schedule.Worker {
+	if len(trials) == 0 || len(offers) == 0 {
+		return offers
+	}
+	slices.SortStableFunc(trials, schedule.CompareUrgency)
+	quiet := make(map[tw.WorkerID]time.Time, len(offers))
+	for _, offer := range offers {
+		quiet[offer.ID] = o.workers[offer.ID].quietFrom(o.now)
+	}
+	offers = slices.Clone(offers)
+	slices.SortStableFunc(offers, func(a, b *schedule.Worker) int {
+		return cmp.Or(quiet[a.ID].Compare(quiet[b.ID]), o.workers[a.ID].compareHarm(o.workers[b.ID]))
+	})
+	for _, g := range trials {
+		o.noteTrials(g)
+		for len(g.Subtasks) > 0 {
+			taken, placed := o.placeTrial(g, offers, quiet)
+			if taken < 0 {
+				break
+			}
+			offers = slices.Delete(offers, taken, taken+1)
+			g.Subtasks = g.Subtasks[placed:]
+			if placed == 0 {
+				break
+			}
+		}
+	}
+	return offers
+}
+
+// noteTrials notes since when subtasks could have been tried.
+func (o *Owner) noteTrials(g *schedule.Group) {
+	for _, id := range g.Subtasks {
+		if t := o.submissions[id.Submission].task(id); t.trialFrom.IsZero() {
+			t.trialFrom = o.now
+		}
+	}
+}
+
+// placeTrial starts as many of a step's suspects as the first worker takes that may run
+// them, or none if that worker has to become quiet first. taken is the worker's index,
+// below 0 if there is none.
+func (o *Owner) placeTrial(g *schedule.Group, offers []*schedule.Worker, quiet map[tw.WorkerID]time.Time) (taken, placed int) {
+	for i, offer := range offers {
+		one := offers[i : i+1]
+		if quiet[offer.ID].After(o.now) {
+			if fits, full := g.Count(one); fits == 0 || full > 0 {
+				continue
+			}
+			return i, 0
+		}
+		placements := schedule.Place([]*schedule.Group{g}, one)
+		if len(placements) > 0 {
+			o.startPlaced(placements)
+			return i, len(placements)
+		}
+	}
+	return -1, 0
+}
+
+// quietFrom is when nothing on the worker will have been started of late; now if nothing
+// was.
+func (w *worker) quietFrom(now time.Time) time.Time {
+	quiet := now
+	for _, r := range w.runs {
+		quiet = later(quiet, r.startedAt.Add(probation))
+	}
+	return quiet
+}
+
+// compareHarm orders workers by what would end with them.
+func (w *worker) compareHarm(other *worker) int {
+	return cmp.Or(
+		cmp.Compare(w.tally.lastingRuns, other.tally.lastingRuns),
+		cmp.Compare(len(w.runs), len(other.runs)),
+	)
+}
--- a/run/worker.go
+++ b/run/worker.go
@@ -61,6 +61,7 @@
 		used, lasting    tw.Resources
 		lastingRuns      int
 		fillers, serving int
+		trials           int // of suspects
 	}
 
 	// runKey names a run on a worker.
@@ -166,6 +167,9 @@
 	if spec.TailTarget > 0 {
 		t.serving += n
 	}
+	if r.trial {
+		t.trials += n
+	}
 }
 
 // free is the capacity that no run takes.
--- a/run/writer.go
+++ b/run/writer.go
@@ -254,7 +254,9 @@
 		return add(ledger.Advance(w.o.pool, sub.ID, &sub.progress), func(err error) {
 			if err != nil {
 				w.mark(sub)
+				return
 			}
+			sub.recordedAt = w.lastSent
 		})
 	}
 	return add(ledger.End(w.o.pool, sub.ID, sub.ending), func(err error) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -10,7 +10,7 @@
 // Place puts waiting subtasks on workers: the most urgent group first, and of
 // a group as many as fit, but a gang as a whole or not at all.
 func Place(groups []*Group, workers []*Worker) []Placement {
-	slices.SortStableFunc(groups, compareUrgency)
+	slices.SortStableFunc(groups, CompareUrgency)
 	workers = slices.Clone(workers)
 	slices.SortFunc(workers, compareAny)
 	var out []Placement
@@ -96,8 +96,8 @@
 	return g.Step.MaxPerWorker > 0 && g.OnWorker[w.ID] >= g.Step.MaxPerWorker
 }
 
-// compareUrgency puts the more urgent group first.
-func compareUrgency(a, b *Group) int {
+// CompareUrgency orders groups, the more urgent one first.
+func CompareUrgency(a, b *Group) int {
 	switch {
 	case a.Urgency.Before(b.Urgency):
 		return -1
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -67,7 +67,7 @@
 		})
 	}
 	wants = slices.Clone(wants)
-	slices.SortStableFunc(wants, func(a, b Want) int { return compareUrgency(a.Group, b.Group) })
+	slices.SortStableFunc(wants, func(a, b Want) int { return CompareUrgency(a.Group, b.Group) })
 	var out []Run
 	for _, want := range wants {
 		if want.Group.Urgency.Grade > GradeOnTime || len(out) >= maxVictims {
