--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -21,6 +21,9 @@
 // livesSeeds are those of TestLivesSoak.
 const livesSeeds = 25
 
+// crashSeeds are those of TestCrashSoak.
+const crashSeeds = 60
+
 // soakMachines are there from the start.
 const soakMachines = 6
 
@@ -59,6 +62,14 @@
 	}
 }
 
+// TestCrashSoak does so while some subtasks crash their workers, which are back after
+// some seconds.
+func TestCrashSoak(t *testing.T) {
+	for seed := range uint64(crashSeeds) {
+		playSoak(t, seed, poisonSome)
+	}
+}
+
 func playSoak(t *testing.T, seed uint64, prepare ...func(s *soak)) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
@@ -73,6 +84,7 @@
 			s.owner = s.take("d0")
 			for range s.acts {
 				s.act()
+				s.tend(s.owner)
 				time.Sleep(time.Duration(20+s.rand.IntN(400)) * time.Millisecond)
 			}
 			s.heal()
@@ -93,10 +105,14 @@
 	lives [][]tw.WorkerEntry
 	// newLives: machines begin new lives.
 	newLives bool
+	// poisonous: some subtasks crash their workers.
+	poisonous bool
 	// acts is how many things are done to the pool.
 	acts int
 }
 
+func poisonSome(s *soak) { s.poisonous, s.acts = true, 150 }
+
 func beginLives(s *soak) { s.newLives, s.acts = true, 150 }
 
 // act does one random thing; submissions are the most frequent.
@@ -174,7 +190,8 @@
 	sub.Steps[0].Estimate = time.Duration(200+s.rand.IntN(2000)) * time.Millisecond
 	sub.Steps[0].Copies = s.rand.IntN(3) == 0
 	sub.Policy.Attempts = 2
-	s.fleet.Expect(&sub, nil)
+	crashes := s.poisonous && s.rand.IntN(6) == 0
+	s.fleet.Expect(&sub, func(id tw.SubtaskID, p *standin.Profile) { p.Crashes = crashes && id.Step == 0 && id.Index == 0 })
 	return sub
 }
 
@@ -244,7 +261,10 @@
 
 // settle waits for everything that was kept to end, but for what lasts.
 func (s *soak) settle() {
-	time.Sleep(40 * time.Second)
+	for range 400 {
+		s.tend(s.owner)
+		time.Sleep(100 * time.Millisecond)
+	}
 	for _, id := range s.taken {
 		state := s.state(s.owner, id)
 		if !state.Final() && !s.runsOn(id) {
