--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -57,7 +57,10 @@
 		crashes     map[tw.SubtaskID]crashCount
 		// crashed are workers that a run has brought down since Crashed was called.
 		crashed []tw.WorkerEntry
-		broken  []string
+		// storeDisturbed: the store is disturbed; disturbedAt is when it last was.
+		storeDisturbed bool
+		disturbedAt    time.Time
+		broken         []string
 		starts  int
 		// begun are the submissions of which anything was ever started.
 		begun map[tw.SubmissionID]bool
--- a/run/crash.go
+++ b/run/crash.go
@@ -47,7 +47,10 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.sent.Load() && r.phase != blocked && !w.outlasted(r) {
+		switch {
+		case w.outlasted(r):
+			o.exonerate(r.task)
+		case r.sent.Load() && r.phase != blocked:
 			o.crashedUnder(w, r)
 		}
 	}
@@ -60,6 +63,7 @@
 		return
 	}
 	t.setCrashes(t.crashes + 1)
+	t.crashedAt = o.now
 	o.metrics.suspected.Inc()
 	o.writer.mark(sub)
 	o.log.Info("run: may have ended its worker", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
--- a/run/place.go
+++ b/run/place.go
@@ -270,6 +270,9 @@
 		return false
 	}
 	r := t.runs[0]
+	if !r.w.outlasted(r) {
+		return false // it may be what silences its worker
+	}
 	return r.phase != starting && (o.overdue(r) || r.w.unanswered > 0)
 }
 
--- a/run/submission.go
+++ b/run/submission.go
@@ -76,6 +76,8 @@
 		failures map[tw.RunNumber]bool
 		// crashes are the workers in a row that have ended soon after it was started.
 		crashes int
+		// crashedAt is when that changed last.
+		crashedAt time.Time
 		// trialFrom is since when it could have been tried apart from other work.
 		trialFrom time.Time
 		saved     tw.Checkpoint
