--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -61,7 +61,7 @@
 		storeDisturbed bool
 		disturbedAt    time.Time
 		broken         []string
-		starts  int
+		starts         int
 		// begun are the submissions of which anything was ever started.
 		begun map[tw.SubmissionID]bool
 	}
