--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -15,6 +15,8 @@
 		Duration time.Duration
 		// Fails is whether each run fails at its end.
 		Fails bool
+		// Hangs is whether each run makes no progress.
+		Hangs bool
 		// Crashes is whether each run brings its worker down soon after its start.
 		Crashes bool
 		Lasting bool
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -83,7 +83,7 @@
 	switch {
 	case w.FailAll || r.profile.Fails:
 		return r.started.Add(r.profile.Duration), tw.EndFailed
-	case w.Hang || r.profile.Lasting:
+	case w.Hang || r.profile.Hangs || r.profile.Lasting:
 		return time.Time{}, ""
 	}
 	return r.started.Add(r.profile.Duration), tw.EndDone
@@ -159,7 +159,7 @@
 	switch {
 	case r.profile.Lasting && ran >= f.config.StartTime:
 		return r.pace
-	case r.profile.Lasting || w.Hang || r.profile.Duration == 0:
+	case r.profile.Lasting || w.Hang || r.profile.Hangs || r.profile.Duration == 0:
 		return 0
 	}
 	return int(fullPace * ran / r.profile.Duration)
--- a/run/crash_test.go
+++ b/run/crash_test.go
@@ -100,6 +100,28 @@
 			})
 		}
 	},
+	// A subtask that stands still on whatever worker it is on is not a fault of these: each
+	// one was kept without work for 4 s after it, one after the other.
+	"goes on giving work to workers on which one subtask stands still": func(r *rig) {
+		o := r.take("a")
+		s := submission("s1", 1)
+		r.fleet.Expect(&s, func(_ tw.SubtaskID, p *standin.Profile) { p.Hangs = true })
+		r.Expect(o.Submit(r.ctx, s)).To(Succeed())
+		most := 0
+		for range 150 {
+			time.Sleep(200 * time.Millisecond)
+			report, err := o.Report(r.ctx, run.Directions{})
+			r.Expect(err).NotTo(HaveOccurred())
+			unsound := 0
+			for _, w := range report.Workers {
+				if !w.Sound {
+					unsound++
+				}
+			}
+			most = max(most, unsound)
+		}
+		r.Expect(most).To(BeNumerically("<=", 1))
+	},
 	"does not give up work that workers crash under by chance": func(r *rig) {
 		o := r.take("a")
 		s := submission("s1", 1)
