Do not shun workers one after another for a subtask that stands still; copies of silent runs

Found by reading for the same cause elsewhere: a run that stands still had its worker kept without work for 4 s, whichever subtask it was. Where the subtask stood still before is remembered now.

--- a/run/place.go
+++ b/run/place.go
@@ -270,7 +270,7 @@
 		return false
 	}
 	r := t.runs[0]
-	if !r.w.outlasted(r) {
+	if !r.w.outlasted(r) && o.now.Sub(r.startedAt) < copyAfter {
 		return false // it may be what silences its worker
 	}
 	return r.phase != starting && (o.overdue(r) || r.w.unanswered > 0)
@@ -288,6 +288,10 @@
 	return urgency.ForSize(o.usual.share(o.workLeft(st.rep).CPU), o.usual.objective)
 }
 
+// copyAfter is how long after its start a run whose worker has fallen silent gets a copy: a
+// worker that it has brought down is known to have ended by then.
+const copyAfter = time.Second
+
 // avoidFor is how long a subtask waits for another worker than the one on
 // which it failed.
 const avoidFor = time.Second
--- a/run/submission.go
+++ b/run/submission.go
@@ -85,6 +85,8 @@
 		runs []*runState
 		// lastWorker is where it failed last.
 		lastWorker tw.WorkerID
+		// stuckOn is where it stood still last.
+		stuckOn tw.WorkerID
 		// endedAt is when a run last ended, for whatever reason.
 		endedAt time.Time
 		// lostAt is when a run was given up without its worker's word. Until
--- a/run/watch.go
+++ b/run/watch.go
@@ -33,7 +33,7 @@
 	case r.phase == running && !r.task.step.spec.Lasting && w.unanswered == 0 && o.stuck(r):
 		o.log.Info("run: stands still", zap.Stringer("subtask", r.task.id), zap.String("worker", string(w.entry.ID)),
 			zap.Int("percent", r.percent), zap.Duration("since", o.now.Sub(r.movedAt)))
-		o.shun(w, shunStuck, "a run stands still there")
+		o.judgeStuck(w, r.task)
 		if o.wantsCopy(r.task) {
 			o.placeSoon = true
 			return
@@ -44,6 +44,15 @@
 	}
 }
 
+// judgeStuck shuns a worker on which a run stands still, unless one of the same subtask
+// has done so elsewhere.
+func (o *Owner) judgeStuck(w *worker, t *task) {
+	if t.stuckOn == "" || t.stuckOn == w.entry.ID {
+		o.shun(w, shunStuck, "a run stands still there")
+	}
+	t.stuckOn = w.entry.ID
+}
+
 // stuck tells whether a run made no progress for far longer than it should.
 func (o *Owner) stuck(r *runState) bool {
 	still := o.now.Sub(r.movedAt)
