--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -93,3 +93,16 @@
 	clock, err := s.WorkerOrders.Start(ctx, to, order)
 	return s.shown(clock), err
 }
+
+// muteKV answers no writes while it is mute, and does none.
+type muteKV struct {
+	tw.KV
+	mute atomic.Bool
+}
+
+func (k *muteKV) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
+	if k.mute.Load() {
+		return 0, tw.ErrUnclear
+	}
+	return k.KV.Commit(ctx, txn)
+}
