Take up what another try has kept instead of the one that waits

Cause: a message of the inbox was taken out although what it told of was not held: what was read for it was dropped because another try of the same submission stood in the table, not yet durable. When that one was refused behind a stalled write, nobody knew of the record any more. What is read takes the place of the try that waits, whose callers are told that it is kept; what the store says of the waiting one later is passed over.

--- a/run/owner.go
+++ b/run/owner.go
@@ -367,7 +367,15 @@
 	}
 }
 
-// answer tells those who wait for the submission to be recorded.
+// kept tells those who wait for the submission to be kept that it is.
+func (s *submission) kept() {
+	for _, waiter := range s.waiters {
+		waiter <- nil
+	}
+	s.waiters = nil
+}
+
+// answer tells all who wait for the submission to be recorded.
 func (s *submission) answer(err error) {
 	for _, waiter := range s.waiters {
 		waiter <- err
--- a/run/requests.go
+++ b/run/requests.go
@@ -122,6 +122,9 @@
 
 // accepted is called when a new submission is durable.
 func (o *Owner) accepted(sub *submission) {
+	if o.submissions[sub.ID] != sub {
+		return // it was read from the store meanwhile
+	}
 	sub.durable = true
 	o.metrics.accepted.Inc()
 	o.log.Info("submission: accepted", zap.String("submission", string(sub.ID)),
@@ -133,27 +136,48 @@
 
 // refusedByStore is called when a new submission was surely not kept.
 func (o *Owner) refusedByStore(sub *submission, err error) {
+	if o.submissions[sub.ID] != sub {
+		return // another try of it was kept
+	}
 	delete(o.submissions, sub.ID)
 	o.metrics.refused.Inc()
 	o.log.Info("submission: not taken", zap.String("submission", string(sub.ID)), logsink.Err(err))
 	sub.answer(err)
 }
 
-// existsAlready is called when another daemon has kept the same id. What the
-// store has takes the place of sub; a cancel that came meanwhile goes on to it.
+// existsAlready is called when another daemon has kept the same id: what the store has
+// takes the place of sub, and a cancel that came meanwhile goes on to it.
 func (o *Owner) existsAlready(sub *submission) {
+	if o.submissions[sub.ID] != sub {
+		return // it has done so already
+	}
 	delete(o.submissions, sub.ID)
-	enders := sub.enders
-	sub.enders = nil
-	sub.answer(nil)
-	o.fetch(sub.ID, false, func() {
-		if kept := o.submissions[sub.ID]; kept != nil && sub.ending == tw.Cancelled && kept.final == "" {
-			o.cancelSubmission(kept)
-		}
-		for _, result := range enders {
-			o.askCancel(sub.ID, result)
-		}
-	})
+	sub.kept()
+	o.fetch(sub.ID, false, func() { o.passOnCancel(sub) })
+}
+
+// supersede has what the store has kept of another try take the place of a submission
+// that waits to be kept.
+func (o *Owner) supersede(waiting *submission, l ledger.Loaded) {
+	o.log.Info("submission: kept by another try", zap.String("submission", string(l.ID)))
+	delete(o.submissions, l.ID)
+	o.writer.withdraw(waiting)
+	waiting.kept()
+	o.takeFetched(l)
+	o.passOnCancel(waiting)
+}
+
+// passOnCancel has a cancel that came while a submission waited go on to what was kept of
+// it by another try.
+func (o *Owner) passOnCancel(waiting *submission) {
+	if kept := o.submissions[waiting.ID]; kept != nil && waiting.ending == tw.Cancelled && kept.final == "" {
+		o.cancelSubmission(kept)
+	}
+	enders := waiting.enders
+	waiting.enders = nil
+	for _, result := range enders {
+		o.askCancel(waiting.ID, result)
+	}
 }
 
 // fetch takes up a submission that another daemon has kept, then calls then.
@@ -192,11 +216,21 @@
 }
 
 func (o *Owner) fetched(l ledger.Loaded) {
-	if o.submissions[l.ID] != nil || l.Record.Pool != o.pool {
-		return
+	have := o.submissions[l.ID]
+	switch {
+	case l.Record.Pool != o.pool:
+	case have == nil:
+		o.takeFetched(l)
+	case !have.durable:
+		o.supersede(have, l)
 	}
+}
+
+func (o *Owner) takeFetched(l ledger.Loaded) {
 	o.takeUp(l)
-	o.hold(o.submissions[l.ID])
+	if sub := o.submissions[l.ID]; sub != nil {
+		o.hold(sub)
+	}
 	o.log.Info("submission: taken up from the store", zap.String("submission", string(l.ID)))
 }
 
--- a/run/writer.go
+++ b/run/writer.go
@@ -80,6 +80,11 @@
 // accept has a new submission recorded.
 func (w *writer) accept(sub *submission) { w.fresh = append(w.fresh, sub) }
 
+// withdraw drops a new submission that waits to be recorded; one that was sent is no harm.
+func (w *writer) withdraw(sub *submission) {
+	w.fresh = slices.DeleteFunc(w.fresh, func(other *submission) bool { return other == sub })
+}
+
 // mark has the progress or the end of a submission recorded.
 func (w *writer) mark(sub *submission) { w.dirty[sub] = true }
 
