--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -94,15 +94,19 @@
 	return s.shown(clock), err
 }
 
-// muteKV answers no writes while it is mute, and does none.
+// muteKV answers no writes while it is mute or deaf; while it is mute, it does none.
 type muteKV struct {
 	tw.KV
-	mute atomic.Bool
+	mute, deaf atomic.Bool
 }
 
 func (k *muteKV) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
 	if k.mute.Load() {
 		return 0, tw.ErrUnclear
 	}
-	return k.KV.Commit(ctx, txn)
+	revision, err := k.KV.Commit(ctx, txn)
+	if k.deaf.Load() {
+		return 0, tw.ErrUnclear
+	}
+	return revision, err
 }
--- a/run/tries_test.go
+++ b/run/tries_test.go
@@ -140,7 +140,7 @@
 }
 
 func (p *tries) act() {
-	switch p.rand.IntN(10) {
+	switch p.rand.IntN(11) {
 	case 9:
 		p.askOther()
 	case 0, 1:
@@ -155,7 +155,12 @@
 	case 5, 6:
 		p.tellInbox()
 	case 7:
-		p.kv.mute.Store(!p.kv.mute.Load())
+		p.kv.mute.Store(p.rand.IntN(2) == 0)
+		p.kv.deaf.Store(p.rand.IntN(2) == 0)
+	case 10:
+		p.cancelled = true
+		_, err := p.rig.kv.Commit(p.ctx, ledger.AskCancel(pool, "s1"))
+		p.Expect(err).NotTo(HaveOccurred())
 	case 8:
 		if p.rand.IntN(2) == 0 {
 			p.replace()
@@ -213,6 +218,7 @@
 func (p *tries) heal() {
 	p.carryOut()
 	p.kv.mute.Store(false)
+	p.kv.deaf.Store(false)
 	for range 30 {
 		time.Sleep(500 * time.Millisecond)
 		p.tellInbox()
