--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -56,6 +56,17 @@
 }
 
 var bookCases = map[string]func(b *bench){
+	// A record that can't be read made every daemon fail that wanted to own the pool.
+	"sets aside what it cannot read, and loads the rest": func(b *bench) {
+		book := b.open("a")
+		for _, id := range []tw.SubmissionID{"s1", "s2", "s3"} {
+			b.accept(book, id)
+		}
+		b.kv.Put(ledger.SubmissionKey("s2"), []byte("\x00"))
+		b.kv.Put(ledger.ProgressKey(pool, "s3"), []byte("[]"))
+		b.kv.Put(ledger.InboxPrefix(pool)+"s1.other", []byte("{"))
+		b.Expect(b.ids(b.open("b"))).To(ConsistOf(tw.SubmissionID("s1")))
+	},
 	"gives each owner a higher fence": func(b *bench) {
 		first := b.open("a")
 		second := b.open("b")
