Read entries strictly, and set aside what can't be read

An entry of the list of workers names one to use only if all that a start needs is there and sound; else it is set aside, counted and logged once for each fault, and the others hold. One record that could not be read kept every daemon from owning its pool: it is set aside, with its submission, and stays as it is.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -37,12 +38,16 @@
 	listed   map[tw.WorkerID]listedWorker
 	byPool   map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
 	everRead bool
+	// unsound counts readings of entries that name no worker to use.
+	unsound *metrics.Counter
 }
 
 // listedWorker is a worker's entry, decoded once a revision.
 type listedWorker struct {
 	revision tw.KVRevision
 	entry    tw.WorkerEntry
+	// unsound is why the entry names no worker to use; empty if it does.
+	unsound string
 }
 
 const (
@@ -55,10 +60,11 @@
 	workersGap = 250 * time.Millisecond
 )
 
-func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, workersChanged func()) *directory {
+func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, set *metrics.Set, workersChanged func()) *directory {
 	d := &directory{
 		kv: kv, clock: clock, log: log, workersChanged: workersChanged,
-		waves: map[int64]tw.MaintenanceWave{}, listed: map[tw.WorkerID]listedWorker{},
+		unsound: set.GetOrCreateCounter("tamarind_worker_entries_set_aside_total"),
+		waves:   map[int64]tw.MaintenanceWave{}, listed: map[tw.WorkerID]listedWorker{},
 	}
 	d.operator = member.WatcherConfig{
 		KV: kv, Clock: clock, Log: log, Prefix: platform.OperatorPrefix, Wait: operatorWait, Changed: d.operatorChanged,
@@ -209,6 +215,20 @@
 	d.waves[wave.Number] = wave
 }
 
+// readEntry reads an entry of the list of workers. One that names no worker to use is set
+// aside, and logged when its fault is a new one: its writer may go on writing it.
+func (d *directory) readEntry(item tw.KVItem, before listedWorker) listedWorker {
+	entry, err := platform.DecodeWorker(item)
+	if err == nil {
+		return listedWorker{revision: item.Revision, entry: entry}
+	}
+	d.unsound.Inc()
+	if err.Error() != before.unsound {
+		d.log.Error("worker: entry set aside", zap.String("key", string(item.Key)), logsink.Err(err))
+	}
+	return listedWorker{revision: item.Revision, unsound: err.Error()}
+}
+
 // workersWritten takes up the list of workers as the watcher of a round read it.
 func (d *directory) workersWritten(round int, items map[tw.Key]tw.KVItem) {
 	d.mu.Lock()
@@ -222,14 +242,12 @@
 		id := platform.WorkerOfKey(key)
 		have, known := d.listed[id]
 		if !known || have.revision != item.Revision {
-			entry, err := platform.DecodeWorker(item)
-			if err != nil {
-				d.log.Error("worker: entry not readable", zap.String("key", string(key)), logsink.Err(err))
-				continue
-			}
-			have = listedWorker{revision: item.Revision, entry: entry}
+			have = d.readEntry(item, have)
 		}
 		listed[id] = have
+		if have.unsound != "" {
+			continue
+		}
 		pool := byPool[have.entry.Pool]
 		if pool == nil {
 			pool = map[tw.WorkerID]tw.WorkerEntry{}
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -132,7 +132,7 @@
 // duties starts what runs beside the listeners.
 func (d *QueueDaemon) duties() {
 	// The list of workers is not followed before there are owners.
-	d.directory = newDirectory(d.kv, d.clock, d.log, func() { d.owners.feedAll() })
+	d.directory = newDirectory(d.kv, d.clock, d.log, d.metrics, func() { d.owners.feedAll() })
 	d.owners = newOwners(d)
 	d.presence = member.PresenceConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, MinTTL: d.settings.Platform.MinLease.Std(),
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
 type (
@@ -27,12 +29,14 @@
 
 // Load reads the submissions of the book's pool and their progress. Both are
 // read at the same time, as the pool stands still meanwhile and a slow store
-// takes a quarter of a second for each call; nobody else writes them.
+// takes a quarter of a second for each call; nobody else writes them. A record that can't
+// be read is set aside, with its submission, and stays as it is.
 func (b *Book) Load(ctx context.Context) ([]Loaded, error) {
 	var progress map[tw.SubmissionID]Progress
+	var unreadable map[tw.SubmissionID]bool
 	var progressErr error
 	var wg sync.WaitGroup
-	wg.Go(func() { progress, progressErr = b.loadProgress(ctx) })
+	wg.Go(func() { progress, unreadable, progressErr = b.loadProgress(ctx) })
 	items, _, err := b.kv.Range(ctx, submissionPrefix)
 	wg.Wait()
 	if err != nil {
@@ -51,12 +55,13 @@
 	for _, item := range items {
 		record, err := decodeRecord(item)
 		if err != nil {
-			return nil, err
-		}
-		if record.Pool != b.owner.Pool {
+			b.setAside(err)
 			continue
 		}
 		id := idOfKey(item.Key, submissionPrefix)
+		if record.Pool != b.owner.Pool || unreadable[id] {
+			continue
+		}
 		out = append(out, Loaded{
 			ID: id, Record: record, Progress: progress[id],
 			InInbox: inbox[InboxRecord{Kind: InboxSubmitted, ID: id}], CancelInInbox: inbox[InboxRecord{Kind: InboxCancel, ID: id}],
@@ -65,21 +70,30 @@
 	return out, nil
 }
 
-func (b *Book) loadProgress(ctx context.Context) (map[tw.SubmissionID]Progress, error) {
+func (b *Book) loadProgress(ctx context.Context) (out map[tw.SubmissionID]Progress, unreadable map[tw.SubmissionID]bool, err error) {
 	prefix := progressOf(b.owner.Pool)
 	items, _, err := b.kv.Range(ctx, prefix)
 	if err != nil {
-		return nil, errors.Wrap(err, "ledger.Load: progress")
+		return nil, nil, errors.Wrap(err, "ledger.Load: progress")
 	}
-	out := make(map[tw.SubmissionID]Progress, len(items))
+	out = make(map[tw.SubmissionID]Progress, len(items))
+	unreadable = map[tw.SubmissionID]bool{}
 	for _, item := range items {
 		var p Progress
 		if err := json.Unmarshal(item.Value, &p); err != nil {
-			return nil, errors.Wrapf(err, "ledger.Load: %s", item.Key)
+			b.setAside(errors.Wrapf(err, "ledger.Load: %s", item.Key))
+			unreadable[idOfKey(item.Key, prefix)] = true
+			continue
 		}
 		out[idOfKey(item.Key, prefix)] = p
 	}
-	return out, nil
+	return out, unreadable, nil
+}
+
+// setAside tells of a record that can't be read. Without its progress a submission must
+// not be started: what is done would be done again.
+func (b *Book) setAside(err error) {
+	b.log.Error("ledger: record set aside", zap.String("pool", string(b.owner.Pool)), logsink.Err(err))
 }
 
 // loadInbox lists the messages of the inbox.
@@ -92,7 +106,8 @@
 	for _, item := range items {
 		message, err := DecodeInbox(item)
 		if err != nil {
-			return nil, err
+			b.setAside(err)
+			continue
 		}
 		out[message] = true
 	}
