--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -83,6 +83,10 @@
 		// at its full pace adds to it.
 		Tail, Disturbance time.Duration
 
+		// formerly is what it had before it shrank; that counts until roomUntil.
+		formerly  tw.Resources
+		roomUntil time.Time
+
 		boot     time.Time
 		fence    tw.Fence
 		deadline time.Time
@@ -152,6 +156,22 @@
 	change(w)
 }
 
+// shrunkTime is how long starts may count on the room that a worker had before it shrank:
+// until its next account of itself, and as long as its callers may lag behind that.
+const shrunkTime = contactTime + 1500*time.Millisecond
+
+// Resize changes what a worker has.
+func (f *Fleet) Resize(id tw.WorkerID, capacity tw.Resources) tw.WorkerEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if !capacity.Fits(w.Entry.Capacity) {
+		w.formerly, w.roomUntil = w.Entry.Capacity, f.config.Clock.Now().Add(shrunkTime)
+	}
+	w.Entry.Capacity = capacity
+	return w.Entry
+}
+
 // Kill ends a worker's life with all that runs there, and with the orders that it
 // has not carried out.
 func (f *Fleet) Kill(id tw.WorkerID) {
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -66,6 +66,9 @@
 // check notes the promises that a start breaks.
 func (f *Fleet) check(w *SimWorker, order tw.StartOrder, p Profile) {
 	free := w.Entry.Capacity
+	if f.config.Clock.Now().Before(w.roomUntil) {
+		free = w.formerly
+	}
 	for _, r := range w.runs {
 		free = free.Minus(r.profile.Need)
 	}
