Place new work only while the store's last word is at most 4 s old

Cause: the room of a worker that has shrunk shows in its account of itself alone, and an owner that did not reach the store went on for 6 s with what it last knew. TestRoom was red.

--- a/run/place.go
+++ b/run/place.go
@@ -59,7 +59,7 @@
 
 // place puts waiting subtasks on workers.
 func (o *Owner) place() {
-	if !o.permit.valid(o.now) {
+	if !o.permit.valid(o.now) || o.now.Sub(o.writer.confirmed) > roomAge {
 		return
 	}
 	began := o.clock.Now()
@@ -85,6 +85,11 @@
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
+// roomAge is how old the last word of the store may be for new work to be placed. The room
+// of a worker that has shrunk counts for contact and a status report, 4.5 s, more; orders
+// wait up to startAge to be sent.
+const roomAge = 4 * time.Second
+
 // trialRetry is the pause between placement passes while suspects wait.
 const trialRetry = 50 * time.Millisecond
 
