Count the next start of a suspect, and of inherited work, before it is made

The next start of a suspect, and of work that a former owner may have started, is now counted and recorded before it is made, and taken back if it ends in another way. First starts of new submissions wait for nothing.

--- a/run/crash.go
+++ b/run/crash.go
@@ -23,6 +23,9 @@
 	// after two, and must not be started for the third time after the third. With two,
 	// work that is only unlucky is given up far more often where many workers crash.
 	crashesToGiveUp = 3
+	// crashesMost is after how many a subtask is not started any more although it is not
+	// known what became of its last starts, as several owners have ended meanwhile.
+	crashesMost = crashesToGiveUp + 1
 )
 
 // outlasted tells whether the run's worker has lived on for so long that the run is not
@@ -62,15 +65,51 @@
 	if t.done || sub.over() {
 		return
 	}
-	t.setCrashes(t.crashes + 1)
+	if !r.ahead {
+		t.setCrashes(t.crashes + 1)
+	}
+	r.ahead = false
 	t.crashedAt = o.now
 	o.metrics.suspected.Inc()
 	o.writer.mark(sub)
 	o.log.Info("run: may have ended its worker", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(w.entry.ID)), zap.Int("workers", t.crashes), zap.Bool("on_trial", r.trial))
 	if t.crashes >= crashesToGiveUp {
-		o.conclude(sub, tw.Failed, "workers have ended under subtask "+t.id.String()+" each time it was started")
+		o.giveUp(t)
+	}
+}
+
+func (o *Owner) giveUp(t *task) {
+	o.conclude(t.step.rep.sub, tw.Failed, "workers have ended under subtask "+t.id.String()+" each time it was started")
+}
+
+// countAhead counts the next start of a subtask as a crash before it is made. Else, if the
+// ownership ended before a crash is recorded, the next owner would not know of it.
+func (o *Owner) countAhead(t *task) {
+	if t.crashes >= crashesMost {
+		o.giveUp(t)
+		return
+	}
+	t.ahead = true
+	t.setCrashes(t.crashes + 1)
+	t.crashedAt = o.now
+	o.writer.mark(t.step.rep.sub)
+}
+
+// countsAhead tells whether that is to be done: for suspects, and for what a former owner
+// may have started, so that the first start of a new submission waits for no record.
+func (t *task) countsAhead() bool { return !t.ahead && (t.suspect() || t.step.rep.sub.inherited) }
+
+// uncount takes back that a run was counted as a crash, as it ended in another way.
+func (o *Owner) uncount(r *runState) {
+	t := r.task
+	sub := t.step.rep.sub
+	if !r.ahead || t.crashes == 0 || t.done || sub.over() {
+		return
 	}
+	r.ahead = false
+	t.setCrashes(t.crashes - 1)
+	o.writer.mark(sub)
 }
 
 // exonerate clears a subtask of suspicion, as a worker has outlasted a run of it.
@@ -85,6 +124,7 @@
 		o.writer.mark(sub)
 	}
 	for _, r := range t.runs {
+		r.ahead = false
 		r.w.endTrial(r)
 	}
 	o.log.Info("run: cleared, its worker lives on", zap.Stringer("subtask", t.id))
@@ -117,8 +157,8 @@
 	p.Crashes[t.id.Index] = n
 }
 
-// suspect tells whether workers have ended under the subtask.
-func (t *task) suspect() bool { return t.crashes > 0 }
+// suspect tells whether workers have ended under the subtask, or may have.
+func (t *task) suspect() bool { return t.crashes > 1 || t.crashes > 0 && !t.ahead }
 
 // endTrial notes that a run is not on trial any more.
 func (w *worker) endTrial(r *runState) {
--- a/run/end.go
+++ b/run/end.go
@@ -30,6 +30,7 @@
 	if r != nil {
 		o.judge(w, r, e.Kind)
 		w.remove(r)
+		o.uncount(r)
 		t.drop(r)
 	}
 	o.applyEnd(w, t, e)
--- a/run/place.go
+++ b/run/place.go
@@ -214,6 +214,8 @@
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
+		case !t.active() && t.countsAhead():
+			o.countAhead(t)
 		case !t.active() && (!o.writer.confirmed.After(t.lostAt) || !t.recorded()):
 		case !t.active() && o.awaitsTrial(t):
 			suspects = append(suspects, t.id)
@@ -271,7 +273,7 @@
 
 // wantsCopy tells whether a second run of a subtask is worth its cost.
 func (o *Owner) wantsCopy(t *task) bool {
-	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 || t.suspect() {
+	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 {
 		return false
 	}
 	r := t.runs[0]
--- a/run/start.go
+++ b/run/start.go
@@ -24,7 +24,7 @@
 func (o *Owner) start(t *task, w *worker, run tw.RunNumber, ticket string) {
 	r := &runState{
 		task: t, run: run, w: w, phase: starting, claim: t.step.spec.Claim(),
-		startedAt: o.now, movedAt: o.now, pace: fullPace, trial: t.suspect(),
+		startedAt: o.now, movedAt: o.now, pace: fullPace, trial: t.suspect(), ahead: t.ahead,
 	}
 	sub := t.step.rep.sub
 	order := tw.StartOrder{
@@ -45,7 +45,7 @@
 		return
 	}
 	w.doubtUntil = o.now.Add(o.holdBound())
-	t.trialFrom = time.Time{}
+	t.trialFrom, t.ahead = time.Time{}, false
 	t.runs = append(t.runs, r)
 	w.add(r)
 	if r.trial {
@@ -209,6 +209,7 @@
 func (o *Owner) runGone(r *runState, why string) {
 	r.w.remove(r)
 	t := r.task
+	o.uncount(r)
 	t.drop(r)
 	t.endedAt, t.lostAt = o.now, o.now
 	o.log.Info("run: gone", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
--- a/run/submission.go
+++ b/run/submission.go
@@ -78,6 +78,8 @@
 		crashes int
 		// crashedAt is when that changed last.
 		crashedAt time.Time
+		// ahead: its next start is in crashes already.
+		ahead bool
 		// trialFrom is since when it could have been tried apart from other work.
 		trialFrom time.Time
 		saved     tw.Checkpoint
@@ -121,6 +123,8 @@
 		withdrawn, sent atomic.Bool
 		// seenFrom is the worker's clock when it first told of the run; zero before.
 		seenFrom tw.WorkerClock
+		// ahead: it was counted as a crash before its start, until it is known not to be one.
+		ahead bool
 		// trial: its subtask is a suspect, and the worker has not outlasted it yet.
 		trial bool
 	}
--- a/run/trial.go
+++ b/run/trial.go
@@ -19,10 +19,10 @@
 	return t.suspect() && !t.step.spec.Gang && (t.trialFrom.IsZero() || o.now.Sub(t.trialFrom) < trialPatience)
 }
 
-// recorded tells whether what is known of a suspect is in the store. Before that it must
-// not be started again: the next owner would count too few.
+// recorded tells whether the crashes of a subtask are in the store. Before that it must
+// not be started: the next owner would count too few.
 func (t *task) recorded() bool {
-	return !t.suspect() || !t.step.rep.sub.recordedAt.Before(t.crashedAt)
+	return t.crashes == 0 || !t.step.rep.sub.recordedAt.Before(t.crashedAt)
 }
 
 // placeTrials starts suspects, each step's on a worker where nothing else was started of
--- a/run/watch.go
+++ b/run/watch.go
@@ -27,6 +27,9 @@
 }
 
 func (o *Owner) watchRun(w *worker, r *runState) {
+	if r.ahead && w.outlasted(r) {
+		o.exonerate(r.task)
+	}
 	switch {
 	case r.phase == stopping && o.now.Sub(r.orderedAt) > stopRetry:
 		o.sendStop(r)
