--- a/run/crash_test.go
+++ b/run/crash_test.go
@@ -100,6 +100,27 @@
 			})
 		}
 	},
+	// Workers that nothing runs on are not looked at. Those that lay dead were taken one
+	// after the other for brought down by the subtask that was ordered there, and its
+	// submission was ended as failed:
+	//
+	//	11.519 run: ordered               0.3.17 worker_seen 1.47
+	//	11.719 run: start not confirmed   0.3.17 context deadline exceeded
+	//	11.760 run: may have ended its worker 0.3.17 workers 1, last answer 1.71 before
+	//	12.456 submission: ends           failed, the third worker on which it never was
+	"does not blame a subtask for workers that were dead before": func(r *rig) {
+		for n := range 4 {
+			r.addWorker(4 + n)
+		}
+		o := r.take("a")
+		time.Sleep(settled)
+		for n := range 6 {
+			r.fleet.Kill(workerID(n))
+			r.cloud.Add(tw.Machine{ID: r.list[workerID(n)].Instance, Pool: pool, State: tw.MachineDown})
+		}
+		r.submit(o, submission("s1", 2))
+		r.eventually(o, "s1", tw.Succeeded, 20*time.Second)
+	},
 	// A subtask that stands still on whatever worker it is on is not a fault of these: each
 	// one was kept without work for 4 s after it, one after the other.
 	"goes on giving work to workers on which one subtask stands still": func(r *rig) {
