Blame a subtask only for workers that its order reached alive

Cause: an order that a worker did not answer counted as if it had been carried out. Change: an end counts only if the order was answered, its connection broke before it was, or the worker had answered within 0.1 s before it; and a suspect is tried on a worker that has just answered.

--- a/run/crash.go
+++ b/run/crash.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -53,12 +54,29 @@
 		switch {
 		case w.outlasted(r):
 			o.exonerate(r.task)
-		case r.sent.Load() && r.phase != blocked:
+		case r.reached() && r.phase != blocked:
 			o.crashedUnder(w, r)
 		}
 	}
 }
 
+// reached tells whether the order to start the run came to a living worker: it was
+// answered, its connection broke before it was, or the worker had answered just before. A
+// worker that nothing runs on is not looked at, and may lie dead for long.
+func (r *runState) reached() bool {
+	return r.seenFrom != 0 || r.sent.Load() && (r.cutOff || r.afterAnswer <= justAnswered)
+}
+
+// justAnswered is within which time after its last answer a worker counts as alive.
+const justAnswered = 100 * time.Millisecond
+
+// timedOut tells whether a call ended because nothing came, rather than by a connection
+// that was closed.
+func timedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (o *Owner) crashedUnder(w *worker, r *runState) {
 	t := r.task
 	sub := t.step.rep.sub
--- a/run/start.go
+++ b/run/start.go
@@ -25,6 +25,7 @@
 	r := &runState{
 		task: t, run: run, w: w, phase: starting, claim: t.step.spec.Claim(),
 		startedAt: o.now, movedAt: o.now, pace: fullPace, trial: t.suspect(), ahead: t.ahead,
+		afterAnswer: o.now.Sub(w.clockAt),
 	}
 	sub := t.step.rep.sub
 	order := tw.StartOrder{
@@ -95,6 +96,7 @@
 		o.runGone(r, "not sent")
 	default:
 		o.metrics.started("unanswered")
+		r.cutOff = !timedOut(err)
 		w.unheard(o.now)
 		w.nextLook = o.now
 		w.session.interrupt()
--- a/run/submission.go
+++ b/run/submission.go
@@ -121,6 +121,10 @@
 		why string
 		// withdrawn: its start must not be sent any more; sent: it was.
 		withdrawn, sent atomic.Bool
+		// afterAnswer is how long before the order the worker had last answered; cutOff: the
+		// connection was closed before it answered the order.
+		afterAnswer time.Duration
+		cutOff      bool
 		// seenFrom is the worker's clock when it first told of the run; zero before.
 		seenFrom tw.WorkerClock
 		// ahead: it was counted as a crash before its start, until it is known not to be one.
--- a/run/trial.go
+++ b/run/trial.go
@@ -70,7 +70,7 @@
 }
 
 // placeTrial starts as many of a step's suspects as the first worker takes that may run
-// them, or none if that worker has to become quiet first. taken is the worker's index,
+// them, or none if that worker has to become quiet or to answer first. taken is the worker's index,
 // below 0 if there is none.
 func (o *Owner) placeTrial(g *schedule.Group, offers []*schedule.Worker, quiet map[tw.WorkerID]time.Time) (taken, placed int) {
 	for i, offer := range offers {
@@ -81,6 +81,13 @@
 			}
 			return i, 0
 		}
+		if o.now.Sub(o.workers[offer.ID].clockAt) > justAnswered {
+			if fits, _ := g.Count(one); fits == 0 {
+				continue
+			}
+			o.askFirst(o.workers[offer.ID])
+			return i, 0
+		}
 		placements := schedule.Place([]*schedule.Group{g}, one)
 		if len(placements) > 0 {
 			o.startPlaced(placements)
@@ -90,6 +97,16 @@
 	return -1, 0
 }
 
+// askFirst looks at a worker on which a suspect is to be tried: the end of one that was dead
+// before would tell nothing of the suspect.
+func (o *Owner) askFirst(w *worker) {
+	if w.checking() {
+		return
+	}
+	w.checkFor, w.nextLook = o.now, o.now
+	w.session.interrupt()
+}
+
 // quietFrom is when nothing on the worker will have been started of late; now if nothing
 // was.
 func (w *worker) quietFrom(now time.Time) time.Time {
