--- a/run/crash.go
+++ b/run/crash.go
@@ -19,7 +19,7 @@
 	// probation is for how long a worker must live on, by its own clock, after a run has
 	// begun, so that the run is not taken for the cause of its end. Subtasks that crash
 	// their workers did so within 10 ms; a start waits for its answer up to 0.2 s.
-	probation = 250 * time.Millisecond
+	probation = 150 * time.Millisecond
 	// crashesToGiveUp is after how many workers in a row a subtask is given up. It may be
 	// after two, and must not be started for the third time after the third. With two,
 	// work that is only unlucky is given up far more often where many workers crash.
