Count a start ahead when it is placed, not while it waits

Cause, found by reading: work that a former owner left waiting was counted ahead as soon as it could start. Where room was short, each further takeover took all that waited for suspects, and after the fourth it would have been given up without having been started. A start is counted when it is placed, and what gives a subtask up is always an end that was seen.

--- a/run/crash.go
+++ b/run/crash.go
@@ -24,9 +24,6 @@
 	// after two, and must not be started for the third time after the third. With two,
 	// work that is only unlucky is given up far more often where many workers crash.
 	crashesToGiveUp = 3
-	// crashesMost is after how many a subtask is not started any more although it is not
-	// known what became of its last starts, as several owners have ended meanwhile.
-	crashesMost = crashesToGiveUp + 1
 )
 
 // outlasted tells whether the run's worker has lived on for so long that the run is not
@@ -104,10 +101,6 @@
 // countAhead counts the next start of a subtask as a crash before it is made. Else, if the
 // ownership ended before a crash is recorded, the next owner would not know of it.
 func (o *Owner) countAhead(t *task) {
-	if t.crashes >= crashesMost {
-		o.giveUp(t)
-		return
-	}
 	t.ahead = true
 	t.setCrashes(t.crashes + 1)
 	t.crashedAt = o.now
@@ -115,8 +108,11 @@
 }
 
 // countsAhead tells whether that is to be done: for suspects, and for what a former owner
-// may have started, so that the first start of a new submission waits for no record.
-func (t *task) countsAhead() bool { return !t.ahead && (t.suspect() || t.step.rep.sub.inherited) }
+// may have started, so that the first start of a new submission waits for no record. What
+// gives a subtask up is always an end that was seen.
+func (t *task) countsAhead() bool {
+	return !t.ahead && t.crashes < crashesToGiveUp-1 && (t.suspect() || t.step.rep.sub.inherited)
+}
 
 // uncount takes back that a run was counted as a crash, as it ended in another way.
 func (o *Owner) uncount(r *runState) {
--- a/run/place.go
+++ b/run/place.go
@@ -95,9 +95,17 @@
 
 // startPlaced orders what was placed to be started.
 func (o *Owner) startPlaced(placements []schedule.Placement) {
+	for _, p := range placements {
+		if t := o.submissions[p.Subtask.Submission].task(p.Subtask); t.countsAhead() {
+			o.countAhead(t)
+		}
+	}
 	gangRuns := map[*step]tw.RunNumber{}
 	for _, p := range placements {
 		t := o.submissions[p.Subtask.Submission].task(p.Subtask)
+		if !t.recorded() {
+			continue // it is placed again once that is done
+		}
 		w := o.workers[p.Worker.ID]
 		run := gangRuns[t.step]
 		if run == 0 {
@@ -214,9 +222,7 @@
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
-		case !t.active() && t.countsAhead():
-			o.countAhead(t)
-		case !t.active() && (!o.writer.confirmed.After(t.lostAt) || !t.recorded()):
+		case !t.active() && (!o.writer.confirmed.After(t.lostAt) || !t.crashesRecorded()):
 		case !t.active() && o.awaitsTrial(t):
 			suspects = append(suspects, t.id)
 		case !t.active():
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// TestCrashSoakOwnersInARow plays seeds in which three owners in a row are replaced before
+// they have recorded what became of a start that they had made of the same subtask.
+func TestCrashSoakOwnersInARow(t *testing.T) {
+	for _, seed := range []uint64{690, 903} {
+		playSoak(t, seed, poisonSome)
+	}
+}
+
 func playSoak(t *testing.T, seed uint64, prepare ...func(s *soak)) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/run/trial.go
+++ b/run/trial.go
@@ -20,8 +20,20 @@
 }
 
 // recorded tells whether the crashes of a subtask are in the store. Before that it must
-// not be started: the next owner would count too few.
+// not be started: the next owner would count too few. A gang waits for all of its members.
 func (t *task) recorded() bool {
+	if !t.step.spec.Gang {
+		return t.crashesRecorded()
+	}
+	for _, member := range t.step.tasks {
+		if !member.crashesRecorded() {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *task) crashesRecorded() bool {
 	return t.crashes == 0 || !t.step.rep.sub.recordedAt.Before(t.crashedAt)
 }
 
