--- a/run/trial.go
+++ b/run/trial.go
@@ -82,8 +82,8 @@
 }
 
 // placeTrial starts as many of a step's suspects as the first worker takes that may run
-// them, or none if that worker has to become quiet or to answer first. taken is the worker's index,
-// below 0 if there is none.
+// them, or none if that worker has to become quiet or to answer first. taken is the
+// worker's index, below 0 if there is none.
 func (o *Owner) placeTrial(g *schedule.Group, offers []*schedule.Worker, quiet map[tw.WorkerID]time.Time) (taken, placed int) {
 	for i, offer := range offers {
 		one := offers[i : i+1]
