--- a/run/crash_test.go
+++ b/run/crash_test.go
@@ -19,10 +19,10 @@
 // worker had lost was placed again together, the innocent went on from crash to crash in
 // the same company. From the owner's log, in seconds:
 //
-//	11.610 run: ordered  80a0d8.0.0.0 worker i-883c34dc99, 9037fb.0.0.4 beside it
-//	11.729 worker: ended i-883c34dc99 its machine is down, runs 22
-//	11.870 run: ordered  80a0d8.0.0.0 worker i-c118f91a52, 9037fb.0.0.4 beside it
-//	12.158 worker: ended i-c118f91a52 its machine is down, runs 23
+//	11.610 run: ordered  the subtask and nine others, on the first worker
+//	11.729 worker: ended the first worker, its machine is down, runs 22
+//	11.870 run: ordered  the subtask and the same nine, on the second worker
+//	12.158 worker: ended the second worker, its machine is down, runs 23
 var crashCases = map[string]func(r *rig){
 	"gives up a subtask that brings its workers down": func(r *rig) {
 		o := r.take("a")
@@ -104,10 +104,10 @@
 	// after the other for brought down by the subtask that was ordered there, and its
 	// submission was ended as failed:
 	//
-	//	11.519 run: ordered               0.3.17 worker_seen 1.47
-	//	11.719 run: start not confirmed   0.3.17 context deadline exceeded
-	//	11.760 run: may have ended its worker 0.3.17 workers 1, last answer 1.71 before
-	//	12.456 submission: ends           failed, the third worker on which it never was
+	//	11.519 run: ordered                   worker_seen 1.47
+	//	11.719 run: start not confirmed       context deadline exceeded
+	//	11.760 run: may have ended its worker workers 1, last answer 1.71 before
+	//	12.456 submission: ends               failed, the third worker on which it never was
 	"does not blame a subtask for workers that were dead before": func(r *rig) {
 		for n := range 4 {
 			r.addWorker(4 + n)
