--- a/run/crash.go
+++ b/run/crash.go
@@ -20,6 +20,11 @@
 	// begun, so that the run is not taken for the cause of its end. Subtasks that crash
 	// their workers did so within 10 ms; a start waits for its answer up to 0.2 s.
 	probation = 150 * time.Millisecond
+	// trialTime is how long a trial takes by the owner's clock: the start is answered within
+	// some milliseconds, and the worker's clock may run slow.
+	trialTime = probation + probation/10
+	// justAnswered is within which time after its last answer a worker counts as alive.
+	justAnswered = 100 * time.Millisecond
 	// crashesToGiveUp is after how many workers in a row a subtask is given up. It may be
 	// after two, and must not be started for the third time after the third. With two,
 	// work that is only unlucky is given up far more often where many workers crash.
@@ -64,9 +69,6 @@
 	return r.seenFrom != 0 || r.sent.Load() && (r.cutOff || r.afterAnswer <= justAnswered)
 }
 
-// justAnswered is within which time after its last answer a worker counts as alive.
-const justAnswered = 100 * time.Millisecond
-
 // timedOut tells whether a call ended because nothing came, rather than by a connection
 // that was closed.
 func timedOut(err error) bool {
@@ -193,10 +195,6 @@
 	return due
 }
 
-// trialTime is how long a trial takes by the owner's clock: the start is answered within
-// some milliseconds, and the worker's clock may run slow.
-const trialTime = probation + probation/10
-
 // later is the later of two times.
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
