Keys of organisations: who calls is known before the body is read, and sees its own work alone

Ruled out: passing the configuration between daemons as the operator wrote it (keys would stand in peers' messages).

Change: a key is looked up by its digest where the request enters; 401 without one that counts, before the body; the organisation is recorded with the submission, and another one's looks like none.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -33,7 +33,6 @@
 	// that is still ending changes nothing any more.
 	round    int
 	config   *tw.QueueConfig
-	raw      []byte // the configuration as written
 	waves    map[int64]tw.MaintenanceWave
 	listed   map[tw.WorkerID]listedWorker
 	byPool   map[tw.PoolID]map[tw.WorkerID]tw.WorkerEntry
@@ -130,13 +129,6 @@
 	return 0
 }
 
-// rawConfig is the configuration as the operator wrote it.
-func (d *directory) rawConfig() []byte {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.raw
-}
-
 // pools are the pools of the configuration, and that of the machines' manager.
 func (d *directory) pools() []tw.PoolID {
 	config := d.Config()
@@ -176,28 +168,36 @@
 	for key, item := range items {
 		switch {
 		case key == platform.QueueConfigKey:
-			d.offerConfig(item.Value, "store")
+			d.readConfig(item.Value)
 		case strings.HasPrefix(string(key), string(platform.WavePrefix)):
 			d.offerWave(item)
 		}
 	}
 }
 
-// offerConfig puts a configuration in force if it is newer.
-func (d *directory) offerConfig(value []byte, from string) {
+// readConfig puts the operators' configuration in force if it is newer.
+func (d *directory) readConfig(value []byte) {
 	config, err := platform.DecodeQueueConfig(value)
 	if err != nil {
-		d.log.Error("config: not readable", zap.String("from", from), logsink.Err(err))
+		d.log.Error("config: not readable", logsink.Err(err))
 		return
 	}
+	d.offerConfig(config, "store")
+}
+
+// offerConfig puts a configuration in force if it is newer. It never goes back: what
+// was answered by a version must not be answered by an older one.
+func (d *directory) offerConfig(config *tw.QueueConfig, from string) {
+	config.Prepare()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.config != nil && config.Version <= d.config.Version {
 		return
 	}
-	d.config, d.raw = config, value
+	d.config = config
 	d.log.Info("config: in force", zap.Uint64("version", uint64(config.Version)), zap.String("from", from),
-		zap.Int("routes", len(config.Routes)), zap.Int("pools", len(config.Pools)))
+		zap.Int("routes", len(config.Routes)), zap.Int("pools", len(config.Pools)),
+		zap.Int("organisations", len(config.Organisations)))
 }
 
 func (d *directory) offerWave(item tw.KVItem) {
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -15,7 +15,10 @@
 var _ member.Handler = (*QueueDaemon)(nil)
 
 // Ping implements member.Handler.
-func (d *QueueDaemon) Ping(_ context.Context, _ *member.PingRequest) (*member.PingResponse, error) {
+func (d *QueueDaemon) Ping(_ context.Context, m *member.PingRequest) (*member.PingResponse, error) {
+	if address, known := d.members.AddressOf(m.From); known && m.Config > d.directory.version() {
+		go d.fetchConfig(address, m.Config) // the answer must not wait for it
+	}
 	return &member.PingResponse{
 		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Owned: d.owners.records(),
 		StoreAnswers: d.members.StoreAnswers(),
@@ -24,7 +27,7 @@
 
 // Config implements member.Handler.
 func (d *QueueDaemon) Config(_ context.Context, _ *member.ConfigRequest) (*member.ConfigResponse, error) {
-	return &member.ConfigResponse{Value: d.directory.rawConfig()}, nil
+	return &member.ConfigResponse{Config: d.directory.Config()}, nil
 }
 
 // Submit implements member.Handler.
@@ -42,7 +45,7 @@
 	if owner == nil {
 		return &member.SubmissionResponse{Outcome: member.OutcomeNotOwner}, nil
 	}
-	return &member.SubmissionResponse{Outcome: queue.OutcomeOf(owner.Cancel(ctx, m.ID))}, nil
+	return &member.SubmissionResponse{Outcome: queue.OutcomeOf(owner.Cancel(ctx, m.Organisation, m.ID))}, nil
 }
 
 // State implements member.Handler.
@@ -51,7 +54,7 @@
 	if owner == nil {
 		return &member.SubmissionResponse{Outcome: member.OutcomeNotOwner}, nil
 	}
-	state, err := owner.State(ctx, m.ID)
+	state, err := owner.State(ctx, m.Organisation, m.ID)
 	return &member.SubmissionResponse{Outcome: queue.OutcomeOf(err), State: state}, nil
 }
 
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -44,17 +45,18 @@
 		machines tw.Machines
 		advisor  tw.Advisor
 
-		self      member.Live
-		presence  *member.Presence
-		peers     *member.Peers
-		members   *member.Members
-		census    *run.Census
-		directory *directory
-		owners    *owners
-		servers   []*http.Server
-		callers   *http.Server
-		stopping  atomic.Bool
-		done      chan struct{}
+		self       member.Live
+		presence   *member.Presence
+		peers      *member.Peers
+		members    *member.Members
+		census     *run.Census
+		directory  *directory
+		owners     *owners
+		servers    []*http.Server
+		callers    *http.Server
+		stopping   atomic.Bool
+		configNews configNews
+		done       chan struct{}
 	}
 )
 
@@ -152,6 +154,7 @@
 	}.New()
 	handler := queue.HandlerConfig{
 		Router: router, Codec: platform.Codec{}, Config: d.directory.Config, Clock: d.clock, Log: d.log, Metrics: d.metrics,
+		Keyed: platform.HasOrganisations(d.settings.Platform.Contracts),
 	}.New()
 	d.callers = &http.Server{
 		Handler: handler, ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
@@ -194,17 +197,22 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// fetchConfig reads a newer configuration from a peer.
+// fetchConfig reads a newer configuration from a peer, unless the store brings it:
+// a link of 10 Mbit/s takes 0.25 s for a large one, and all peers tell of it at once.
 func (d *QueueDaemon) fetchConfig(address string, version tw.Version) {
+	if !d.configNews.begin(d.directory.version(), version, d.members.StoreAnswers(), d.clock.Now()) {
+		return
+	}
+	defer d.configNews.end()
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
 	defer cancel()
 	resp, err := d.peers.Config(ctx, address)
-	if err != nil {
+	if err != nil || resp.Config == nil {
 		d.log.Warn("config: newer one not read from peer", zap.String("address", address),
 			zap.Uint64("version", uint64(version)), logsink.Err(err))
 		return
 	}
-	d.directory.offerConfig(resp.Value, address)
+	d.directory.offerConfig(resp.Config, address)
 }
 
 // peerCallTime bounds a call to a peer that no caller waits for.
@@ -247,7 +255,7 @@
 
 // Reload takes up a settings file that was written anew.
 func (d *QueueDaemon) Reload(s QueueSettings) {
-	if s == d.settings {
+	if reflect.DeepEqual(s, d.settings) {
 		d.log.Info("daemon: settings read again, nothing has changed")
 		return
 	}
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -49,6 +49,8 @@
 		Advice string `toml:"advice"`
 		// MinLease is the shortest lease that the store grants.
 		MinLease tw.Duration `toml:"min_lease"`
+		// Contracts are the parts of the platform's rules that the deployment has.
+		Contracts []string `toml:"contracts"`
 	}
 
 	// QueueProcessLimits bounds the process.
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -38,6 +38,9 @@
 		confirmed time.Time
 	}
 
+	// Existing is ErrExists with what stands under the key.
+	Existing struct{ Item tw.KVItem }
+
 	// Change is what one submission contributes to a write.
 	Change struct {
 		// Create is a key that must not exist yet; empty for none. It stands
@@ -67,6 +70,12 @@
 	ErrExists = errors.New("exists already")
 )
 
+// Error implements error.
+func (e *Existing) Error() string { return ErrExists.Error() }
+
+// Is implements the interface of errors.Is.
+func (e *Existing) Is(target error) bool { return target == ErrExists }
+
 // Open makes the daemon the owner of the pool, whoever owned it before: from
 // then on the writes of the former owner fail. It fails with ErrDeposed if
 // another daemon opened the book at the same time.
@@ -181,7 +190,7 @@
 	found := false
 	for i, change := range changes {
 		if change.Create != "" && results[i] == nil && conflict.Find(change.Create).Revision != 0 {
-			results[i] = ErrExists
+			results[i] = &Existing{Item: conflict.Find(change.Create)}
 			found = true
 		}
 	}
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -9,7 +9,7 @@
 // Accept is the change that keeps a new submission.
 func Accept(s *tw.Submission) Change {
 	key := SubmissionKey(s.ID)
-	record := Record{Pool: s.Policy.Pool, Submission: s}
+	record := Record{Pool: s.Policy.Pool, Submission: s, Organisation: s.Organisation}
 	return Change{Create: key, Puts: []tw.KVPut{{Key: key, Value: encode(record)}}}
 }
 
@@ -20,8 +20,9 @@
 
 // End is the change that ends a submission: its state replaces its steps, and
 // its progress is dropped.
-func End(pool tw.PoolID, id tw.SubmissionID, state tw.SubmissionState) Change {
-	record := Record{Pool: pool, Final: state}
+func End(pool tw.PoolID, s *tw.Submission, state tw.SubmissionState) Change {
+	id := s.ID
+	record := Record{Pool: pool, Final: state, Organisation: s.Organisation}
 	return Change{
 		Puts:    []tw.KVPut{{Key: SubmissionKey(id), Value: encode(record)}},
 		Removes: []tw.Key{ProgressKey(pool, id)},
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -53,7 +53,7 @@
 	}
 	var out []Loaded
 	for _, item := range items {
-		record, err := decodeRecord(item)
+		record, err := DecodeRecord(item)
 		if err != nil {
 			b.setAside(err)
 			continue
@@ -120,7 +120,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	return decodeRecord(item)
+	return DecodeRecord(item)
 }
 
 // FindProgress reads how far a submission is; none is no error.
@@ -177,7 +177,8 @@
 	return o, errors.Wrapf(err, "ledger: %s", item.Key)
 }
 
-func decodeRecord(item tw.KVItem) (Record, error) {
+// DecodeRecord reads a submission as stored.
+func DecodeRecord(item tw.KVItem) (Record, error) {
 	var r Record
 	err := json.Unmarshal(item.Value, &r)
 	return r, errors.Wrapf(err, "ledger: %s", item.Key)
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -49,6 +49,8 @@
 		Pool       tw.PoolID          `json:"pool"`
 		Submission *tw.Submission     `json:"submission,omitempty"`
 		Final      tw.SubmissionState `json:"final,omitempty"`
+		// Organisation is the submission's, also once it has ended.
+		Organisation tw.OrganisationID `json:"organisation,omitempty"`
 	}
 
 	// InboxKind says what a daemon that could not reach a pool's owner left
--- a/ledger/survey.go
+++ b/ledger/survey.go
@@ -84,7 +84,7 @@
 		return errors.Wrap(err, "ledger.Take: submissions")
 	}
 	for _, item := range submissions {
-		record, err := decodeRecord(item)
+		record, err := DecodeRecord(item)
 		if err != nil {
 			return err
 		}
--- a/member/members.go
+++ b/member/members.go
@@ -152,6 +152,14 @@
 	return o, found
 }
 
+// AddressOf is where a daemon was last known to answer its peers.
+func (m *Members) AddressOf(daemon tw.DaemonID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, known := m.lastLive[daemon]
+	return l.Address, known
+}
+
 // Yielded notes that this daemon has lost a pool to another.
 func (m *Members) Yielded(pool tw.PoolID) {
 	m.mu.Lock()
--- a/member/messages.go
+++ b/member/messages.go
@@ -40,9 +40,10 @@
 	// ConfigRequest asks for the configuration that a daemon has.
 	ConfigRequest struct{}
 
-	// ConfigResponse holds it as the operator wrote it.
+	// ConfigResponse holds it; nil if the daemon has none. Keys of callers are in it
+	// as digests alone.
 	ConfigResponse struct {
-		Value []byte `json:"value"`
+		Config *tw.QueueConfig `json:"config"`
 	}
 
 	// SubmitRequest hands a submission to the owner of its pool.
@@ -55,10 +56,12 @@
 		Outcome Outcome `json:"outcome"`
 	}
 
-	// SubmissionRequest is about one submission of a pool.
+	// SubmissionRequest is about one submission of a pool, for the organisation that
+	// asks: it is told of no other's.
 	SubmissionRequest struct {
-		Pool tw.PoolID       `json:"pool"`
-		ID   tw.SubmissionID `json:"id"`
+		Pool         tw.PoolID         `json:"pool"`
+		ID           tw.SubmissionID   `json:"id"`
+		Organisation tw.OrganisationID `json:"organisation,omitempty"`
 	}
 
 	// SubmissionResponse tells its state, or how a cancel ended.
--- a/queue/handler.go
+++ b/queue/handler.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -24,6 +25,10 @@
 		ParseID(text string) (tw.SubmissionID, bool)
 		Decode(body []byte) (tw.Submission, error)
 		Deadline(r *http.Request) time.Duration
+		// Key is the key that a request brings; false if it brings none, or several.
+		Key(r *http.Request) (string, bool)
+		// Challenge names what a request without a key that counts lacks.
+		Challenge() string
 		State(state tw.SubmissionState) []byte
 		Waiting(count int) []byte
 	}
@@ -33,7 +38,9 @@
 		Router *Router
 		Codec  Codec
 		// Config is the configuration in force; nil if there is none yet.
-		Config  func() *tw.QueueConfig
+		Config func() *tw.QueueConfig
+		// Keyed: the deployment has organisations, whose callers show a key.
+		Keyed   bool
 		Clock   tw.Clock
 		Log     *zap.Logger
 		Metrics *metrics.Set
@@ -41,6 +48,13 @@
 
 	// Handler serves callers.
 	Handler struct{ HandlerConfig }
+
+	// target is what a request is for, and from whom.
+	target struct {
+		config *tw.QueueConfig
+		route  *tw.QueueRoute
+		caller tw.OrganisationID
+	}
 )
 
 const (
@@ -59,6 +73,11 @@
 // New makes the handler.
 func (c HandlerConfig) New() *Handler { return &Handler{HandlerConfig: c} }
 
+// asks is the question for a submission of the caller's.
+func (t target) asks(id tw.SubmissionID) member.SubmissionRequest {
+	return member.SubmissionRequest{Pool: t.route.Policy.Pool, ID: id, Organisation: t.caller}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	config := h.Config()
@@ -75,6 +94,13 @@
 		h.refuse(w, r, http.StatusNotFound, "no such route")
 		return
 	}
+	caller, known := h.caller(r, config, route)
+	if !known {
+		// It says the same of a key that is missing, taken away or never was one.
+		w.Header().Set("WWW-Authenticate", h.Codec.Challenge())
+		h.refuse(w, r, http.StatusUnauthorized, "no valid key")
+		return
+	}
 	if limit := config.Limits.Header; limit > 0 && headerBytes(r) > limit {
 		h.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, "header over the limit")
 		return
@@ -85,13 +111,30 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), max(leastTime, allowed-answerMargin))
 	defer cancel()
-	h.serve(ctx, w, r, config, route)
+	h.serve(ctx, w, r, target{config: config, route: route, caller: caller})
+}
+
+// caller is the organisation that a request comes from: nobody where no key is asked
+// for. It is false for a request whose key opens nothing.
+func (h *Handler) caller(r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute) (tw.OrganisationID, bool) {
+	if !h.Keyed || route.Public {
+		return "", true
+	}
+	key, single := h.Codec.Key(r)
+	if !single {
+		return "", false
+	}
+	organisation := config.OrganisationOf(key)
+	if organisation == nil {
+		return "", false
+	}
+	return organisation.ID, true
 }
 
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute) {
-	rest := strings.TrimPrefix(r.URL.Path, route.Prefix)
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, t target) {
+	rest := strings.TrimPrefix(r.URL.Path, t.route.Prefix)
 	if rest == "" && r.Method == http.MethodGet {
-		h.count(ctx, w, r, route)
+		h.count(ctx, w, r, t.route)
 		return
 	}
 	id, valid := h.Codec.ParseID(rest)
@@ -101,19 +144,19 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.submit(ctx, w, r, config, route, id)
+		h.submit(ctx, w, r, t, id)
 	case http.MethodGet:
-		h.state(ctx, w, r, route, id)
+		h.state(ctx, w, r, t, id)
 	case http.MethodDelete:
-		h.cancel(ctx, w, r, route, id)
+		h.cancel(ctx, w, r, t, id)
 	default:
 		w.Header().Set("Allow", "POST, GET, DELETE")
 		h.refuse(w, r, http.StatusMethodNotAllowed, "method not allowed")
 	}
 }
 
-func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute, id tw.SubmissionID) {
-	body, err := readBody(w, r, config.Limits.Body)
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, t target, id tw.SubmissionID) {
+	body, err := readBody(w, r, t.config.Limits.Body)
 	if err != nil {
 		h.refuseBody(w, r, err)
 		return
@@ -124,7 +167,8 @@
 		return
 	}
 	s.ID = id
-	s.Policy = route.Policy
+	s.Organisation = t.caller
+	s.Policy = t.route.Policy
 	s.Accepted = h.Clock.Now()
 	began := h.Clock.Now()
 	err = h.Router.Submit(ctx, s)
@@ -139,8 +183,8 @@
 	}
 }
 
-func (h *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, route *tw.QueueRoute, id tw.SubmissionID) {
-	state, err := h.Router.State(ctx, route.Policy.Pool, id)
+func (h *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, t target, id tw.SubmissionID) {
+	state, err := h.Router.State(ctx, t.asks(id))
 	switch {
 	case err == nil:
 		h.answer(w, r, h.Codec.State(state))
@@ -151,8 +195,8 @@
 	}
 }
 
-func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, route *tw.QueueRoute, id tw.SubmissionID) {
-	err := h.Router.Cancel(ctx, route.Policy.Pool, id)
+func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, t target, id tw.SubmissionID) {
+	err := h.Router.Cancel(ctx, t.asks(id))
 	switch {
 	case err == nil:
 		h.answer(w, r, h.Codec.State(tw.Cancelled))
--- a/queue/router.go
+++ b/queue/router.go
@@ -139,7 +139,7 @@
 	_, err := r.KV.Commit(ctx, ledger.AcceptUnowned(&s))
 	var conflict *tw.KVConflict
 	if errors.As(err, &conflict) {
-		return nil // it is kept already
+		return keptAlready(conflict, &s)
 	}
 	if err == nil {
 		r.Log.Info("submission: kept without the owner", zap.String("submission", string(s.ID)),
@@ -148,52 +148,66 @@
 	return err
 }
 
+// keptAlready tells what it means for a submission that its id is taken: nothing if it was
+// kept before. One of another organisation is not to be told of; as far as the caller can
+// tell, its own was not taken.
+func keptAlready(conflict *tw.KVConflict, s *tw.Submission) error {
+	record, err := ledger.DecodeRecord(conflict.Find(ledger.SubmissionKey(s.ID)))
+	if err == nil && record.Organisation != s.Organisation {
+		return errors.Wrap(tw.ErrUnavailable, "queue: the store does not take it")
+	}
+	return nil
+}
+
 // Cancel cancels a submission. It fails with run.ErrUnknown if there is none.
-func (r *Router) Cancel(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+func (r *Router) Cancel(ctx context.Context, m member.SubmissionRequest) error {
 	ctx, stop := r.Members.WhileConnected(ctx)
 	defer stop()
 	for {
-		err := r.cancelOnce(ctx, pool, id)
+		err := r.cancelOnce(ctx, m)
 		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
 			return err
 		}
 	}
 }
 
-func (r *Router) cancelOnce(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
-	err := r.cancelAtOwner(ctx, pool, id)
+func (r *Router) cancelOnce(ctx context.Context, m member.SubmissionRequest) error {
+	err := r.cancelAtOwner(ctx, m)
 	if err == nil {
 		return nil
 	}
-	record, findErr := ledger.Find(ctx, r.KV, id)
+	record, findErr := ledger.Find(ctx, r.KV, m.ID)
 	switch {
 	case errors.Is(findErr, tw.ErrNotFound):
 		return run.ErrUnknown
 	case findErr != nil:
 		return findErr
+	case record.Organisation != m.Organisation:
+		return run.ErrUnknown
 	case record.Final != "":
 		return nil
 	}
-	if record.Pool != pool {
-		if err := r.cancelAtOwner(ctx, record.Pool, id); err == nil {
+	if record.Pool != m.Pool {
+		m.Pool = record.Pool
+		if err := r.cancelAtOwner(ctx, m); err == nil {
 			return nil
 		}
 	}
-	_, err = r.KV.Commit(ctx, ledger.AskCancel(record.Pool, id))
+	_, err = r.KV.Commit(ctx, ledger.AskCancel(record.Pool, m.ID))
 	return err
 }
 
-func (r *Router) cancelAtOwner(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) error {
+func (r *Router) cancelAtOwner(ctx context.Context, m member.SubmissionRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if local := r.Pools.Local(pool); local != nil {
-		return local.Cancel(ctx, id)
+	if local := r.Pools.Local(m.Pool); local != nil {
+		return local.Cancel(ctx, m.Organisation, m.ID)
 	}
-	owner, err := r.owner(pool)
+	owner, err := r.owner(m.Pool)
 	if err != nil {
 		return err
 	}
-	resp, err := r.Peers.Cancel(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
+	resp, err := r.Peers.Cancel(ctx, owner.Address, m)
 	if err != nil {
 		return err
 	}
@@ -202,43 +216,46 @@
 
 // State tells a submission's state. It fails with run.ErrUnknown if there is
 // none.
-func (r *Router) State(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+func (r *Router) State(ctx context.Context, m member.SubmissionRequest) (tw.SubmissionState, error) {
 	// What an owner here knows is told also while nothing else answers.
-	if local := r.Pools.Local(pool); local != nil {
-		if state, err := local.State(ctx, id); err == nil {
+	if local := r.Pools.Local(m.Pool); local != nil {
+		if state, err := local.State(ctx, m.Organisation, m.ID); err == nil {
 			return state, nil
 		}
 	}
 	ctx, stop := r.Members.WhileConnected(ctx)
 	defer stop()
 	for {
-		state, err := r.stateOnce(ctx, pool, id)
+		state, err := r.stateOnce(ctx, m)
 		if err == nil || errors.Is(err, run.ErrUnknown) || !r.pause(ctx) {
 			return state, err
 		}
 	}
 }
 
-func (r *Router) stateOnce(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
-	state, err := r.stateAtOwner(ctx, pool, id)
+func (r *Router) stateOnce(ctx context.Context, m member.SubmissionRequest) (tw.SubmissionState, error) {
+	state, err := r.stateAtOwner(ctx, m)
 	if err == nil {
 		return state, nil
 	}
-	record, err := ledger.Find(ctx, r.KV, id)
+	record, err := ledger.Find(ctx, r.KV, m.ID)
 	switch {
 	case errors.Is(err, tw.ErrNotFound):
 		return "", run.ErrUnknown
 	case err != nil:
 		return "", err
+	case record.Organisation != m.Organisation:
+		return "", run.ErrUnknown
 	case record.Final != "":
 		return record.Final, nil
 	}
-	if record.Pool != pool {
-		if state, err := r.stateAtOwner(ctx, record.Pool, id); err == nil {
+	if record.Pool != m.Pool {
+		m.Pool = record.Pool
+		if state, err := r.stateAtOwner(ctx, m); err == nil {
 			return state, nil
 		}
 	}
-	return r.recordedState(ctx, record.Pool, id)
+	return r.recordedState(ctx, record.Pool, m.ID)
 }
 
 // recordedState is what the store tells of a submission that has not ended.
@@ -253,17 +270,17 @@
 	return tw.Waiting, nil
 }
 
-func (r *Router) stateAtOwner(ctx context.Context, pool tw.PoolID, id tw.SubmissionID) (tw.SubmissionState, error) {
+func (r *Router) stateAtOwner(ctx context.Context, m member.SubmissionRequest) (tw.SubmissionState, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if local := r.Pools.Local(pool); local != nil {
-		return local.State(ctx, id)
+	if local := r.Pools.Local(m.Pool); local != nil {
+		return local.State(ctx, m.Organisation, m.ID)
 	}
-	owner, err := r.owner(pool)
+	owner, err := r.owner(m.Pool)
 	if err != nil {
 		return "", err
 	}
-	resp, err := r.Peers.State(ctx, owner.Address, member.SubmissionRequest{Pool: pool, ID: id})
+	resp, err := r.Peers.State(ctx, owner.Address, m)
 	if err != nil {
 		return "", err
 	}
--- a/run/owner.go
+++ b/run/owner.go
@@ -161,7 +161,7 @@
 func (o *Owner) takeUp(l ledger.Loaded) {
 	if l.Record.Final != "" {
 		o.submissions[l.ID] = &submission{
-			Submission: tw.Submission{ID: l.ID}, durable: true, final: l.Record.Final, endedAt: o.now,
+			Submission: tw.Submission{ID: l.ID, Organisation: l.Record.Organisation}, durable: true, final: l.Record.Final, endedAt: o.now,
 		}
 		return
 	}
--- a/run/owner_bench_test.go
+++ b/run/owner_bench_test.go
@@ -130,7 +130,7 @@
 func waitEnded(b *testing.B, owner *run.Owner, id tw.SubmissionID) {
 	deadline := time.Now().Add(20 * time.Second)
 	for time.Now().Before(deadline) {
-		if state, err := owner.State(b.Context(), id); err == nil && state == tw.Succeeded {
+		if state, err := owner.State(b.Context(), "", id); err == nil && state == tw.Succeeded {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -53,7 +53,7 @@
 		o := r.take("a")
 		r.submit(o, lasting("s1", 3))
 		time.Sleep(2 * time.Second)
-		r.Expect(o.Cancel(r.ctx, "s1")).To(Succeed())
+		r.Expect(o.Cancel(r.ctx, "", "s1")).To(Succeed())
 		r.Expect(r.state(o, "s1")).To(Equal(tw.Cancelled))
 		r.Eventually(func() int { return r.fleet.Running(subtask("s1", 0, 0)) }, 2*time.Second).Should(BeZero())
 	},
@@ -112,7 +112,7 @@
 		submitted := make(chan error, 1)
 		go func() { submitted <- o.Submit(r.ctx, s) }()
 		time.Sleep(50 * time.Millisecond)
-		r.Expect(o.Cancel(r.ctx, "s1")).To(Succeed())
+		r.Expect(o.Cancel(r.ctx, "", "s1")).To(Succeed())
 		r.Expect(<-submitted).To(Succeed())
 		r.Expect(r.state(o, "s1")).To(Equal(tw.Cancelled))
 		time.Sleep(3 * time.Second)
@@ -128,7 +128,7 @@
 		refused := make(chan error, 2)
 		go func() { refused <- o.Submit(r.ctx, s) }()
 		time.Sleep(10 * time.Millisecond)
-		go func() { refused <- o.Cancel(r.ctx, "s1") }()
+		go func() { refused <- o.Cancel(r.ctx, "", "s1") }()
 		r.Expect(<-refused).NotTo(Succeed())
 		<-refused
 		r.kv.SetFaults(standin.KVFaults{})
--- a/run/pace_test.go
+++ b/run/pace_test.go
@@ -56,7 +56,7 @@
 				time.Sleep(15 * time.Second)
 				_, pace = r.fleet.TailOn(workerID(0))
 				r.Expect(pace).To(Equal(100))
-				r.Expect(o.Cancel(r.ctx, tw.SubmissionID("filler"))).To(Succeed())
+				r.Expect(o.Cancel(r.ctx, "", tw.SubmissionID("filler"))).To(Succeed())
 				r.kept()
 			})
 		})
--- a/run/requests.go
+++ b/run/requests.go
@@ -20,23 +20,37 @@
 	return o.ask(ctx, result, func() { o.submit(s, result) })
 }
 
-// Cancel cancels a submission and returns when that is durable.
-func (o *Owner) Cancel(ctx context.Context, id tw.SubmissionID) error {
+// Cancel cancels a submission of an organisation and returns when that is durable. It
+// fails with ErrUnknown if the organisation has none with this id.
+func (o *Owner) Cancel(ctx context.Context, by tw.OrganisationID, id tw.SubmissionID) error {
 	result := make(chan error, 1)
-	return o.ask(ctx, result, func() { o.askCancel(id, result) })
+	return o.ask(ctx, result, func() {
+		if o.hides(id, by) {
+			result <- ErrUnknown
+			return
+		}
+		o.askCancel(id, result)
+	})
 }
 
-// State tells a submission's state, or fails with ErrUnknown.
-func (o *Owner) State(ctx context.Context, id tw.SubmissionID) (tw.SubmissionState, error) {
+// State tells the state of a submission of an organisation, or fails with ErrUnknown.
+func (o *Owner) State(ctx context.Context, by tw.OrganisationID, id tw.SubmissionID) (tw.SubmissionState, error) {
 	return askFor(ctx, o, func() (tw.SubmissionState, error) {
 		sub := o.submissions[id]
-		if sub == nil || !sub.durable {
+		if sub == nil || !sub.durable || o.hides(id, by) {
 			return "", ErrUnknown
 		}
 		return sub.state(), nil
 	})
 }
 
+// hides tells whether a submission is another organisation's, which this one must not
+// learn of.
+func (o *Owner) hides(id tw.SubmissionID, from tw.OrganisationID) bool {
+	sub := o.submissions[id]
+	return sub != nil && sub.Organisation != from
+}
+
 // Waiting counts a route's submissions none of whose subtasks has begun.
 func (o *Owner) Waiting(ctx context.Context, route tw.RouteName) (int, error) {
 	return askFor(ctx, o, func() (int, error) { return o.waiting[route], nil })
@@ -100,6 +114,11 @@
 		result <- ErrNotOwner
 		return
 	}
+	if o.hides(s.ID, s.Organisation) {
+		// As far as this caller can tell, the store did not take it.
+		result <- errors.Wrap(tw.ErrUnavailable, "run: the store does not take it")
+		return
+	}
 	if have := o.submissions[s.ID]; have != nil {
 		if have.durable {
 			result <- nil
@@ -147,22 +166,39 @@
 
 // existsAlready is called when another daemon has kept the same id: what the store has
 // takes the place of sub, and a cancel that came meanwhile goes on to it.
-func (o *Owner) existsAlready(sub *submission) {
+func (o *Owner) existsAlready(sub *submission, kept tw.KVItem) {
 	if o.submissions[sub.ID] != sub {
 		return // it has done so already
 	}
 	delete(o.submissions, sub.ID)
-	sub.kept()
+	if record, err := ledger.DecodeRecord(kept); err == nil {
+		sub.keptAs(record)
+	} else {
+		sub.kept()
+	}
 	o.fetch(sub.ID, false, func() { o.passOnCancel(sub) })
 }
 
+// keptAs tells those who wait for a submission to be kept what stands under its id: itself,
+// or another organisation's, of which they must not learn.
+func (s *submission) keptAs(record ledger.Record) {
+	if record.Organisation != s.Organisation {
+		for _, waiter := range s.waiters {
+			waiter <- errors.Wrap(tw.ErrUnavailable, "run: the store does not take it")
+		}
+		s.waiters = nil
+		return
+	}
+	s.kept()
+}
+
 // supersede has what the store has kept of another try take the place of a submission
 // that waits to be kept.
 func (o *Owner) supersede(waiting *submission, l ledger.Loaded) {
 	o.log.Info("submission: kept by another try", zap.String("submission", string(l.ID)))
 	delete(o.submissions, l.ID)
 	o.writer.withdraw(waiting)
-	waiting.kept()
+	waiting.keptAs(l.Record)
 	o.takeFetched(l)
 	o.passOnCancel(waiting)
 }
@@ -170,11 +206,17 @@
 // passOnCancel has a cancel that came while a submission waited go on to what was kept of
 // it by another try.
 func (o *Owner) passOnCancel(waiting *submission) {
+	enders := waiting.enders
+	waiting.enders = nil
+	if o.hides(waiting.ID, waiting.Organisation) {
+		for _, result := range enders {
+			result <- ErrUnknown
+		}
+		return
+	}
 	if kept := o.submissions[waiting.ID]; kept != nil && waiting.ending == tw.Cancelled && kept.final == "" {
 		o.cancelSubmission(kept)
 	}
-	enders := waiting.enders
-	waiting.enders = nil
 	for _, result := range enders {
 		o.askCancel(waiting.ID, result)
 	}
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -178,7 +178,7 @@
 	r.leave(s)
 	o.Inbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: s.ID})
 	r.Eventually(func() error {
-		_, err := o.State(r.ctx, s.ID)
+		_, err := o.State(r.ctx, "", s.ID)
 		return err
 	}, time.Second).Should(Succeed())
 }
@@ -195,7 +195,7 @@
 }
 
 func (r *rig) state(o *run.Owner, id tw.SubmissionID) tw.SubmissionState {
-	state, err := o.State(r.ctx, id)
+	state, err := o.State(r.ctx, "", id)
 	r.Expect(err).NotTo(HaveOccurred())
 	return state
 }
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -224,7 +224,7 @@
 	id := s.taken[s.rand.IntN(len(s.taken))]
 	ctx, cancel := context.WithTimeout(s.ctx, patience)
 	defer cancel()
-	_ = s.owner.Cancel(ctx, id) // it may fail while the store does
+	_ = s.owner.Cancel(ctx, "", id) // it may fail while the store does
 }
 
 // present is the present life of a machine, or its last one.
--- a/run/tries_test.go
+++ b/run/tries_test.go
@@ -46,7 +46,7 @@
 		kv, o := r.waits("s1")
 		r.leave(submission("s1", 2))
 		cancelled := make(chan error, 1)
-		go func() { cancelled <- o.Cancel(r.ctx, "s1") }()
+		go func() { cancelled <- o.Cancel(r.ctx, "", "s1") }()
 		o.Inbox(r.ctx, submitted("s1"))
 		time.Sleep(time.Second)
 		kv.mute.Store(false)
@@ -60,7 +60,7 @@
 func (r *rig) ends(o *run.Owner, id tw.SubmissionID, want tw.SubmissionState, within time.Duration) {
 	r.t.Helper()
 	r.Eventually(func() tw.SubmissionState {
-		state, err := o.State(r.ctx, id)
+		state, err := o.State(r.ctx, "", id)
 		if err != nil {
 			r.Expect(err).To(MatchError(run.ErrUnknown))
 		}
@@ -167,7 +167,7 @@
 			return
 		}
 		p.cancelled = true
-		p.ask(func(ctx context.Context, o *run.Owner) error { return o.Cancel(ctx, "s1") })
+		p.ask(func(ctx context.Context, o *run.Owner) error { return o.Cancel(ctx, "", "s1") })
 	}
 }
 
--- a/run/writer.go
+++ b/run/writer.go
@@ -240,11 +240,12 @@
 
 func (w *writer) addFresh(sub *submission, add addChange) bool {
 	return add(ledger.Accept(&sub.Submission), func(err error) {
+		var existing *ledger.Existing
 		switch {
 		case err == nil:
 			w.o.accepted(sub)
-		case errors.Is(err, ledger.ErrExists):
-			w.o.existsAlready(sub)
+		case errors.As(err, &existing):
+			w.o.existsAlready(sub, existing.Item)
 		default:
 			w.o.refusedByStore(sub, err)
 		}
@@ -264,7 +265,7 @@
 			sub.recordedAt = w.lastSent
 		})
 	}
-	return add(ledger.End(w.o.pool, sub.ID, sub.ending), func(err error) {
+	return add(ledger.End(w.o.pool, &sub.Submission, sub.ending), func(err error) {
 		if err != nil {
 			w.mark(sub)
 			return
--- a/submission.go
+++ b/submission.go
@@ -89,11 +89,14 @@
 
 	// Submission is a piece of work that a caller handed in.
 	Submission struct {
-		ID       SubmissionID `json:"id"`
-		Policy   RoutePolicy  `json:"policy"`
-		Spec     string       `json:"spec"`
-		Steps    []Step       `json:"steps"`
-		Schedule Schedule     `json:"schedule,omitzero"`
+		ID SubmissionID `json:"id"`
+		// Organisation is who handed it in; empty is nobody. It does not change with
+		// the key that was used.
+		Organisation OrganisationID `json:"organisation,omitempty"`
+		Policy       RoutePolicy    `json:"policy"`
+		Spec         string         `json:"spec"`
+		Steps        []Step         `json:"steps"`
+		Schedule     Schedule       `json:"schedule,omitzero"`
 		// Accepted is the accepting daemon's time of day.
 		Accepted time.Time `json:"accepted"`
 	}
