Writes beside the chain: a submission of the same words proves nothing

After a lost answer a write beside the chain was taken as done when a submission of it stood in the store with the same bytes. But another daemon keeps a submission in the same words when the owner is late; then the ends in that write were never recorded, workers were told that they were, and the next owner started all of it again.

Change: after a lost answer what exists counts as existing, and the rest is written again; ends can be written twice. Test red first.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -187,7 +187,9 @@
 // WriteApart makes changes durable beside the writes of the book's own chain, and of others
 // that are made so at the same time: it may be called by several goroutines. No change may
 // depend on another that is under way, and each must be one that can be made twice: a
-// submission that is new, or one that has ended. The outcome is as that of Write.
+// submission that is new, or one that has ended. The outcome is as that of Write, but that
+// a new submission whose first answer was lost may get ErrExists: what stands in the store
+// may be its own, or what another daemon has kept, with a message for the owner.
 func (b *Book) WriteApart(ctx context.Context, changes []Change) ([]error, error) {
 	results := make([]error, len(changes))
 	unclear := false
@@ -199,8 +201,6 @@
 		switch {
 		case err == nil:
 			return results, nil
-		case errors.As(err, &conflict) && unclear && madeBefore(conflict, txn):
-			return results, nil
 		case errors.As(err, &conflict):
 			if conflict.Find(OwnerKey(b.owner.Pool)).Revision != b.opened {
 				return nil, ErrDeposed
@@ -223,23 +223,6 @@
 	}
 }
 
-// madeBefore tells whether a transaction that fails was made by an earlier try: as it
-// happens as a whole, by any key that it was to create and that has its value.
-func madeBefore(conflict *tw.KVConflict, txn tw.KVTxn) bool {
-	for _, condition := range txn.Conditions {
-		if condition.Revision != 0 {
-			continue
-		}
-		present := conflict.Find(condition.Key)
-		for _, put := range txn.Puts {
-			if put.Key == condition.Key && present.Revision != 0 && bytes.Equal(put.Value, present.Value) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // sortOut marks the changes whose key exists. It fails with ErrDeposed if it
 // was the head that did not match.
 func (b *Book) sortOut(conflict *tw.KVConflict, changes []Change, results []error) error {
