--- a/cmd/tamarind/queue.go
+++ b/cmd/tamarind/queue.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -22,6 +24,10 @@
 
 Example: tamarind queue status --store 10.200.1.7:8621`
 
+	queueCapsHelp = `Show which part of each organisation's usage cap the pools have, in 1/1,024.
+
+Example: tamarind queue caps --store 10.200.1.7:8621`
+
 	queueSubmissionHelp = `Show what the store has of one submission: its steps and progress, or how it
 ended. docs/OPERATIONS.md goes on from there.
 
@@ -54,6 +60,20 @@
 		})
 	}))
 
+	caps := queue.Command("caps", queueCapsHelp)
+	caps.Action(action(func() error {
+		return conn.useStore(*store, func(ctx context.Context, kv tw.KV) error {
+			shares, err := ledger.FindShares(ctx, kv)
+			if err != nil {
+				return err
+			}
+			if *output == "json" {
+				return json.NewEncoder(os.Stdout).Encode(shares)
+			}
+			return printShares(shares)
+		})
+	}))
+
 	submission := queue.Command("submission", queueSubmissionHelp)
 	id := submission.Arg("id", "16 hex digits.").Required().String()
 	submission.Action(action(func() error {
@@ -87,6 +107,18 @@
 	return w.Flush()
 }
 
+func printShares(s ledger.Shares) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "POOL\tFENCE\tORGANISATION\tUNITS")
+	for _, pool := range slices.Sorted(maps.Keys(s.Pools)) {
+		shares := s.Pools[pool]
+		for _, id := range slices.Sorted(maps.Keys(shares.Units)) {
+			fmt.Fprintf(w, "%s\t%d\t%s\t%d\n", pool, shares.Fence, id, shares.Units[id])
+		}
+	}
+	return w.Flush()
+}
+
 // printSubmission prints JSON in any case: a record has too many parts for a
 // table.
 func printSubmission(ctx context.Context, kv tw.KV, id tw.SubmissionID) error {
--- a/e2e/queue_test.go
+++ b/e2e/queue_test.go
@@ -34,6 +34,8 @@
 	cloud *standin.Cloud
 	dir   string
 	store string // its address
+	// contracts are the parts of the platform's rules, as in the settings.
+	contracts string
 
 	mu      sync.Mutex
 	daemons map[string]*process
@@ -135,8 +137,8 @@
 
 func (r *queueRig) start(id, store, machines string) {
 	r.callers[id] = freeAddress()
-	text := fmt.Sprintf("id = %q\nhall = \"h\"\n[listen]\ncallers = %q\nreadiness = %q\npeers = %q\n[platform]\nstore = %q\nmachines = %q\n",
-		id, r.callers[id], freeAddress(), freeAddress(), store, machines)
+	text := fmt.Sprintf("id = %q\nhall = \"h\"\n[listen]\ncallers = %q\nreadiness = %q\npeers = %q\n[platform]\nstore = %q\nmachines = %q\n%s\n",
+		id, r.callers[id], freeAddress(), freeAddress(), store, machines, r.contracts)
 	Expect(os.WriteFile(r.settings(id), []byte(text), 0o600)).To(Succeed())
 	r.restart(id)
 	DeferCleanup(func() { r.daemon(id).end() })
@@ -165,11 +167,19 @@
 // callersOf is where a daemon takes the requests of callers.
 func (r *queueRig) callersOf(id string) string { return r.callers[id] }
 
-// call asks a daemon; zero is the status of no answer.
+// call asks a daemon without a key; zero is the status of no answer.
 func (r *queueRig) call(daemon, method, path, body string) (int, string) {
+	return r.callWith("", daemon, method, path, body)
+}
+
+// callWith asks a daemon with a key; empty is none.
+func (r *queueRig) callWith(key, daemon, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+r.callers[daemon]+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = queueHost
+	if key != "" {
+		req.Header.Set("Tamarindworks-Credential", key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
--- a/ledger/shares.go
+++ b/ledger/shares.go
@@ -77,6 +77,15 @@
 	return shares, errors.Wrapf(err, "ledger: %s", item.Key)
 }
 
+// FindShares reads the record; none is no error.
+func FindShares(ctx context.Context, kv tw.KV) (Shares, error) {
+	item, err := kv.Get(ctx, SharesKey)
+	if err != nil && !errors.Is(err, tw.ErrNotFound) {
+		return Shares{}, err
+	}
+	return DecodeShares(item)
+}
+
 // Free are the units that pools other than this one leave of a cap. For each of the pools
 // that are to keep a floor it counts at least that.
 func (s Shares) Free(organisation tw.OrganisationID, pool tw.PoolID, floors map[tw.PoolID]ShareUnits) ShareUnits {
--- a/run/caps.go
+++ b/run/caps.go
@@ -336,7 +336,7 @@
 	held, wanted := c.held[id], c.wanted[id]
 	keep, slack := floor, ledger.ShareUnits(0)
 	if inUse > 0 {
-		keep, slack = max(floor, inUse+sparePart), sparePart
+		keep, slack = max(floor, inUse+sparePart), sparePart/4
 	}
 	switch {
 	case wanted > held:
