Starts of suspects are counted ahead also after two crashes

Change: it is counted; what stands at five when an owner takes over is given up. Ruled out: giving up at three, which hits a subtask whose owner was replaced while it was tried.

--- a/run/crash.go
+++ b/run/crash.go
@@ -29,6 +29,10 @@
 	// after two, and must not be started for the third time after the third. With two,
 	// work that is only unlucky is given up far more often where many workers crash.
 	crashesToGiveUp = 3
+	// crashesUnseen is the count at which a subtask is given up though no owner has seen the
+	// last of them: each was counted before a start by an owner that was replaced before it
+	// recorded what came of it. One start more would be the third after the third crash.
+	crashesUnseen = crashesToGiveUp + 2
 )
 
 // outlasted tells whether the run's worker has lived on for so long that the run is not
@@ -100,6 +104,21 @@
 	o.conclude(t.step.rep.sub, tw.Failed, "workers have ended under subtask "+t.id.String()+" each time it was started")
 }
 
+// giveUpUnseen gives a submission up that former owners have started too often without
+// recording what came of it.
+func (o *Owner) giveUpUnseen(sub *submission) {
+	for _, rep := range sub.reps {
+		for _, st := range rep.steps {
+			for _, t := range st.tasks {
+				if !t.done && t.crashes >= crashesUnseen {
+					o.giveUp(t)
+					return
+				}
+			}
+		}
+	}
+}
+
 // countAhead counts the next start of a subtask as a crash before it is made. Else, if the
 // ownership ended before a crash is recorded, the next owner would not know of it.
 func (o *Owner) countAhead(t *task) {
@@ -110,10 +129,9 @@
 }
 
 // countsAhead tells whether that is to be done: for suspects, and for what a former owner
-// may have started, so that the first start of a new submission waits for no record. What
-// gives a subtask up is always an end that was seen.
+// may have started, so that the first start of a new submission waits for no record.
 func (t *task) countsAhead() bool {
-	return !t.ahead && t.crashes < crashesToGiveUp-1 && (t.suspect() || t.step.rep.sub.inherited)
+	return !t.ahead && t.crashes < crashesUnseen && (t.suspect() || t.step.rep.sub.inherited)
 }
 
 // uncount takes back that a run was counted as a crash, as it ended in another way.
