--- a/run/caps.go
+++ b/run/caps.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,10 +21,6 @@
 // that are in use never sum to more than the cap, whoever is cut off, deposed or late.
 
 type (
-	// usage is what the runs of a pool take, by organisation, whatever their state: what
-	// is ordered, what is in doubt and what is being stopped counts.
-	usage map[tw.OrganisationID]tw.Resources
-
 	// caps keeps the pool's work within the usage caps. All but its goroutine, which only
 	// waits for the store, belongs to the owner's loop.
 	caps struct {
@@ -100,30 +95,6 @@
 
 func (c *caps) close() { <-c.done }
 
-// count adds a run n times.
-func (u usage) count(r *runState, n int) {
-	organisation := r.task.step.rep.sub.Organisation
-	if organisation == "" || u == nil {
-		return
-	}
-	u[organisation] = u[organisation].Plus(r.quota().Times(n))
-}
-
-// running is what the submission's runs count for against its organisation's cap.
-func (s *submission) running() tw.Resources {
-	var out tw.Resources
-	for _, rep := range s.reps {
-		for _, st := range rep.steps {
-			for _, t := range st.tasks {
-				for _, r := range t.runs {
-					out = out.Plus(r.quota())
-				}
-			}
-		}
-	}
-	return out
-}
-
 // inherit takes up a submission that ended under a former owner: what it had running may
 // not have been stopped yet.
 func (c *caps) inherit(r ledger.Record) {
@@ -132,15 +103,6 @@
 	}
 }
 
-// quota is what a run counts for against its organisation's cap: all that its step asks
-// for, and for one of which nothing is known the whole worker.
-func (r *runState) quota() tw.Resources {
-	need := r.task.step.spec.Need
-	return tw.Resources{
-		CPU: max(need.CPU, r.claim.CPU), MemoryMB: max(need.MemoryMB, r.claim.MemoryMB), GPU: max(need.GPU, r.claim.GPU),
-	}
-}
-
 // record brings changes into the store, until the owner ends.
 func (c *caps) record(o *Owner, book *ledger.ShareBook) {
 	for {
@@ -183,7 +145,7 @@
 	c.giving = nil
 	if err != nil {
 		o.log.Error("caps: parts not recorded", logsink.Err(err))
-		c.raiseFrom = o.now.Add(time.Second)
+		c.raiseFrom, c.short = o.now.Add(time.Second), true // the record is read anew first
 		if errors.Is(err, ledger.ErrDeposed) {
 			c.held = nil
 		}
@@ -358,81 +320,3 @@
 	c.lastPeak, c.peak = c.peak, map[tw.OrganisationID]ledger.ShareUnits{}
 	return true
 }
-
-// unknownUsage is what the former owner may have running, or may still start, where this
-// owner has not been heard yet: no more than its submissions ask for or have left, nor than
-// the workers hold from which no answer has come.
-func (o *Owner) unknownUsage() usage {
-	if !o.inheritedDoubts() {
-		return nil
-	}
-	out := maps.Clone(o.caps.leftover)
-	for _, sub := range o.live {
-		if !sub.inherited || sub.Organisation == "" {
-			continue
-		}
-		for _, rep := range sub.reps {
-			out[sub.Organisation] = out[sub.Organisation].Plus(rep.unseenNeed())
-		}
-	}
-	if !o.counted {
-		return out
-	}
-	var unheard tw.Resources
-	for _, w := range o.workers {
-		if w.inheritedDoubt {
-			unheard = unheard.Plus(w.entry.Capacity)
-		}
-	}
-	for id, need := range out {
-		out[id] = tw.Resources{
-			CPU: min(need.CPU, unheard.CPU), MemoryMB: min(need.MemoryMB, unheard.MemoryMB), GPU: min(need.GPU, unheard.GPU),
-		}
-	}
-	return out
-}
-
-// unseenNeed is what the subtasks would take that are not done and of which no run is
-// known.
-func (r *repetition) unseenNeed() tw.Resources {
-	var out tw.Resources
-	for _, st := range r.steps {
-		for _, t := range st.tasks {
-			if !t.done && !t.active() {
-				out = out.Plus(st.spec.Need)
-			}
-		}
-	}
-	return out
-}
-
-// part is so many units of a cap. A resource that the cap does not limit is unlimited.
-func part(limit tw.Resources, units ledger.ShareUnits) tw.Resources {
-	return tw.Resources{
-		CPU:      tw.Millicores(partOf(int64(limit.CPU), units)),
-		MemoryMB: partOf(limit.MemoryMB, units),
-		GPU:      partOf(limit.GPU, units),
-	}
-}
-
-func partOf(limit int64, units ledger.ShareUnits) int64 {
-	if limit == 0 {
-		return schedule.Unlimited
-	}
-	return int64(float64(limit) * float64(units) / float64(ledger.CapUnits))
-}
-
-// unitsOf is how many units of a cap a need takes, at most all.
-func unitsOf(need, limit tw.Resources) ledger.ShareUnits {
-	share := max(
-		shareOf(int64(need.CPU), int64(limit.CPU)), shareOf(need.MemoryMB, limit.MemoryMB), shareOf(need.GPU, limit.GPU),
-	)
-	return min(ledger.CapUnits, ledger.ShareUnits(math.Ceil(share*float64(ledger.CapUnits))))
-}
-
-func shareOf(need, limit int64) float64 {
-	if limit == 0 {
-		return 0
-	}
-	return float64(need) / float64(limit)
-}
--- a/run/caps_test.go
+++ b/run/caps_test.go
@@ -224,6 +224,16 @@
 			r.watch(170 * time.Millisecond)
 		}
 	},
+	"a record of another writer is left alone until it is readable again": func(r *capRig) {
+		item, err := r.kv.Get(r.ctx, ledger.SharesKey)
+		r.Expect(err).NotTo(HaveOccurred())
+		r.kv.Put(ledger.SharesKey, []byte("not a record"))
+		r.send("checks", "red", 20, 200*time.Millisecond)
+		r.watch(3 * time.Second)
+		r.kv.Put(ledger.SharesKey, item.Value)
+		r.watch(5 * time.Second)
+		r.Expect(r.unfinished()).To(BeEmpty())
+	},
 	"the store is down while demand turns": func(r *capRig) {
 		r.send("checks", "red", 8, time.Second)
 		r.watch(500 * time.Millisecond)
--- /dev/null
+++ b/run/usage.go
@@ -0,0 +1,125 @@
+package run
+
+import (
+	"maps"
+	"math"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/schedule"
+)
+
+// usage is what the runs of a pool take, by organisation, whatever their state: what is
+// ordered, what is in doubt and what is being stopped counts.
+type usage map[tw.OrganisationID]tw.Resources
+
+// count adds a run n times.
+func (u usage) count(r *runState, n int) {
+	organisation := r.task.step.rep.sub.Organisation
+	if organisation == "" || u == nil {
+		return
+	}
+	u[organisation] = u[organisation].Plus(r.quota().Times(n))
+}
+
+// quota is what a run counts for against its organisation's cap: all that its step asks
+// for, and for one of which nothing is known the whole worker.
+func (r *runState) quota() tw.Resources {
+	need := r.task.step.spec.Need
+	return tw.Resources{
+		CPU: max(need.CPU, r.claim.CPU), MemoryMB: max(need.MemoryMB, r.claim.MemoryMB), GPU: max(need.GPU, r.claim.GPU),
+	}
+}
+
+// running is what the submission's runs count for against its organisation's cap.
+func (s *submission) running() tw.Resources {
+	var out tw.Resources
+	for _, rep := range s.reps {
+		for _, st := range rep.steps {
+			for _, t := range st.tasks {
+				for _, r := range t.runs {
+					out = out.Plus(r.quota())
+				}
+			}
+		}
+	}
+	return out
+}
+
+// unknownUsage is what the former owner may have running, or may still start, where this
+// owner has not been heard yet: no more than its submissions ask for or have left, nor than
+// the workers hold from which no answer has come.
+func (o *Owner) unknownUsage() usage {
+	if !o.inheritedDoubts() {
+		return nil
+	}
+	out := maps.Clone(o.caps.leftover)
+	for _, sub := range o.live {
+		if !sub.inherited || sub.Organisation == "" {
+			continue
+		}
+		for _, rep := range sub.reps {
+			out[sub.Organisation] = out[sub.Organisation].Plus(rep.unseenNeed())
+		}
+	}
+	if !o.counted {
+		return out
+	}
+	var unheard tw.Resources
+	for _, w := range o.workers {
+		if w.inheritedDoubt {
+			unheard = unheard.Plus(w.entry.Capacity)
+		}
+	}
+	for id, need := range out {
+		out[id] = tw.Resources{
+			CPU: min(need.CPU, unheard.CPU), MemoryMB: min(need.MemoryMB, unheard.MemoryMB), GPU: min(need.GPU, unheard.GPU),
+		}
+	}
+	return out
+}
+
+// unseenNeed is what the subtasks would take that are not done and of which no run is
+// known.
+func (r *repetition) unseenNeed() tw.Resources {
+	var out tw.Resources
+	for _, st := range r.steps {
+		for _, t := range st.tasks {
+			if !t.done && !t.active() {
+				out = out.Plus(st.spec.Need)
+			}
+		}
+	}
+	return out
+}
+
+// part is so many units of a cap. A resource that the cap does not limit is unlimited.
+func part(limit tw.Resources, units ledger.ShareUnits) tw.Resources {
+	return tw.Resources{
+		CPU:      tw.Millicores(partOf(int64(limit.CPU), units)),
+		MemoryMB: partOf(limit.MemoryMB, units),
+		GPU:      partOf(limit.GPU, units),
+	}
+}
+
+func partOf(limit int64, units ledger.ShareUnits) int64 {
+	if limit == 0 {
+		return schedule.Unlimited
+	}
+	return int64(float64(limit) * float64(units) / float64(ledger.CapUnits))
+}
+
+// unitsOf is how many units of a cap a need takes, at most all.
+func unitsOf(need, limit tw.Resources) ledger.ShareUnits {
+	share := max(
+		shareOf(int64(need.CPU), int64(limit.CPU)), shareOf(need.MemoryMB, limit.MemoryMB), shareOf(need.GPU, limit.GPU),
+	)
+	return min(ledger.CapUnits, ledger.ShareUnits(math.Ceil(share*float64(ledger.CapUnits))))
+}
+
+func shareOf(need, limit int64) float64 {
+	if limit == 0 {
+		return 0
+	}
+	return float64(need) / float64(limit)
+}
