--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -38,6 +38,8 @@
 	list   map[tw.WorkerID]tw.WorkerEntry
 	opened []*run.Owner
 	books  int
+	// figures are those of the owner that was opened last.
+	figures *metrics.Set
 	// read counts how often an owner wanted the list of workers read anew.
 	read int
 	// reboots are the machines whose workers have crashed, booted counts those that
@@ -109,7 +111,8 @@
 
 func (r *rig) begin(c run.Config, orders tw.WorkerOrders) *run.Owner {
 	c.Orders, c.Advisor, c.Census, c.ReadWorkers = orders, noAdvisor{}, r.census, func() { r.read++ }
-	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), metrics.NewSet()
+	r.figures = metrics.NewSet()
+	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.figures
 	c.Bounds = run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute}
 	o := c.New()
 	r.opened = append(r.opened, o)
