Writes beside the chain: none without a change; Resources.Allows

A write all of whose submissions exist was sent once more with its condition alone, which the platform's pages do not speak of.

--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -75,7 +75,7 @@
 	if !free.Fits(p.Need) {
 		f.note("LIMIT: %s on %s", order.Subtask, w.Entry.ID)
 	}
-	if limit := f.caps[p.Organisation]; !limit.Caps(f.usage(p.Organisation).Plus(p.Need)) {
+	if limit := f.caps[p.Organisation]; !limit.Allows(f.usage(p.Organisation).Plus(p.Need)) {
 		f.note("QUOTA: %s of %s", order.Subtask, p.Organisation)
 	}
 	if !p.Copies && f.running(order.Subtask) > 0 {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -195,6 +195,9 @@
 	unclear := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
 		txn := apart(changes, results)
+		if len(txn.Puts)+len(txn.Removes) == 0 {
+			return results, nil // all of it exists
+		}
 		txn.Conditions = append(txn.Conditions, tw.KVCondition{Key: OwnerKey(b.owner.Pool), Revision: b.opened})
 		_, err := b.kv.Commit(ctx, txn)
 		var conflict *tw.KVConflict
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -144,6 +144,15 @@
 		b.Expect(results[1]).To(MatchError(ledger.ErrExists))
 		b.Expect(b.ids(book)).To(HaveLen(2))
 	},
+	"has nothing left to write beside the chain once all exists": func(b *bench) {
+		book := b.open("a")
+		b.accept(book, "s1")
+		calls := b.kv.Calls()
+		results, err := book.WriteApart(b.ctx, []ledger.Change{ledger.Accept(submission("s1"))})
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(results[0]).To(MatchError(ledger.ErrExists))
+		b.Expect(b.kv.Calls() - calls).To(Equal(1))
+	},
 	"ends a submission although another daemon has kept a new one of the same write": func(b *bench) {
 		book := b.open("a")
 		b.accept(book, "s2")
--- a/submission.go
+++ b/submission.go
@@ -137,9 +137,9 @@
 	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.GPU <= r.GPU
 }
 
-// Caps tells whether used is within the limit r, of which a resource that is zero has no
+// Allows tells whether used is within the limit r, of which a resource that is zero has no
 // limit.
-func (r Resources) Caps(used Resources) bool {
+func (r Resources) Allows(used Resources) bool {
 	return (r.CPU == 0 || used.CPU <= r.CPU) && (r.MemoryMB == 0 || used.MemoryMB <= r.MemoryMB) &&
 		(r.GPU == 0 || used.GPU <= r.GPU)
 }
