--- a/queue_config.go
+++ b/queue_config.go
@@ -21,7 +21,6 @@
 		prepared sync.Once
 		byHost   map[string]hostRoutes
 		byKey    map[KeyDigest]*Organisation
-		byID     map[OrganisationID]*Organisation
 	}
 
 	// QueueRoute leads submissions to the pool whose workers run them.
@@ -82,10 +81,8 @@
 		c.byHost[host] = routes
 	}
 	c.byKey = map[KeyDigest]*Organisation{}
-	c.byID = map[OrganisationID]*Organisation{}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
-		c.byID[o.ID] = o
 		for _, key := range o.Keys {
 			c.byKey[key] = o
 		}
@@ -120,12 +117,6 @@
 	return c.byKey[DigestKey(key)]
 }
 
-// Organisation finds an organisation, or nil.
-func (c *QueueConfig) Organisation(id OrganisationID) *Organisation {
-	c.Prepare()
-	return c.byID[id]
-}
-
 // Pool finds a pool, or nil.
 func (c *QueueConfig) Pool(id PoolID) *QueuePool {
 	for i := range c.Pools {
--- a/run/crash.go
+++ b/run/crash.go
@@ -212,11 +212,3 @@
 	}
 	return due
 }
-
-// later is the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/run/owner.go
+++ b/run/owner.go
@@ -391,11 +391,3 @@
 	}
 	s.waiters, s.enders = nil, nil
 }
-
-// earlier is the earlier of two times; zero is never.
-func earlier(a, b time.Time) time.Time {
-	if b.IsZero() || !a.IsZero() && a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/run/requests.go
+++ b/run/requests.go
@@ -12,6 +12,10 @@
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
+// errNotTaken is what a caller is told whose id another organisation's submission has: as
+// far as it can tell, the store did not take its own.
+var errNotTaken = errors.Wrap(tw.ErrUnavailable, "run: the store does not take it")
+
 // Submit keeps a submission and returns when it is durable; that it was
 // already is no error. ErrUnavailable and ErrRateLimited prove that it was
 // not taken; after any other error that is unclear.
@@ -115,8 +119,7 @@
 		return
 	}
 	if o.hides(s.ID, s.Organisation) {
-		// As far as this caller can tell, the store did not take it.
-		result <- errors.Wrap(tw.ErrUnavailable, "run: the store does not take it")
+		result <- errNotTaken
 		return
 	}
 	if have := o.submissions[s.ID]; have != nil {
@@ -184,7 +187,7 @@
 func (s *submission) keptAs(record ledger.Record) {
 	if record.Organisation != s.Organisation {
 		for _, waiter := range s.waiters {
-			waiter <- errors.Wrap(tw.ErrUnavailable, "run: the store does not take it")
+			waiter <- errNotTaken
 		}
 		s.waiters = nil
 		return
--- a/run/usage.go
+++ b/run/usage.go
@@ -34,6 +34,9 @@
 // running is what the submission's runs count for against its organisation's cap.
 func (s *submission) running() tw.Resources {
 	var out tw.Resources
+	if s.Organisation == "" {
+		return out // nobody's work has no cap, and its records need not tell
+	}
 	for _, rep := range s.reps {
 		for _, st := range rep.steps {
 			for _, t := range st.tasks {
