Ends are recorded in their order, and a machine with unrecorded ends is not empty

The worker had been emptied at 38.4 s and its machine moved.

Cause: progress was written in any order (a map's), so that some of it waited for seconds while newer progress was written; ends were confirmed to workers only when nothing at all was to be recorded, never under load; and a worker counted as empty although the ends it alone kept beside the owner's memory were not in the store.

Ruled out by the log: an end that was recorded by the former owner (its progress held none), a start of the former owner that came late (the run is the successor's).

Change: changes are numbered, the oldest are written first where they are older than 0.25 s, and each end is confirmed as soon as all changes up to it are recorded. A worker with ends that are not recorded isn't empty for whoever moves machines.

Its bound was wrong: it asked at 6 s for a fifth of what had ended until then, which that store can't give. It now asks for the same fifth after 12 s, and beside it that no end is older than the 3 s of the platform's rule; the code before fails both.

--- a/run/look.go
+++ b/run/look.go
@@ -194,14 +194,17 @@
 
 // takeEnds takes up the ends that were not seen before.
 func (o *Owner) takeEnds(w *worker, ended []tw.EndedSubtask) {
+	before := w.seen
 	for _, e := range ended {
 		if e.Sequence <= w.seen {
 			continue
 		}
 		w.seen = e.Sequence
-		o.writer.unrecorded = true
 		o.takeEnd(w, e)
 	}
+	if w.seen > before {
+		o.writer.noteEnds(w)
+	}
 }
 
 // takeRunning compares what runs with what is believed to run.
--- a/run/recorded_test.go
+++ b/run/recorded_test.go
@@ -27,6 +27,26 @@
 	return run.WorkerLoad{}
 }
 
+// contact is the platform's bound after which what is undisturbed must have been noted.
+const contact = 3 * time.Second
+
+// listedEnds are the ends that a worker tells of as they are not confirmed.
+func (r *rig) listedEnds(o *run.Owner, n int) []tw.EndedSubtask {
+	entry := r.list[workerID(n)]
+	report, err := r.fleet.Hold(r.ctx, entry.Ref(), tw.HoldOrder{Fence: o.Record().Fence})
+	r.Expect(err).NotTo(HaveOccurred())
+	return report.Ended
+}
+
+// lastEnd is the sequence of the last end that a worker tells of; 0 if it tells of none.
+func (r *rig) lastEnd(o *run.Owner, n int) int64 {
+	listed := r.listedEnds(o, n)
+	if len(listed) == 0 {
+		return 0
+	}
+	return listed[len(listed)-1].Sequence
+}
+
 // Ends that an owner has seen and not recorded yet are nowhere but in its memory and on
 // their worker. A worker whose runs had all ended was said to be empty, its machine was
 // moved to another pool, and then the owner was replaced: the next one knew nothing of the
@@ -78,7 +98,7 @@
 		defer r.end()
 		o := r.take("a")
 		for n := range submissions {
-			s := submission(fmt.Sprintf("%016x", n+1), slices.Repeat([]int{1}, 20)...)
+			s := submission(fmt.Sprintf("%016x", n+1), slices.Repeat([]int{1}, 40)...)
 			r.fleet.Expect(&s, func(id tw.SubtaskID, p *standin.Profile) {
 				p.Duration = time.Duration(300+(id.Step*37+n*53)%200) * time.Millisecond
 			})
@@ -86,14 +106,18 @@
 		}
 		// A write has 30 entries, so that this store takes 100 a second, and 240 ends come.
 		r.kv.SetFaults(standin.KVFaults{Slow: 300 * time.Millisecond})
-		time.Sleep(6 * time.Second)
+		time.Sleep(12*time.Second - contact)
+		former := make([]int64, workers)
+		for n := range former {
+			former[n] = r.lastEnd(o, n)
+		}
+		time.Sleep(contact)
 		ended := r.fleet.Starts() - submissions
 		unconfirmed := 0
-		for n := range workers {
-			entry := r.list[workerID(n)]
-			report, err := r.fleet.Hold(r.ctx, entry.Ref(), tw.HoldOrder{Fence: o.Record().Fence})
-			r.Expect(err).NotTo(HaveOccurred())
-			unconfirmed += len(report.Ended)
+		for n, sequence := range former {
+			listed := r.listedEnds(o, n)
+			unconfirmed += len(listed)
+			r.Expect(listed).To(HaveEach(HaveField("Sequence", BeNumerically(">", sequence))), "older than 3 s")
 		}
 		t.Log("ended", ended, "ends not confirmed", unconfirmed)
 		r.Expect(unconfirmed).To(BeNumerically("<=", ended/5), "the platform's bound: a fifth of the ends")
--- a/run/report.go
+++ b/run/report.go
@@ -57,6 +57,9 @@
 		Free     tw.Resources  `json:"free"`
 		Runs     int           `json:"runs"`
 		Lasting  int           `json:"lasting"`
+		// Unrecorded: it has told of ends that the store does not hold yet. Should it end
+		// and then its owner, they would be forgotten and the subtasks run again.
+		Unrecorded bool `json:"unrecorded,omitempty"`
 		// Known: the worker has answered this owner lately, so that what runs
 		// there is known.
 		Known bool `json:"known"`
@@ -66,7 +69,7 @@
 )
 
 // Empty tells whether a machine can be taken away without harm to what ran on its worker.
-func (l WorkerLoad) Empty() bool { return l.Runs == 0 }
+func (l WorkerLoad) Empty() bool { return l.Runs == 0 && !l.Unrecorded }
 
 // Report follows the directions and then tells how busy the pool is.
 func (o *Owner) Report(ctx context.Context, d Directions) (Report, error) {
@@ -83,7 +86,7 @@
 		out.Workers = append(out.Workers, WorkerLoad{
 			Instance: w.entry.Instance, Worker: w.entry.ID, Capacity: w.entry.Capacity, Free: free,
 			Runs: len(w.runs), Lasting: w.tally.lastingRuns, Sound: w.usable(o.now),
-			Known: w.known && w.unanswered == 0,
+			Known: w.known && w.unanswered == 0, Unrecorded: w.recorded < w.seen,
 		})
 		for _, r := range w.runs {
 			out.Running = out.Running.Plus(r.claim)
--- a/run/worker.go
+++ b/run/worker.go
@@ -39,6 +39,8 @@
 		// seen is the last end that was taken up, recorded the last whose
 		// effect is in the store, told the last that the worker was told of.
 		seen, recorded, told int64
+		// unrecorded are the ends that are seen and not recorded, in their order.
+		unrecorded []endMark
 
 		clock   tw.WorkerClock // as of clockAt
 		clockAt time.Time
--- a/run/writer.go
+++ b/run/writer.go
@@ -22,8 +22,13 @@
 		jobs chan writeJob
 		done chan struct{}
 
-		fresh    []*submission
-		dirty    map[*submission]bool
+		fresh []*submission
+		// dirty are the submissions with changes that are in no write yet, sent those with
+		// changes in a write under way. marks is the number of the last change.
+		dirty, sent map[*submission]changeMark
+		marks       int64
+		// ends are the workers with ends that may not be confirmed yet.
+		ends     map[*worker]bool
 		messages []ledger.InboxRecord
 		forget   []tw.SubmissionID
 
@@ -31,12 +36,10 @@
 		lastSent  time.Time
 		confirmed time.Time // when the last successful write was sent
 		// wanted is a moment after which a confirmation is wanted soon.
-		wanted time.Time
-		// unrecorded: ends were seen that may not be recorded yet.
-		unrecorded bool
-		retryAt    time.Time
-		lastError  error
-		idle       []func()
+		wanted    time.Time
+		retryAt   time.Time
+		lastError error
+		idle      []func()
 
 		// lastTook is how long the last write took.
 		lastTook time.Duration
@@ -44,26 +47,23 @@
 		lanes     int
 		lanesDone sync.WaitGroup
 		laneFrom  time.Time // before when no other is begun
-		// sent are the submissions whose progress or end is in a write under way.
-		sent map[*submission]bool
 	}
 
 	// writeJob is one write with what its success means.
 	writeJob struct {
 		changes []ledger.Change
 		effects []func(err error)
-		// seen are the ends whose effects are in the store with this write.
-		seen map[*worker]int64
-		sent time.Time
+		size    int // in entries
+		sent    time.Time
 		// of are the submissions whose progress or end it has.
-		of []*submission
+		of map[*submission]changeMark
 	}
 )
 
 func newWriter(o *Owner, book *ledger.Book) *writer {
 	w := &writer{
 		o: o, book: book, jobs: make(chan writeJob, 1), done: make(chan struct{}),
-		dirty: map[*submission]bool{}, sent: map[*submission]bool{}, confirmed: book.Confirmed(), lastSent: o.now,
+		dirty: map[*submission]changeMark{}, sent: map[*submission]changeMark{}, ends: map[*worker]bool{}, confirmed: book.Confirmed(), lastSent: o.now,
 	}
 	go func() {
 		defer close(w.done)
@@ -100,9 +100,6 @@
 	w.fresh = slices.DeleteFunc(w.fresh, func(other *submission) bool { return other == sub })
 }
 
-// mark has the progress or the end of a submission recorded.
-func (w *writer) mark(sub *submission) { w.dirty[sub] = true }
-
 // emptied has a message taken out of the inbox.
 func (w *writer) emptied(m ledger.InboxRecord) {
 	if !slices.Contains(w.messages, m) {
@@ -145,7 +142,7 @@
 		return earlier(now.Add(stalledAfter), laneAt)
 	}
 	if w.empty() {
-		w.allRecorded()
+		w.confirmEnds()
 		for _, f := range w.idle {
 			f()
 		}
@@ -192,25 +189,14 @@
 	return entries*len(w.fresh)+len(w.dirty) >= ledger.MaxEntries
 }
 
-// allRecorded notes that no end that was seen waits for the store.
-func (w *writer) allRecorded() {
-	if !w.unrecorded {
-		return
-	}
-	w.unrecorded = false
-	for _, worker := range w.o.workers {
-		worker.recorded = worker.seen
-	}
-}
-
 // adder is what adds changes to a job as long as they fit.
 func (j *writeJob) adder() addChange {
-	size := 0
+	j.of = map[*submission]changeMark{}
 	return func(change ledger.Change, effect func(err error)) bool {
-		if size+change.Size() > ledger.MaxEntries {
+		if j.size+change.Size() > ledger.MaxEntries {
 			return false
 		}
-		size += change.Size()
+		j.size += change.Size()
 		j.changes = append(j.changes, change)
 		j.effects = append(j.effects, effect)
 		return true
@@ -221,6 +207,7 @@
 func (w *writer) compose() writeJob {
 	var job writeJob
 	add := job.adder()
+	w.addAged(&job, add)
 	if !w.slow() {
 		w.addAllFresh(add)
 	}
@@ -232,33 +219,9 @@
 	for len(w.forget) > 0 && add(ledger.Forget(w.forget[0]), func(error) {}) {
 		w.forget = w.forget[1:]
 	}
-	if len(w.dirty) == 0 && w.lanes == 0 {
-		job.seen = map[*worker]int64{}
-		for _, worker := range w.o.workers {
-			if worker.seen > worker.recorded {
-				job.seen[worker] = worker.seen
-			}
-		}
-	}
 	return job
 }
 
-// addAll adds what is dirty of some submissions, as far as it fits. Ends go before
-// progress, as callers wait for them: a slow store takes some hundred entries a second.
-func (w *writer) addAll(job *writeJob, add addChange, of func(sub *submission) bool) {
-	for sub := range w.dirty {
-		if !of(sub) || w.sent[sub] || w.unkept(sub) {
-			continue
-		}
-		if !w.addDirty(sub, add) {
-			return
-		}
-		delete(w.dirty, sub)
-		w.sent[sub] = true
-		job.of = append(job.of, sub)
-	}
-}
-
 // unkept tells whether a submission is still to be kept. Its end must not be written before:
 // it would make a submission of one that the store refuses.
 func (w *writer) unkept(sub *submission) bool {
@@ -329,31 +292,27 @@
 	w.settled(job, results, err)
 }
 
-// settled takes up what a write has come to, in the chain or beside it.
-func (w *writer) settled(job writeJob, results []error, err error) {
+// failed takes up a write that was surely not done.
+func (w *writer) failed(job writeJob, err error) {
 	o := w.o
-	for _, sub := range job.of {
-		delete(w.sent, sub)
-	}
-	switch {
-	case errors.Is(err, ledger.ErrDeposed):
-		o.depose("the ledger has a new owner")
-		return
-	case err != nil && !tw.SurelyNotDone(err):
+	if !tw.SurelyNotDone(err) {
 		// Only the end of the owner leaves a write in doubt.
 		o.log.Warn("owner: a write stays in doubt", logsink.Err(err))
 		return
-	case err != nil:
-		if w.lastError == nil {
-			o.log.Warn("owner: the store takes no writes", logsink.Err(err))
-		}
-		w.lastError = err
-		w.retryAt = o.now.Add(flushRetry)
-		for _, effect := range job.effects {
-			effect(err)
-		}
-		return
 	}
+	if w.lastError == nil {
+		o.log.Warn("owner: the store takes no writes", logsink.Err(err))
+	}
+	w.lastError = err
+	w.retryAt = o.now.Add(flushRetry)
+	for _, effect := range job.effects {
+		effect(err)
+	}
+}
+
+// succeeded takes up a write that was done. results are those of its changes.
+func (w *writer) succeeded(job writeJob, results []error) {
+	o := w.o
 	if w.lastError != nil {
 		o.log.Info("owner: the store takes writes again")
 		w.lastError = nil
@@ -366,9 +325,7 @@
 	for i, effect := range job.effects {
 		effect(results[i])
 	}
-	for worker, seen := range job.seen {
-		worker.recorded = max(worker.recorded, seen)
-	}
+	w.confirmEnds()
 	o.forgetOld()
 }
 
