An owner that is short refuses at once what it can't start in time

Cause: nothing bounds what is accepted by what can be sent.

Change: while work waits for orders alone, a submission is refused whose orders would wait for longer than its objective leaves, at most 2 s, by the subtasks that go before it and the rate at which orders are answered; 503, with when to come back. The router asks the store before it says so, as another try may have been kept. Accepted work that has had nothing running for 1.5 s meanwhile goes first.

--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -36,7 +37,12 @@
 	if owner == nil {
 		return &member.SubmitResponse{Outcome: member.OutcomeNotOwner}, nil
 	}
-	return &member.SubmitResponse{Outcome: queue.OutcomeOf(owner.Submit(ctx, m.Submission))}, nil
+	err := owner.Submit(ctx, m.Submission)
+	resp := &member.SubmitResponse{Outcome: queue.OutcomeOf(err)}
+	if busy := (*run.BusyError)(nil); errors.As(err, &busy) {
+		resp.RetryAfter = busy.RetryAfter
+	}
+	return resp, nil
 }
 
 // Cancel implements member.Handler.
--- a/member/messages.go
+++ b/member/messages.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"time"
+
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -15,8 +17,10 @@
 	OutcomeNotOwner Outcome = "not-owner"
 	// OutcomeNotTaken proves that nothing was done.
 	OutcomeNotTaken Outcome = "not-taken"
-	OutcomeUnclear  Outcome = "unclear"
-	OutcomeUnknown  Outcome = "unknown"
+	// OutcomeBusy proves so too: the owner has accepted all that it can start in time.
+	OutcomeBusy    Outcome = "busy"
+	OutcomeUnclear Outcome = "unclear"
+	OutcomeUnknown Outcome = "unknown"
 )
 
 type (
@@ -54,6 +58,8 @@
 	// SubmitResponse says whether it is kept.
 	SubmitResponse struct {
 		Outcome Outcome `json:"outcome"`
+		// RetryAfter is when to come back to an owner that is busy.
+		RetryAfter time.Duration `json:"retryAfter,omitempty"`
 	}
 
 	// SubmissionRequest is about one submission of a pool, for the organisation that
--- /dev/null
+++ b/queue/busy_test.go
@@ -0,0 +1,84 @@
+package queue
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+var errBusy = &run.BusyError{RetryAfter: 1700 * time.Millisecond}
+
+// busyCases are what becomes of a submission whose owner has accepted all that it can start
+// in time. answers are the owner's, the last of them for good.
+var busyCases = map[string]struct {
+	answers []error
+	// keptBefore: another try of it has been kept without the owner.
+	keptBefore bool
+	busy, kept bool
+	within     time.Duration
+}{
+	"is refused at once, and the store does not keep it": {
+		answers: []error{errBusy}, busy: true, within: 20 * time.Millisecond,
+	},
+	"was kept in another try": {
+		answers: []error{errBusy}, keptBefore: true, kept: true, within: 20 * time.Millisecond,
+	},
+	"is not said to be refused after a try that is unclear": {
+		answers: []error{tw.ErrUnclear, errBusy}, kept: true, within: 20 * time.Millisecond,
+	},
+	"is taken once the owner takes it": {answers: []error{nil}, within: 20 * time.Millisecond},
+}
+
+func TestBusyOwner(t *testing.T) {
+	for name, c := range busyCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r, end := lonely()
+				defer end()
+				s := tw.Submission{ID: "00000000000000aa", Policy: tw.RoutePolicy{Pool: "p"}}
+				if c.keptBefore {
+					_, err := r.KV.Commit(t.Context(), ledger.AcceptUnowned(&s))
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				answers := c.answers
+				began := time.Now()
+				err := r.submit(t.Context(), s, func(context.Context, tw.Submission) error {
+					answer := answers[0]
+					answers = answers[min(1, len(answers)-1):]
+					return answer
+				})
+				g.Expect(time.Since(began)).To(BeNumerically("<=", c.within))
+				if c.busy {
+					g.Expect(err).To(Equal(errBusy))
+					g.Expect(notTaken(err)).To(BeTrue())
+				} else {
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				_, err = ledger.Find(t.Context(), r.KV, s.ID)
+				g.Expect(err == nil).To(Equal(c.kept))
+			})
+		})
+	}
+}
+
+func TestWholeSeconds(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  string
+	}{
+		"none":          {want: "1"},
+		"less than one": {after: 200 * time.Millisecond, want: "1"},
+		"a part more":   {after: 1700 * time.Millisecond, want: "2"},
+		"whole":         {after: 3 * time.Second, want: "3"},
+	} {
+		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(wholeSeconds(c.after)).To(Equal(c.want)) })
+	}
+}
--- a/queue/handler.go
+++ b/queue/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -177,6 +178,9 @@
 	case err == nil:
 		h.answer(w, r, h.Codec.State(tw.Waiting))
 	case notTaken(err):
+		if busy := (*run.BusyError)(nil); errors.As(err, &busy) {
+			w.Header().Set("Retry-After", wholeSeconds(busy.RetryAfter))
+		}
 		h.refuse(w, r, http.StatusServiceUnavailable, "not taken: "+err.Error())
 	default:
 		h.refuse(w, r, http.StatusGatewayTimeout, "it is unclear whether it was taken: "+err.Error())
@@ -228,7 +232,7 @@
 	h.Metrics.GetOrCreateCounter(`tamarind_requests_total{method="` + r.Method + `",status="` + strconv.Itoa(status) + `"}`).Inc()
 	h.Log.Info("request: refused", zap.String("method", r.Method), zap.String("host", r.Host),
 		zap.String("path", r.URL.Path), zap.Int("status", status), zap.String("why", why))
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", retryAfter)
 	}
 	if h.Router.Members.Isolated() {
@@ -240,6 +244,11 @@
 	_, _ = io.WriteString(w, `{"title":`+strconv.Quote(http.StatusText(status))+`,"detail":`+strconv.QuoteToASCII(why)+`}`)
 }
 
+// wholeSeconds rounds a time to come back after up, to at least one second.
+func wholeSeconds(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
+
 func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/queue/handler_test.go
+++ b/queue/handler_test.go
@@ -143,6 +143,7 @@
 	"not owner":   {err: run.ErrNotOwner, want: member.OutcomeNotOwner},
 	"unavailable": {err: tw.ErrUnavailable, want: member.OutcomeNotTaken},
 	"over rate":   {err: tw.ErrRateLimited, want: member.OutcomeNotTaken},
+	"busy":        {err: &run.BusyError{RetryAfter: time.Second}, want: member.OutcomeBusy},
 	"unknown":     {err: run.ErrUnknown, want: member.OutcomeUnknown},
 	"unclear":     {err: tw.ErrUnclear, want: member.OutcomeUnclear},
 }
--- a/queue/router.go
+++ b/queue/router.go
@@ -69,6 +69,10 @@
 // Submit has a submission kept. ErrUnavailable proves that it was not taken
 // and never runs; after ErrUnclear it may have been.
 func (r *Router) Submit(ctx context.Context, s tw.Submission) error {
+	return r.submit(ctx, s, r.submitToOwner)
+}
+
+func (r *Router) submit(ctx context.Context, s tw.Submission, toOwner func(context.Context, tw.Submission) error) error {
 	ctx, stop := r.Members.WhileConnected(ctx)
 	defer stop()
 	unclear := false
@@ -76,12 +80,17 @@
 		if r.Members.Isolated() && !unclear {
 			return errIsolated
 		}
-		err := r.submitToOwner(ctx, s)
+		err := toOwner(ctx, s)
 		if err == nil {
 			return nil
 		}
-		unclear = unclear || !notTaken(err)
-		err = r.submitToStore(ctx, s)
+		if busy := (*run.BusyError)(nil); errors.As(err, &busy) {
+			// The store would keep what the owner can't start in time.
+			err = r.keptOr(ctx, s, busy)
+		} else {
+			unclear = unclear || !notTaken(err)
+			err = r.submitToStore(ctx, s)
+		}
 		if err == nil {
 			return nil
 		}
@@ -95,6 +104,16 @@
 	}
 }
 
+// keptOr is nil if a submission that its owner is too busy for was kept in another try, of
+// which the owner may not know yet: to say then that it never runs would be wrong.
+func (r *Router) keptOr(ctx context.Context, s tw.Submission, busy *run.BusyError) error {
+	record, err := ledger.Find(ctx, r.KV, s.ID)
+	if err == nil && record.Organisation == s.Organisation {
+		return nil
+	}
+	return busy
+}
+
 // notTaken tells whether an error proves that nothing was done.
 func notTaken(err error) bool {
 	return tw.SurelyNotDone(err) || errors.Is(err, run.ErrNotOwner) || errors.Is(err, tw.ErrGone)
@@ -117,6 +136,9 @@
 	if err != nil {
 		return err
 	}
+	if resp.Outcome == member.OutcomeBusy {
+		return &run.BusyError{RetryAfter: resp.RetryAfter}
+	}
 	return ErrorOf(resp.Outcome)
 }
 
@@ -340,6 +362,8 @@
 		return run.ErrNotOwner
 	case member.OutcomeNotTaken:
 		return tw.ErrUnavailable
+	case member.OutcomeBusy:
+		return &run.BusyError{}
 	case member.OutcomeUnknown:
 		return run.ErrUnknown
 	}
@@ -353,6 +377,8 @@
 		return member.OutcomeDone
 	case errors.Is(err, run.ErrNotOwner):
 		return member.OutcomeNotOwner
+	case errors.HasType(err, (*run.BusyError)(nil)):
+		return member.OutcomeBusy
 	case tw.SurelyNotDone(err):
 		return member.OutcomeNotTaken
 	case errors.Is(err, run.ErrUnknown):
--- /dev/null
+++ b/run/admission.go
@@ -0,0 +1,184 @@
+package run
+
+import (
+	"fmt"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/spread"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+// An owner that is short of processor time or of its link knows how many starts it can send
+// a second and how many it owes. What it accepts beyond that can't begin in time, takes the
+// same resource for its records, and holds up what was accepted before; so such submissions
+// are refused at once, before anything of them is kept, with when to come back.
+
+type (
+	// BusyError says that a submission was not taken, as its owner can't start in time what
+	// it has accepted already.
+	BusyError struct {
+		// RetryAfter is how long the owner needs until it can take such a submission.
+		RetryAfter time.Duration
+	}
+
+	// backlog counts the subtasks that an owner has accepted and not ordered, by priority.
+	backlog struct {
+		counts map[int]int
+		at     time.Time
+		// arrivals are submissions that were not kept yet at that time.
+		arrivals []*submission
+	}
+)
+
+const (
+	// admitLeast and admitMost bound how long accepted work may have to wait for its
+	// orders, whatever its objective leaves. Work that has room must begin within 3 s, or
+	// it counts as lost; a third of that is left for what isn't foreseen.
+	admitLeast = 500 * time.Millisecond
+	admitMost  = 2 * time.Second
+	// backlogAge is how old a count of the backlog may be; one takes some 10 ns a subtask.
+	backlogAge = 50 * time.Millisecond
+	// starveAfter is how long accepted work has nothing running, though it could, before it
+	// goes first: half of the time after which it counts as lost.
+	starveAfter = 1500 * time.Millisecond
+	// mostUrgent is the most urgent priority.
+	mostUrgent = 0
+	// arrivalAge is how long a submission may take to be kept before it isn't counted.
+	arrivalAge = 2 * time.Second
+)
+
+// Error implements error.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("run: the owner can't start in time what it has accepted, come back in %v", e.RetryAfter.Round(time.Millisecond))
+}
+
+// Is implements the interface of errors.Is: nothing was done.
+func (e *BusyError) Is(target error) bool { return target == tw.ErrRateLimited }
+
+// overloaded tells whether the orders of a submission would have to wait for too long; nil if
+// not. Lasting work is taken in any case: it goes before all other and is little.
+func (o *Owner) overloaded(s *tw.Submission) *BusyError {
+	if !o.window.short(o.now) || lasts(s) {
+		return nil
+	}
+	rate := o.window.capacity()
+	if rate == 0 {
+		return nil
+	}
+	wait := time.Duration(float64(o.backlogAhead(s.Policy.Priority)) / rate * float64(time.Second))
+	excess := wait - min(max(admitLeast, o.slack(s)), admitMost)
+	if excess <= 0 {
+		return nil
+	}
+	// Spread, so that those who are refused at the same moment don't come back so.
+	return &BusyError{RetryAfter: excess + time.Duration(spread.Fraction(string(s.ID))*float64(excess))}
+}
+
+// starves tells whether nothing of a repetition has been running for long, while orders are
+// what work waits for. Work that can be in time goes first, so that what is late would wait
+// for as long as new work comes: with three times the work that could be sent, a submission
+// had to wait for over 6 s (TestShortOwner).
+func (o *Owner) starves(st *step) bool {
+	if !o.window.short(o.now) {
+		return false
+	}
+	since := st.readyAt
+	for _, other := range st.rep.steps {
+		for _, t := range other.tasks {
+			if t.active() {
+				return false
+			}
+			since = later(since, t.endedAt)
+		}
+	}
+	return o.now.Sub(since) > starveAfter
+}
+
+func lasts(s *tw.Submission) bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// slack is for how long a submission may wait and still end within its objective.
+func (o *Owner) slack(s *tw.Submission) time.Duration {
+	rep := &repetition{sub: newSubmission(*s, ledger.Progress{})}
+	for i := range s.Steps {
+		rep.steps = append(rep.steps, rep.newStep(i))
+	}
+	longest := time.Duration(0)
+	for _, rest := range o.chain(rep) {
+		longest = max(longest, rest)
+	}
+	return o.objective(rep) - longest
+}
+
+// backlogAhead counts the subtasks that go before new work of a priority.
+func (o *Owner) backlogAhead(priority int) int {
+	if o.now.Sub(o.backlog.at) > backlogAge {
+		o.countBacklog()
+	}
+	ahead := 0
+	for p, n := range o.backlog.counts {
+		if p <= priority {
+			ahead += n
+		}
+	}
+	return ahead
+}
+
+func (o *Owner) countBacklog() {
+	b := &o.backlog
+	b.counts, b.at = map[int]int{}, o.now
+	for _, sub := range o.live {
+		b.counts[sub.Policy.Priority] += sub.unordered()
+	}
+	var waiting []*submission
+	for _, sub := range b.arrivals {
+		if o.submissions[sub.ID] == sub && !sub.durable && o.now.Sub(sub.Accepted) < arrivalAge {
+			waiting = append(waiting, sub)
+			b.counts[sub.Policy.Priority] += sub.size()
+		}
+	}
+	b.arrivals = waiting
+}
+
+// arrived counts a submission that is being kept.
+func (b *backlog) arrived(sub *submission) {
+	b.arrivals = append(b.arrivals, sub)
+	if b.counts != nil {
+		b.counts[sub.Policy.Priority] += sub.size()
+	}
+}
+
+// size is how many subtasks a repetition of the submission has.
+func (s *submission) size() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// unordered counts the subtasks of the open repetitions that are not done, and of which no
+// run is known.
+func (s *submission) unordered() int {
+	if s.over() {
+		return 0
+	}
+	n := 0
+	for _, rep := range s.reps {
+		for _, st := range rep.steps {
+			for _, t := range st.tasks {
+				if !t.done && !t.active() {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
--- a/run/metrics.go
+++ b/run/metrics.go
@@ -14,7 +14,9 @@
 	pool     tw.PoolID
 	accepted *metrics.Counter
 	refused  *metrics.Counter
-	looks    *metrics.Counter
+	// busy counts the submissions refused as the owner was overloaded.
+	busy  *metrics.Counter
+	looks *metrics.Counter
 	// doubled counts the runs that ended as done though they had been given up.
 	doubled *metrics.Counter
 	// withheld counts the passes in which an organisation's cap held work back.
@@ -36,6 +38,7 @@
 	m := &ownerMetrics{set: set, pool: pool}
 	m.accepted = set.GetOrCreateCounter(m.name("submissions_accepted_total"))
 	m.refused = set.GetOrCreateCounter(m.name("submissions_refused_total"))
+	m.busy = set.GetOrCreateCounter(m.name("submissions_busy_total"))
 	m.looks = set.GetOrCreateCounter(m.name("worker_looks_total"))
 	m.suspected = set.GetOrCreateCounter(m.name("runs_suspected_total"))
 	m.withheld = set.GetOrCreateCounter(m.name("cap_withheld_total"))
--- a/run/owner.go
+++ b/run/owner.go
@@ -81,6 +81,7 @@
 	preemptAt  time.Time
 	waitLogged time.Time
 	window     *sendWindow
+	backlog    backlog
 	writer     *writer
 	caps       *caps
 	learned    map[learnKey]correction
--- a/run/place.go
+++ b/run/place.go
@@ -67,14 +67,14 @@
 	if len(groups)+len(trials) == 0 {
 		return
 	}
-	offers := o.offers()
+	offers, bounded := o.offers()
 	budgets := o.caps.budgets(o)
 	offers = o.placeTrials(trials, offers, budgets)
 	placements, held := schedule.PlaceSome(groups, offers, budgets, o.window.left(o.now))
 	o.caps.passed(o, budgets)
 	o.logWaiting(groups, offers, placements)
 	o.startPlaced(placements)
-	if held {
+	if held || heldBack(groups, placements, offers, bounded) {
 		o.window.held(o.now)
 		o.preemptAt = o.now.Add(preemptAfter) // there may be room for what waits
 	} else {
@@ -87,17 +87,46 @@
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
-// offers are the workers that may be given work, each for as many subtasks as orders are on
-// their way to it soon answered.
-func (o *Owner) offers() []*schedule.Worker {
-	out := make([]*schedule.Worker, 0, len(o.workers))
+// offers are the workers that may be given work, each for as many subtasks as its orders are
+// soon answered; bounded are those for which that is none at present.
+func (o *Owner) offers() (offers, bounded []*schedule.Worker) {
+	offers = make([]*schedule.Worker, 0, len(o.workers))
 	for _, w := range o.sorted() {
-		most := o.window.perWorker(w.startTook) - w.starts
-		if most > 0 && w.usable(o.now) && !w.leaving && w.tally.trials == 0 {
-			out = append(out, w.offer(most))
+		if !w.usable(o.now) || w.leaving || w.tally.trials > 0 {
+			continue
+		}
+		if most := o.window.perWorker(w.startTook) - w.starts; most > 0 {
+			offers = append(offers, w.offer(most))
+		} else {
+			bounded = append(bounded, w.offer(0))
 		}
 	}
-	return out
+	return offers, bounded
+}
+
+// heldBack tells whether work that was not placed has room on workers that only have too many
+// orders to answer, and most workers have: then the owner, not they, is slow.
+func heldBack(groups []*schedule.Group, placements []schedule.Placement, offers, bounded []*schedule.Worker) bool {
+	workers := len(offers) + len(bounded)
+	for _, offer := range offers {
+		if offer.Taken() {
+			bounded = append(bounded, offer)
+		}
+	}
+	if 2*len(bounded) <= workers {
+		return false
+	}
+	placed := map[tw.SubtaskID]bool{}
+	for _, p := range placements {
+		placed[p.Subtask] = true
+	}
+	return slices.ContainsFunc(groups, func(g *schedule.Group) bool {
+		if placed[g.Subtasks[len(g.Subtasks)-1]] {
+			return false
+		}
+		fits, _ := g.Count(bounded)
+		return fits > 0
+	})
 }
 
 // roomAge is how old the last word of the store may be for new work to be placed. The room
@@ -313,6 +342,9 @@
 	case st.spec.Lasting:
 		return schedule.Urgency{Grade: schedule.GradeLasting, Priority: policy.Priority, Deadline: st.rep.due}
 	}
+	if o.starves(st) {
+		return schedule.Urgency{Grade: schedule.GradeOnTime, Priority: mostUrgent, Deadline: st.rep.due}
+	}
 	urgency := schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
 	return urgency.ForSize(o.usual.share(o.workLeft(st.rep).CPU), o.usual.objective)
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -136,9 +136,18 @@
 		result <- err
 		return
 	}
+	if busy := o.overloaded(&s); busy != nil {
+		o.metrics.busy.Inc()
+		o.log.Info("submission: refused, it would wait for too long", zap.String("submission", string(s.ID)),
+			zap.Int("ahead", o.backlogAhead(s.Policy.Priority)), zap.Float64("starts_per_second", o.window.capacity()),
+			zap.Duration("retry_after", busy.RetryAfter))
+		result <- busy
+		return
+	}
 	sub := newSubmission(s, ledger.Progress{})
 	sub.waiters = append(sub.waiters, result)
 	o.submissions[s.ID] = sub
+	o.backlog.arrived(sub)
 	o.writer.accept(sub)
 }
 
--- a/run/send_window.go
+++ b/run/send_window.go
@@ -1,9 +1,6 @@
 package run
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // An owner that is short of processor time or of its link can't send all the starts for
 // which there is room. Decided all the same they wait, are outdated when their turn comes,
@@ -24,12 +21,15 @@
 		// since judgedAt.
 		prompt, late        int
 		judgedAt, changedAt time.Time
-		// heldAt is when work with room last waited for the window alone.
+		// heldAt is when work with room last waited for orders to be answered alone.
 		heldAt time.Time
 		// usual is the smoothed time from the sending of a start to its answer, of all
 		// workers.
 		usual time.Duration
-		rate  rateMeter
+		// age is the smoothed time from the decision to start to the answer, inFlight how
+		// many starts were decided and not answered meanwhile.
+		age      time.Duration
+		inFlight float64
 	}
 
 	// pendingStart is a start that is not answered yet.
@@ -37,12 +37,6 @@
 		decided  time.Time
 		answered bool
 	}
-
-	// rateMeter smooths the rate of events over about rateTime.
-	rateMeter struct {
-		perSecond float64
-		at        time.Time
-	}
 )
 
 const (
@@ -70,7 +64,6 @@
 	judgeLeast = 8
 	// orderWeight smooths the time of an order over about the last ten.
 	orderWeight = 0.1
-	rateTime    = time.Second
 	// shortFor is how long an owner counts as short after work has last waited for the
 	// window.
 	shortFor = 500 * time.Millisecond
@@ -100,14 +93,24 @@
 	return p
 }
 
-// held notes that work with room waits for the window.
+// held notes that work with room waits for orders to be answered.
 func (s *sendWindow) held(now time.Time) { s.heldAt = now }
 
-// short tells whether the window is what work waits for.
+// short tells whether orders are what work waits for.
 func (s *sendWindow) short(now time.Time) bool {
 	return !s.heldAt.IsZero() && now.Sub(s.heldAt) < shortFor
 }
 
+// capacity is about how many starts a second are answered while the owner is short: as many
+// as are in flight in the time that one takes (Little's law). It is zero while nothing is
+// known.
+func (s *sendWindow) capacity() float64 {
+	if s.age <= 0 {
+		return 0
+	}
+	return s.inFlight / s.age.Seconds()
+}
+
 // release takes a start out that has come to an end, whatever that is.
 func (s *sendWindow) release(p *pendingStart) {
 	if !p.answered {
@@ -118,10 +121,11 @@
 
 // answered notes that a start was answered, took after it was sent.
 func (s *sendWindow) answered(now time.Time, p *pendingStart, took time.Duration) {
+	s.inFlight += orderWeight * (float64(s.open) - s.inFlight)
 	s.release(p)
-	s.rate.note(now)
-	s.usual = smooth(s.usual, took)
-	s.count(now, p, now.Sub(p.decided) > sendSoon)
+	age := now.Sub(p.decided)
+	s.usual, s.age = smooth(s.usual, took), smooth(s.age, age)
+	s.count(now, p, age > sendSoon)
 }
 
 // outdated notes that a start could not be sent in time.
@@ -178,14 +182,3 @@
 	}
 	return usual + time.Duration(orderWeight*float64(took-usual))
 }
-
-// note counts an event.
-func (m *rateMeter) note(now time.Time) {
-	m.perSecond = m.read(now) + 1/rateTime.Seconds()
-	m.at = now
-}
-
-// read is the rate, in events a second.
-func (m *rateMeter) read(now time.Time) float64 {
-	return m.perSecond * math.Exp(-float64(now.Sub(m.at))/float64(rateTime))
-}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -312,7 +312,7 @@
 	if !w.Free.Fits(claim) || g.Avoid[id.Index][w.ID] {
 		return false
 	}
-	if g.full(w) || w.Most > 0 && w.placed >= w.Most {
+	if g.full(w) || w.Taken() {
 		return false
 	}
 	w.Free = w.Free.Minus(claim)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -38,6 +38,9 @@
 	}
 )
 
+// Taken tells whether Place has put as many subtasks there as it may.
+func (w *Worker) Taken() bool { return w.Most > 0 && w.placed >= w.Most }
+
 // HasLabel tells whether the worker may run steps that ask for the label.
 func (w *Worker) HasLabel(label string) bool {
 	return tw.HasLabel(w.Labels, label)
