What a short owner accepts: 2 s of orders, less in a standing queue, and what its link can carry

It now takes 2 s of orders, and no more than the objective leaves once it has been short for 3 s. - Of accepted work that starves, the first subtask goes first, not all of the step: each submission must have something running. - The window grows only when it was used, doubles only after half of it was answered promptly, and shrinks while it is not used: it had grown to 4,096 on a link of 2 Mbit/s while the pool lacked room, and the orders that then followed were dropped. - A pool that lacks room doesn't show how little its owner can send: 3,769 subtasks of 339 submissions were owed when machines came. - Marks of submissions that have ended meanwhile stayed among those under way and kept all later ends from being confirmed (866 at one owner, found by the new log line); they go now. - TestAllSoak: new lives, crashes, a slow store and short owners together. The rig tells the list of lives of a crash's reboot, without which two lives of a machine were alive. - One log line a second for an owner that is short, with what tells processor, link and a slow worker apart.

--- a/run/admission.go
+++ b/run/admission.go
@@ -7,6 +7,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/spread"
 	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/schedule"
 )
 
 // An owner that is short of processor time or of its link knows how many starts it can send
@@ -26,6 +27,8 @@
 	backlog struct {
 		counts map[int]int
 		at     time.Time
+		// submissions are those with such subtasks.
+		submissions int
 		// arrivals are submissions that were not kept yet at that time.
 		arrivals []*submission
 	}
@@ -37,13 +40,27 @@
 	// it counts as lost; a third of that is left for what isn't foreseen.
 	admitLeast = 500 * time.Millisecond
 	admitMost  = 2 * time.Second
+	// retryMost bounds when callers are told to come back: in a few seconds a faster
+	// daemon may own the pool, and to be refused again costs them little.
+	retryMost = 2 * time.Second
 	// backlogAge is how old a count of the backlog may be; one takes some 10 ns a subtask.
 	backlogAge = 50 * time.Millisecond
+	// standingAfter is how long an owner is short before what waits counts as a standing
+	// queue: turns of demand rise for about so long.
+	standingAfter = 3 * time.Second
 	// starveAfter is how long accepted work has nothing running, though it could, before it
 	// goes first: half of the time after which it counts as lost.
 	starveAfter = 1500 * time.Millisecond
 	// mostUrgent is the most urgent priority.
 	mostUrgent = 0
+	// orderSize is what an order to start takes on a link beside its spec, in bytes, and
+	// startsShare the part of a full link that carries such orders: 120 of 190 kB a second
+	// were counted, the rest being looks, records, and messages between daemons.
+	orderSize   = 330
+	startsShare = 0.6
+	// firstsWithin is within what a link must carry an order for each submission that
+	// waits: that and starveAfter are less than the time after which work counts as lost.
+	firstsWithin = time.Second
 	// arrivalAge is how long a submission may take to be kept before it isn't counted.
 	arrivalAge = 2 * time.Second
 )
@@ -59,28 +76,44 @@
 // overloaded tells whether the orders of a submission would have to wait for too long; nil if
 // not. Lasting work is taken in any case: it goes before all other and is little.
 func (o *Owner) overloaded(s *tw.Submission) *BusyError {
-	if !o.window.short(o.now) || lasts(s) {
+	if lasts(s) {
 		return nil
 	}
-	rate := o.window.capacity()
-	if rate == 0 {
-		return nil
+	excess := o.ordersExcess(s)
+	if excess <= 0 {
+		excess = o.linkExcess(s)
 	}
-	wait := time.Duration(float64(o.backlogAhead(s.Policy.Priority)) / rate * float64(time.Second))
-	excess := wait - min(max(admitLeast, o.slack(s)), admitMost)
 	if excess <= 0 {
 		return nil
 	}
+	excess = min(excess, retryMost)
 	// Spread, so that those who are refused at the same moment don't come back so.
 	return &BusyError{RetryAfter: excess + time.Duration(spread.Fraction(string(s.ID))*float64(excess))}
 }
 
+// firstOfStarving splits the first subtask off the group of a step that starves, which then
+// goes before all other work; a gang stays whole.
+func (o *Owner) firstOfStarving(g *schedule.Group, st *step) []*schedule.Group {
+	if !o.starves(st) {
+		return []*schedule.Group{g}
+	}
+	urgent := schedule.Urgency{Grade: schedule.GradeOnTime, Priority: mostUrgent, Deadline: st.rep.due}
+	if st.spec.Gang || len(g.Subtasks) == 1 {
+		g.Urgency = urgent
+		return []*schedule.Group{g}
+	}
+	first := *g
+	first.Subtasks, first.Urgency = g.Subtasks[:1], urgent
+	g.Subtasks = g.Subtasks[1:]
+	return []*schedule.Group{&first, g}
+}
+
 // starves tells whether nothing of a repetition has been running for long, while orders are
 // what work waits for. Work that can be in time goes first, so that what is late would wait
 // for as long as new work comes: with three times the work that could be sent, a submission
 // had to wait for over 6 s (TestShortOwner).
 func (o *Owner) starves(st *step) bool {
-	if !o.window.short(o.now) {
+	if !o.window.short(o.now) || st.spec.Lasting || st.spec.Filler {
 		return false
 	}
 	since := st.readyAt
@@ -95,6 +128,42 @@
 	return o.now.Sub(since) > starveAfter
 }
 
+// ordersExcess is how much longer than it may the orders of a submission would have to wait,
+// by the rate at which orders are answered while the owner is short.
+func (o *Owner) ordersExcess(s *tw.Submission) time.Duration {
+	rate := o.window.capacity(o.now)
+	if rate == 0 {
+		return 0
+	}
+	return inTime(o.backlogAhead(s.Policy.Priority), rate) - o.mayWait(s)
+}
+
+// linkExcess is the same for the first subtasks of all that is accepted, by what the daemon's
+// link can carry. A pool that lacks room doesn't show how little its owner can send; once
+// room comes, something of each submission must begin soon.
+func (o *Owner) linkExcess(s *tw.Submission) time.Duration {
+	if o.link == 0 {
+		return 0
+	}
+	rate := startsShare * float64(o.link) / float64(len(s.Spec)+orderSize)
+	o.backlogAhead(s.Policy.Priority)
+	return inTime(o.backlog.submissions, rate) - firstsWithin
+}
+
+// inTime is how long a number of starts takes at a rate a second.
+func inTime(starts int, rate float64) time.Duration {
+	return time.Duration(float64(starts) / rate * float64(time.Second))
+}
+
+// mayWait is how long the orders of a submission may have to wait for it to be taken. What
+// comes at once in a short height is worked off; in a standing queue all work would be late.
+func (o *Owner) mayWait(s *tw.Submission) time.Duration {
+	if o.window.shortage(o.now) < standingAfter {
+		return admitMost
+	}
+	return min(max(admitLeast, o.slack(s)), admitMost)
+}
+
 func lasts(s *tw.Submission) bool {
 	for i := range s.Steps {
 		if s.Steps[i].Lasting {
@@ -133,14 +202,18 @@
 
 func (o *Owner) countBacklog() {
 	b := &o.backlog
-	b.counts, b.at = map[int]int{}, o.now
+	b.counts, b.at, b.submissions = map[int]int{}, o.now, 0
 	for _, sub := range o.live {
-		b.counts[sub.Policy.Priority] += sub.unordered()
+		if n := sub.unordered(); n > 0 {
+			b.counts[sub.Policy.Priority] += n
+			b.submissions++
+		}
 	}
 	var waiting []*submission
 	for _, sub := range b.arrivals {
 		if o.submissions[sub.ID] == sub && !sub.durable && o.now.Sub(sub.Accepted) < arrivalAge {
 			waiting = append(waiting, sub)
+			b.submissions++
 			b.counts[sub.Policy.Priority] += sub.size()
 		}
 	}
@@ -151,6 +224,7 @@
 func (b *backlog) arrived(sub *submission) {
 	b.arrivals = append(b.arrivals, sub)
 	if b.counts != nil {
+		b.submissions++
 		b.counts[sub.Policy.Priority] += sub.size()
 	}
 }
--- a/run/config.go
+++ b/run/config.go
@@ -36,6 +36,9 @@
 		Log     *zap.Logger
 		Metrics *metrics.Set
 		Bounds  Bounds
+		// Link is what the daemon's link carries in one direction; zero if that is not
+		// known.
+		Link tw.BytesPerSecond
 		// Configuration is the configuration in force, whose usage caps count; nil for a
 		// pool without caps.
 		Configuration func() *tw.QueueConfig
--- a/run/crash_test.go
+++ b/run/crash_test.go
@@ -204,5 +204,8 @@
 		r.fleet.Add(next)
 		r.runs(next)
 		r.relist(o, next)
+		if r.rebooted != nil {
+			r.rebooted(next)
+		}
 	}
 }
--- a/run/owner.go
+++ b/run/owner.go
@@ -33,6 +33,8 @@
 	metrics *ownerMetrics
 	bounds  Bounds
 	deposed func()
+	// link is what the daemon's link carries; zero if that is not known.
+	link tw.BytesPerSecond
 	// readWorkers has the list of workers read anew; never nil.
 	readWorkers func()
 
@@ -80,12 +82,16 @@
 	// placement pass is due then; zero if none waits for that.
 	preemptAt  time.Time
 	waitLogged time.Time
-	window     *sendWindow
-	backlog    backlog
-	writer     *writer
-	caps       *caps
-	learned    map[learnKey]correction
-	usual      usualWork
+	// shortLogged is when it was last told that the owner is short, loopLate the longest that
+	// the loop was late since.
+	shortLogged time.Time
+	loopLate    time.Duration
+	window      *sendWindow
+	backlog     backlog
+	writer      *writer
+	caps        *caps
+	learned     map[learnKey]correction
+	usual       usualWork
 	// ended are workers whose life has ended: their entries may linger or come back.
 	ended map[tw.WorkerID]endedLife
 	// unclaimed are ends of subtasks whose submission is not known here, by
@@ -123,7 +129,7 @@
 	now := c.Clock.Now()
 	o := &Owner{
 		pool: c.Self.Pool, self: c.Self, kv: c.KV, orders: c.Orders,
-		census: c.Census, clock: c.Clock, bounds: c.Bounds, deposed: c.Deposed, readWorkers: c.ReadWorkers,
+		census: c.Census, clock: c.Clock, bounds: c.Bounds, link: c.Link, deposed: c.Deposed, readWorkers: c.ReadWorkers,
 		log:    c.Log.With(zap.String("pool", string(c.Self.Pool)), zap.Int64("fence", int64(c.Book.Fence()))),
 		events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		now: now, takenAt: now, feedAt: now,
@@ -292,6 +298,7 @@
 		case <-timer:
 			timer = nil
 			o.now = o.clock.Now()
+			o.loopLate = max(o.loopLate, o.now.Sub(armed))
 		}
 	}
 }
--- a/run/place.go
+++ b/run/place.go
@@ -77,6 +77,7 @@
 	if held || heldBack(groups, placements, offers, bounded) {
 		o.window.held(o.now)
 		o.preemptAt = o.now.Add(preemptAfter) // there may be room for what waits
+		o.logShort()
 	} else {
 		o.preempt(groups, offers, placements)
 	}
@@ -251,7 +252,7 @@
 			trials = append(trials, &trial)
 		}
 		if len(g.Subtasks) > 0 {
-			groups = append(groups, g)
+			groups = append(groups, o.firstOfStarving(g, st)...)
 		}
 	}
 	return groups, trials
@@ -342,9 +343,6 @@
 	case st.spec.Lasting:
 		return schedule.Urgency{Grade: schedule.GradeLasting, Priority: policy.Priority, Deadline: st.rep.due}
 	}
-	if o.starves(st) {
-		return schedule.Urgency{Grade: schedule.GradeOnTime, Priority: mostUrgent, Deadline: st.rep.due}
-	}
 	urgency := schedule.UrgencyOf(o.now, st.rep.due, o.objective(st.rep), rest, policy.Priority)
 	return urgency.ForSize(o.usual.share(o.workLeft(st.rep).CPU), o.usual.objective)
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -72,6 +72,12 @@
 	})
 }
 
+// Shortage is how long the owner has had too little processor time or link for the work that
+// has room; zero if it has enough.
+func (o *Owner) Shortage(ctx context.Context) (time.Duration, error) {
+	return askFor(ctx, o, func() (time.Duration, error) { return o.window.shortage(o.now), nil })
+}
+
 // Inbox hands over what another daemon left in the store for this owner.
 func (o *Owner) Inbox(ctx context.Context, message ledger.InboxRecord) {
 	o.post(ctx, func() { o.takeMessage(message) })
@@ -139,7 +145,7 @@
 	if busy := o.overloaded(&s); busy != nil {
 		o.metrics.busy.Inc()
 		o.log.Info("submission: refused, it would wait for too long", zap.String("submission", string(s.ID)),
-			zap.Int("ahead", o.backlogAhead(s.Policy.Priority)), zap.Float64("starts_per_second", o.window.capacity()),
+			zap.Int("ahead", o.backlogAhead(s.Policy.Priority)), zap.Float64("starts_per_second", o.window.capacity(o.now)),
 			zap.Duration("retry_after", busy.RetryAfter))
 		result <- busy
 		return
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -40,12 +40,16 @@
 	books  int
 	// figures are those of the owner that was opened last.
 	figures *metrics.Set
+	// link is what owners know of their link.
+	link tw.BytesPerSecond
 	// read counts how often an owner wanted the list of workers read anew.
 	read int
 	// reboots are the machines whose workers have crashed, booted counts those that
 	// run a worker again.
 	reboots []reboot
 	booted  int
+	// rebooted is told of each; nil for nobody.
+	rebooted func(entry tw.WorkerEntry)
 }
 
 // reboot is when a machine runs a worker again.
@@ -113,6 +117,7 @@
 	c.Orders, c.Advisor, c.Census, c.ReadWorkers = orders, noAdvisor{}, r.census, func() { r.read++ }
 	r.figures = metrics.NewSet()
 	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.figures
+	c.Link = r.link
 	c.Bounds = run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute}
 	o := c.New()
 	r.opened = append(r.opened, o)
--- a/run/send_window.go
+++ b/run/send_window.go
@@ -19,10 +19,13 @@
 		open    int // of pending, not answered
 		// prompt and late count the answers to starts that were decided after changedAt,
 		// since judgedAt.
-		prompt, late        int
+		prompt, late int
+		// filled: at least half of the limit was used meanwhile.
+		filled              bool
 		judgedAt, changedAt time.Time
-		// heldAt is when work with room last waited for orders to be answered alone.
-		heldAt time.Time
+		// heldAt is when work with room last waited for orders to be answered alone,
+		// heldFrom since when it has done so without a break.
+		heldFrom, heldAt time.Time
 		// usual is the smoothed time from the sending of a start to its answer, of all
 		// workers.
 		usual time.Duration
@@ -58,8 +61,8 @@
 	// sent one after the other. So many fill a worker of 16 cores three times over.
 	workerFirst = 4
 	workerMost  = 48
-	// judgeEvery bounds how long answers gather before the window is judged by them,
-	// judgeLeast how few there may be.
+	// judgeEvery bounds how long answers gather before the window is judged by less than
+	// half of it, judgeLeast is by how few it is judged at all.
 	judgeEvery = 100 * time.Millisecond
 	judgeLeast = 8
 	// orderWeight smooths the time of an order over about the last ten.
@@ -90,22 +93,36 @@
 	p := &pendingStart{decided: now}
 	s.pending = append(s.pending, p)
 	s.open++
+	s.filled = s.filled || 2*s.open >= s.limit
 	return p
 }
 
 // held notes that work with room waits for orders to be answered.
-func (s *sendWindow) held(now time.Time) { s.heldAt = now }
+func (s *sendWindow) held(now time.Time) {
+	if !s.short(now) {
+		s.heldFrom = now
+	}
+	s.heldAt = now
+}
+
+// shortage is how long the owner has been short; zero if it is not.
+func (s *sendWindow) shortage(now time.Time) time.Duration {
+	if !s.short(now) {
+		return 0
+	}
+	return now.Sub(s.heldFrom)
+}
 
 // short tells whether orders are what work waits for.
 func (s *sendWindow) short(now time.Time) bool {
 	return !s.heldAt.IsZero() && now.Sub(s.heldAt) < shortFor
 }
 
-// capacity is about how many starts a second are answered while the owner is short: as many
-// as are in flight in the time that one takes (Little's law). It is zero while nothing is
-// known.
-func (s *sendWindow) capacity() float64 {
-	if s.age <= 0 {
+// capacity is about how many starts a second the owner can send while it is short: as many as
+// are in flight in the time that one takes (Little's law). It is zero while it is not, or
+// nothing is known.
+func (s *sendWindow) capacity(now time.Time) float64 {
+	if !s.short(now) || s.age <= 0 {
 		return 0
 	}
 	return s.inFlight / s.age.Seconds()
@@ -146,16 +163,20 @@
 		s.prompt++
 	}
 	known := s.prompt + s.late
-	if known < max(judgeLeast, s.limit/4) && now.Sub(s.judgedAt) < judgeEvery {
-		return
-	}
 	switch {
+	case known < judgeLeast:
+		return
 	case 2*s.late > known:
 		s.change(now, s.limit*3/4)
-	case 4*s.late <= known && s.short(now):
-		s.change(now, s.limit*3/2)
+	case known < s.limit/2 && now.Sub(s.judgedAt) < judgeEvery:
+		return // the first answers to a full window say little of the last ones
+	case !s.filled && s.limit > windowFirst:
+		// What was found with less than half of it used tells nothing of all of it.
+		s.change(now, max(windowFirst, s.limit*3/4))
+	case known >= s.limit/2 && s.late == 0 && s.filled && s.short(now):
+		s.change(now, s.limit*2)
 	}
-	s.prompt, s.late, s.judgedAt = 0, 0, now
+	s.prompt, s.late, s.judgedAt, s.filled = 0, 0, now, 2*s.open >= s.limit
 }
 
 func (s *sendWindow) change(now time.Time, limit int) {
--- a/run/shortage_test.go
+++ b/run/shortage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -81,6 +82,16 @@
 	return s.KV.Commit(ctx, txn)
 }
 
+// times is a shortage so many times worse.
+func (s shortage) times(n time.Duration) shortage {
+	c := s.costs
+	s.costs = costs{
+		start: n * c.start, startAnswer: n * c.startAnswer, hold: n * c.hold, holdAnswer: n * c.holdAnswer, row: n * c.row,
+		commit: n * c.commit, put: n * c.put,
+	}
+	return s
+}
+
 // slowProcessor takes some milliseconds for each message; an order costs 5 ms in all.
 func slowProcessor() shortage {
 	processor := &resource{}
@@ -106,6 +117,8 @@
 	// shortFor is how long submissions come, warmUp is left out of what is counted.
 	shortFor = 10 * time.Second
 	warmUp   = 4 * time.Second
+	// specSize is that of a submission's spec, in bytes.
+	specSize = 400
 	// width is how many subtasks a submission has.
 	width = 8
 	// mostDropped is the share of orders that may be decided in vain.
@@ -122,29 +135,57 @@
 	// starts a second after the warm-up.
 	starts, dropped int
 	steady          float64
-	longest         time.Duration // from acceptance to the first start
+	longest         time.Duration // from acceptance, with room there, to the first start
 }
 
-// playShort hands in work at a multiple of what an owner that is short can send.
-func playShort(r *rig, s shortage, load float64, slowWorker time.Duration) shortPlay {
-	for n := range shortWorkers {
+// addLarge adds workers of 16 cores.
+func (r *rig) addLarge(from, to int) {
+	for n := from; n < to; n++ {
 		r.addWorker(n)
 		entry := r.fleet.Resize(workerID(n), tw.Resources{CPU: 16000, MemoryMB: 64000})
 		r.list[entry.ID] = entry
 	}
+}
+
+// shortLoad is what is handed in to an owner that is short: a multiple of what it can send.
+type shortLoad struct {
+	times float64
+	// slowWorker is how long one worker takes for each order to start.
+	slowWorker time.Duration
+	// fewUntil is until when there are only fewWorkers; zero if all are there at once.
+	fewUntil time.Duration
+}
+
+// fewWorkers have room for about half of what an owner that is short can send.
+const fewWorkers = 3
+
+// playShort hands in work to an owner that is short.
+func playShort(r *rig, s shortage, load shortLoad) shortPlay {
 	orders := tw.WorkerOrders(shortOrders{WorkerOrders: r.fleet, shortage: s})
-	if slowWorker > 0 {
-		orders = slowOne{WorkerOrders: orders, id: workerID(0), takes: slowWorker}
+	if load.slowWorker > 0 {
+		orders = slowOne{WorkerOrders: orders, id: workerID(0), takes: load.slowWorker}
+	}
+	first := shortWorkers
+	if load.fewUntil > 0 {
+		first = fewWorkers
 	}
+	r.addLarge(0, first)
 	o := r.open("a", shortKV{KV: r.kv, shortage: s}, orders)
 	var play shortPlay
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	gap := time.Duration(float64(time.Second) * width / (load * s.sendable))
+	gap := time.Duration(float64(time.Second) * width / (load.times * s.sendable))
 	began := time.Now()
+	roomFrom := began.Add(load.fewUntil)
 	steadyFrom := 0
 	for n := 0; time.Since(began) < shortFor; n++ {
+		if first < shortWorkers && !time.Now().Before(roomFrom) {
+			r.addLarge(first, shortWorkers)
+			first = shortWorkers
+			r.feed(o)
+		}
 		sub := submission(fmt.Sprintf("%016x", n+1), width)
+		sub.Spec = strings.Repeat("x", specSize)
 		sub.Steps[0].Estimate = 640 * time.Millisecond
 		r.fleet.Expect(&sub, nil)
 		wg.Go(func() {
@@ -152,6 +193,9 @@
 			defer cancel()
 			err := o.Submit(ctx, sub)
 			accepted := time.Now()
+			if accepted.Before(roomFrom) {
+				accepted = roomFrom // before, it may have waited for room
+			}
 			for err == nil && !r.fleet.Begun(sub.ID) && time.Since(accepted) < 2*mustBegin {
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -214,7 +258,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					r := newRig(t, 0)
 					defer r.end()
-					play := playShort(r, make(), times, 0)
+					play := playShort(r, make(), shortLoad{times: times})
 					t.Logf("%+v", play)
 					r.Expect(float64(play.dropped)).To(BeNumerically("<=", mostDropped*float64(play.starts)))
 					r.Expect(play.longest).To(BeNumerically("<=", mustBegin))
@@ -237,7 +281,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					r := newRig(t, 0)
 					defer r.end()
-					steady[times] = playShort(r, make(), times, 0).steady
+					steady[times] = playShort(r, make(), shortLoad{times: times}).steady
 				})
 			}
 			t.Log("starts a second, by load:", steady)
@@ -255,7 +299,7 @@
 				r := newRig(t, 0)
 				defer r.end()
 				short := make()
-				play := playShort(r, short, 0.5, 150*time.Millisecond)
+				play := playShort(r, short, shortLoad{times: 0.5, slowWorker: 150 * time.Millisecond})
 				t.Logf("%+v", play)
 				r.Expect(float64(play.dropped)).To(BeNumerically("<=", mostDropped*float64(play.starts)))
 				r.Expect(play.longest).To(BeNumerically("<=", time.Second))
@@ -265,3 +309,19 @@
 		})
 	}
 }
+
+// While a pool lacks room its owner sends little, and so doesn't find out how little it can
+// send. It accepted all that came, and when machines arrived it owed many times what it could
+// start in time: in a play 3,769 subtasks of 339 submissions, 185 starts a second. What its
+// link can carry at the most it knows beforehand.
+func TestShortOwnerWhoseRoomComesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		defer r.end()
+		r.link = 250_000
+		play := playShort(r, narrowLink(), shortLoad{times: 3, fewUntil: 6 * time.Second})
+		t.Logf("%+v", play)
+		r.Expect(play.longest).To(BeNumerically("<=", mustBegin))
+		r.Expect(float64(play.dropped)).To(BeNumerically("<=", mostDropped*float64(play.starts)))
+	})
+}
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,9 @@
 // crashSeeds are those of TestCrashSoak.
 const crashSeeds = 60
 
+// allSeeds are those of TestAllSoak.
+const allSeeds = 40
+
 // soakMachines are there from the start.
 const soakMachines = 6
 
@@ -97,6 +101,14 @@
 	}
 }
 
+// TestAllSoak does all of that together, with owners that are short of processor time or of
+// their link at times.
+func TestAllSoak(t *testing.T) {
+	for seed := range uint64(allSeeds) {
+		playSoak(t, seed, beginLives, poisonSome, func(s *soak) { s.slowStore, s.short, s.acts = true, true, 100 })
+	}
+}
+
 func playSoak(t *testing.T, seed uint64, prepare ...func(s *soak)) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
@@ -108,6 +120,7 @@
 			for _, p := range prepare {
 				p(s)
 			}
+			s.rebooted = s.noteLife
 			s.owner = s.take("d0")
 			for range s.acts {
 				s.act()
@@ -136,6 +149,8 @@
 	poisonous bool
 	// slowStore: the store takes a tenth of a second or more for each call at times.
 	slowStore bool
+	// short: owners are short of processor time or of their link at times.
+	short bool
 	// acts is how many things are done to the pool.
 	acts int
 }
@@ -194,7 +209,33 @@
 // take retries while the store refuses.
 func (s *soak) take(daemon tw.DaemonID) *run.Owner {
 	s.setFaults(standin.KVFaults{})
-	return s.rig.take(daemon)
+	if !s.short {
+		return s.rig.take(daemon)
+	}
+	shortages := []shortage{{}, slowProcessor().times(soakShort), narrowLink().times(soakShort)}
+	short := shortages[s.rand.IntN(len(shortages))]
+	if short.out == nil {
+		return s.rig.take(daemon)
+	}
+	return s.open(daemon, shortKV{KV: s.kv, shortage: short}, shortOrders{WorkerOrders: s.fleet, shortage: short})
+}
+
+// soakShort is how many times shorter an owner is than one that can send 150 starts a second:
+// so much that the 24 runs for which the soak's workers have room are too many for it.
+const soakShort = 12
+
+// noteLife keeps the life that a machine begins after a crash.
+func (s *soak) noteLife(entry tw.WorkerEntry) {
+	for n := range s.lives {
+		if s.present(n).Instance == entry.Instance {
+			s.lives[n] = append(s.lives[n], entry)
+		}
+	}
+}
+
+// rebooting tells whether a machine has crashed and doesn't run a worker yet.
+func (s *soak) rebooting(n int) bool {
+	return slices.ContainsFunc(s.reboots, func(r reboot) bool { return r.entry.Instance == s.present(n).Instance })
 }
 
 func (s *soak) submitAny() {
@@ -252,6 +293,9 @@
 	present := s.present(n)
 	switch s.rand.IntN(4) {
 	case 0:
+		if s.rebooting(n) {
+			return
+		}
 		next := s.reborn(present.ID, tw.WorkerID(fmt.Sprintf("w%d-%c", n, rune('a'+len(s.lives[n])))))
 		s.lives[n] = append(s.lives[n], next)
 		if s.rand.IntN(2) == 0 {
--- a/run/writer.go
+++ b/run/writer.go
@@ -251,9 +251,6 @@
 }
 
 func (w *writer) addDirty(sub *submission, add addChange) bool {
-	if sub.final != "" || w.o.submissions[sub.ID] != sub {
-		return true // it was not kept, or another daemon kept it first
-	}
 	if sub.ending == "" {
 		return add(ledger.Advance(w.o.pool, sub.ID, &sub.progress), func(err error) {
 			if err != nil {
--- a/run/writer_marks.go
+++ b/run/writer_marks.go
@@ -95,6 +95,10 @@
 func (w *writer) addAll(job *writeJob, add addChange, of func(sub *submission) bool) {
 	var subs []*submission
 	for sub := range w.dirty {
+		if sub.final != "" || w.o.submissions[sub.ID] != sub {
+			delete(w.dirty, sub) // it was not kept, or another daemon kept it first
+			continue
+		}
 		if _, under := w.sent[sub]; !under && of(sub) && !w.unkept(sub) {
 			subs = append(subs, sub)
 		}
--- a/units.go
+++ b/units.go
@@ -13,6 +13,8 @@
 	Megabytes int64
 	// Bytes counts octets.
 	Bytes int64
+	// BytesPerSecond is a rate of transfer.
+	BytesPerSecond float64
 	// Slots counts requests that an instance runs at the same time.
 	Slots int
 	// Duration is a time.Duration that reads and writes as text ("1.5s").
