Sight of what fills a link; a pool goes from a slow daemon to a fast one

- Bytes sent and received by kind of message, as metrics, and once a second as a line while an owner of the daemon is short.
An owner that has been short for 1 s has a daemon take the pool that has twice the processor for it and for each of its pools (TestRelief).

--- /dev/null
+++ b/daemon/load.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tamarindworks/tamarindworks/internal/traffic"
+)
+
+// loadLog tells at a bounded pace what fills the link of a daemon whose owners are short.
+type loadLog struct {
+	at   time.Time
+	last map[string]traffic.Count
+}
+
+const (
+	// loadLogEvery is the pace of the lines, loadKinds bounds the kinds of messages that
+	// one names, those with the most bytes.
+	loadLogEvery = time.Second
+	loadKinds    = 8
+)
+
+// tell writes a line about the messages since the last one, if it is due.
+func (l *loadLog) tell(now time.Time, meter *traffic.Meter, log *zap.Logger) {
+	since := now.Sub(l.at)
+	if since < loadLogEvery {
+		return
+	}
+	totals := meter.Totals()
+	if since < 2*loadLogEvery {
+		log.Info("daemon: traffic", l.fields(totals, since)...)
+	}
+	l.at, l.last = now, totals
+}
+
+// fields are kB a second by kind, and the messages a second.
+func (l *loadLog) fields(totals map[string]traffic.Count, since time.Duration) []zap.Field {
+	recent := map[string]traffic.Count{}
+	for kind, total := range totals {
+		before := l.last[kind]
+		recent[kind] = traffic.Count{
+			Sent: total.Sent - before.Sent, Received: total.Received - before.Received, Messages: total.Messages - before.Messages,
+		}
+	}
+	kinds := slices.SortedFunc(maps.Keys(recent), func(a, b string) int {
+		return cmp.Compare(recent[b].Sent+recent[b].Received, recent[a].Sent+recent[a].Received)
+	})
+	perSecond := func(n int64) float64 { return float64(n) / since.Seconds() }
+	var sent, received int64
+	for _, c := range recent {
+		sent += int64(c.Sent)
+		received += int64(c.Received)
+	}
+	const kilo = 1000
+	fields := []zap.Field{
+		zap.Float64("sent_kb", perSecond(sent)/kilo), zap.Float64("received_kb", perSecond(received)/kilo),
+	}
+	for _, kind := range kinds[:min(loadKinds, len(kinds))] {
+		c := recent[kind]
+		fields = append(fields, zap.Float64s(kind, []float64{
+			perSecond(c.Messages), perSecond(int64(c.Sent)) / kilo, perSecond(int64(c.Received)) / kilo,
+		}))
+	}
+	return fields
+}
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -48,6 +48,8 @@
 	// and a link of 2 Mbit/s up to 9 s for the submissions of all pools.
 	takeTimeout = 20 * time.Second
 	inboxWait   = 5 * time.Second
+	// bytesPerMegabit is a megabit in bytes.
+	bytesPerMegabit = 1e6 / 8
 )
 
 func newOwners(d *QueueDaemon) *owners {
@@ -159,6 +161,7 @@
 	owned.owner = run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
 		Clock: d.clock, Log: d.log, Metrics: d.metrics, Bounds: d.bounds(),
+		Link:        tw.BytesPerSecond(d.settings.Limits.LinkMbps * bytesPerMegabit),
 		ReadWorkers: d.directory.readWorkers, Configuration: d.directory.Config,
 		Deposed: func() { go o.drop(pool, owned) },
 	}.New()
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -15,6 +15,7 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
+	"github.com/tamarindworks/tamarindworks/internal/traffic"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
 	"github.com/tamarindworks/tamarindworks/queue"
@@ -40,6 +41,7 @@
 		log      *zap.Logger
 		clock    tw.Clock
 		metrics  *metrics.Set
+		meter    *traffic.Meter
 		kv       tw.KV
 		orders   tw.WorkerOrders
 		machines tw.Machines
@@ -82,14 +84,16 @@
 
 // New starts the daemon; Stop ends it.
 func (c QueueConfig) New() (*QueueDaemon, error) {
-	c.defaults()
+	set := metrics.NewSet()
+	meter := traffic.New(set)
+	c.defaults(meter)
 	s := c.Settings
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	d := &QueueDaemon{
-		settings: s, log: c.Log, clock: c.Clock, metrics: metrics.NewSet(),
+		settings: s, log: c.Log, clock: c.Clock, metrics: set, meter: meter,
 		kv: c.KV, orders: c.Orders, machines: c.Machines, advisor: c.Advisor,
-		peers: member.NewPeers(), done: make(chan struct{}),
+		peers: member.NewPeers(meter), done: make(chan struct{}),
 	}
 	addresses := []string{s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers}
 	if s.Listen.Metrics != "" {
@@ -110,7 +114,7 @@
 	return d, nil
 }
 
-func (c *QueueConfig) defaults() {
+func (c *QueueConfig) defaults(meter *traffic.Meter) {
 	if c.Clock == nil {
 		c.Clock = tw.SystemClock{}
 	}
@@ -118,16 +122,16 @@
 		c.Log = zap.NewNop()
 	}
 	if c.KV == nil {
-		c.KV = platform.KVConfig{Address: c.Settings.Platform.Store}.New()
+		c.KV = platform.KVConfig{Address: c.Settings.Platform.Store, Meter: meter}.New()
 	}
 	if c.Orders == nil {
-		c.Orders = platform.OrderConfig{}.New()
+		c.Orders = platform.OrderConfig{Meter: meter}.New()
 	}
 	if c.Machines == nil {
-		c.Machines = platform.MachineConfig{Address: c.Settings.Platform.Machines}.New()
+		c.Machines = platform.MachineConfig{Address: c.Settings.Platform.Machines, Meter: meter}.New()
 	}
 	if c.Advisor == nil {
-		c.Advisor = platform.AdvisorConfig{Address: c.Settings.Platform.Advice}.New()
+		c.Advisor = platform.AdvisorConfig{Address: c.Settings.Platform.Advice, Meter: meter}.New()
 	}
 }
 
@@ -157,7 +161,7 @@
 		Keyed: platform.HasOrganisations(d.settings.Platform.Contracts),
 	}.New()
 	d.callers = &http.Server{
-		Handler: handler, ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
+		Handler: d.meter.Handler(handler), ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
 	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+platform.ReadinessPath, d.ready)
@@ -165,7 +169,7 @@
 	figures.HandleFunc("GET /metrics", d.figures)
 	d.serve(listeners[0], d.callers)
 	d.serve(listeners[1], &http.Server{Handler: readiness, ReadHeaderTimeout: callersHeaderTime})
-	d.serve(listeners[2], &http.Server{Handler: member.NewHandler(d), ReadHeaderTimeout: callersHeaderTime})
+	d.serve(listeners[2], &http.Server{Handler: d.meter.Handler(member.NewHandler(d)), ReadHeaderTimeout: callersHeaderTime})
 	for _, metricsAt := range listeners[3:] {
 		d.serve(metricsAt, &http.Server{Handler: figures, ReadHeaderTimeout: callersHeaderTime})
 	}
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -61,6 +61,9 @@
 		// Cores is the share of processor cores that the process has. It sets
 		// no limit: daemons with more take pools first.
 		Cores tw.Cores `toml:"cores"`
+		// LinkMbps is what the daemon's link carries in one direction, in Mbit/s; zero if
+		// that is not known. Owners take no more work than it can carry the orders of.
+		LinkMbps float64 `toml:"link_mbps"`
 	}
 
 	// QueueMachines says how machines are held.
@@ -154,4 +157,7 @@
 	if s.Limits.Cores <= 0 {
 		faults.Add("limits.cores", "must be above 0")
 	}
+	if s.Limits.LinkMbps < 0 {
+		faults.Add("limits.link_mbps", "must not be below 0")
+	}
 }
--- a/daemon/rescue.go
+++ b/daemon/rescue.go
@@ -16,8 +16,9 @@
 // of the machines.
 type ownership struct {
 	record ledger.Owner
-	// trouble is how long the store has taken no write of it.
-	trouble func(ctx context.Context) (time.Duration, error)
+	// trouble is how long the store has taken no write of it, shortage how long this
+	// daemon has been too slow for it; nil where that is not known.
+	trouble, shortage func(ctx context.Context) (time.Duration, error)
 	// drop ends it and asks nobody to take over, as somebody has already.
 	drop func()
 }
@@ -29,6 +30,11 @@
 	// longer than three of them.
 	storeCheck    = 300 * time.Millisecond
 	storePatience = 900 * time.Millisecond
+	// shortPatience is how long an owner may be short of processor time or link before a
+	// faster daemon takes its pool, reliefGap the least time between two such changes of
+	// a pool.
+	shortPatience = time.Second
+	reliefGap     = 5 * time.Second
 )
 
 // watchStore has other daemons take the pools of this one while it does not
@@ -39,6 +45,8 @@
 	// asked counts how often others were asked to take each pool since the store
 	// last took a write of it, so that each time another one is asked.
 	asked := map[tw.PoolID]int{}
+	relieved := map[tw.PoolID]time.Time{}
+	var load loadLog
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -52,6 +60,14 @@
 			switch {
 			case err != nil || trouble <= storePatience:
 				delete(asked, pool)
+				now := o.d.clock.Now()
+				short := o.shortFor(own)
+				if short > 0 {
+					load.tell(now, o.d.meter, o.d.log)
+				}
+				if short >= shortPatience && now.Sub(relieved[pool]) > reliefGap && o.relieve(own, short) {
+					relieved[pool] = now
+				}
 			case o.superseded(own.record):
 				own.drop()
 			default:
@@ -83,7 +99,8 @@
 	var out []ownership
 	for pool, p := range o.owned {
 		out = append(out, ownership{
-			record: p.owner.Record(), trouble: p.owner.StoreTrouble, drop: func() { o.drop(pool, p) },
+			record: p.owner.Record(), trouble: p.owner.StoreTrouble, shortage: p.owner.Shortage,
+			drop: func() { o.drop(pool, p) },
 		})
 	}
 	if o.manager != nil {
@@ -104,6 +121,34 @@
 	return true
 }
 
+// shortFor is how long this daemon has been too slow for an ownership.
+func (o *owners) shortFor(own ownership) time.Duration {
+	if own.shortage == nil {
+		return 0
+	}
+	short, err := own.shortage(o.ctx)
+	if err != nil {
+		return 0 // the owner has ended
+	}
+	return short
+}
+
+// relieve has a faster daemon take a pool for which this one is too slow. It goes on with the
+// pool until that one has it.
+func (o *owners) relieve(own ownership, short time.Duration) bool {
+	peer, found := o.d.members.Relief(own.record.Pool)
+	if !found {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, peerCallTime)
+	defer cancel()
+	err := o.d.peers.Take(ctx, peer.Address, own.record.Pool, own.record.Fence)
+	o.d.log.Info("owner: too slow for the pool, a faster daemon is asked to take it",
+		zap.String("pool", string(own.record.Pool)), zap.Duration("short_for", short),
+		zap.String("daemon", string(peer.Daemon)), logsink.Err(err))
+	return true
+}
+
 // callRescuer asks one daemon that reaches the store to take a pool; asked is
 // how often others were asked before. If that daemon does not take it, the next
 // round of watchStore asks another one.
--- /dev/null
+++ b/internal/traffic/meter.go
@@ -0,0 +1,180 @@
+// Package traffic counts the bytes of HTTP messages by their kind, so that what fills a
+// daemon's link can be told.
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// Meter counts messages. All its methods may be called by several goroutines; a nil
+	// Meter counts nothing.
+	Meter struct {
+		set *metrics.Set
+
+		mu    sync.Mutex
+		kinds map[string]*kind
+	}
+
+	// Count is what has passed of a kind of message, headers included.
+	Count struct {
+		Sent, Received tw.Bytes
+		Messages       int64
+	}
+
+	// kind counts one kind of message.
+	kind struct{ sent, received, messages atomic.Int64 }
+
+	transport struct {
+		meter *Meter
+		next  http.RoundTripper
+	}
+
+	// countedBody counts what is read of a body.
+	countedBody struct {
+		io.ReadCloser
+		count *atomic.Int64
+	}
+
+	// countedWriter counts what is written of an answer.
+	countedWriter struct {
+		http.ResponseWriter
+		count *atomic.Int64
+	}
+)
+
+const (
+	// firstLine is about what the first line of a message takes beside the path, and
+	// answerHead what the head of an answer takes.
+	firstLine  = 17
+	answerHead = 100
+	// headerExtra is what separates a header's name from its value and from the next.
+	headerExtra = 4
+	// apiPrefix begins the paths of the platform's calls; an id may follow the call.
+	apiPrefix = "/api/"
+	// otherKind are the messages of callers.
+	otherKind = "callers"
+)
+
+// New makes a meter that also tells its counts as metrics of a set.
+func New(set *metrics.Set) *Meter { return &Meter{set: set, kinds: map[string]*kind{}} }
+
+// Transport counts what goes through another transport.
+func (m *Meter) Transport(next http.RoundTripper) http.RoundTripper {
+	if m == nil {
+		return next
+	}
+	return &transport{meter: m, next: next}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	k := t.meter.kind(r.URL.Path)
+	k.messages.Add(1)
+	k.sent.Add(requestBytes(r))
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	k.received.Add(answerHead)
+	resp.Body = &countedBody{ReadCloser: resp.Body, count: &k.received}
+	return resp, nil
+}
+
+// CloseIdleConnections passes on what http.Client asks for.
+func (t *transport) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// Handler counts what another handler is asked and answers.
+func (m *Meter) Handler(next http.Handler) http.Handler {
+	if m == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		k := m.kind(r.URL.Path)
+		k.messages.Add(1)
+		k.received.Add(requestBytes(r))
+		k.sent.Add(answerHead)
+		next.ServeHTTP(&countedWriter{ResponseWriter: w, count: &k.sent}, r)
+	})
+}
+
+// Totals are the counts since the meter was made, by kind.
+func (m *Meter) Totals() map[string]Count {
+	out := map[string]Count{}
+	if m == nil {
+		return out
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, k := range m.kinds {
+		out[name] = Count{Sent: tw.Bytes(k.sent.Load()), Received: tw.Bytes(k.received.Load()), Messages: k.messages.Load()}
+	}
+	return out
+}
+
+func (m *Meter) kind(path string) *kind {
+	name := kindOf(path)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.kinds[name]
+	if k == nil {
+		k = &kind{}
+		m.kinds[name] = k
+		m.set.GetOrCreateGauge(`tamarind_sent_bytes_total{kind="`+name+`"}`, func() float64 { return float64(k.sent.Load()) })
+		m.set.GetOrCreateGauge(`tamarind_received_bytes_total{kind="`+name+`"}`, func() float64 { return float64(k.received.Load()) })
+	}
+	return k
+}
+
+// kindOf is the kind of a message by its path: the platform's call, the procedure of a peer,
+// or one for all that callers send, whose paths are without number.
+func kindOf(path string) string {
+	if call, found := strings.CutPrefix(path, apiPrefix); found {
+		name, _, _ := strings.Cut(call, "/")
+		return name
+	}
+	if i := strings.LastIndexByte(path, '/'); i > 0 && strings.Contains(path[:i], ".") {
+		return "peer-" + strings.ToLower(path[i+1:])
+	}
+	return otherKind
+}
+
+// requestBytes is about what a request takes on the wire.
+func requestBytes(r *http.Request) int64 {
+	n := int64(firstLine + len(r.URL.Path) + len(r.URL.RawQuery) + len(r.Host))
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += int64(len(name) + len(value) + headerExtra)
+		}
+	}
+	return n + max(0, r.ContentLength)
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.count.Add(int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (w *countedWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.count.Add(int64(n))
+	return n, err
+}
+
+// Unwrap lets http.ResponseController find the writer below.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/internal/traffic/meter_test.go
@@ -0,0 +1,62 @@
+package traffic_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarindworks/tamarindworks/internal/traffic"
+)
+
+// paths are requests and the kinds under which they are counted.
+var paths = map[string]string{
+	"/api/run-start":                           "run-start",
+	"/api/kv-keep/12345":                       "kv-keep",
+	"/tamarind.member.v1.MemberService/Submit": "peer-submit",
+	"/puxa400/5c0e7a21d94b36f8":                "callers",
+}
+
+// Both ends of an exchange count the same: the bodies to the byte, beside the heads.
+func TestMeter(t *testing.T) {
+	for path, kind := range paths {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			const sent, answered = 3000, 700
+			set := metrics.NewSet()
+			client, server := traffic.New(set), traffic.New(metrics.NewSet())
+			at := httptest.NewServer(server.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = w.Write(bytes.Repeat([]byte("x"), answered))
+			})))
+			defer at.Close()
+			c := http.Client{Transport: client.Transport(http.DefaultTransport)}
+			resp, err := c.Post(at.URL+path, "text/plain", strings.NewReader(strings.Repeat("y", sent)))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, resp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.Body.Close()).To(Succeed())
+			here, there := client.Totals()[kind], server.Totals()[kind]
+			g.Expect(here.Messages).To(BeEquivalentTo(1))
+			g.Expect(int(here.Sent)).To(And(BeNumerically(">", sent), BeNumerically("<", sent+300)))
+			g.Expect(int(here.Received)).To(And(BeNumerically(">", answered), BeNumerically("<", answered+300)))
+			g.Expect(int(there.Received)).To(BeNumerically(">=", int(here.Sent)))
+			g.Expect(there.Sent).To(Equal(here.Received))
+			var told bytes.Buffer
+			set.WritePrometheus(&told)
+			g.Expect(told.String()).To(ContainSubstring(`tamarind_sent_bytes_total{kind="` + kind + `"}`))
+		})
+	}
+}
+
+func TestNoMeter(t *testing.T) {
+	g := NewWithT(t)
+	var none *traffic.Meter
+	g.Expect(none.Transport(http.DefaultTransport)).To(BeIdenticalTo(http.DefaultTransport))
+	g.Expect(none.Totals()).To(BeEmpty())
+}
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -12,6 +12,7 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/tcp"
+	"github.com/tamarindworks/tamarindworks/internal/traffic"
 )
 
 // Procedures of the service between daemons.
@@ -105,17 +106,16 @@
 		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage), connect.WithCompressMinBytes(compressAbove)))
 }
 
-// NewPeers makes a client for all daemons; it makes no call yet.
-func NewPeers() *Peers {
-	return &Peers{
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         tcp.NewDialer().DialContext,
-			MaxIdleConnsPerHost: peerConns,
-			IdleConnTimeout:     peerIdleLimit,
-			DisableCompression:  true,
-		}},
-		clients: map[string]*peer{},
+// NewPeers makes a client for all daemons; it makes no call yet. The meter counts its bytes;
+// nil counts none.
+func NewPeers(meter *traffic.Meter) *Peers {
+	transport := &http.Transport{
+		DialContext:         tcp.NewDialer().DialContext,
+		MaxIdleConnsPerHost: peerConns,
+		IdleConnTimeout:     peerIdleLimit,
+		DisableCompression:  true,
 	}
+	return &Peers{http: &http.Client{Transport: meter.Transport(transport)}, clients: map[string]*peer{}}
 }
 
 // Close drops idle connections.
--- a/member/succession.go
+++ b/member/succession.go
@@ -168,6 +168,28 @@
 	return rescuers[asked%len(rescuers)], true
 }
 
+// Relief is a daemon that would serve a pool of this one far sooner, as it has more processor
+// for each of its pools; false if there is none. After a day's loss of the larger daemons
+// their pools stayed with small ones that could send a third of the starts.
+func (m *Members) Relief(pool tw.PoolID) (Live, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.lastLive[m.config.Self.Daemon]
+	loads := m.loads()
+	loads[self.Daemon]--
+	now := m.loadWith(self.Daemon, loads)
+	for _, l := range m.rescuers(pool) {
+		if l.Cores >= reliefFactor*self.Cores && reliefFactor*m.loadWith(l.Daemon, loads) <= now {
+			return l, true
+		}
+	}
+	return Live{}, false
+}
+
+// reliefFactor is how much more processor a daemon must have for a pool that is handed over
+// to it: that stops the pool's starts for some tenths of a second.
+const reliefFactor = 2
+
 // rescuers are the daemons that answer and say that they reach the store. Their
 // order differs by pool, so that one does not get all pools of a daemon.
 func (m *Members) rescuers(pool tw.PoolID) []Live {
--- a/member/succession_test.go
+++ b/member/succession_test.go
@@ -169,3 +169,48 @@
 	_, found = m.Rescuer("p", 0)
 	g.Expect(found).To(BeFalse())
 }
+
+// reliefCases are the daemons beside "b", which has two cores and owns the pool "p", and who
+// takes it when "b" is too slow.
+var reliefCases = map[string]struct {
+	cores map[tw.DaemonID]tw.Cores
+	// pools are those that the others own.
+	pools  map[tw.PoolID]tw.DaemonID
+	silent bool
+	want   tw.DaemonID
+}{
+	"a larger daemon":                          {cores: map[tw.DaemonID]tw.Cores{"a": 2, "c": 8}, want: "c"},
+	"none that is as large":                    {cores: map[tw.DaemonID]tw.Cores{"a": 2, "c": 3}},
+	"a larger one, though it owns another":     {cores: map[tw.DaemonID]tw.Cores{"c": 8}, pools: map[tw.PoolID]tw.DaemonID{"q": "c"}, want: "c"},
+	"not a larger one with too many pools":     {cores: map[tw.DaemonID]tw.Cores{"c": 4}, pools: map[tw.PoolID]tw.DaemonID{"q": "c", "r": "c"}},
+	"the one of the larger ones with less":     {cores: map[tw.DaemonID]tw.Cores{"a": 8, "c": 8}, pools: map[tw.PoolID]tw.DaemonID{"q": "a"}, want: "c"},
+	"not one that does not answer or no store": {cores: map[tw.DaemonID]tw.Cores{"c": 8}, silent: true},
+}
+
+func TestRelief(t *testing.T) {
+	for name, c := range reliefCases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := fakeclock.New()
+			m := quorum(clock)
+			m.owners["p"] = ledger.Owner{Pool: "p", Daemon: "b", Address: "b:1", Life: 1, Fence: 5}
+			for id, l := range m.live {
+				l.Cores = 2
+				if cores := c.cores[id]; cores > 0 {
+					l.Cores = cores
+				}
+				m.live[id], m.lastLive[id] = l, l
+				m.contacts[l.Address] = &contact{answered: clock.Now(), storeAnswers: true}
+				if c.silent {
+					m.contacts[l.Address].silentFrom = clock.Now()
+				}
+			}
+			for pool, owner := range c.pools {
+				m.owners[pool] = ledger.Owner{Pool: pool, Daemon: owner, Life: 1}
+			}
+			l, found := m.Relief("p")
+			g.Expect(found).To(Equal(c.want != ""))
+			g.Expect(l.Daemon).To(Equal(c.want))
+		})
+	}
+}
--- a/queue/handler_test.go
+++ b/queue/handler_test.go
@@ -48,7 +48,7 @@
 		}},
 	}
 	router := queue.RouterConfig{
-		Pools: nobody{}, Members: &member.Members{}, Peers: member.NewPeers(), KV: g.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(),
+		Pools: nobody{}, Members: &member.Members{}, Peers: member.NewPeers(nil), KV: g.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(),
 	}.New()
 	g.handler = queue.HandlerConfig{
 		Router: router, Codec: platform.Codec{}, Config: func() *tw.QueueConfig { return g.config },
