Routers leave a busy owner alone; a gang over its organisation's whole cap is refused

A router keeps for a while that an owner is busy, half as long as it surely is, and refuses for it, after a look into the store.

--- a/organisation.go
+++ b/organisation.go
@@ -55,5 +55,17 @@
 	return errors.Wrap(err, "not the digest of a key")
 }
 
+// Fits tells whether all of a submission's steps can ever run under the usage cap. The members
+// of a gang run together, so that one larger than the whole cap never starts.
+func (o *Organisation) Fits(s *Submission) bool {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if step.Gang && !o.Maximum.Allows(step.Need.Times(step.Count)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Capped tells whether the organisation has a usage cap.
 func (o *Organisation) Capped() bool { return o.Maximum != Resources{} }
--- a/queue/busy_test.go
+++ b/queue/busy_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -82,3 +83,31 @@
 		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(wholeSeconds(c.after)).To(Equal(c.want)) })
 	}
 }
+
+// An owner that is busy is not asked again while it surely still is, and is asked again then.
+func TestBusyOwnerIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, end := lonely()
+		defer end()
+		asked := 0
+		owner := func(context.Context, tw.Submission) error {
+			asked++
+			return &run.BusyError{RetryAfter: 2 * time.Second}
+		}
+		submit := func(id tw.SubmissionID) error {
+			return r.submit(t.Context(), tw.Submission{ID: id, Policy: tw.RoutePolicy{Pool: "p"}}, owner)
+		}
+		var busy *run.BusyError
+		for range 10 {
+			g.Expect(errors.As(submit("00000000000000aa"), &busy)).To(BeTrue())
+			g.Expect(busy.RetryAfter).To(BeNumerically("<=", 2*time.Second))
+		}
+		g.Expect(asked).To(Equal(1))
+		time.Sleep(time.Second)
+		g.Expect(submit("00000000000000ab")).To(HaveOccurred())
+		g.Expect(asked).To(Equal(2))
+		_, err := ledger.Find(t.Context(), r.KV, "00000000000000aa")
+		g.Expect(err).To(MatchError(tw.ErrNotFound))
+	})
+}
--- a/queue/handler.go
+++ b/queue/handler.go
@@ -54,7 +54,8 @@
 	target struct {
 		config *tw.QueueConfig
 		route  *tw.QueueRoute
-		caller tw.OrganisationID
+		// caller is who calls; nil for nobody.
+		caller *tw.Organisation
 	}
 )
 
@@ -67,6 +68,8 @@
 	// retryAfter tells callers when to come back, in seconds: outages of the
 	// store and changes of owners last about so long.
 	retryAfter = "1"
+	// capRetryAfter is the same for what only another configuration allows.
+	capRetryAfter = "30"
 	// defaultBodyLimit holds until the configuration names one.
 	defaultBodyLimit = 1 << 20
 )
@@ -76,7 +79,15 @@
 
 // asks is the question for a submission of the caller's.
 func (t target) asks(id tw.SubmissionID) member.SubmissionRequest {
-	return member.SubmissionRequest{Pool: t.route.Policy.Pool, ID: id, Organisation: t.caller}
+	return member.SubmissionRequest{Pool: t.route.Policy.Pool, ID: id, Organisation: t.organisation()}
+}
+
+// organisation is who calls; empty for nobody.
+func (t target) organisation() tw.OrganisationID {
+	if t.caller == nil {
+		return ""
+	}
+	return t.caller.ID
 }
 
 // ServeHTTP implements http.Handler.
@@ -117,19 +128,16 @@
 
 // caller is the organisation that a request comes from: nobody where no key is asked
 // for. It is false for a request whose key opens nothing.
-func (h *Handler) caller(r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute) (tw.OrganisationID, bool) {
+func (h *Handler) caller(r *http.Request, config *tw.QueueConfig, route *tw.QueueRoute) (*tw.Organisation, bool) {
 	if !h.Keyed || route.Public {
-		return "", true
+		return nil, true
 	}
 	key, single := h.Codec.Key(r)
 	if !single {
-		return "", false
+		return nil, false
 	}
 	organisation := config.OrganisationOf(key)
-	if organisation == nil {
-		return "", false
-	}
-	return organisation.ID, true
+	return organisation, organisation != nil
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, t target) {
@@ -168,9 +176,14 @@
 		return
 	}
 	s.ID = id
-	s.Organisation = t.caller
+	s.Organisation = t.organisation()
 	s.Policy = t.route.Policy
 	s.Accepted = h.Clock.Now()
+	if t.caller != nil && !t.caller.Fits(&s) && !h.Router.Kept(ctx, &s) {
+		w.Header().Set("Retry-After", capRetryAfter)
+		h.refuse(w, r, http.StatusServiceUnavailable, "not taken: a gang of it asks for more than the organisation's usage cap")
+		return
+	}
 	began := h.Clock.Now()
 	err = h.Router.Submit(ctx, s)
 	h.Metrics.GetOrCreateHistogram("tamarind_submit_seconds").Update(h.Clock.Now().Sub(began).Seconds())
--- a/queue/router.go
+++ b/queue/router.go
@@ -38,8 +38,14 @@
 		mu sync.Mutex
 		// counts are the last counts of waiting submissions, by route.
 		counts map[tw.RouteName]waitingCount
+		// busy are the pools whose owners were busy when they were last asked.
+		busy map[tw.PoolID]busyOwner
 	}
 
+	// busyOwner is an owner that is known to be busy until a moment, and when it will take
+	// submissions again.
+	busyOwner struct{ until, from time.Time }
+
 	// waitingCount is what an owner told at a moment.
 	waitingCount struct {
 		count int
@@ -56,6 +62,9 @@
 	// countAge is how old a count of waiting submissions may be; the platform
 	// allows 2 s.
 	countAge = 1500 * time.Millisecond
+	// busyMemory bounds how long an owner is taken to be busy without being asked: a new
+	// owner of its pool may not be.
+	busyMemory = 2 * time.Second
 )
 
 // errIsolated proves that nothing was sent: nothing would answer.
@@ -63,7 +72,7 @@
 
 // New makes a router.
 func (c RouterConfig) New() *Router {
-	return &Router{RouterConfig: c, counts: map[tw.RouteName]waitingCount{}}
+	return &Router{RouterConfig: c, counts: map[tw.RouteName]waitingCount{}, busy: map[tw.PoolID]busyOwner{}}
 }
 
 // Submit has a submission kept. ErrUnavailable proves that it was not taken
@@ -80,12 +89,16 @@
 		if r.Members.Isolated() && !unclear {
 			return errIsolated
 		}
-		err := toOwner(ctx, s)
+		err := r.knownBusy(s.Policy.Pool)
+		if err == nil {
+			err = toOwner(ctx, s)
+		}
 		if err == nil {
 			return nil
 		}
 		if busy := (*run.BusyError)(nil); errors.As(err, &busy) {
 			// The store would keep what the owner can't start in time.
+			r.noteBusy(s.Policy.Pool, busy)
 			err = r.keptOr(ctx, s, busy)
 		} else {
 			unclear = unclear || !notTaken(err)
@@ -104,16 +117,47 @@
 	}
 }
 
+// noteBusy keeps for a while that a pool's owner is busy: half as long as that surely lasts,
+// which is half of the time that it tells callers at the most.
+func (r *Router) noteBusy(pool tw.PoolID, busy *run.BusyError) {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.busy[pool].until) {
+		return // the answer came from here
+	}
+	r.busy[pool] = busyOwner{until: now.Add(min(busy.RetryAfter/4, busyMemory)), from: now.Add(busy.RetryAfter)}
+}
+
+// knownBusy is a BusyError while a pool's owner is known to be busy. A submission has up to
+// 4 kB: 100 a second of them, only to be refused, filled the link of an owner with 2 Mbit/s,
+// so that it could send 40 starts a second where it had sent 150.
+func (r *Router) knownBusy(pool tw.PoolID) error {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.busy[pool]
+	if !now.Before(known.until) {
+		return nil
+	}
+	return &run.BusyError{RetryAfter: known.from.Sub(now)}
+}
+
 // keptOr is nil if a submission that its owner is too busy for was kept in another try, of
 // which the owner may not know yet: to say then that it never runs would be wrong.
 func (r *Router) keptOr(ctx context.Context, s tw.Submission, busy *run.BusyError) error {
-	record, err := ledger.Find(ctx, r.KV, s.ID)
-	if err == nil && record.Organisation == s.Organisation {
+	if r.Kept(ctx, &s) {
 		return nil
 	}
 	return busy
 }
 
+// Kept tells whether the store is known to have a submission of the caller's.
+func (r *Router) Kept(ctx context.Context, s *tw.Submission) bool {
+	record, err := ledger.Find(ctx, r.KV, s.ID)
+	return err == nil && record.Organisation == s.Organisation
+}
+
 // notTaken tells whether an error proves that nothing was done.
 func notTaken(err error) bool {
 	return tw.SurelyNotDone(err) || errors.Is(err, run.ErrNotOwner) || errors.Is(err, tw.ErrGone)
