Nothing is kept for the successor of a busy owner

A router that was told of a busy owner less than 5 s ago refuses instead, after a look into the store (TestBusyPoolWithoutAnOwner).

--- a/queue/busy_test.go
+++ b/queue/busy_test.go
@@ -111,3 +111,30 @@
 		g.Expect(err).To(MatchError(tw.ErrNotFound))
 	})
 }
+
+// What a busy owner would refuse must not be kept for its successor while nobody owns the
+// pool; an owner that has been gone for long says nothing any more.
+func TestBusyPoolWithoutAnOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, end := lonely()
+		defer end()
+		var answer error = errBusy
+		submit := func(id tw.SubmissionID) error {
+			s := tw.Submission{ID: id, Policy: tw.RoutePolicy{Pool: "p"}}
+			return r.submit(t.Context(), s, func(context.Context, tw.Submission) error { return answer })
+		}
+		g.Expect(submit("00000000000000aa")).To(MatchError(errBusy))
+		time.Sleep(2 * time.Second)
+		answer = run.ErrNotOwner
+		err := submit("00000000000000ab")
+		g.Expect(errors.HasType(err, errBusy)).To(BeTrue())
+		g.Expect(notTaken(err)).To(BeTrue())
+		_, err = ledger.Find(t.Context(), r.KV, "00000000000000ab")
+		g.Expect(err).To(MatchError(tw.ErrNotFound))
+		time.Sleep(4 * time.Second)
+		g.Expect(submit("00000000000000ac")).To(Succeed())
+		_, err = ledger.Find(t.Context(), r.KV, "00000000000000ac")
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
--- a/queue/router.go
+++ b/queue/router.go
@@ -42,9 +42,9 @@
 		busy map[tw.PoolID]busyOwner
 	}
 
-	// busyOwner is an owner that is known to be busy until a moment, and when it will take
-	// submissions again.
-	busyOwner struct{ until, from time.Time }
+	// busyOwner is an owner that is known to be busy until a moment, when it will take
+	// submissions again, and when it has said so.
+	busyOwner struct{ until, from, told time.Time }
 
 	// waitingCount is what an owner told at a moment.
 	waitingCount struct {
@@ -65,6 +65,9 @@
 	// busyMemory bounds how long an owner is taken to be busy without being asked: a new
 	// owner of its pool may not be.
 	busyMemory = 2 * time.Second
+	// busyAfterwards is how long a pool counts as busy whose owner can't be asked any more:
+	// about as long as a takeover on a narrow link takes.
+	busyAfterwards = 5 * time.Second
 )
 
 // errIsolated proves that nothing was sent: nothing would answer.
@@ -102,7 +105,7 @@
 			err = r.keptOr(ctx, s, busy)
 		} else {
 			unclear = unclear || !notTaken(err)
-			err = r.submitToStore(ctx, s)
+			err = r.keepWithoutOwner(ctx, s)
 		}
 		if err == nil {
 			return nil
@@ -117,6 +120,19 @@
 	}
 }
 
+// keepWithoutOwner has the store keep a submission, unless the pool's owner was busy just
+// before: its successor inherits what it owed. In 4.5 s of a takeover 250 submissions came to
+// 120 that waited already, and nothing of most of them was begun in time.
+func (r *Router) keepWithoutOwner(ctx context.Context, s tw.Submission) error {
+	r.mu.Lock()
+	told := r.busy[s.Policy.Pool].told
+	r.mu.Unlock()
+	if !told.IsZero() && r.Clock.Now().Sub(told) < busyAfterwards {
+		return r.keptOr(ctx, s, &run.BusyError{RetryAfter: busyMemory})
+	}
+	return r.submitToStore(ctx, s)
+}
+
 // noteBusy keeps for a while that a pool's owner is busy: half as long as that surely lasts,
 // which is half of the time that it tells callers at the most.
 func (r *Router) noteBusy(pool tw.PoolID, busy *run.BusyError) {
@@ -126,7 +142,7 @@
 	if now.Before(r.busy[pool].until) {
 		return // the answer came from here
 	}
-	r.busy[pool] = busyOwner{until: now.Add(min(busy.RetryAfter/4, busyMemory)), from: now.Add(busy.RetryAfter)}
+	r.busy[pool] = busyOwner{until: now.Add(min(busy.RetryAfter/4, busyMemory)), from: now.Add(busy.RetryAfter), told: now}
 }
 
 // knownBusy is a BusyError while a pool's owner is known to be busy. A submission has up to
