A window as wide as the daemon can be expected to send; something of each submission in time

Now it is short only while orders take 50 ms and more, and begins with what its processor and link can be expected to send in 0.2 s. - An owner that can send little orders one subtask of each submission that waits so early that all have their turn before 2.4 s have passed, the oldest wait first.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -161,7 +161,7 @@
 	owned.owner = run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
 		Clock: d.clock, Log: d.log, Metrics: d.metrics, Bounds: d.bounds(),
-		Link:        tw.BytesPerSecond(d.settings.Limits.LinkMbps * bytesPerMegabit),
+		Cores: d.settings.Limits.Cores, Link: tw.BytesPerSecond(d.settings.Limits.LinkMbps * bytesPerMegabit),
 		ReadWorkers: d.directory.readWorkers, Configuration: d.directory.Config,
 		Deposed: func() { go o.drop(pool, owned) },
 	}.New()
--- a/run/admission.go
+++ b/run/admission.go
@@ -48,8 +48,10 @@
 	// standingAfter is how long an owner is short before what waits counts as a standing
 	// queue: turns of demand rise for about so long.
 	standingAfter = 3 * time.Second
-	// starveAfter is how long accepted work has nothing running, though it could, before it
-	// goes first: half of the time after which it counts as lost.
+	// runWithin is how long accepted work may have nothing running though there is room: the
+	// platform counts it as lost after 3 s. starveAfter is half of that, after which it goes
+	// first in any case.
+	runWithin   = 2400 * time.Millisecond
 	starveAfter = 1500 * time.Millisecond
 	// mostUrgent is the most urgent priority.
 	mostUrgent = 0
@@ -94,10 +96,11 @@
 // firstOfStarving splits the first subtask off the group of a step that starves, which then
 // goes before all other work; a gang stays whole.
 func (o *Owner) firstOfStarving(g *schedule.Group, st *step) []*schedule.Group {
-	if !o.starves(st) {
+	since, starves := o.starves(st)
+	if !starves {
 		return []*schedule.Group{g}
 	}
-	urgent := schedule.Urgency{Grade: schedule.GradeOnTime, Priority: mostUrgent, Deadline: st.rep.due}
+	urgent := schedule.Urgency{Grade: schedule.GradeOnTime, Priority: mostUrgent, Deadline: since}
 	if st.spec.Gang || len(g.Subtasks) == 1 {
 		g.Urgency = urgent
 		return []*schedule.Group{g}
@@ -112,20 +115,31 @@
 // what work waits for. Work that can be in time goes first, so that what is late would wait
 // for as long as new work comes: with three times the work that could be sent, a submission
 // had to wait for over 6 s (TestShortOwner).
-func (o *Owner) starves(st *step) bool {
+func (o *Owner) starves(st *step) (since time.Time, starves bool) {
 	if !o.window.short(o.now) || st.spec.Lasting || st.spec.Filler {
-		return false
+		return time.Time{}, false
 	}
-	since := st.readyAt
+	since = st.readyAt
 	for _, other := range st.rep.steps {
 		for _, t := range other.tasks {
 			if t.active() {
-				return false
+				return time.Time{}, false
 			}
 			since = later(since, t.endedAt)
 		}
 	}
-	return o.now.Sub(since) > starveAfter
+	return since, o.now.Sub(since) > o.mayStarve()
+}
+
+// mayStarve is how long nothing of a submission may run before it goes first: so much less
+// than runWithin as it takes to order one subtask of each that waits.
+func (o *Owner) mayStarve() time.Duration {
+	rate := o.window.capacity(o.now)
+	if rate == 0 {
+		return starveAfter
+	}
+	o.freshBacklog()
+	return min(max(0, runWithin-inTime(o.backlog.submissions, rate)), starveAfter)
 }
 
 // ordersExcess is how much longer than it may the orders of a submission would have to wait,
@@ -146,7 +160,7 @@
 		return 0
 	}
 	rate := startsShare * float64(o.link) / float64(len(s.Spec)+orderSize)
-	o.backlogAhead(s.Policy.Priority)
+	o.freshBacklog()
 	return inTime(o.backlog.submissions, rate) - firstsWithin
 }
 
@@ -188,9 +202,7 @@
 
 // backlogAhead counts the subtasks that go before new work of a priority.
 func (o *Owner) backlogAhead(priority int) int {
-	if o.now.Sub(o.backlog.at) > backlogAge {
-		o.countBacklog()
-	}
+	o.freshBacklog()
 	ahead := 0
 	for p, n := range o.backlog.counts {
 		if p <= priority {
@@ -200,6 +212,13 @@
 	return ahead
 }
 
+// freshBacklog counts the backlog anew unless that was done just before.
+func (o *Owner) freshBacklog() {
+	if o.now.Sub(o.backlog.at) > backlogAge {
+		o.countBacklog()
+	}
+}
+
 func (o *Owner) countBacklog() {
 	b := &o.backlog
 	b.counts, b.at, b.submissions = map[int]int{}, o.now, 0
--- a/run/config.go
+++ b/run/config.go
@@ -39,6 +39,9 @@
 		// Link is what the daemon's link carries in one direction; zero if that is not
 		// known.
 		Link tw.BytesPerSecond
+		// Cores is the share of processor cores that the daemon has; zero if that is not
+		// known.
+		Cores tw.Cores
 		// Configuration is the configuration in force, whose usage caps count; nil for a
 		// pool without caps.
 		Configuration func() *tw.QueueConfig
--- a/run/owner.go
+++ b/run/owner.go
@@ -151,7 +151,7 @@
 	}
 	o.metrics = newOwnerMetrics(c.Metrics, c.Self.Pool)
 	o.advisor = newAdviser(o, c.Advisor)
-	o.window = newSendWindow(now)
+	o.window = newSendWindow(now, firstWindow(c.Cores, c.Link))
 	o.writer = newWriter(o, c.Book)
 	o.caps = newCaps(o, c.Configuration)
 	// Reading the submissions may have taken long, and another daemon may have taken
--- a/run/place.go
+++ b/run/place.go
@@ -77,7 +77,9 @@
 	if held || heldBack(groups, placements, offers, bounded) {
 		o.window.held(o.now)
 		o.preemptAt = o.now.Add(preemptAfter) // there may be room for what waits
-		o.logShort()
+		if o.window.short(o.now) {
+			o.logShort()
+		}
 	} else {
 		o.preempt(groups, offers, placements)
 	}
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -40,8 +40,9 @@
 	books  int
 	// figures are those of the owner that was opened last.
 	figures *metrics.Set
-	// link is what owners know of their link.
-	link tw.BytesPerSecond
+	// link and cores are what owners know of their daemon.
+	link  tw.BytesPerSecond
+	cores tw.Cores
 	// read counts how often an owner wanted the list of workers read anew.
 	read int
 	// reboots are the machines whose workers have crashed, booted counts those that
@@ -117,7 +118,7 @@
 	c.Orders, c.Advisor, c.Census, c.ReadWorkers = orders, noAdvisor{}, r.census, func() { r.read++ }
 	r.figures = metrics.NewSet()
 	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.figures
-	c.Link = r.link
+	c.Link, c.Cores = r.link, r.cores
 	c.Bounds = run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute}
 	o := c.New()
 	r.opened = append(r.opened, o)
--- a/run/send_window.go
+++ b/run/send_window.go
@@ -1,6 +1,11 @@
 package run
 
-import "time"
+import (
+	"math"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
 
 // An owner that is short of processor time or of its link can't send all the starts for
 // which there is room. Decided all the same they wait, are outdated when their turn comes,
@@ -13,6 +18,8 @@
 	// yet. It belongs to the owner's loop.
 	sendWindow struct {
 		limit int
+		// first is the limit that is begun with, also after work has not waited for a while.
+		first int
 		// pending are the starts that count against the limit, by the time of their
 		// decision.
 		pending []*pendingStart
@@ -52,11 +59,22 @@
 	// sendStuck: a start that has waited so long waits for its worker, or for a window
 	// that has been cut since. It must not keep others from being sent.
 	sendStuck = 2 * sendSoon
-	// windowFirst, windowLeast and windowMost bound the window. Some 90 starts of 2.7 kB
-	// take a second of a link of 2 Mbit/s; the largest pools start 2,000 a second.
-	windowFirst = 32
+	// slowOrder is how long orders take, from the decision to the answer, at an owner that
+	// is short; elsewhere it is 5 to 25 ms.
+	slowOrder = sendSoon / 4
+	// windowFirst is the first window of a daemon of which nothing is known, windowLeast and
+	// windowMost bound it; the largest pools start 2,000 a second.
+	windowFirst = 64
 	windowLeast = 4
 	windowMost  = 4096
+	// startsPerCore is about how many starts a second a processor core can send: daemons
+	// with 0.19 of one sent 350, with 0.8 some 1,500.
+	startsPerCore = 1800
+	// usualOrder is the usual size of an order to start, in bytes.
+	usualOrder = 730
+	// beginAnew: so long after work has last waited for orders, the window is the first
+	// one again. What made it narrow has passed.
+	beginAnew = time.Second
 	// workerFirst and workerMost bound the starts on their way to one worker, which are
 	// sent one after the other. So many fill a worker of 16 cores three times over.
 	workerFirst = 4
@@ -72,12 +90,33 @@
 	shortFor = 500 * time.Millisecond
 )
 
-func newSendWindow(now time.Time) *sendWindow {
-	return &sendWindow{limit: windowFirst, judgedAt: now, changedAt: now}
+func newSendWindow(now time.Time, first int) *sendWindow {
+	return &sendWindow{limit: first, first: first, judgedAt: now, changedAt: now}
+}
+
+// firstWindow is how many starts a daemon with a share of processor cores and a link can be
+// expected to send soon. A window of 64 at all daemons held the starts of a height up by some
+// tens of milliseconds where there was no need; one wider than the link can carry has
+// orders dropped.
+func firstWindow(cores tw.Cores, link tw.BytesPerSecond) int {
+	if cores == 0 && link == 0 {
+		return windowFirst
+	}
+	rate := math.Inf(1)
+	if cores > 0 {
+		rate = startsPerCore * float64(cores)
+	}
+	if link > 0 {
+		rate = min(rate, startsShare*float64(link)/usualOrder)
+	}
+	return int(min(max(windowLeast, rate*sendSoon.Seconds()), windowMost))
 }
 
 // left is how many more starts may be decided now.
 func (s *sendWindow) left(now time.Time) int {
+	if s.limit < s.first && now.Sub(s.heldAt) > beginAnew {
+		s.limit = s.first
+	}
 	for len(s.pending) > 0 && (s.pending[0].answered || now.Sub(s.pending[0].decided) > sendStuck) {
 		if !s.pending[0].answered {
 			s.pending[0].answered = true
@@ -99,7 +138,7 @@
 
 // held notes that work with room waits for orders to be answered.
 func (s *sendWindow) held(now time.Time) {
-	if !s.short(now) {
+	if !s.holds(now) {
 		s.heldFrom = now
 	}
 	s.heldAt = now
@@ -113,16 +152,20 @@
 	return now.Sub(s.heldFrom)
 }
 
-// short tells whether orders are what work waits for.
-func (s *sendWindow) short(now time.Time) bool {
+// holds tells whether orders are what work waits for, be it for a moment.
+func (s *sendWindow) holds(now time.Time) bool {
 	return !s.heldAt.IsZero() && now.Sub(s.heldAt) < shortFor
 }
 
+// short tells whether the owner is too slow for the work that has room. Where orders are soon
+// answered, work that waits for them only waits for the window to open.
+func (s *sendWindow) short(now time.Time) bool { return s.holds(now) && s.age >= slowOrder }
+
 // capacity is about how many starts a second the owner can send while it is short: as many as
 // are in flight in the time that one takes (Little's law). It is zero while it is not, or
 // nothing is known.
 func (s *sendWindow) capacity(now time.Time) float64 {
-	if !s.short(now) || s.age <= 0 {
+	if !s.short(now) {
 		return 0
 	}
 	return s.inFlight / s.age.Seconds()
@@ -170,10 +213,7 @@
 		s.change(now, s.limit*3/4)
 	case known < s.limit/2 && now.Sub(s.judgedAt) < judgeEvery:
 		return // the first answers to a full window say little of the last ones
-	case !s.filled && s.limit > windowFirst:
-		// What was found with less than half of it used tells nothing of all of it.
-		s.change(now, max(windowFirst, s.limit*3/4))
-	case known >= s.limit/2 && s.late == 0 && s.filled && s.short(now):
+	case known >= s.limit/2 && s.late == 0 && s.filled && s.holds(now):
 		s.change(now, s.limit*2)
 	}
 	s.prompt, s.late, s.judgedAt, s.filled = 0, 0, now, 2*s.open >= s.limit
--- /dev/null
+++ b/run/send_window_test.go
@@ -0,0 +1,91 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// firstWindows are daemons and how wide the window may be that they begin with: no wider than
+// what the link of 2 Mbit/s carries in 0.2 s, 50 kB.
+var firstWindows = map[string]struct {
+	cores       tw.Cores
+	link        tw.BytesPerSecond
+	least, most int
+}{
+	"nothing known":         {least: windowFirst, most: windowFirst},
+	"a narrow link":         {cores: 0.8, link: 250_000, least: 20, most: 50_000 / usualOrder},
+	"little processor time": {cores: 0.12, link: 125e6, least: 20, most: 60},
+	"a large daemon":        {cores: 0.8, link: 25e6, least: 200, most: 400},
+	"only the link known":   {link: 1.25e6, least: 150, most: 250_000 / usualOrder},
+	"hardly anything":       {cores: 0.001, least: windowLeast, most: windowLeast},
+}
+
+func TestFirstWindow(t *testing.T) {
+	for name, c := range firstWindows {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(firstWindow(c.cores, c.link)).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
+		})
+	}
+}
+
+// windowCases are answers to a full window and what it becomes.
+var windowCases = map[string]struct {
+	// late are how many of each ten answers come late.
+	late int
+	want func(before, after int) bool
+}{
+	"prompt answers widen it":            {late: 0, want: func(before, after int) bool { return after > before }},
+	"one slow worker leaves it":          {late: 2, want: func(before, after int) bool { return after == before }},
+	"late answers narrow it":             {late: 9, want: func(before, after int) bool { return after < before }},
+	"late answers leave some of it open": {late: 10, want: func(_, after int) bool { return after >= windowLeast }},
+}
+
+func TestSendWindow(t *testing.T) {
+	for name, c := range windowCases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Now()
+			w := newSendWindow(now, windowFirst)
+			for range 20 {
+				var sent []*pendingStart
+				for w.left(now) > 0 {
+					sent = append(sent, w.decided(now))
+				}
+				w.held(now)
+				for i, p := range sent {
+					took := sendSoon / 10
+					if i%10 < c.late {
+						took = 2 * sendSoon
+					}
+					w.answered(p.decided.Add(took), p, took)
+				}
+				now = now.Add(sendSoon)
+			}
+			g.Expect(c.want(windowFirst, w.limit)).To(BeTrue(), "it is %d", w.limit)
+			g.Expect(w.open).To(BeZero())
+		})
+	}
+}
+
+// Starts that their worker keeps waiting stop counting, and count no second time when they
+// are answered after all.
+func TestStuckStartsDoNotFillTheWindow(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	w := newSendWindow(now, 10)
+	var stuck []*pendingStart
+	for range 10 {
+		stuck = append(stuck, w.decided(now))
+	}
+	g.Expect(w.left(now)).To(BeZero())
+	now = now.Add(sendStuck + time.Millisecond)
+	g.Expect(w.left(now)).To(Equal(10))
+	for _, p := range stuck {
+		w.release(p)
+	}
+	g.Expect(w.left(now)).To(Equal(10))
+}
--- a/run/shortage_test.go
+++ b/run/shortage_test.go
@@ -325,3 +325,64 @@
 		r.Expect(float64(play.dropped)).To(BeNumerically("<=", mostDropped*float64(play.starts)))
 	})
 }
+
+// An owner that is fast has few starts under way, and so its window is not wide, when a height
+// begins. It must not take itself for short then: it refused 28 submissions of a play in which
+// orders were answered within 5 ms. What is accepted starts within 50 ms where there is room.
+func TestBurstAtAFastOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst, within = 40, 50 * time.Millisecond
+		r := newRig(t, 0)
+		defer r.end()
+		r.addLarge(0, shortWorkers)
+		r.link, r.cores = 125e6, 0.4
+		o := r.take("a")
+		for n := range 30 {
+			r.submit(o, submission(fmt.Sprintf("%016x", n+1), 1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := r.fleet.Starts()
+		var wg sync.WaitGroup
+		for n := range burst {
+			wg.Go(func() { r.submit(o, submission(fmt.Sprintf("b%015x", n), width)) })
+		}
+		wg.Wait()
+		time.Sleep(within)
+		r.Expect(r.fleet.Starts() - before).To(Equal(burst * width))
+	})
+}
+
+// An owner on a narrow link that takes over what a pool accepted while it lacked room, or
+// under owners that were replaced, owes several times what it can send: 4,758 subtasks of 378
+// submissions at 190 starts a second in a play, 7,953 of 646 at 130 in another. Something of
+// each must begin within 3 s where there is room, and then again and again; one daemon's link
+// can't carry that, however the orders are put. It would take other daemons' links.
+//
+//	55.1101  owner: short  waiting 4758, submissions 378, order_took 131 ms, loop_late 1 ms
+//	78.2708  owner: short  waiting 666, submissions 85
+func TestBacklogLargerThanTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waiting = 400
+		r := newRig(t, 0)
+		defer r.end()
+		r.link = 250_000
+		r.addLarge(0, shortWorkers)
+		a := r.take("a")
+		a.Close()
+		for n := range waiting {
+			s := submission(fmt.Sprintf("%016x", n+1), width)
+			s.Steps[0].Estimate = 640 * time.Millisecond
+			r.leave(s)
+		}
+		short := narrowLink()
+		r.open("b", shortKV{KV: r.kv, shortage: short}, shortOrders{WorkerOrders: r.fleet, shortage: short})
+		time.Sleep(mustBegin)
+		begun := 0
+		for n := range waiting {
+			if r.fleet.Begun(tw.SubmissionID(fmt.Sprintf("%016x", n+1))) {
+				begun++
+			}
+		}
+		r.Expect(begun).To(Equal(waiting))
+	})
+}
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -290,6 +290,7 @@
 
 // actOnLives does one random thing to the lives of a machine or to their entries.
 func (s *soak) actOnLives(n int) {
+	s.tend(s.owner) // a machine that has crashed meanwhile is known as rebooting
 	present := s.present(n)
 	switch s.rand.IntN(4) {
 	case 0:
--- a/run/start.go
+++ b/run/start.go
@@ -84,7 +84,7 @@
 // are sent and answered. sentAt is zero if it was not sent.
 func (o *Owner) startSettled(r *runState, sentAt, answeredAt time.Time, err error) {
 	w := r.w
-	if w.starts >= o.window.perWorker(w.startTook) || o.window.short(o.now) {
+	if w.starts >= o.window.perWorker(w.startTook) || o.window.holds(o.now) {
 		o.placeSoon = true // there may be work that has waited for this
 	}
 	w.starts = max(0, w.starts-1)
