--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -109,10 +109,27 @@
 	}
 }
 
+// TestSoakGivesNobodyUp plays seeds in which work was given up that crashed nothing: two of
+// 11,822 submissions of 600 seeds in which workers are killed and owners replaced. In the first
+// a start was counted as a crash before it was made, the owner was replaced, and the next one
+// counted the end of the same run once more: three counted where two workers had ended. In
+// the second two workers had ended, and a third start was counted whose worker lived on.
+//
+//	seed 10   run: may have ended its worker  0.0.2 on w0, workers 1 (fence 1)
+//	          run: may have ended its worker  0.0.2 on w2, workers 3 (fence 2)
+//	seed 244  run: may have ended its worker  0.0.0 on w0, workers 1
+//	          run: may have ended its worker  0.0.0 on w1, workers 3
+//	          run: cleared, its worker lives on  0.0.0, on w2
+func TestSoakGivesNobodyUp(t *testing.T) {
+	for _, seed := range []uint64{10, 244} {
+		playSoak(t, seed)
+	}
+}
+
 func playSoak(t *testing.T, seed uint64, prepare ...func(s *soak)) {
 	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			s := &soak{acts: 60, rig: newRig(t, soakMachines), rand: rand.New(rand.NewPCG(seed, 1))}
+			s := &soak{acts: 60, rig: newRig(t, soakMachines), rand: rand.New(rand.NewPCG(seed, 1)), poisoned: map[tw.SubmissionID]bool{}}
 			defer s.end()
 			for n := range soakMachines {
 				s.lives = append(s.lives, []tw.WorkerEntry{s.list[workerID(n)]})
@@ -140,6 +157,8 @@
 	rand  *rand.Rand
 	owner *run.Owner
 	taken []tw.SubmissionID
+	// poisoned are the submissions of which a subtask crashes its workers.
+	poisoned map[tw.SubmissionID]bool
 	next  int
 	// lives are those of each machine, the present one last.
 	lives [][]tw.WorkerEntry
@@ -271,6 +290,7 @@
 	sub.Steps[0].Copies = s.rand.IntN(3) == 0
 	sub.Policy.Attempts = 2
 	crashes := s.poisonous && s.rand.IntN(6) == 0
+	s.poisoned[sub.ID] = crashes
 	s.fleet.Expect(&sub, func(id tw.SubtaskID, p *standin.Profile) { p.Crashes = crashes && id.Step == 0 && id.Index == 0 })
 	return sub
 }
@@ -354,6 +374,9 @@
 		if !state.Final() && !s.runsOn(id) {
 			s.t.Errorf("%s is %s", id, state)
 		}
+		if state == tw.Failed && !s.poisoned[id] {
+			s.t.Errorf("%s was given up, though nothing of it fails or crashes its worker", id)
+		}
 	}
 }
 
