A start that was counted as a crash is not counted twice, nor while its worker lives on

Cause: the next owner did not know that a run which it found on a worker had been counted before it was made, and counted its end once more; and three counts were enough although one of them stood for a start whose worker had not ended.

Change: a run of a suspect that is found counts as counted ahead; giving up takes three counts without those that are ahead.

--- a/run/crash.go
+++ b/run/crash.go
@@ -95,11 +95,25 @@
 	o.writer.mark(sub)
 	o.log.Info("run: may have ended its worker", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(w.entry.ID)), zap.Int("workers", t.crashes), zap.Bool("on_trial", r.trial))
-	if t.crashes >= crashesToGiveUp {
+	if t.crashes-t.countedAhead() >= crashesToGiveUp {
 		o.giveUp(t)
 	}
 }
 
+// countedAhead is how many of the crashes are counted for starts whose workers may live on.
+func (t *task) countedAhead() int {
+	n := 0
+	if t.ahead {
+		n++
+	}
+	for _, r := range t.runs {
+		if r.ahead {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *Owner) giveUp(t *task) {
 	o.conclude(t.step.rep.sub, tw.Failed, "workers have ended under subtask "+t.id.String()+" each time it was started")
 }
--- a/run/look.go
+++ b/run/look.go
@@ -252,6 +252,8 @@
 	r.task = t
 	r.sent.Store(true)
 	r.trial = t.suspect()
+	// A former owner has started a suspect only once it had counted that start.
+	r.ahead = t.crashes > 0 && !t.step.spec.Copies
 	t.runs = append(t.runs, r)
 	w.add(r)
 	sub := t.step.rep.sub
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -159,7 +159,7 @@
 	taken []tw.SubmissionID
 	// poisoned are the submissions of which a subtask crashes its workers.
 	poisoned map[tw.SubmissionID]bool
-	next  int
+	next     int
 	// lives are those of each machine, the present one last.
 	lives [][]tw.WorkerEntry
 	// newLives: machines begin new lives.
