--- a/run/send_window.go
+++ b/run/send_window.go
@@ -67,8 +67,9 @@
 	windowFirst = 64
 	windowLeast = 4
 	windowMost  = 4096
-	// startsPerCore is about how many starts a second a processor core can send: daemons
-	// with 0.19 of one sent 350, with 0.8 some 1,500.
+	// startsPerCore is more than a processor core was seen to send: 100 to 170 a second with
+	// 0.19 of one, 800 to 1,100 with 0.8, as these daemons told while they were short. Too
+	// wide a first window is narrowed by the first answers, one too narrow holds up each height.
 	startsPerCore = 1800
 	// usualOrder is the usual size of an order to start, in bytes.
 	usualOrder = 730
@@ -85,11 +86,12 @@
 	judgeLeast = 8
 	// orderWeight smooths the time of an order over about the last ten.
 	orderWeight = 0.1
-	// shortFor is how long an owner counts as short after work has last waited for the
-	// window.
+	// shortFor is for how long work that has waited for orders counts as waiting: a height's
+	// passes come closer together.
 	shortFor = 500 * time.Millisecond
 )
 
+// newSendWindow begins with a limit.
 func newSendWindow(now time.Time, first int) *sendWindow {
 	return &sendWindow{limit: first, first: first, judgedAt: now, changedAt: now}
 }
