--- a/daemon/queue_settings_test.go
+++ b/daemon/queue_settings_test.go
@@ -17,7 +17,7 @@
 var fields = map[string]string{
 	"nodeName": "edge-a-1", "zone": "a", "ip": "10.1.0.9", "bindAddrs.front": "10.1.0.9:1", "bindAddrs.readiness": "10.1.0.9:2",
 	"bindAddrs.control": "10.1.0.9:3", "platform.address": "10.2.0.1:4", "platform.ttl_min_ms": "1000", "cloudApi.address": "10.2.0.1:5",
-	"advice": "10.2.0.1:6", "limits.memoryMb": "284", "limits.cpuShare": "0.4", "bounds.maxHoldMs": "10000", "bounds.stop_ms": "400",
+	"advice": "10.2.0.1:6", "limits.memoryMb": "284", "limits.cpuShare": "0.4", "limits.linkMbps": "200", "bounds.maxHoldMs": "10000", "bounds.stop_ms": "400",
 	"bounds.harm_ms": "4000", "bounds.pace_ms": "100", "bounds.status_s": "120", "bounds.far_x": "2", "bounds.leaseMs": "3000",
 	"bounds.move_s": "1.5", "bounds.upkeep_s": "2", "bounds.graceS": "6",
 }
@@ -61,6 +61,7 @@
 	g.Expect(s.Bounds.MaxHold.Std()).To(Equal(10 * time.Second))
 	g.Expect(s.Bounds.StopTime.Std()).To(Equal(400 * time.Millisecond))
 	g.Expect(s.Limits.Cores).To(Equal(tw.Cores(0.4)))
+	g.Expect(s.Limits.LinkMbps).To(Equal(200.0))
 }
 
 // Fields that a deployment does not have leave the defaults.
@@ -89,8 +90,8 @@
 	},
 	"bad values": {
 		text: "id=\"a\"\nhall=\"h\"\n[listen]\ncallers=\"x\"\nreadiness=\"1.1.1.1:1\"\npeers=\"1.1.1.1:2\"\n" +
-			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nstop_grace=\"0s\"\n[log]\nlevel=\"loud\"\n",
-		says: []string{"listen.callers", "bounds.max_hold", "log.level"},
+			"[platform]\nstore=\"1.1.1.1:3\"\nmachines=\"1.1.1.1:4\"\n[bounds]\nmax_hold=\"-1s\"\nstop_grace=\"0s\"\n[limits]\nlink_mbps=-1\n[log]\nlevel=\"loud\"\n",
+		says: []string{"listen.callers", "bounds.max_hold", "limits.link_mbps", "log.level"},
 	},
 }
 
