--- a/ledger/book.go
+++ b/ledger/book.go
@@ -78,71 +78,6 @@
 // Is implements the interface of errors.Is.
 func (e *Existing) Is(target error) bool { return target == ErrExists }
 
-// Open makes the daemon the owner of the pool, whoever owned it before: from
-// then on the writes of the former owner fail. It fails with ErrDeposed if
-// another daemon opened the book at the same time.
-func (c Config) Open(ctx context.Context) (*Book, error) {
-	first, err := c.readHead(ctx)
-	if err != nil {
-		return nil, err
-	}
-	at := first
-	for range openTries {
-		err := at.announce(ctx)
-		if err == nil {
-			return at, nil
-		}
-		if !errors.Is(err, ErrDeposed) {
-			return nil, errors.Wrap(err, "ledger.Open")
-		}
-		tried := at.head
-		if at, err = c.readHead(ctx); err != nil {
-			return nil, err
-		}
-		c.Log.Info("ledger: the head changed before it was taken", zap.String("pool", string(c.Owner.Pool)), zap.String("daemon", string(at.head.Daemon)),
-			zap.Int64("fence", int64(tried.Fence)), zap.Int64("fence_now", int64(at.head.Fence)),
-			zap.Int64("count", tried.Count), zap.Int64("count_now", at.head.Count))
-		if at.head.Fence != first.head.Fence {
-			break // another daemon was faster
-		}
-		// The former owner has written meanwhile; its next write will fail.
-	}
-	return nil, errors.Wrap(ErrDeposed, "ledger.Open")
-}
-
-// openTries bounds how often an active owner may write between the reading
-// and the writing of the head; it writes at most every 15 ms.
-const openTries = 8
-
-// readHead makes a book that stands before its first write.
-func (c Config) readHead(ctx context.Context) (*Book, error) {
-	b := &Book{kv: c.KV, clock: c.Clock, log: c.Log, owner: c.Owner}
-	item, err := c.KV.Get(ctx, headKey(c.Owner.Pool))
-	if errors.Is(err, tw.ErrNotFound) {
-		return b, nil
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "ledger.Open: read head")
-	}
-	b.revision = item.Revision
-	err = json.Unmarshal(item.Value, &b.head)
-	return b, errors.Wrap(err, "ledger.Open: head")
-}
-
-// announce writes the head and the owner's record for the first time.
-func (b *Book) announce(ctx context.Context) error {
-	former := b.head
-	b.head = head{Fence: former.Fence + 1, Daemon: b.owner.Daemon, Life: b.owner.Life}
-	b.owner.Fence = b.head.Fence
-	put := tw.KVPut{Key: OwnerKey(b.owner.Pool), Value: encode(b.owner)}
-	_, err := b.Write(ctx, []Change{{Puts: []tw.KVPut{put}}})
-	if err != nil {
-		b.head = former
-	}
-	b.opened = b.revision
-	return err
-}
-
 // Fence is the number of this ownership.
 func (b *Book) Fence() tw.Fence { return b.head.Fence }
 
@@ -172,9 +107,9 @@
 	for {
 		next := b.head
 		next.Count++
-		value := encode(next)
 		sent := b.clock.Now()
-		revision, conflict, err := b.settle(ctx, b.transaction(changes, results, value), value)
+		mark := tw.KVPut{Key: headKey(b.owner.Pool), Value: encode(next)}
+		revision, conflict, err := b.settle(ctx, b.transaction(changes, results, mark), mark)
 		if err != nil {
 			return nil, err
 		}
@@ -254,11 +189,10 @@
 	return found
 }
 
-func (b *Book) transaction(changes []Change, results []error, value []byte) tw.KVTxn {
-	key := headKey(b.owner.Pool)
+func (b *Book) transaction(changes []Change, results []error, mark tw.KVPut) tw.KVTxn {
 	txn := apart(changes, results)
-	txn.Conditions = append(txn.Conditions, tw.KVCondition{Key: key, Revision: b.revision})
-	txn.Puts = append(txn.Puts, tw.KVPut{Key: key, Value: value})
+	txn.Conditions = append(txn.Conditions, tw.KVCondition{Key: mark.Key, Revision: b.revision})
+	txn.Puts = append(txn.Puts, mark)
 	return txn
 }
 
@@ -280,9 +214,9 @@
 }
 
 // settle sends a transaction until it is known whether it was done: a lost
-// answer is followed by the same transaction, which finds either its own head
-// or the former one.
-func (b *Book) settle(ctx context.Context, txn tw.KVTxn, value []byte) (tw.KVRevision, *tw.KVConflict, error) {
+// answer is followed by the same transaction, which finds either the put that marks it
+// or what stood there before.
+func (b *Book) settle(ctx context.Context, txn tw.KVTxn, mark tw.KVPut) (tw.KVRevision, *tw.KVConflict, error) {
 	unclear := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
 		revision, err := b.kv.Commit(ctx, txn)
@@ -291,7 +225,7 @@
 		case err == nil:
 			return revision, nil, nil
 		case errors.As(err, &conflict):
-			if present := conflict.Find(headKey(b.owner.Pool)); bytes.Equal(present.Value, value) {
+			if present := conflict.Find(mark.Key); bytes.Equal(present.Value, mark.Value) {
 				return present.Revision, nil, nil
 			}
 			return 0, conflict, nil
