Red test: a copy of a suspect is started beside the run that may bring its worker down

The fifth start's worker was silent for 1.4 s, and a copy was started elsewhere, at a count at which starts are not counted ahead any more.

--- a/run/crash_test.go
+++ b/run/crash_test.go
@@ -49,6 +49,30 @@
 		r.poison(o, s, 0)
 		r.nurse(o, 20*time.Second, func() bool { return r.state(o, "s1") == tw.Failed })
 	},
+	// A suspect whose worker has not been heard of since was copied after a second, beside the
+	// run that might bring that worker down; at the highest count the copy's start was not
+	// counted any more, so that the third start after the third crash was made:
+	//
+	//	30.594  run: ordered                    0.0.0 on w107, the fifth start
+	//	32.010  run: ordered                    0.0.0 on reborn22, the sixth
+	//	32.015  run: may have ended its worker  0.0.0 on w107, workers 5
+	"starts no copy of a suspect before it is cleared": func(r *rig) {
+		o := r.take("a")
+		s := submission("s1", 1)
+		s.Steps[0].Copies = true
+		s.Steps[0].Estimate = 600 * time.Millisecond
+		running := func() []tw.WorkerID { return r.fleet.RunningOn(subtask("s1", 0, 0)) }
+		r.submit(o, s)
+		r.nurse(o, time.Second, func() bool { return len(running()) > 0 })
+		r.fleet.Crash(running()[0])
+		r.nurse(o, 10*time.Second, func() bool { return len(running()) > 0 })
+		silent := running()[0]
+		r.fleet.Set(silent, func(w *standin.SimWorker) { w.Silent = true })
+		r.nurse(o, 2500*time.Millisecond, nil)
+		r.Expect(r.fleet.Starts()).To(Equal(2))
+		r.fleet.Set(silent, func(w *standin.SimWorker) { w.Silent = false })
+		r.nurse(o, 20*time.Second, func() bool { return r.state(o, "s1") == tw.Succeeded })
+	},
 	"gives it up over takeovers": func(r *rig) {
 		o := r.take("a")
 		r.poison(o, submission("s1", 1), 0)
