A suspect gets no copy before it is cleared

Cause: a run whose worker had been silent for a second got a copy elsewhere, also when that run was a suspect's trial; at the highest count a start is not counted ahead any more. Ruled out: a lost count (the log has all five, each before its start). Change: a suspect gets no copy until its run is outlasted or gone.

--- a/run/place.go
+++ b/run/place.go
@@ -330,6 +330,9 @@
 	if !t.step.spec.Copies || t.step.spec.Gang || t.step.spec.Lasting || len(t.runs) != 1 {
 		return false
 	}
+	if t.suspect() {
+		return false // it would be started twice before it is known what the first start did
+	}
 	r := t.runs[0]
 	if !r.w.outlasted(r) && o.now.Sub(r.startedAt) < copyAfter {
 		return false // it may be what silences its worker
