--- a/run/soak_all_test.go
+++ b/run/soak_all_test.go
@@ -27,6 +27,22 @@
 	}
 }
 
+// TestAllSoakEndsInTime plays seeds in which work was left 40 s after all faults had ended, 11
+// of 60 plays of the second. The owner is so short that an answer takes 0.5 s. It gave each
+// order up after 0.4 s, five times the longest answer of late, so that it never learned of a
+// longer one; and starts without an answer did not narrow its window. It sent some ten starts a
+// second, all of them unanswered, and as many stops, and nothing of what it owed began:
+//
+//	52.4  owner: short                  waiting 85, window 64, order_took 83.6ms
+//	      in ten seconds                113 ordered, 64 not confirmed, 65 stopped, 111 gone
+func TestAllSoakEndsInTime(t *testing.T) {
+	for range 10 {
+		for _, seed := range []uint64{216, 6973} {
+			playSoak(t, seed, allAtOnce, func(s *soak) { s.chance = true })
+		}
+	}
+}
+
 func allAtOnce(s *soak) {
 	beginLives(s)
 	poisonSome(s)
