An owner whose orders go unanswered waits longer for them, and sends fewer

Symptom: work left 40 s after all faults had ended (TestAllSoakEndsInTime), while the owner ordered ten starts a second. Orders are given up after five times the longest answer of late; an answer that takes longer is never seen, so the limit stays where it is. And a start without an answer was taken out of the send window without counting as late, so that nothing narrowed it; a second after work had last waited for orders, it was opened to its first width again. From the log: order_took 83.6 ms throughout, window 64, and in ten seconds 113 ordered, 64 not confirmed, 65 stopped. The stops take the same link. Ruled out: the trials of suspects (the same without them), lost workers (all fresh and sound). Change: four orders in a row without an answer, to whatever workers, double the limit, up to 0.8 s as before; a start without an answer counts as late; the window is not opened again for a second after the last one. One silent worker among sound ones changes nothing (tests).

--- a/run/patience.go
+++ b/run/patience.go
@@ -16,6 +16,8 @@
 	// longest is the longest answer, as of at; it fades with answerHalfLife.
 	longest time.Duration
 	at      time.Time
+	// missed are the orders in a row, to whatever worker, that were not answered in time.
+	missed int
 }
 
 const (
@@ -27,6 +29,10 @@
 	patienceMost  = 800 * time.Millisecond
 	// answerHalfLife: after a burst of slow answers, longest halves in this time.
 	answerHalfLife = 3 * time.Second
+	// missedMany orders in a row without an answer aren't one silent worker's doing: the owner
+	// is too slow for its own limit, which is doubled. An owner whose answers took 0.5 s gave
+	// up all its orders after 0.4 s, and learned of no answer that took longer.
+	missedMany = 4
 )
 
 // answered notes how long an answer took.
@@ -35,6 +41,20 @@
 	defer p.mu.Unlock()
 	p.longest = max(p.faded(now), took)
 	p.at = now
+	p.missed = 0
+}
+
+// unanswered notes that an order was not answered within a limit.
+func (p *patience) unanswered(now time.Time, limit time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.missed++
+	if p.missed < missedMany {
+		return
+	}
+	p.missed = 0
+	p.longest = max(p.faded(now), min(2*limit, patienceMost)/patienceFactor)
+	p.at = now
 }
 
 // limit is how long an order sent now may wait.
--- a/run/patience_test.go
+++ b/run/patience_test.go
@@ -35,3 +35,39 @@
 		})
 	}
 }
+
+// An owner that is too slow for its own limit must learn that; one silent worker must not
+// keep the others' orders longer.
+func TestPatienceWithoutAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answeredBetween bool
+		want            time.Duration
+	}{
+		"all unanswered":                  {want: 2 * patienceLeast},
+		"a silent worker among the sound": {answeredBetween: true, want: patienceLeast},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			p := &patience{}
+			p.answered(now, 3*time.Millisecond)
+			for range missedMany {
+				p.unanswered(now, p.limit(now))
+				if c.answeredBetween {
+					p.answered(now, 3*time.Millisecond)
+				}
+			}
+			NewWithT(t).Expect(p.limit(now)).To(Equal(c.want))
+		})
+	}
+}
+
+func TestPatienceIsBounded(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p := &patience{}
+	p.answered(now, 3*time.Millisecond)
+	for range 10 * missedMany {
+		p.unanswered(now, p.limit(now))
+	}
+	NewWithT(t).Expect(p.limit(now)).To(Equal(patienceMost))
+}
--- a/run/send_window.go
+++ b/run/send_window.go
@@ -33,6 +33,8 @@
 		// heldAt is when work with room last waited for orders to be answered alone,
 		// heldFrom since when it has done so without a break.
 		heldFrom, heldAt time.Time
+		// lateAt is when a start was last answered late or not at all.
+		lateAt time.Time
 		// usual is the smoothed time from the sending of a start to its answer, of all
 		// workers.
 		usual time.Duration
@@ -73,8 +75,8 @@
 	startsPerCore = 1800
 	// usualOrder is the usual size of an order to start, in bytes.
 	usualOrder = 730
-	// beginAnew: so long after work has last waited for orders, the window is the first
-	// one again. What made it narrow has passed.
+	// beginAnew: so long after work has last waited for orders, or one was late, the window is
+	// the first one again. What made it narrow has passed.
 	beginAnew = time.Second
 	// workerFirst and workerMost bound the starts on their way to one worker, which are
 	// sent one after the other. So many fill a worker of 16 cores three times over.
@@ -116,7 +118,7 @@
 
 // left is how many more starts may be decided now.
 func (s *sendWindow) left(now time.Time) int {
-	if s.limit < s.first && now.Sub(s.heldAt) > beginAnew {
+	if s.limit < s.first && now.Sub(later(s.heldAt, s.lateAt)) > beginAnew {
 		s.limit = s.first
 	}
 	for len(s.pending) > 0 && (s.pending[0].answered || now.Sub(s.pending[0].decided) > sendStuck) {
@@ -196,6 +198,14 @@
 	s.count(now, p, true)
 }
 
+// unanswered notes that a start that was sent got no answer in time. Where that is not one
+// silent worker's doing, more was sent than the link or the processor can carry: an owner that
+// kept its window sent 500 starts in 40 s of which hardly one was answered, and stopped all.
+func (s *sendWindow) unanswered(now time.Time, p *pendingStart) {
+	s.release(p)
+	s.count(now, p, true)
+}
+
 // count takes up what became of a start, and judges the window once enough is known of
 // what it has led to. One slow worker alone must not narrow it, so that most answers count.
 func (s *sendWindow) count(now time.Time, p *pendingStart, late bool) {
@@ -204,6 +214,7 @@
 	}
 	if late {
 		s.late++
+		s.lateAt = now
 	} else {
 		s.prompt++
 	}
--- a/run/send_window_test.go
+++ b/run/send_window_test.go
@@ -89,3 +89,24 @@
 	}
 	g.Expect(w.left(now)).To(Equal(10))
 }
+
+// Starts that get no answer tell that too many are sent, unless they are one worker's; and for
+// as long as that goes on, the window isn't opened again.
+func TestUnansweredStartsNarrowTheWindow(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	w := newSendWindow(now, windowFirst)
+	for range 10 {
+		var sent []*pendingStart
+		for w.left(now) > 0 {
+			sent = append(sent, w.decided(now))
+		}
+		now = now.Add(beginAnew + time.Millisecond)
+		for _, p := range sent {
+			w.unanswered(now, p)
+		}
+	}
+	g.Expect(w.limit).To(Equal(windowLeast))
+	now = now.Add(beginAnew + time.Millisecond)
+	g.Expect(w.left(now)).To(Equal(windowFirst))
+}
--- a/run/session.go
+++ b/run/session.go
@@ -153,12 +153,16 @@
 	if outdated || !s.permit.valid(now) {
 		return 0, errNotSent
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.patience.limit(now))
+	limit := s.patience.limit(now)
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	clock, err := w.send(ctx)
-	if answered(err) {
-		done := s.clock.Now()
+	clock, err := w.send(callCtx)
+	done := s.clock.Now()
+	switch {
+	case answered(err):
 		s.patience.answered(done, done.Sub(now))
+	case callCtx.Err() != nil && ctx.Err() == nil:
+		s.patience.unanswered(done, limit)
 	}
 	s.heard(err)
 	return clock, err
--- a/run/start.go
+++ b/run/start.go
@@ -91,8 +91,10 @@
 	switch {
 	case sentAt.IsZero() && !r.withdrawn.Load() && o.now.Sub(r.pending.decided) > startAge:
 		o.window.outdated(o.now, r.pending)
-	case sentAt.IsZero() || !answered(err):
+	case sentAt.IsZero():
 		o.window.release(r.pending)
+	case !answered(err):
+		o.window.unanswered(o.now, r.pending)
 	default:
 		took := answeredAt.Sub(sentAt)
 		w.startTook = smooth(w.startTook, took)
