--- a/run/soak_all_test.go
+++ b/run/soak_all_test.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// TestAllSoakUnlucky plays seeds in which work is given up at times under which five workers in
+// a row had ended by chance: 10 of 970 plays of the first, 4 of 320 of the second. With the
+// soak's own acts in the log, one of them killed or replaced each of the five just after the
+// start; by what an owner sees that is no other than a subtask that brings its workers down:
+//
+//	14.379  run: ordered  0.0.0 on reborn6   14.443  the soak kills it
+//	16.163  run: ordered  0.0.0 on reborn9   16.364  its machine begins another life
+//	16.854  run: ordered  0.0.0 on reborn10  17.166  its machine begins another life
+//	18.512  run: ordered  0.0.0 on reborn11  18.785  the soak kills it
+func TestAllSoakUnlucky(t *testing.T) {
+	for range 20 {
+		for _, seed := range []uint64{1929, 439} {
+			playSoak(t, seed, allAtOnce)
+		}
+	}
+}
+
 // TestAllSoakEndsInTime plays seeds in which work was left 40 s after all faults had ended, 11
 // of 60 plays of the second. The owner is so short that an answer takes 0.5 s. It gave each
 // order up after 0.4 s, five times the longest answer of late, so that it never learned of a
