--- a/run/crash.go
+++ b/run/crash.go
@@ -186,11 +186,12 @@
 	return false
 }
 
+// spent tells whether the subtask must not be started again.
 func (t *task) spent() bool { return !t.done && !t.ahead && t.crashes >= t.mostInDoubt() }
 
 // gaveUpSpent gives a submission up of which a subtask would have to be started once more
-// than it may be, and tells whether it did. Until all workers are known it isn't: the last start may be alive, and one
-// of 2,000 seeds of TestSoak lost innocent work whose run went on.
+// than it may be, and tells whether it did. Until all workers are known it isn't: the last
+// start may be alive, and one of 2,000 seeds of TestSoak lost innocent work whose run went on.
 func (o *Owner) gaveUpSpent(sub *submission) bool {
 	for _, rep := range sub.reps {
 		for _, st := range rep.steps {
--- a/run/trial.go
+++ b/run/trial.go
@@ -14,9 +14,8 @@
 	// beside what was started there of late, but not beside another suspect: innocent work that
 	// was placed with a deadly subtask each time went down with four workers in a row.
 	trialPatience = 1500 * time.Millisecond
-	// apartPatience is how long it is tried so; then it takes its turn with all other work. An
-	// owner that is short is slow to clear suspects: with no such bound 13 of 60 plays of a
-	// soak's seed had work left 40 s after all faults had ended.
+	// apartPatience is how long it waits to be tried so; then it takes its turn with all other
+	// work, which must not wait for long for the trials of an owner that is slow to clear suspects.
 	apartPatience = 2 * trialPatience
 )
 
