Read again: one way to read a key that may be missing, one to find a subtask, one to fill a window

FindProgress, FindWave, FindOrders and the opening of a book each read a key that may be missing and decoded it in their own lines; a submission's subtasks were walked twice for the same question; two tests of the send window filled it alike. Behaviour and assertions are unchanged.

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -125,42 +125,46 @@
 
 // FindProgress reads how far a submission is; none is no error.
 func FindProgress(ctx context.Context, kv tw.KV, pool tw.PoolID, id tw.SubmissionID) (Progress, error) {
-	var p Progress
-	item, err := kv.Get(ctx, ProgressKey(pool, id))
-	if errors.Is(err, tw.ErrNotFound) {
-		return p, nil
-	}
-	if err != nil {
-		return p, err
-	}
-	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
+	return findAs[Progress](ctx, kv, ProgressKey(pool, id))
 }
 
 // FindWave reads the progress of a maintenance wave; none is no error.
 func FindWave(ctx context.Context, kv tw.KV, wave int64) (WaveProgress, error) {
-	var p WaveProgress
-	item, err := kv.Get(ctx, waveKey(wave))
-	if errors.Is(err, tw.ErrNotFound) {
-		return p, nil
-	}
-	if err != nil {
-		return p, err
-	}
-	return p, errors.Wrapf(json.Unmarshal(item.Value, &p), "ledger: %s", item.Key)
+	return findAs[WaveProgress](ctx, kv, waveKey(wave))
 }
 
 // FindOrders reads which machines were changed lately; none is no error.
 func FindOrders(ctx context.Context, kv tw.KV) (map[tw.InstanceID]time.Time, error) {
-	item, err := kv.Get(ctx, ordersKey)
-	if errors.Is(err, tw.ErrNotFound) {
-		return nil, nil
-	}
+	return findAs[map[tw.InstanceID]time.Time](ctx, kv, ordersKey)
+}
+
+// findAs reads what stands under a key; none is no error.
+func findAs[T any](ctx context.Context, kv tw.KV, key tw.Key) (T, error) {
+	item, err := find(ctx, kv, key)
 	if err != nil {
-		return nil, err
+		var none T
+		return none, err
 	}
-	var orders map[tw.InstanceID]time.Time
-	err = json.Unmarshal(item.Value, &orders)
-	return orders, errors.Wrapf(err, "ledger: %s", item.Key)
+	return decode[T](item)
+}
+
+// find reads a key; where there is none, the item has no revision.
+func find(ctx context.Context, kv tw.KV, key tw.Key) (tw.KVItem, error) {
+	item, err := kv.Get(ctx, key)
+	if errors.Is(err, tw.ErrNotFound) {
+		return tw.KVItem{Key: key}, nil
+	}
+	return item, err
+}
+
+// decode reads an item; one without a revision stands for none.
+func decode[T any](item tw.KVItem) (T, error) {
+	var out T
+	if item.Revision == 0 {
+		return out, nil
+	}
+	err := json.Unmarshal(item.Value, &out)
+	return out, errors.Wrapf(err, "ledger: %s", item.Key)
 }
 
 // DecodeInbox reads a message that a daemon left for an owner.
--- a/ledger/open.go
+++ b/ledger/open.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -44,14 +43,14 @@
 	var owner, headItem tw.KVItem
 	var ownerErr, headErr error
 	var wg sync.WaitGroup
-	wg.Go(func() { owner, ownerErr = b.find(ctx, OwnerKey(b.owner.Pool)) })
-	wg.Go(func() { headItem, headErr = b.find(ctx, headKey(b.owner.Pool)) })
+	wg.Go(func() { owner, ownerErr = find(ctx, b.kv, OwnerKey(b.owner.Pool)) })
+	wg.Go(func() { headItem, headErr = find(ctx, b.kv, headKey(b.owner.Pool)) })
 	wg.Wait()
 	if err := errors.CombineErrors(ownerErr, headErr); err != nil {
 		return former{}, err
 	}
 	record, recordErr := DecodeOwner(owner)
-	last, err := decodeHead(headItem)
+	last, err := decode[head](headItem)
 	if err != nil && recordErr != nil {
 		return former{}, err
 	}
@@ -60,25 +59,6 @@
 	}, nil
 }
 
-// decodeHead reads a head; none is no error.
-func decodeHead(item tw.KVItem) (head, error) {
-	var h head
-	if item.Revision == 0 {
-		return h, nil
-	}
-	err := json.Unmarshal(item.Value, &h)
-	return h, errors.Wrapf(err, "ledger: %s", item.Key)
-}
-
-// find reads a key; none is no error.
-func (b *Book) find(ctx context.Context, key tw.Key) (tw.KVItem, error) {
-	item, err := b.kv.Get(ctx, key)
-	if errors.Is(err, tw.ErrNotFound) {
-		return tw.KVItem{Key: key}, nil
-	}
-	return item, err
-}
-
 // announce writes the head and the owner's record for the first time. Where that record is
 // lost or can't be read, the head must be the one that was read as well: it alone says which
 // fence is the last one.
--- a/run/crash.go
+++ b/run/crash.go
@@ -175,16 +175,7 @@
 }
 
 // spent tells whether former owners have started a subtask as often as it may be.
-func (s *submission) spent() bool {
-	for _, rep := range s.reps {
-		for _, st := range rep.steps {
-			if slices.ContainsFunc(st.tasks, (*task).spent) {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (s *submission) spent() bool { return s.firstTask((*task).spent) != nil }
 
 // spent tells whether the subtask must not be started again.
 func (t *task) spent() bool { return !t.done && !t.ahead && t.crashes >= t.mostInDoubt() }
@@ -193,17 +184,24 @@
 // than it may be, and tells whether it did. Until all workers are known it isn't: the last
 // start may be alive, and one of 2,000 seeds of TestSoak lost innocent work whose run went on.
 func (o *Owner) gaveUpSpent(sub *submission) bool {
-	for _, rep := range sub.reps {
+	t := sub.firstTask(func(t *task) bool { return !t.active() && t.spent() })
+	if t == nil {
+		return false
+	}
+	o.giveUp(t)
+	return true
+}
+
+// firstTask is a subtask of the open repetitions for which a condition holds, or nil.
+func (s *submission) firstTask(is func(*task) bool) *task {
+	for _, rep := range s.reps {
 		for _, st := range rep.steps {
-			for _, t := range st.tasks {
-				if !t.active() && t.spent() {
-					o.giveUp(t)
-					return true
-				}
+			if i := slices.IndexFunc(st.tasks, is); i >= 0 {
+				return st.tasks[i]
 			}
 		}
 	}
-	return false
+	return nil
 }
 
 // countAhead counts the next start of a subtask as a crash before it is made. Else, if the
--- a/run/send_window_test.go
+++ b/run/send_window_test.go
@@ -44,6 +44,15 @@
 	"late answers leave some of it open": {late: 10, want: func(_, after int) bool { return after >= windowLeast }},
 }
 
+// fillWindow decides as many starts as the window allows.
+func fillWindow(w *sendWindow, now time.Time) []*pendingStart {
+	var sent []*pendingStart
+	for w.left(now) > 0 {
+		sent = append(sent, w.decided(now))
+	}
+	return sent
+}
+
 func TestSendWindow(t *testing.T) {
 	for name, c := range windowCases {
 		t.Run(name, func(t *testing.T) {
@@ -51,10 +60,7 @@
 			now := time.Now()
 			w := newSendWindow(now, windowFirst)
 			for range 20 {
-				var sent []*pendingStart
-				for w.left(now) > 0 {
-					sent = append(sent, w.decided(now))
-				}
+				sent := fillWindow(w, now)
 				w.held(now)
 				for i, p := range sent {
 					took := sendSoon / 10
@@ -97,10 +103,7 @@
 	now := time.Now()
 	w := newSendWindow(now, windowFirst)
 	for range 10 {
-		var sent []*pendingStart
-		for w.left(now) > 0 {
-			sent = append(sent, w.decided(now))
-		}
+		sent := fillWindow(w, now)
 		now = now.Add(beginAnew + time.Millisecond)
 		for _, p := range sent {
 			w.unanswered(now, p)
