--- a/cmd/tamarind/queue.go
+++ b/cmd/tamarind/queue.go
@@ -20,7 +20,8 @@
 const (
 	queueHelp = `Look at the pools and submissions of the platform, as its store has them.`
 
-	queueStatusHelp = `Show each pool: its owner, whether that lives, and its submissions.
+	queueStatusHelp = `Show the evacuated halls, and each pool: its owner, whether that lives, and its
+submissions.
 
 Example: tamarind queue status --store 10.200.1.7:8621`
 
@@ -53,6 +54,11 @@
 			if err != nil {
 				return err
 			}
+			evacuations, err := platform.ReadEvacuations(ctx, kv)
+			if err != nil {
+				return err
+			}
+			survey.Evacuated = evacuations.Halls
 			if *output == "json" {
 				return json.NewEncoder(os.Stdout).Encode(survey)
 			}
@@ -99,6 +105,9 @@
 func printSurvey(s *ledger.Survey) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%d daemons live\n", len(s.Daemons))
+	for _, hall := range s.Evacuated {
+		fmt.Fprintf(w, "hall %s is evacuated\n", hall)
+	}
 	fmt.Fprintln(w, "POOL\tOWNER\tLIVES\tFENCE\tOPEN\tSUCCEEDED\tFAILED\tCANCELLED\tINBOX")
 	for _, p := range s.Pools {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Owner.Pool, p.Owner.Daemon, p.Lives, p.Owner.Fence,
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -174,7 +174,7 @@
 }
 
 func (d *directory) operatorChanged(items map[tw.Key]tw.KVItem, at tw.KVRevision) {
-	d.offerEvacuations(evacuationsIn(maps.Keys(items), at), "store")
+	d.offerEvacuations(platform.EvacuationsIn(maps.Keys(items), at), "store")
 	for key, item := range items {
 		switch {
 		case key == platform.QueueConfigKey:
--- a/daemon/evacuations.go
+++ b/daemon/evacuations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"iter"
 	"slices"
 
 	"go.uber.org/zap"
@@ -20,33 +19,14 @@
 
 // readEvacuations reads from the store which halls are evacuated.
 func (d *directory) readEvacuations(ctx context.Context) error {
-	items, at, err := d.kv.Range(ctx, platform.EvacuationPrefix)
+	e, err := platform.ReadEvacuations(ctx, d.kv)
 	if err != nil {
 		return err
 	}
-	keys := func(yield func(tw.Key) bool) {
-		for _, item := range items {
-			if !yield(item.Key) {
-				return
-			}
-		}
-	}
-	d.offerEvacuations(evacuationsIn(keys, at), "store")
+	d.offerEvacuations(e, "store")
 	return nil
 }
 
-// evacuationsIn are the evacuated halls by the keys that the store had at a revision.
-func evacuationsIn(keys iter.Seq[tw.Key], at tw.KVRevision) *tw.Evacuations {
-	e := &tw.Evacuations{Revision: at}
-	for key := range keys {
-		if hall, found := platform.EvacuatedHall(key); found {
-			e.Halls = append(e.Halls, hall)
-		}
-	}
-	slices.Sort(e.Halls)
-	return e
-}
-
 // heardEvacuations takes up what a peer knows, as the store may turn this daemon away.
 func (d *directory) heardEvacuations(from string, heard *tw.Evacuations) {
 	if heard != nil {
