What a daemon pings no longer grows with the number of daemons

The watch of the members woke everybody at every change, and each decoded all records.

Change: an owner is pinged by 40 daemons, those that would take its pool over first; that it doesn't answer, and who owns what, reaches all others with the pings between daemons (two in each hall, as before), in rounds that grow with the logarithm of their number. Only an owner that the store doesn't answer searches others, 40 a round in turn. Answers of the members' watch gather for 0.2 ms a member, and a record is decoded once. Deployments of up to 41 daemons ping their owners as before.

Ruled out: a longer pace of pings, which is the same growth and a later takeover.

Tests count pings, rounds of news and decoded records at 50 to 1,600 daemons.

--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -21,9 +21,11 @@
 		go d.fetchConfig(address, m.Config) // the answer must not wait for it
 	}
 	d.directory.heardEvacuations(string(m.From), m.Evacuations)
+	doubts, owners := d.members.AnswerPing(m)
 	return &member.PingResponse{
 		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Owned: d.owners.records(),
 		StoreAnswers: d.members.StoreAnswers(), Evacuations: d.directory.Evacuations(),
+		Doubts: doubts, Owners: owners,
 	}, nil
 }
 
--- /dev/null
+++ b/member/growth_test.go
@@ -0,0 +1,214 @@
+package member
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
+	"github.com/tamarindworks/tamarindworks/ledger"
+)
+
+// growthSizes are numbers of daemons in growthHalls halls, a tenth of them with far more
+// processor, of which some own growthPools pools.
+var growthSizes = []int{50, 200, 800, 1600}
+
+const (
+	growthHalls = 5
+	growthPools = 6
+)
+
+// crowd is the memberships of all daemons of a deployment, without their duties.
+type crowd struct {
+	clock   *fakeclock.Clock
+	members map[string]*Members
+	owners  map[string]bool
+}
+
+func newCrowd(daemons int) *crowd {
+	c := &crowd{clock: fakeclock.New(), members: map[string]*Members{}, owners: map[string]bool{}}
+	live := map[tw.DaemonID]Live{}
+	for n := range daemons {
+		l := Live{Daemon: tw.DaemonID(fmt.Sprintf("d%04d", n)), Life: 1, Hall: tw.HallID(fmt.Sprint(n % growthHalls)), Cores: 0.2}
+		if n%10 == 0 {
+			l.Cores = 0.8
+		}
+		l.Address = string(l.Daemon)
+		live[l.Daemon] = l
+	}
+	owned := map[tw.PoolID]ledger.Owner{}
+	for p := range growthPools {
+		id := tw.PoolID(fmt.Sprintf("p%d", p))
+		daemon := tw.DaemonID(fmt.Sprintf("d%04d", 10*(p%3)))
+		owned[id] = ledger.Owner{Pool: id, Daemon: daemon, Address: string(daemon), Life: 1, Fence: 7}
+		c.owners[string(daemon)] = true
+	}
+	for id, l := range live {
+		m := &Members{
+			config: Config{Clock: c.clock, Log: zap.NewNop(), Self: l}, contacts: map[string]*contact{}, live: live, lastLive: live,
+			owners: map[tw.PoolID]ledger.Owner{}, lostAt: map[tw.PoolID]time.Time{},
+		}
+		for pool, o := range owned {
+			m.owners[pool] = o
+		}
+		c.members[string(id)] = m
+	}
+	return c
+}
+
+// round has every daemon ping its peers once, and counts the pings that each sends and gets.
+// Owners that are dead answer none.
+func (c *crowd) round(dead string) (out, in map[string]int) {
+	out, in = map[string]int{}, map[string]int{}
+	for from, m := range c.members {
+		if from == dead {
+			continue
+		}
+		for to := range m.toPing(false) {
+			out[from]++
+			in[to]++
+			c.ping(m, to, to == dead)
+		}
+	}
+	return out, in
+}
+
+func (c *crowd) ping(m *Members, to string, dead bool) {
+	now := c.clock.Now()
+	if dead {
+		m.contacts[to] = &contact{silentFrom: now, failed: now}
+		return
+	}
+	doubts, owners := c.members[to].AnswerPing(&PingRequest{Doubts: m.doubted(now), Owners: m.ownersDigest()})
+	m.hearDoubts(doubts, now)
+	for _, o := range owners {
+		m.setOwner(o)
+	}
+}
+
+func most(counts map[string]int) int {
+	n := 0
+	for _, count := range counts {
+		n = max(n, count)
+	}
+	return n
+}
+
+// Every daemon pinged every owner, so that with 585 daemons an owner got 2,336 pings a second,
+// and while the store was silent every daemon pinged every other one. What a daemon sends must
+// not grow with their number, and what an owner gets no more than chance makes it.
+func TestPingsDoNotGrowWithDaemons(t *testing.T) {
+	g := NewWithT(t)
+	const sentMost, gotMost = growthPools + witnesses*growthHalls, growthPools*ownerWatchers + 12*witnesses*growthHalls
+	for _, size := range growthSizes {
+		c := newCrowd(size)
+		out, in := c.round("")
+		g.Expect(most(out)).To(BeNumerically("<=", sentMost), "sent, %d daemons", size)
+		g.Expect(most(in)).To(BeNumerically("<=", gotMost), "received, %d daemons", size)
+		for n := range 10 {
+			m := c.members[fmt.Sprintf("d%04d", n)]
+			g.Expect(len(m.toPing(true))).To(BeNumerically("<=", sentMost+searchMost))
+		}
+	}
+}
+
+// An owner that turns away nobody's search has to be found by one that the store turns away,
+// whichever daemons still reach it.
+func TestSearchReachesEverybody(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(400)
+	m := c.members["d0000"]
+	asked := map[string]bool{}
+	for range 400 / searchMost {
+		for address := range m.toPing(true) {
+			asked[address] = true
+		}
+	}
+	g.Expect(asked).To(HaveLen(399))
+}
+
+// News of few daemons reaches all in a number of rounds of pings that grows with the logarithm
+// of their number: that an owner doesn't answer, and that a pool has another owner.
+func TestNewsReachesAllDaemons(t *testing.T) {
+	g := NewWithT(t)
+	for _, size := range growthSizes {
+		most := int(math.Ceil(math.Log2(float64(size))/2)) + 1
+		c := newCrowd(size)
+		dead := "d0000"
+		rounds := 0
+		for unaware := size; unaware > 0; rounds++ {
+			g.Expect(rounds).To(BeNumerically("<=", most), "doubt, %d daemons", size)
+			c.round(dead)
+			unaware = 0
+			for at, m := range c.members {
+				if at != dead && !m.Silent(dead) {
+					unaware++
+				}
+			}
+		}
+		newer := ledger.Owner{Pool: "p0", Daemon: "d0050", Address: "d0050", Life: 1, Fence: 8}
+		if size < 51 {
+			newer.Daemon, newer.Address = "d0040", "d0040"
+		}
+		c.members[newer.Address].Took(newer)
+		rounds = 0
+		for unaware := size; unaware > 0; rounds++ {
+			g.Expect(rounds).To(BeNumerically("<=", most), "ownership, %d daemons", size)
+			c.round("")
+			unaware = 0
+			for _, m := range c.members {
+				if o, _ := m.Owner("p0"); o.Fence != 8 {
+					unaware++
+				}
+			}
+		}
+	}
+}
+
+// A doubt ends when the owner answers those who ping it, and is passed on with its age.
+func TestDoubtsEnd(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(200)
+	dead := "d0000"
+	for range 4 {
+		c.round(dead)
+	}
+	for _, m := range c.members {
+		m.contacts = map[string]*contact{}
+	}
+	for range 10 {
+		c.clock.Advance(250 * time.Millisecond)
+		c.round("")
+	}
+	for _, m := range c.members {
+		g.Expect(m.Silent(dead)).To(BeFalse())
+	}
+}
+
+// A watch of the members decodes what has changed, not every record at every change.
+func TestRecordsAreDecodedOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := newCrowd(50).members["d0000"]
+	m.live, m.lastLive = map[tw.DaemonID]Live{}, map[tw.DaemonID]Live{}
+	items := map[tw.Key]tw.KVItem{}
+	for n := range 50 {
+		key := ledger.LiveKey(tw.DaemonID(fmt.Sprintf("d%04d", n)))
+		items[key] = tw.KVItem{Key: key, Revision: tw.KVRevision(n + 1), Value: []byte(fmt.Sprintf(`{"daemon":"d%04d"}`, n))}
+	}
+	m.changed(items, 50)
+	g.Expect(m.live).To(HaveLen(50))
+	for key, item := range items {
+		item.Value = []byte("unreadable")
+		items[key] = item
+	}
+	m.changed(items, 51)
+	g.Expect(m.live).To(HaveLen(50))
+	delete(items, ledger.LiveKey("d0007"))
+	m.changed(items, 52)
+	g.Expect(m.live).To(HaveLen(49))
+}
--- a/member/members.go
+++ b/member/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -63,6 +64,18 @@
 		owners   map[tw.PoolID]ledger.Owner
 		// contacts are the daemons that this one pings.
 		contacts map[string]*contact
+		// doubts are the addresses of owners that don't answer by the word of others, with
+		// the time of the last ping without an answer.
+		doubts map[string]time.Time
+		// watched tells of the pools that were asked about whether this daemon pings their
+		// owners; witnesses are the other addresses that it pings, others those of all daemons
+		// in the order in which it pings them. All are nil until they are worked out anew.
+		watched           map[tw.PoolID]bool
+		witnesses, others []string
+		// searched counts the others that were pinged to find one that reaches the store.
+		searched int
+		// records are the members' records as decoded, by key.
+		records map[tw.Key]record
 		// lostAt is when a pool was first seen without a living owner.
 		lostAt map[tw.PoolID]time.Time
 		// yielded is when this daemon last lost a pool to another.
@@ -74,6 +87,13 @@
 		disconnect context.CancelFunc
 	}
 
+	// record is a member's record, decoded once a revision; live is nil for another kind, and
+	// for one that can't be read.
+	record struct {
+		revision tw.KVRevision
+		live     *Live
+	}
+
 	// contact is what pings say of a daemon at an address.
 	contact struct {
 		pinging bool
@@ -82,7 +102,9 @@
 		// heard is when it last answered; zero if it never did.
 		heard      time.Time
 		silentFrom time.Time
-		refused    int
+		// failed is when a ping last remained without an answer.
+		failed  time.Time
+		refused int
 		// storeAnswers: the daemon reaches the metadata store.
 		storeAnswers bool
 	}
@@ -97,6 +119,11 @@
 	refusedMeansGone = 2
 	// watchWait is how long one watch of the members waits.
 	watchWait = 3 * time.Second
+	// watchGap for each member passes between two watches, so that the answers that all
+	// members get in a second while there are changes don't grow with their number.
+	watchGap = 200 * time.Microsecond
+	// contactKept is how long what pings told of a daemon counts that isn't pinged any more.
+	contactKept = 2 * time.Second
 	// gatherMembers is how long after its start a daemon waits for the others
 	// to announce themselves before it takes a pool that it did not own before;
 	// all start within 0.3 s.
@@ -129,7 +156,7 @@
 	}
 	m.connected, m.disconnect = context.WithCancel(context.Background())
 	m.watcher = WatcherConfig{
-		KV: c.KV, Clock: c.Clock, Log: c.Log, Prefix: ledger.MemberPrefix, Wait: watchWait, Changed: m.changed,
+		KV: c.KV, Clock: c.Clock, Log: c.Log, Prefix: ledger.MemberPrefix, Wait: watchWait, ItemGap: watchGap, Changed: m.changed,
 	}.New()
 	go func() {
 		defer close(m.done)
@@ -193,30 +220,47 @@
 
 // changed takes up the records in the store.
 func (m *Members) changed(items map[tw.Key]tw.KVItem, _ tw.KVRevision) {
-	live := map[tw.DaemonID]Live{}
+	live := make(map[tw.DaemonID]Live, len(items))
+	records := make(map[tw.Key]record, len(items))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for key, item := range items {
-		switch {
-		case strings.HasPrefix(string(key), string(ledger.LivePrefix)):
-			l, err := decodeLive(item)
-			if err != nil {
-				m.config.Log.Error("member: unreadable record", logsink.Err(err))
-				continue
-			}
-			live[l.Daemon] = l
-		case strings.HasPrefix(string(key), string(ledger.OwnerPrefix)):
-			o, err := ledger.DecodeOwner(item)
-			if err != nil {
-				m.config.Log.Error("member: unreadable record", logsink.Err(err))
-				continue
-			}
-			m.setOwner(o)
+		have, known := m.records[key]
+		if !known || have.revision != item.Revision {
+			have = m.readRecord(key, item)
+		}
+		records[key] = have
+		if have.live != nil {
+			live[have.live.Daemon] = *have.live
 		}
 	}
+	m.records = records
 	m.logLive(live)
 	m.live = live
 	maps.Copy(m.lastLive, live)
+	m.watched, m.witnesses, m.others = nil, nil, nil
+}
+
+// readRecord decodes a record that is new or has changed, and takes up an ownership.
+func (m *Members) readRecord(key tw.Key, item tw.KVItem) record {
+	out := record{revision: item.Revision}
+	switch {
+	case strings.HasPrefix(string(key), string(ledger.LivePrefix)):
+		l, err := decodeLive(item)
+		if err != nil {
+			m.config.Log.Error("member: unreadable record", logsink.Err(err))
+			return out
+		}
+		out.live = &l
+	case strings.HasPrefix(string(key), string(ledger.OwnerPrefix)):
+		o, err := ledger.DecodeOwner(item)
+		if err != nil {
+			m.config.Log.Error("member: unreadable record", logsink.Err(err))
+			return out
+		}
+		m.setOwner(o)
+	}
+	return out
 }
 
 func (m *Members) logLive(live map[tw.DaemonID]Live) {
@@ -273,9 +317,16 @@
 
 // pingOwners asks the owners of pools whether they live.
 func (m *Members) pingOwners(ctx context.Context, now time.Time) {
+	search := !m.StoreAnswers() && len(m.config.Owned()) > 0
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for address := range m.toPing() {
+	asked := m.toPing(search)
+	for address, c := range m.contacts {
+		if !asked[address] && !c.pinging && now.Sub(c.answered) > contactKept {
+			delete(m.contacts, address)
+		}
+	}
+	for address := range asked {
 		c := m.contacts[address]
 		if c == nil {
 			c = &contact{answered: now}
@@ -293,8 +344,12 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	version := m.config.Version()
+	m.mu.Lock()
+	doubts, owners := m.doubted(m.config.Clock.Now()), m.ownersDigest()
+	m.mu.Unlock()
 	resp, err := m.config.Peers.Ping(ctx, address, PingRequest{
 		From: m.config.Self.Daemon, Config: version, Evacuations: m.config.Evacuations(),
+		Doubts: doubts, Owners: owners,
 	})
 	now := m.config.Clock.Now()
 	m.mu.Lock()
@@ -303,14 +358,18 @@
 	case err == nil:
 		c.answered, c.heard, c.silentFrom, c.refused = now, now, time.Time{}, 0
 		c.storeAnswers = resp.StoreAnswers
-		for _, o := range resp.Owned {
+		for _, o := range slices.Concat(resp.Owned, resp.Owners) {
 			m.setOwner(o)
 		}
+		m.hearDoubts(resp.Doubts, now)
 	case errors.Is(err, tw.ErrGone):
 		c.refused++
 	default:
 		c.refused = 0
 	}
+	if err != nil {
+		c.failed = now
+	}
 	if err != nil && c.silentFrom.IsZero() {
 		c.silentFrom = now
 		m.config.Log.Info("member: owner does not answer", zap.String("address", address), logsink.Err(err))
--- a/member/messages.go
+++ b/member/messages.go
@@ -30,6 +30,10 @@
 		Config tw.Version  `json:"config"`
 		// Evacuations are the evacuated halls as far as the asker knows.
 		Evacuations *tw.Evacuations `json:"evacuations,omitempty"`
+		// Doubts are the owners that don't answer as far as the asker knows, Owners is a
+		// digest of the ownerships that it knows.
+		Doubts []Doubt `json:"doubts,omitempty"`
+		Owners uint64  `json:"owners,omitempty"`
 	}
 
 	// PingResponse is a daemon's word of itself.
@@ -41,6 +45,10 @@
 		Evacuations *tw.Evacuations `json:"evacuations,omitempty"`
 		// Owned are the pools that the daemon owns.
 		Owned []ledger.Owner `json:"owned"`
+		// Doubts are the owners that don't answer as far as the daemon knows.
+		Doubts []Doubt `json:"doubts,omitempty"`
+		// Owners are all ownerships that the daemon knows, if the asker knows others.
+		Owners []ledger.Owner `json:"owners,omitempty"`
 		// StoreAnswers: the daemon reaches the metadata store.
 		StoreAnswers bool `json:"store_answers"`
 	}
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -151,7 +151,7 @@
 }
 
 // Ping implements member.Pinger.
-func (d *modelDaemon) Ping(ctx context.Context, address string, _ member.PingRequest) (*member.PingResponse, error) {
+func (d *modelDaemon) Ping(ctx context.Context, address string, ping member.PingRequest) (*member.PingResponse, error) {
 	at := slices.IndexFunc(d.fleet.daemons, func(o *modelDaemon) bool { return string(o.id) == address })
 	other := d.fleet.daemons[at]
 	select {
@@ -169,6 +169,7 @@
 		return nil, tw.ErrGone
 	}
 	resp := &member.PingResponse{Daemon: other.id, Life: other.life, StoreAnswers: other.members.StoreAnswers()}
+	resp.Doubts, resp.Owners = other.members.AnswerPing(&ping)
 	for _, o := range other.owned {
 		if o.Fence != 0 { // else it is being taken
 			resp.Owned = append(resp.Owned, o)
--- a/member/reach.go
+++ b/member/reach.go
@@ -21,6 +21,11 @@
 	// witnesses are the daemons of each hall that are pinged although they own
 	// nothing, so that a hall that is cut off is noticed.
 	witnesses = 2
+	// ownerWatchers ping an owner, however many daemons there are. Those that would take its
+	// pool over first are among them.
+	ownerWatchers = 40
+	// searchMost others are pinged at a time by an owner that the store doesn't answer.
+	searchMost = 40
 )
 
 // StoreAnswers tells whether this daemon reaches the metadata store.
@@ -58,8 +63,7 @@
 func (m *Members) Silent(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.contacts[address]
-	return c != nil && !c.silentFrom.IsZero()
+	return m.silent(address, m.config.Clock.Now())
 }
 
 // checkIsolation brings it up to date whether this daemon is isolated.
@@ -107,42 +111,71 @@
 	return heard, others
 }
 
-// toPing lists the addresses to ping: the owners of pools, a few daemons of each
-// hall, and while the store is silent all daemons, as one of them may reach
-// it.
-func (m *Members) toPing() map[string]bool {
+// toPing lists the addresses to ping: the owners that this daemon watches, a few daemons of
+// each hall, and some others in turn to search for one that reaches the store.
+func (m *Members) toPing(search bool) map[string]bool {
 	out := map[string]bool{}
 	for _, o := range m.owners {
-		if o.Daemon != m.config.Self.Daemon {
+		if o.Daemon != m.config.Self.Daemon && m.watchesOwner(o.Pool) {
 			out[o.Address] = true
 		}
 	}
-	all := !m.StoreAnswers()
-	for _, daemons := range m.byHall() {
-		for i, l := range daemons {
-			if all || i < witnesses {
-				out[l.Address] = true
-			}
-		}
+	if m.witnesses == nil {
+		m.chooseWitnesses()
+	}
+	for _, address := range m.witnesses {
+		out[address] = true
+	}
+	if !search {
+		return out
+	}
+	if m.others == nil {
+		m.orderOthers()
+	}
+	for range min(searchMost, len(m.others)) {
+		out[m.others[m.searched%len(m.others)]] = true
+		m.searched++
 	}
 	return out
 }
 
-// byHall lists the other daemons by hall, in an order that differs by daemon, so
+// chooseWitnesses picks the daemons of each hall that come first in this one's order.
+func (m *Members) chooseWitnesses() {
+	type candidate struct {
+		order   uint64
+		address string
+	}
+	first := map[tw.HallID][]candidate{}
+	for id, l := range m.lastLive {
+		if id == m.config.Self.Daemon {
+			continue
+		}
+		chosen := append(first[l.Hall], candidate{order: m.pingOrder(l), address: l.Address})
+		slices.SortFunc(chosen, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.address, b.address))
+		})
+		first[l.Hall] = chosen[:min(len(chosen), witnesses)]
+	}
+	m.witnesses = []string{}
+	for _, chosen := range first {
+		for _, c := range chosen {
+			m.witnesses = append(m.witnesses, c.address)
+		}
+	}
+}
+
+// orderOthers works out in which order the other daemons are searched. It differs by daemon, so
 // that they do not all ping the same ones.
-func (m *Members) byHall() map[tw.HallID][]Live {
-	out := map[tw.HallID][]Live{}
+func (m *Members) orderOthers() {
+	order := make(map[string]uint64, len(m.lastLive))
+	m.others = make([]string, 0, len(m.lastLive))
 	for id, l := range m.lastLive {
 		if id != m.config.Self.Daemon {
-			out[l.Hall] = append(out[l.Hall], l)
+			m.others = append(m.others, l.Address)
+			order[l.Address] = m.pingOrder(l)
 		}
 	}
-	for _, daemons := range out {
-		slices.SortFunc(daemons, func(a, b Live) int {
-			return cmp.Or(cmp.Compare(m.pingOrder(a), m.pingOrder(b)), cmp.Compare(a.Daemon, b.Daemon))
-		})
-	}
-	return out
+	slices.SortFunc(m.others, func(a, b string) int { return cmp.Or(cmp.Compare(order[a], order[b]), cmp.Compare(a, b)) })
 }
 
 // pingOrder sorts daemons that live before those that do not, else in an order
--- a/member/succession.go
+++ b/member/succession.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -118,8 +117,7 @@
 func (m *Members) candidates(pool tw.PoolID, loads map[tw.DaemonID]int, now time.Time) []tw.DaemonID {
 	var out []tw.DaemonID
 	for id, l := range m.live {
-		c := m.contacts[l.Address]
-		if id != m.config.Self.Daemon && c != nil && !c.silentFrom.IsZero() && now.Sub(c.answered) > pingTimeout {
+		if id != m.config.Self.Daemon && m.silentCandidate(l.Address, now) {
 			continue
 		}
 		if id == m.owners[pool].Daemon && id != m.config.Self.Daemon && l.Life == m.owners[pool].Life {
@@ -131,6 +129,24 @@
 	return out
 }
 
+// silentCandidate tells whether a daemon should not be waited for, as it does not answer.
+func (m *Members) silentCandidate(address string, now time.Time) bool {
+	c := m.contacts[address]
+	if c == nil {
+		return m.silent(address, now)
+	}
+	return !c.silentFrom.IsZero() && now.Sub(c.answered) > pingTimeout
+}
+
+// compareCapable puts the daemon first that would rather take a pool if none owned any.
+func compareCapable(pool tw.PoolID, a, b Live) int {
+	return cmp.Or(
+		cmp.Compare(b.Cores, a.Cores),
+		cmp.Compare(mix(string(pool), a.Daemon), mix(string(pool), b.Daemon)),
+		cmp.Compare(a.Daemon, b.Daemon),
+	)
+}
+
 // loadWith is how loaded a daemon would be with one more pool.
 func (m *Members) loadWith(id tw.DaemonID, loads map[tw.DaemonID]int) float64 {
 	cores := float64(m.lastLive[id].Cores)
@@ -217,7 +233,19 @@
 
 // mix is a number that differs by what is asked about and by daemon.
 func mix(about string, daemon tw.DaemonID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(about + "/" + string(daemon))) // never fails
-	return h.Sum64()
+	return fnv1a(fnv1a(fnv1a(fnvOffset, about), "/"), string(daemon))
+}
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// fnv1a goes on with the 64-bit FNV-1a hash. Unlike that of hash/fnv it allocates nothing, as
+// it is worked out for every member.
+func fnv1a(h uint64, s string) uint64 {
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * fnvPrime
+	}
+	return h
 }
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -24,6 +24,8 @@
 		Wait time.Duration
 		// Gap lets changes gather between two watches, as each is priced.
 		Gap time.Duration
+		// ItemGap is added to Gap for each item below the prefix.
+		ItemGap time.Duration
 		// Changed is called with all items below the prefix, as of a revision, after
 		// each change and at the first read. It must not keep the map.
 		Changed func(items map[tw.Key]tw.KVItem, at tw.KVRevision)
@@ -143,11 +145,12 @@
 		if apply(items, events) {
 			w.config.Changed(items, at)
 		}
-		if len(events) > 0 && w.config.Gap > 0 {
+		gap := w.config.Gap + time.Duration(len(items))*w.config.ItemGap
+		if len(events) > 0 && gap > 0 {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
-			case <-w.config.Clock.After(w.config.Gap):
+			case <-w.config.Clock.After(gap):
 			}
 		}
 	}
