Machines far beyond what any pool has filled are switched off once a height of demand has passed

Change: a pool that has the highest peak of any pool draws no spare machines. In a fleet that has twice the highest fill of any pool, with headroom, for each pool, what is beyond that is switched off as soon as a height of demand has passed, and a need that is foreseen is trusted up to that. Orders of a pass are bounded by what the platform takes, half as many after a refusal for rate.

--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -287,6 +287,14 @@
 		f.parking(0)
 		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
 	},
+	"leaves a pool alone that has room for whatever any pool needed": func(g *WithT, f fleet) {
+		f.pool("p", 1200, 900).Peak = 900
+		f.pool("q", 1100, 40).Peak = 40
+		f.pool("r", 1400, 40).Peak = 40
+		f.parking(0)
+		f.Began = base
+		g.Expect(maintenance.Decide(f.State).Vacate).To(BeEmpty())
+	},
 	"spreads spare machines over the pools": func(g *WithT, f fleet) {
 		f.pool("p", 12, 1).Peak = 12
 		f.pool("q", 4, 1).Peak = 12
--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -17,6 +17,8 @@
 		// peaks are the samples of the window above which none came later, so
 		// that the first is the highest.
 		peaks []sample
+		// filled tells how many machines work has filled.
+		filled FillHistory
 		// offers are the offered work over time, for its rate.
 		offers []offer
 		fence  tw.Fence
@@ -82,6 +84,7 @@
 		f.offers = f.offers[1:]
 	}
 	f.add(sample{at: at, need: f.machines(r), late: share(r.Late, sizeOf(r)) / fill})
+	f.filled.note(share(r.Running.Plus(r.Waiting), sizeOf(r)) / fill)
 }
 
 // add takes up a sample. Earlier ones that are not above it can't be the highest
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -85,6 +85,7 @@
 		// recent are the machines that were changed lately, blocked those that
 		// must not be changed before a time.
 		recent, blocked map[tw.InstanceID]time.Time
+		pace            orderPace
 	}
 )
 
@@ -111,7 +112,7 @@
 		waves: map[int64]*Wave{}, ordered: map[tw.InstanceID]Order{}, vacating: map[tw.InstanceID]Order{},
 		reports: map[tw.PoolID]report{}, gone: map[tw.WorkerID]goneWorker{}, confirmed: now, forecasts: map[tw.PoolID]*forecast{},
 		unfit:  map[tw.InstanceID]map[tw.PoolID]bool{},
-		recent: map[tw.InstanceID]time.Time{}, blocked: map[tw.InstanceID]time.Time{},
+		recent: map[tw.InstanceID]time.Time{}, blocked: map[tw.InstanceID]time.Time{}, pace: orderPace{most: paceFirst},
 	}
 	m.blockRecent(c.Recent)
 	m.Log = c.Log.With(zap.Int64("machine_fence", int64(m.fence)))
@@ -175,7 +176,11 @@
 	if err := m.confirm(); err != nil {
 		return err
 	}
-	if err := m.carryOut(decision.Orders); err != nil {
+	orders, later := m.pace.split(decision.Orders, state.parkingID())
+	for _, order := range later {
+		m.vacating[order.Machine] = order
+	}
+	if err := m.carryOut(orders); err != nil {
 		return err
 	}
 	return m.finishWaves(list)
@@ -228,6 +233,7 @@
 			f.observe(last.at, &last.Report)
 		}
 		p.Need, p.Late, p.Peak = f.need(now)
+		p.Filled = f.filled
 		s.Pools[pool.ID] = p
 	}
 	for _, number := range slices.Sorted(maps.Keys(m.waves)) {
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -34,6 +34,10 @@
 	if len(pools) == 0 {
 		return
 	}
+	reserve := s.ampleReserve(pools)
+	if reserve > 0 {
+		trustNeeds(pools, reserve)
+	}
 	for range len(s.Machines) {
 		if !s.relieve(pools, d) {
 			break
@@ -44,6 +48,10 @@
 			break
 		}
 	}
+	if reserve > 0 {
+		s.parkBeyond(reserve, pools, d)
+		return
+	}
 	s.spread(pools, d)
 	s.park(pools, d)
 }
@@ -114,8 +122,9 @@
 		total += max(0, s.beyond(pool))
 	}
 	even := total / float64(len(pools))
+	ample := headroom * highestPeak(pools)
 	for _, pool := range pools {
-		if s.beyond(pool) >= evenLeast*even || even-s.beyond(pool) <= evenGap {
+		if s.beyond(pool) >= evenLeast*even || even-s.beyond(pool) <= evenGap || s.machinesOf(pool.ID) >= ample {
 			continue
 		}
 		for s.beyond(pool) < evenEnough*even {
@@ -126,6 +135,16 @@
 	}
 }
 
+// highestPeak is the most that any pool has needed of late. One that has as much needs no
+// machines ahead of its own demand.
+func highestPeak(pools []*Pool) float64 {
+	highest := 0.0
+	for _, pool := range pools {
+		highest = max(highest, pool.Peak)
+	}
+	return highest
+}
+
 // giveSpare moves one machine to a pool from the one with the most beyond its need;
 // false if none has more than an even share, or none of its machines can be moved.
 func (s *State) giveSpare(to *Pool, pools []*Pool, even float64, d *Decision) bool {
@@ -207,6 +226,14 @@
 	return nil
 }
 
+// parkingID names the parking pool; it is empty if there is none.
+func (s *State) parkingID() tw.PoolID {
+	if parking := s.parking(); parking != nil {
+		return parking.ID
+	}
+	return ""
+}
+
 // machinesOf counts the machines that a pool has or will have.
 func (s *State) machinesOf(pool tw.PoolID) float64 { return float64(s.counts[pool]) }
 
--- /dev/null
+++ b/maintenance/pace.go
@@ -0,0 +1,64 @@
+package maintenance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// orderPace bounds the orders of one pass by what the platform takes: refused ones cost too, and
+// are given again. It falls by half when some were refused for their rate, and rises again
+// while all that it allows are taken.
+type orderPace struct{ most int }
+
+const (
+	paceFirst = 256
+	paceLeast = 16
+	paceMost  = 1024
+)
+
+// split tells which orders are given now, those for waves and as many others as the pace
+// allows, and which later. Machines that are switched off can wait.
+func (p *orderPace) split(orders []Order, parking tw.PoolID) (now, later []Order) {
+	orders = slices.Clone(orders)
+	slices.SortStableFunc(orders, func(a, b Order) int { return cmp.Compare(a.rank(parking), b.rank(parking)) })
+	moves := 0
+	for _, order := range orders {
+		if order.Wave == 0 {
+			moves++
+		}
+		if moves > p.most {
+			later = append(later, order)
+		} else {
+			now = append(now, order)
+		}
+	}
+	return now, later
+}
+
+// rank puts the orders first that are to be given first.
+func (o *Order) rank(parking tw.PoolID) int {
+	switch {
+	case o.Wave != 0:
+		return 0
+	case o.Pool != parking:
+		return 1
+	}
+	return 2
+}
+
+// note takes up how the orders of a pass ended.
+func (p *orderPace) note(given int, errs []error) {
+	for _, err := range errs {
+		if errors.Is(err, tw.ErrRateLimited) {
+			p.most = max(paceLeast, p.most/2)
+			return
+		}
+	}
+	if given >= p.most {
+		p.most = min(paceMost, p.most+p.most/4)
+	}
+}
--- /dev/null
+++ b/maintenance/pace_test.go
@@ -0,0 +1,36 @@
+package maintenance
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+// All moves of a decision were ordered at once: 1,509 of 2,111 were refused for their rate, and
+// each of these calls costs.
+func TestOrderPace(t *testing.T) {
+	g := NewWithT(t)
+	orders := []Order{{Machine: "a", Pool: "off"}, {Machine: "b", Pool: "q"}, {Machine: "c", Wave: 3}, {Machine: "d", Pool: "q"}}
+	now, later := (&orderPace{most: 1}).split(orders, "off")
+	g.Expect(now).To(Equal([]Order{orders[2], orders[1]}))
+	g.Expect(later).To(Equal([]Order{orders[3], orders[0]}))
+
+	const perPass, wanted = 60, 2000
+	p := &orderPace{most: paceFirst}
+	refused, done, passes := 0, 0, 0
+	for done < wanted {
+		given := min(p.most, wanted-done)
+		errs := make([]error, given)
+		for i := perPass; i < given; i++ {
+			errs[i] = tw.ErrRateLimited
+			refused++
+		}
+		done += min(given, perPass)
+		p.note(given, errs)
+		passes++
+	}
+	g.Expect(refused).To(BeNumerically("<", wanted/2))
+	g.Expect(passes).To(BeNumerically("<", 2*wanted/perPass))
+}
--- a/maintenance/state.go
+++ b/maintenance/state.go
@@ -35,6 +35,8 @@
 		// Need is how many machines the pool's work fills now, Peak the most
 		// that it needed of late.
 		Need, Peak float64
+		// Filled is what is known of the machines that the pool's work has filled.
+		Filled FillHistory
 		// Late is how many machines beyond Need the work fills that can only end late.
 		Late float64
 	}
