--- a/maintenance/ample.go
+++ b/maintenance/ample.go
@@ -20,7 +20,7 @@
 	// riseFactor times its lowest, and at least riseLeast machines, is a height of demand; it
 	// has passed at fallShare of its highest.
 	riseFactor = 4
-	riseLeast  = 20
+	riseLeast  = 100
 	fallShare  = 0.5
 	// ampleFactor times the highest that any pool filled is kept in each of them.
 	ampleFactor = 2
