--- a/maintenance/decide_test.go
+++ b/maintenance/decide_test.go
@@ -450,15 +450,20 @@
 	return 0
 }
 
-// BenchmarkDecide decides for 350 machines of which most are wanted elsewhere.
+// BenchmarkDecide decides for fleets in which most machines are wanted elsewhere.
 func BenchmarkDecide(b *testing.B) {
-	f := newFleet()
-	f.pool("p", 60, 200)
-	for n := range 4 {
-		f.pool(tw.PoolID(fmt.Sprintf("q%d", n)), 70, 10)
-	}
-	f.parking(10)
-	for b.Loop() {
-		maintenance.Decide(f.State)
+	for _, machines := range []int{350, 1500, 6000, 12000} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			unit := machines / 35
+			f := newFleet()
+			f.pool("p", 6*unit, float64(20*unit))
+			for n := range 4 {
+				f.pool(tw.PoolID(fmt.Sprintf("q%d", n)), 7*unit, float64(unit))
+			}
+			f.parking(unit)
+			for b.Loop() {
+				maintenance.Decide(f.State)
+			}
+		})
 	}
 }
