--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -73,7 +73,7 @@
 	return d
 }
 
-// followOperator begins to follow what operators write. Nothing else may be called before it.
+// followOperator begins to follow what operators write. The directory is not used before it.
 func (d *directory) followOperator() {
 	d.operator = member.WatcherConfig{
 		KV: d.kv, Clock: d.clock, Log: d.log, Prefix: platform.OperatorPrefix, Wait: operatorWait, Changed: d.operatorChanged,
