--- a/member/members.go
+++ b/member/members.go
@@ -315,7 +315,7 @@
 	}
 }
 
-// pingOwners asks the owners of pools whether they live.
+// pingOwners asks the owners that this daemon watches, and some others, whether they live.
 func (m *Members) pingOwners(ctx context.Context, now time.Time) {
 	search := !m.StoreAnswers() && len(m.config.Owned()) > 0
 	m.mu.Lock()
