--- a/cmd/tamarind/queue.go
+++ b/cmd/tamarind/queue.go
@@ -35,12 +35,21 @@
 Example: tamarind queue submission 5c0e7a21d94b36f8 --store 10.200.1.7:8621`
 )
 
-// submissionRecord is what is printed of a submission.
-type submissionRecord struct {
-	ID       tw.SubmissionID `json:"id"`
-	Record   ledger.Record   `json:"record"`
-	Progress ledger.Progress `json:"progress"`
-}
+type (
+	// queueStatus is what is printed of the pools.
+	queueStatus struct {
+		*ledger.Survey
+		// Evacuated are the data halls in which nothing may be started.
+		Evacuated []tw.HallID `json:"evacuated"`
+	}
+
+	// submissionRecord is what is printed of a submission.
+	submissionRecord struct {
+		ID       tw.SubmissionID `json:"id"`
+		Record   ledger.Record   `json:"record"`
+		Progress ledger.Progress `json:"progress"`
+	}
+)
 
 func addQueue(app *kingpin.Application, conn *connection) {
 	queue := app.Command("queue", queueHelp)
@@ -58,11 +67,11 @@
 			if err != nil {
 				return err
 			}
-			survey.Evacuated = evacuations.Halls
+			status := queueStatus{Survey: survey, Evacuated: evacuations.Halls}
 			if *output == "json" {
-				return json.NewEncoder(os.Stdout).Encode(survey)
+				return json.NewEncoder(os.Stdout).Encode(status)
 			}
-			return printSurvey(survey)
+			return printPools(status)
 		})
 	}))
 
@@ -102,7 +111,7 @@
 	return do(ctx, client)
 }
 
-func printSurvey(s *ledger.Survey) error {
+func printPools(s queueStatus) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%d daemons live\n", len(s.Daemons))
 	for _, hall := range s.Evacuated {
--- a/daemon/evacuations.go
+++ b/daemon/evacuations.go
@@ -27,14 +27,8 @@
 	return nil
 }
 
-// heardEvacuations takes up what a peer knows, as the store may turn this daemon away.
-func (d *directory) heardEvacuations(from string, heard *tw.Evacuations) {
-	if heard != nil {
-		d.offerEvacuations(heard, from)
-	}
-}
-
-// offerEvacuations puts evacuations in force if they are newer than those that are known.
+// offerEvacuations puts evacuations in force if they are newer than those that are known. Peers
+// offer what they know, or nil, as the store may turn this daemon away.
 func (d *directory) offerEvacuations(e *tw.Evacuations, from string) {
 	d.mu.Lock()
 	before := d.evacuations
--- a/daemon/evacuations_test.go
+++ b/daemon/evacuations_test.go
@@ -45,12 +45,12 @@
 		time.Sleep(100 * time.Millisecond)
 		r.kv.SetFaults(standin.KVFaults{Down: true})
 		later := r.d.Evacuations().Revision + 5
-		r.d.heardEvacuations("b", &tw.Evacuations{Revision: later, Halls: []tw.HallID{"a"}})
+		r.d.offerEvacuations(&tw.Evacuations{Revision: later, Halls: []tw.HallID{"a"}}, "b")
 		r.Expect(r.d.Evacuations().Has("a")).To(BeTrue())
-		r.d.heardEvacuations("c", &tw.Evacuations{Revision: later - 1})
-		r.d.heardEvacuations("c", nil)
+		r.d.offerEvacuations(&tw.Evacuations{Revision: later - 1}, "c")
+		r.d.offerEvacuations(nil, "c")
 		r.Expect(r.d.Evacuations().Has("a")).To(BeTrue(), "older news have replaced newer ones")
-		r.d.heardEvacuations("c", &tw.Evacuations{Revision: later + 1})
+		r.d.offerEvacuations(&tw.Evacuations{Revision: later + 1}, "c")
 		r.Expect(r.d.Evacuations().Any()).To(BeFalse())
 	},
 	"by reading at a takeover, if the watch is silent": func(r *evacuationRig) {
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -20,7 +20,7 @@
 	if address, known := d.members.AddressOf(m.From); known && m.Config > d.directory.version() {
 		go d.fetchConfig(address, m.Config) // the answer must not wait for it
 	}
-	d.directory.heardEvacuations(string(m.From), m.Evacuations)
+	d.directory.offerEvacuations(m.Evacuations, string(m.From))
 	doubts, owners := d.members.AnswerPing(m)
 	return &member.PingResponse{
 		Daemon: d.self.Daemon, Life: d.self.Life, Config: d.directory.version(), Owned: d.owners.records(),
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -148,7 +148,7 @@
 		KV: d.kv, Clock: d.clock, Log: d.log, Self: d.self, Peers: d.peers, Presence: d.presence,
 		Pools: d.directory.pools, Owned: d.owners.list, Version: d.directory.version,
 		Take: d.owners.take, NewerConfig: d.fetchConfig,
-		Evacuations: d.directory.Evacuations, HeardEvacuations: d.directory.heardEvacuations,
+		Evacuations: d.directory.Evacuations, HeardEvacuations: d.directory.offerEvacuations,
 	}.New()
 }
 
--- a/internal/membertest/membertest.go
+++ b/internal/membertest/membertest.go
@@ -52,7 +52,7 @@
 		Pools: func() []tw.PoolID { return nil }, Owned: func() []tw.PoolID { return nil },
 		Version: func() tw.Version { return 0 }, Take: func(tw.PoolID, string) {},
 		NewerConfig: func(string, tw.Version) {},
-		Evacuations: func() *tw.Evacuations { return nil }, HeardEvacuations: func(string, *tw.Evacuations) {},
+		Evacuations: func() *tw.Evacuations { return nil }, HeardEvacuations: func(*tw.Evacuations, string) {},
 	}.New()
 	return members, func() {
 		members.Close()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -157,17 +157,6 @@
 	return w
 }
 
-// Restart ends a worker's life, as Kill does, and begins another one under its id.
-func (f *Fleet) Restart(id tw.WorkerID, born tw.WorkerBirth) tw.WorkerEntry {
-	f.Kill(id)
-	f.mu.Lock()
-	entry := f.workers[id].Entry
-	f.mu.Unlock()
-	entry.Born = born
-	f.Add(entry)
-	return entry
-}
-
 // Set changes a worker's behaviour.
 func (f *Fleet) Set(id tw.WorkerID, change func(w *SimWorker)) {
 	f.mu.Lock()
@@ -235,36 +224,6 @@
 	return out
 }
 
-// Kill ends a worker's life with all that runs there, and with the orders that it
-// has not carried out.
-func (f *Fleet) Kill(id tw.WorkerID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w := f.workers[id]
-	f.settle(w)
-	w.end()
-}
-
-// end ends a worker's life.
-func (w *SimWorker) end() {
-	w.dead = true
-	w.runs = map[tw.SubtaskID]*simRun{}
-	w.late = nil
-	w.wake()
-}
-
-// Reborn ends a worker's life and starts the next one at the same address, as a
-// worker does that crashes and starts again. It returns the new life's entry.
-func (f *Fleet) Reborn(id, next tw.WorkerID) tw.WorkerEntry {
-	f.Kill(id)
-	f.mu.Lock()
-	entry := f.workers[id].Entry
-	f.mu.Unlock()
-	entry.ID = next
-	f.Add(entry)
-	return entry
-}
-
 // Expect tells how a submission's subtasks behave.
 func (f *Fleet) Expect(s *tw.Submission, profile func(id tw.SubtaskID, p *Profile)) {
 	f.mu.Lock()
@@ -405,16 +364,6 @@
 	return f.done[id]
 }
 
-// livesAt tells whether a living worker listens at an address.
-func (f *Fleet) livesAt(address string) bool {
-	for _, w := range f.workers {
-		if !w.dead && w.Entry.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *Fleet) running(id tw.SubtaskID) int {
 	n := 0
 	for _, w := range f.workers {
--- a/ledger/survey.go
+++ b/ledger/survey.go
@@ -15,8 +15,6 @@
 	// Survey is what the store tells of all pools, for operators.
 	Survey struct {
 		Pools []PoolSurvey `json:"pools"`
-		// Evacuated are the data halls in which nothing may be started.
-		Evacuated []tw.HallID `json:"evacuated"`
 		// Daemons are those with a record that they live.
 		Daemons []tw.DaemonID `json:"daemons"`
 	}
--- a/maintenance/ample.go
+++ b/maintenance/ample.go
@@ -70,7 +70,8 @@
 func (s *State) parkBeyond(reserve float64, pools []*Pool, d *Decision) {
 	parking := s.parking()
 	for _, pool := range pools {
-		for s.machinesOf(pool.ID) > max(reserve, s.floor(pool), headroom*(pool.Need+pool.Late)) {
+		keep := max(reserve, s.floor(pool), headroom*(pool.Need+pool.Late))
+		for s.machinesOf(pool.ID) > keep {
 			machine, found := s.idle(pool, parking.ID, d)
 			if !found {
 				break
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -101,9 +101,6 @@
 
 // New starts the duty; Close ends it.
 func (c Config) New() *Manager {
-	if c.Evacuations == nil {
-		c.Evacuations = func() *tw.Evacuations { return nil }
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	now := c.Clock.Now()
 	m := &Manager{
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -76,7 +76,8 @@
 	recent, err := ledger.FindOrders(o.t.Context(), o.kv)
 	o.Expect(err).NotTo(HaveOccurred())
 	return maintenance.Config{
-		Book: book, Recent: recent, Holder: string(daemon), KV: o.kv, Machines: o.machines, Census: o.census, Owners: o.reports,
+		Evacuations: func() *tw.Evacuations { return nil },
+		Book:        book, Recent: recent, Holder: string(daemon), KV: o.kv, Machines: o.machines, Census: o.census, Owners: o.reports,
 		Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet(),
 		Waves: func() []tw.MaintenanceWave { return o.waves },
 		Queue: func() *tw.QueueConfig {
--- a/maintenance/orders.go
+++ b/maintenance/orders.go
@@ -105,7 +105,7 @@
 	for i, order := range orders {
 		m.answered(order, errs[i])
 	}
-	m.pace.note(len(orders), errs)
+	m.pace.note(errs)
 	return nil
 }
 
--- a/maintenance/pace.go
+++ b/maintenance/pace.go
@@ -50,15 +50,15 @@
 	return 2
 }
 
-// note takes up how the orders of a pass ended.
-func (p *orderPace) note(given int, errs []error) {
+// note takes up how the orders of a pass ended, an error or nil for each.
+func (p *orderPace) note(errs []error) {
 	for _, err := range errs {
 		if errors.Is(err, tw.ErrRateLimited) {
 			p.most = max(paceLeast, p.most/2)
 			return
 		}
 	}
-	if given >= p.most {
+	if len(errs) >= p.most {
 		p.most = min(paceMost, p.most+p.most/4)
 	}
 }
--- a/maintenance/pace_test.go
+++ b/maintenance/pace_test.go
@@ -28,7 +28,7 @@
 			refused++
 		}
 		done += min(given, perPass)
-		p.note(given, errs)
+		p.note(errs)
 		passes++
 	}
 	g.Expect(refused).To(BeNumerically("<", wanted/2))
--- a/member/members.go
+++ b/member/members.go
@@ -35,7 +35,7 @@
 		// Evacuations are the evacuated halls as far as this daemon knows, and
 		// HeardEvacuations is called with what a peer knows.
 		Evacuations      func() *tw.Evacuations
-		HeardEvacuations func(address string, heard *tw.Evacuations)
+		HeardEvacuations func(heard *tw.Evacuations, address string)
 		// Take is called when this daemon should take a pool over. It must
 		// return at once.
 		Take func(pool tw.PoolID, why string)
@@ -318,8 +318,10 @@
 // pingOwners asks the owners that this daemon watches, and some others, whether they live.
 func (m *Members) pingOwners(ctx context.Context, now time.Time) {
 	search := !m.StoreAnswers() && len(m.config.Owned()) > 0
+	request := PingRequest{From: m.config.Self.Daemon, Config: m.config.Version(), Evacuations: m.config.Evacuations()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	request.Doubts, request.Owners = m.doubted(now), m.ownersDigest()
 	asked := m.toPing(search)
 	for address, c := range m.contacts {
 		if !asked[address] && !c.pinging && now.Sub(c.answered) > contactKept {
@@ -336,21 +338,14 @@
 			continue
 		}
 		c.pinging = true
-		go m.ping(ctx, address, c)
+		go m.ping(ctx, address, c, request)
 	}
 }
 
-func (m *Members) ping(ctx context.Context, address string, c *contact) {
+func (m *Members) ping(ctx context.Context, address string, c *contact, request PingRequest) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	version := m.config.Version()
-	m.mu.Lock()
-	doubts, owners := m.doubted(m.config.Clock.Now()), m.ownersDigest()
-	m.mu.Unlock()
-	resp, err := m.config.Peers.Ping(ctx, address, PingRequest{
-		From: m.config.Self.Daemon, Config: version, Evacuations: m.config.Evacuations(),
-		Doubts: doubts, Owners: owners,
-	})
+	resp, err := m.config.Peers.Ping(ctx, address, request)
 	now := m.config.Clock.Now()
 	m.mu.Lock()
 	c.pinging = false
@@ -378,8 +373,8 @@
 	if err != nil {
 		return
 	}
-	m.config.HeardEvacuations(address, resp.Evacuations)
-	if resp.Config > version {
+	m.config.HeardEvacuations(resp.Evacuations, address)
+	if resp.Config > request.Config {
 		m.config.NewerConfig(address, resp.Config)
 	}
 }
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -211,7 +211,7 @@
 		KV: kv, Clock: clock, Log: log, Self: self, Peers: d, Presence: d.presence,
 		Pools: func() []tw.PoolID { return d.fleet.pools }, Owned: d.ownedPools,
 		Version: func() tw.Version { return 1 }, NewerConfig: func(string, tw.Version) {},
-		Evacuations: func() *tw.Evacuations { return nil }, HeardEvacuations: func(string, *tw.Evacuations) {},
+		Evacuations: func() *tw.Evacuations { return nil }, HeardEvacuations: func(*tw.Evacuations, string) {},
 		Take: func(pool tw.PoolID, _ string) { d.take(kv, pool) },
 	}.New()
 }
--- a/run/born_test.go
+++ b/run/born_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -125,21 +124,7 @@
 	},
 }
 
-func TestBorn(t *testing.T) {
-	for name, c := range bornCases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 2)
-				defer r.end()
-				r.giveBirths()
-				o := r.take("a")
-				time.Sleep(time.Second)
-				c(r, o)
-				r.kept()
-			})
-		})
-	}
-}
+func TestBorn(t *testing.T) { playOwnerCases(t, 2, (*rig).giveBirths, bornCases) }
 
 // bornSeeds are those of TestBornSoak.
 const bornSeeds = 40
--- a/run/evacuation_test.go
+++ b/run/evacuation_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -155,21 +153,11 @@
 }
 
 func TestEvacuation(t *testing.T) {
-	for name, c := range evacuationCases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 0)
-				defer r.end()
-				for n, hall := range []tw.HallID{"h0", "h0", "h1", "h1"} {
-					r.addWorkerIn(n, hall)
-				}
-				o := r.take("a")
-				time.Sleep(time.Second)
-				c(r, o)
-				r.kept()
-			})
-		})
-	}
+	playOwnerCases(t, 0, func(r *rig) {
+		for n, hall := range []tw.HallID{"h0", "h0", "h1", "h1"} {
+			r.addWorkerIn(n, hall)
+		}
+	}, evacuationCases)
 }
 
 // evacuationSeeds are those of TestEvacuationSoak.
@@ -200,18 +188,3 @@
 	halls := slices.DeleteFunc(slices.Clone(soakHalls), func(tw.HallID) bool { return s.rand.IntN(5) < 3 })
 	s.evacuate(s.owner, halls...)
 }
-
-// TestEvacuationsAreOrdered checks that of two states the one of the higher revision holds.
-func TestEvacuationsAreOrdered(t *testing.T) {
-	g := NewWithT(t)
-	rng := rand.New(rand.NewPCG(1, 2))
-	for range 1000 {
-		a := &tw.Evacuations{Revision: tw.KVRevision(rng.IntN(4))}
-		b := &tw.Evacuations{Revision: tw.KVRevision(rng.IntN(4))}
-		g.Expect(a.NewerThan(b)).To(Equal(a.Revision > b.Revision))
-		g.Expect(a.NewerThan(nil)).To(BeTrue())
-	}
-	var none *tw.Evacuations
-	g.Expect(none.NewerThan(nil)).To(BeFalse())
-	g.Expect(none.Has("h")).To(BeFalse())
-}
--- a/run/owner_test.go
+++ b/run/owner_test.go
@@ -292,17 +292,34 @@
 // playCases plays each case in a pool of four workers.
 func playCases(t *testing.T, cases map[string]func(r *rig)) {
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 4)
-				defer r.end()
-				c(r)
-				r.kept()
-			})
+		playCase(t, name, 4, c)
+	}
+}
+
+// playOwnerCases plays each case in a pool of some workers that is prepared, with an owner that
+// has known them for a second.
+func playOwnerCases(t *testing.T, workers int, prepare func(r *rig), cases map[string]func(r *rig, o *run.Owner)) {
+	for name, c := range cases {
+		playCase(t, name, workers, func(r *rig) {
+			prepare(r)
+			o := r.take("a")
+			time.Sleep(time.Second)
+			c(r, o)
 		})
 	}
 }
 
+func playCase(t *testing.T, name string, workers int, play func(r *rig)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, workers)
+			defer r.end()
+			play(r)
+			r.kept()
+		})
+	})
+}
+
 // A copy of a subtask that ends after the other must not end its step, and
 // one that has not been sent when the other ends must not be sent any more.
 func TestOwnerCopies(t *testing.T) {
