Planned stops answer the requests that have arrived

Cause: http.Server.Shutdown. It drops requests that were read but not passed to the handler, closes kept connections whose next header is not read as a whole, resets what is in the listener's backlog, and closes behind its last answer with pipelined requests unread. Ruled out: the balancer's notice, the gateway's refusals, reloads, takeovers.

internal/drain stops the servers of both commands instead: the backlog is accepted before the listener closes, connections end between two requests in the goroutine that reads them, half-sent requests are waited for and refused at the end of the time. Peers' calls of a queue daemon, cut by Close before, are drained too.

The spec starts its daemon again also when it fails; its checks are unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/control"
 	"github.com/tamarindworks/tamarindworks/gateway"
+	"github.com/tamarindworks/tamarindworks/internal/drain"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
 
@@ -37,7 +38,8 @@
 		metrics  *metrics.Set
 		gateway  *gateway.Gateway
 		node     *control.Node
-		servers  []*http.Server
+		callers  *drain.Server
+		others   []*drain.Server // for other daemons and operators
 		admin    string
 		member   tw.Member
 		stopping atomic.Bool
@@ -95,9 +97,11 @@
 	}.New()
 	d.node = c.node(d)
 	claims.Claims = d.node.Claims()
-	d.serve(gatewayAt, &http.Server{Handler: d.gateway, MaxHeaderBytes: headerSlack * int(c.Settings.Limits.Header)})
-	d.serve(peerAt, &http.Server{Handler: control.NewPeerServer(d.node), Protocols: control.ServerProtocols()})
-	d.serve(adminAt, &http.Server{Handler: d.adminHandler()})
+	d.callers = d.serve(gatewayAt, &http.Server{Handler: d.gateway, MaxHeaderBytes: headerSlack * int(c.Settings.Limits.Header)})
+	d.others = []*drain.Server{
+		d.serve(peerAt, &http.Server{Handler: control.NewPeerServer(d.node), Protocols: control.ServerProtocols()}),
+		d.serve(adminAt, &http.Server{Handler: d.adminHandler()}),
+	}
 	d.log.Info("daemon: started", zap.String("gateway", d.member.Gateway),
 		zap.String("peer", d.member.Address), zap.String("admin", d.admin))
 	return d, nil
@@ -165,16 +169,14 @@
 	}
 	defer close(d.done)
 	d.log.Info("daemon: stopping")
-	d.gateway.Retire()
+	d.callers.Retire()
 	select {
 	case <-time.After(balancerNotice):
 	case <-ctx.Done():
 	}
 	err := d.gateway.Stop(ctx)
 	d.node.Leave(ctx)
-	for _, s := range d.servers {
-		err = errors.CombineErrors(err, s.Shutdown(ctx))
-	}
+	err = errors.CombineErrors(err, shutdown(ctx, append(d.others, d.callers)))
 	d.log.Info("daemon: stopped")
 	return err
 }
@@ -185,20 +187,14 @@
 		return
 	}
 	defer close(d.done)
-	for _, s := range d.servers {
+	for _, s := range append(d.others, d.callers) {
 		_ = s.Close() // nobody is left to tell
 	}
 	d.node.Close()
 }
 
-func (d *Daemon) serve(at net.Listener, s *http.Server) {
+func (d *Daemon) serve(at *net.TCPListener, s *http.Server) *drain.Server {
 	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = idleTimeout
-	s.ErrorLog = zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
-	d.servers = append(d.servers, s)
-	go func() {
-		if err := s.Serve(at); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("daemon: listener failed", zap.Error(err))
-		}
-	}()
+	return serve(at, s, d.log)
 }
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/drain"
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/internal/traffic"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -54,8 +55,8 @@
 		census     *run.Census
 		directory  *directory
 		owners     *owners
-		servers    []*http.Server
-		callers    *http.Server
+		callers    *drain.Server
+		others     []*drain.Server // for the balancer, other daemons and metrics
 		stopping   atomic.Bool
 		configNews configNews
 		done       chan struct{}
@@ -153,7 +154,7 @@
 }
 
 // listen serves callers, the balancer, other daemons and metrics.
-func (d *QueueDaemon) listen(listeners []net.Listener) {
+func (d *QueueDaemon) listen(listeners []*net.TCPListener) {
 	router := queue.RouterConfig{
 		Pools: d.owners, Members: d.members, Peers: d.peers, KV: d.kv, Clock: d.clock, Log: d.log,
 	}.New()
@@ -161,31 +162,20 @@
 		Router: router, Codec: platform.Codec{}, Config: d.directory.Config, Clock: d.clock, Log: d.log, Metrics: d.metrics,
 		Keyed: platform.HasOrganisations(d.settings.Platform.Contracts),
 	}.New()
-	d.callers = &http.Server{
-		Handler: d.meter.Handler(handler), ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
-	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+platform.ReadinessPath, d.ready)
 	figures := http.NewServeMux()
 	figures.HandleFunc("GET /metrics", d.figures)
-	d.serve(listeners[0], d.callers)
-	d.serve(listeners[1], &http.Server{Handler: readiness, ReadHeaderTimeout: callersHeaderTime})
-	d.serve(listeners[2], &http.Server{Handler: d.meter.Handler(member.NewHandler(d)), ReadHeaderTimeout: callersHeaderTime})
-	for _, metricsAt := range listeners[3:] {
-		d.serve(metricsAt, &http.Server{Handler: figures, ReadHeaderTimeout: callersHeaderTime})
+	d.callers = serve(listeners[0], &http.Server{
+		Handler: d.meter.Handler(handler), ReadHeaderTimeout: callersHeaderTime, IdleTimeout: callersIdleTime, MaxHeaderBytes: callersHeaderMost,
+	}, d.log)
+	others := []http.Handler{readiness, d.meter.Handler(member.NewHandler(d)), figures}
+	for n, at := range listeners[1:] {
+		server := &http.Server{Handler: others[n], ReadHeaderTimeout: callersHeaderTime}
+		d.others = append(d.others, serve(at, server, d.log))
 	}
 }
 
-func (d *QueueDaemon) serve(at net.Listener, s *http.Server) {
-	s.ErrorLog = zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
-	d.servers = append(d.servers, s)
-	go func() {
-		if err := s.Serve(at); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("daemon: listener failed", logsink.Err(err))
-		}
-	}()
-}
-
 // ready tells the balancer whether to send callers here: not before there is
 // a configuration, not while stopping, and not while the daemon is isolated. One
 // that can't reach the store serves through its peers.
@@ -240,6 +230,7 @@
 	}
 	defer close(d.done)
 	d.log.Info("daemon: stopping")
+	d.callers.Retire()
 	quiet := d.clock.After(balancerTime)
 	d.presence.Close(ctx)
 	d.owners.handOver(ctx)
@@ -247,10 +238,7 @@
 	case <-quiet:
 	case <-ctx.Done():
 	}
-	err := d.callers.Shutdown(ctx)
-	for _, s := range d.servers {
-		err = errors.CombineErrors(err, s.Close())
-	}
+	err := errors.CombineErrors(d.callers.Shutdown(ctx), shutdown(ctx, d.others))
 	d.members.Close()
 	d.directory.close()
 	d.census.Close()
@@ -266,19 +254,3 @@
 	}
 	d.log.Info("daemon: settings have changed; addresses and bounds hold from the next start")
 }
-
-// listenAll opens listeners for all addresses, or none.
-func listenAll(addresses ...string) ([]net.Listener, error) {
-	var out []net.Listener
-	for _, at := range addresses {
-		l, err := net.Listen("tcp", at)
-		if err != nil {
-			for _, open := range out {
-				_ = open.Close() // the first error is what counts
-			}
-			return nil, errors.Wrap(err, "daemon.listenAll")
-		}
-		out = append(out, l)
-	}
-	return out, nil
-}
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/tamarindworks/tamarindworks/internal/drain"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
+)
+
+// listenAll opens listeners for all addresses, or none.
+func listenAll(addresses ...string) ([]*net.TCPListener, error) {
+	var out []*net.TCPListener
+	for _, at := range addresses {
+		l, err := drain.Listen(at)
+		if err != nil {
+			for _, open := range out {
+				_ = open.Close() // the first error is what counts
+			}
+			return nil, errors.Wrap(err, "daemon.listenAll")
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// serve starts a server that shutdown stops.
+func serve(at *net.TCPListener, s *http.Server, log *zap.Logger) *drain.Server {
+	s.ErrorLog = zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	server := drain.Config{HTTP: s}.New()
+	go func() {
+		if err := server.Serve(at); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("daemon: listener failed", logsink.Err(err))
+		}
+	}()
+	return server
+}
+
+// shutdown stops servers side by side, without cutting requests unless ctx ends.
+func shutdown(ctx context.Context, servers []*drain.Server) error {
+	failed := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for n, s := range servers {
+		wg.Go(func() { failed[n] = s.Shutdown(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(failed...)
+}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -24,13 +24,13 @@
 	})
 
 	It("cuts nothing when a daemon stops as planned", func() {
+		defer f.startDaemon("h1", "h1-e0")
 		r := underLoad(f.load(600, 200), func() {
 			Expect(f.daemons["h1-e0"].stop()).To(Equal(0))
 		})
 		expectNoFaults(r)
 		Expect(r.Cut).To(BeZero(), r.Line())
 		Expect(r.Unknown).To(BeZero(), r.Line())
-		f.startDaemon("h1", "h1-e0")
 	})
 
 	It("gives no new work to a leaving instance after 3 s, and cuts nothing", func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,6 @@
 		retries   *retryBudget
 		stats     *stats
 		view      atomic.Pointer[tw.View]
-		retiring  atomic.Bool
 		stopping  atomic.Bool
 		active    activity
 		relays    atomic.Int64
@@ -120,10 +119,6 @@
 // Demand implements tw.Dispatcher.
 func (g *Gateway) Demand() int { return g.scheduler.demand() }
 
-// Retire asks callers to use other connections, ahead of Stop: one that is
-// closed while a request is on its way would cut it.
-func (g *Gateway) Retire() { g.retiring.Store(true) }
-
 // Stop refuses new requests and waits until those in flight have ended, or
 // ctx has.
 func (g *Gateway) Stop(ctx context.Context) error {
@@ -142,7 +137,7 @@
 	g.active.begin()
 	defer g.active.end()
 	start := g.cfg.Clock.Now()
-	if g.retiring.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// RFC 9112, section 6.1, asks to close after a request that has both
 		// a length and chunks. net/http hides the length, so I close after
 		// each chunked one: nothing smuggled behind it is read.
--- /dev/null
+++ b/internal/drain/conn.go
@@ -0,0 +1,209 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+type (
+	// conn is a connection that ends by itself between two requests, in the goroutine that
+	// reads it, so that nothing that was read is dropped.
+	conn struct {
+		*net.TCPConn
+		server *Server
+
+		mu    sync.Mutex
+		phase phase
+		// idleSince is when it was opened or its last request was answered.
+		idleSince time.Time
+		// deadline is that for reads, as http.Server has set it.
+		deadline time.Time
+		stopping stopping
+	}
+
+	// phase is what a connection is read for.
+	phase int
+
+	// stopping is what a connection no longer waits for.
+	stopping int
+)
+
+const (
+	idle      phase = iota
+	halfSent        // a part of a request was read
+	active          // a request is with the handler
+	lingering       // nothing is answered any more
+)
+
+const (
+	serving stopping = iota
+	closingIdle
+	refusingHalfSent
+)
+
+const (
+	// idleTime is how long a connection is idle before it is closed by a stop: one that is
+	// used more often is closed after an answer that says so.
+	idleTime = 500 * time.Millisecond
+	// lingerTime bounds how long a connection is read after its last answer: closing it
+	// with something unread resets it, and the caller may lose that answer.
+	lingerTime = 500 * time.Millisecond
+	refusal    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// immediately is a deadline that has passed.
+var immediately = time.Unix(1, 0)
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			return n, c.noteRead()
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		phase, passed := c.passed()
+		switch {
+		case !passed:
+			if err := c.applyDeadline(); err != nil {
+				return 0, err
+			}
+		case phase == idle && c.ending():
+			return c.readOrEnd(p)
+		case phase == halfSent && c.server.retiring.Load():
+			_, _ = io.WriteString(c.TCPConn, refusal) // the caller may be gone
+			return 0, err
+		default:
+			return 0, err
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.TCPConn.SetReadDeadline(c.effective())
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	defer c.server.remove(c)
+	if c.server.retiring.Load() && !c.server.aborting.Load() {
+		c.linger()
+	}
+	return c.TCPConn.Close()
+}
+
+// linger reads until the caller closes the connection, too. Close tells of errors.
+func (c *conn) linger() {
+	c.mu.Lock()
+	c.phase = lingering
+	c.mu.Unlock()
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.TCPConn)
+}
+
+// stop has the connection closed when it no longer is read for what it may wait for.
+func (c *conn) stop(s stopping) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = s
+	_ = c.TCPConn.SetReadDeadline(c.effective()) // fails only once it is closed
+}
+
+func (c *conn) changeState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.phase = active
+	case http.StateIdle:
+		c.phase, c.idleSince = idle, time.Now()
+	}
+}
+
+// effective is the deadline that holds, zero if none does. It needs the lock.
+func (c *conn) effective() time.Time {
+	switch {
+	case c.phase != active && c.stopping == refusingHalfSent:
+		return immediately
+	case c.phase == idle && c.stopping == closingIdle:
+		return c.idleSince.Add(idleTime)
+	default:
+		return c.deadline
+	}
+}
+
+func (c *conn) applyDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.TCPConn.SetReadDeadline(c.effective())
+}
+
+// passed tells whether the deadline that holds has passed: stop changes it during a read.
+func (c *conn) passed() (phase, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.effective()
+	return c.phase, !t.IsZero() && !time.Now().Before(t)
+}
+
+func (c *conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping != serving
+}
+
+func (c *conn) noteRead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != idle {
+		return nil
+	}
+	c.phase = halfSent
+	if c.stopping == serving {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(c.effective())
+}
+
+// readOrEnd reads what has arrived without waiting, and ends the connection if that is
+// nothing. No time passes between the two in which a request could arrive.
+func (c *conn) readOrEnd(p []byte) (int, error) {
+	if err := c.TCPConn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		var failed error
+		if n, failed = unix.Read(int(fd), p); failed != nil || n == 0 {
+			n = 0
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR) // Close tells of errors
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, c.noteRead()
+}
--- /dev/null
+++ b/internal/drain/server.go
@@ -0,0 +1,159 @@
+// Package drain stops HTTP servers without cutting requests.
+//
+// http.Server.Shutdown drops a request that it has read but not passed to the handler, closes
+// a kept connection while a request is on its way, and resets the connections that are still
+// in the listener's backlog. A caller can't know whether such a request was run.
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+type (
+	// Config configures a Server.
+	Config struct {
+		// HTTP is the server to stop. Its handler and its ConnState hook are replaced.
+		HTTP *http.Server
+	}
+
+	// Server is an HTTP/1 server, or an HTTP/2 server without TLS, that can be stopped
+	// without cutting requests.
+	Server struct {
+		http     *http.Server
+		retiring atomic.Bool
+		aborting atomic.Bool
+		mu       sync.Mutex
+		conns    map[*conn]struct{}
+		listener *listener
+		// changed is closed and replaced when a connection is gone.
+		changed chan struct{}
+		done    chan struct{}
+	}
+)
+
+const (
+	// abortTime is how long connections have to refuse half-sent requests once the time
+	// for the stop has passed.
+	abortTime = 100 * time.Millisecond
+)
+
+// New makes a server that does not listen yet.
+func (c Config) New() *Server {
+	s := &Server{
+		http: c.HTTP, conns: map[*conn]struct{}{}, changed: make(chan struct{}), done: make(chan struct{}),
+	}
+	handler := c.HTTP.Handler
+	c.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.retiring.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	c.HTTP.ConnState = func(rw net.Conn, state http.ConnState) {
+		if c, ok := rw.(*conn); ok {
+			c.changeState(state)
+		}
+	}
+	return s
+}
+
+// Serve serves until Shutdown or Close and then returns http.ErrServerClosed.
+func (s *Server) Serve(l *net.TCPListener) error {
+	defer close(s.done)
+	accepting := &listener{TCPListener: l, server: s}
+	s.mu.Lock()
+	s.listener = accepting
+	s.mu.Unlock()
+	return s.http.Serve(accepting)
+}
+
+// Retire has each answer from now on ask the caller to use another connection.
+func (s *Server) Retire() { s.retiring.Store(true) }
+
+// Shutdown stops listening, closes connections as they become idle, and returns once all are
+// closed. When ctx ends first, half-sent requests are refused and the rest is cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Retire()
+	err := s.stopListening()
+	if s.http.Protocols != nil && s.http.Protocols.UnencryptedHTTP2() {
+		// It sends GOAWAY, which cuts no HTTP/2 request.
+		return errors.CombineErrors(err, s.http.Shutdown(ctx))
+	}
+	s.stopConns(closingIdle)
+	if !s.waitClosed(ctx) {
+		s.stopConns(refusingHalfSent)
+		refusing, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+		defer cancel()
+		s.waitClosed(refusing)
+		err = errors.CombineErrors(err, ctx.Err())
+	}
+	return errors.CombineErrors(err, s.Close())
+}
+
+// Close cuts all connections.
+func (s *Server) Close() error {
+	s.aborting.Store(true)
+	return s.http.Close()
+}
+
+// stopListening returns when the last connection is accepted.
+func (s *Server) stopListening() error {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	err := l.stop()
+	<-s.done
+	return err
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.conns[c]; !open {
+		return
+	}
+	delete(s.conns, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Server) stopConns(how stopping) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.stop(how)
+	}
+}
+
+// waitClosed tells whether all connections were closed before ctx ended.
+func (s *Server) waitClosed(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		open, changed := len(s.conns), s.changed
+		s.mu.Unlock()
+		if open == 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
