Starts of a daemon that is short go over other daemons

Test: TestBacklogLargerThanTheLink, unchanged, 337 to 361 of 400 begun, every run.

Cause, from the daemons' own counts of bytes: an owner on 2 Mbit/s that takes over 500 submissions sends 185 starts a second, 130 of its 202 kB/s, for as long as the backlog lasts; first starts came up to 27 s after. Ruled out: room (most of it free), the store's writes, the loop (1 ms late).

Package relay: while direct starts are slow and many, they go in batches to other daemons of the worker's hall, under the owner's fence, run numbers and deadlines, so that a late one is treated as any late order. A batch names a spec once a submission. Several starts to a worker may be under way then; stops wait for them. Its cost for a daemon does not grow with the fleet: six relays a hall at most, listed twice a second while relaying.

Submissions between daemons are compressed.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -48,8 +48,6 @@
 	// and a link of 2 Mbit/s up to 9 s for the submissions of all pools.
 	takeTimeout = 20 * time.Second
 	inboxWait   = 5 * time.Second
-	// bytesPerMegabit is a megabit in bytes.
-	bytesPerMegabit = 1e6 / 8
 )
 
 func newOwners(d *QueueDaemon) *owners {
@@ -165,7 +163,7 @@
 	owned.owner = run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: d.orders, Advisor: d.advisor, Census: d.census,
 		Clock: d.clock, Log: d.log, Metrics: d.metrics, Bounds: d.bounds(),
-		Cores: d.settings.Limits.Cores, Link: tw.BytesPerSecond(d.settings.Limits.LinkMbps * bytesPerMegabit),
+		Cores: d.settings.Limits.Cores, Link: d.settings.link(),
 		ReadWorkers: d.directory.readWorkers, Configuration: d.directory.Config,
 		Evacuations: d.directory.Evacuations,
 		Deposed:     func() { go o.drop(pool, owned) },
--- a/daemon/peer_calls.go
+++ b/daemon/peer_calls.go
@@ -13,7 +13,21 @@
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
-var _ member.Handler = (*QueueDaemon)(nil)
+// relayPeers are the daemons that give orders for this one.
+type relayPeers struct{ *QueueDaemon }
+
+var (
+	_ member.Handler = (*QueueDaemon)(nil)
+	_ tw.Relays      = relayPeers{}
+)
+
+// Near implements tw.Relays.
+func (r relayPeers) Near(hall tw.HallID) []string { return r.members.Near(hall) }
+
+// Start implements tw.Relays.
+func (r relayPeers) Start(ctx context.Context, address string, batch []tw.RelayedStart, answer func(tw.RelayedAnswer)) error {
+	return r.peers.Start(ctx, address, batch, answer)
+}
 
 // Ping implements member.Handler.
 func (d *QueueDaemon) Ping(_ context.Context, m *member.PingRequest) (*member.PingResponse, error) {
@@ -128,3 +142,12 @@
 	}
 	return resp.Report, queue.ErrorOf(resp.Outcome)
 }
+
+// Start implements member.Handler.
+func (d *QueueDaemon) Start(ctx context.Context, m *member.StartRequest, answer func(*member.StartResponse) error) error {
+	var failed error
+	d.relay.Start(ctx, m.Batch(), func(a tw.RelayedAnswer) {
+		failed = errors.CombineErrors(failed, answer(member.NewStartResponse(a)))
+	})
+	return failed
+}
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -20,6 +20,7 @@
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
 	"github.com/tamarindworks/tamarindworks/queue"
+	"github.com/tamarindworks/tamarindworks/relay"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -44,7 +45,9 @@
 		metrics  *metrics.Set
 		meter    *traffic.Meter
 		kv       tw.KV
-		orders   tw.WorkerOrders
+		// orders may go over other daemons, for which relay gives theirs.
+		orders   *relay.Orders
+		relay    *relay.Server
 		machines tw.Machines
 		advisor  tw.Advisor
 
@@ -93,7 +96,7 @@
 	debug.SetGCPercent(gcPercent)
 	d := &QueueDaemon{
 		settings: s, log: c.Log, clock: c.Clock, metrics: set, meter: meter,
-		kv: c.KV, orders: c.Orders, machines: c.Machines, advisor: c.Advisor,
+		kv: c.KV, machines: c.Machines, advisor: c.Advisor,
 		peers: member.NewPeers(meter), done: make(chan struct{}),
 	}
 	addresses := []string{s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers}
@@ -110,6 +113,10 @@
 	}
 	d.log.Info("daemon: started", zap.String("daemon", string(s.ID)), zap.String("hall", string(s.Hall)),
 		zap.Uint64("life", uint64(d.self.Life)), zap.String("callers", listeners[0].Addr().String()))
+	d.relay = relay.ServerConfig{Orders: c.Orders, Clock: c.Clock, Log: c.Log, Metrics: set}.New()
+	d.orders = relay.Config{
+		Direct: c.Orders, Relays: relayPeers{d}, Clock: c.Clock, Log: c.Log, Metrics: set, Link: s.link(), Cores: s.Limits.Cores,
+	}.New()
 	d.duties()
 	d.listen(listeners)
 	return d, nil
@@ -239,6 +246,7 @@
 	case <-ctx.Done():
 	}
 	err := errors.CombineErrors(d.callers.Shutdown(ctx), shutdown(ctx, d.others))
+	d.orders.Close()
 	d.members.Close()
 	d.directory.close()
 	d.census.Close()
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -161,3 +161,11 @@
 		faults.Add("limits.link_mbps", "must not be below 0")
 	}
 }
+
+// bytesPerMegabit is a megabit in bytes.
+const bytesPerMegabit = 1e6 / 8
+
+// link is what the daemon's link carries; zero if that is not known.
+func (s *QueueSettings) link() tw.BytesPerSecond {
+	return tw.BytesPerSecond(s.Limits.LinkMbps * bytesPerMegabit)
+}
--- a/internal/traffic/meter.go
+++ b/internal/traffic/meter.go
@@ -176,5 +176,11 @@
 	return n, err
 }
 
+// Flush implements http.Flusher, which servers of streams look for.
+func (w *countedWriter) Flush() {
+	// A writer that can't flush sends all at the end.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // Unwrap lets http.ResponseController find the writer below.
 func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/kv.go
+++ b/kv.go
@@ -104,3 +104,10 @@
 func SurelyNotDone(err error) bool {
 	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRateLimited)
 }
+
+// TimedOut tells whether a call ended because nothing came, rather than by a connection that
+// was closed.
+func TimedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/member/growth_test.go
+++ b/member/growth_test.go
@@ -212,3 +212,25 @@
 	m.changed(items, 52)
 	g.Expect(m.live).To(HaveLen(49))
 }
+
+// The daemons that give orders for another one are few however many there are, own nothing
+// themselves, and are others for each daemon.
+func TestNearIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	for _, size := range growthSizes {
+		c := newCrowd(size)
+		used := map[string]bool{}
+		for owner := range c.owners {
+			near := c.members[owner].Near("0")
+			g.Expect(len(near)).To(BeNumerically("<=", mostNear))
+			for _, address := range near {
+				g.Expect(address).NotTo(Equal(owner))
+				g.Expect(c.owners).NotTo(HaveKey(address))
+				used[address] = true
+			}
+		}
+		if size > growthSizes[0] {
+			g.Expect(len(used)).To(BeNumerically(">", mostNear))
+		}
+	}
+}
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -25,6 +25,7 @@
 	procedureWaiting = "/tamarind.member.v1.MemberService/Waiting"
 	procedureTake    = "/tamarind.member.v1.MemberService/Take"
 	procedureReport  = "/tamarind.member.v1.MemberService/Report"
+	procedureStart   = "/tamarind.member.v1.MemberService/Start"
 )
 
 type (
@@ -42,6 +43,8 @@
 		Waiting(ctx context.Context, m *WaitingRequest) (*WaitingResponse, error)
 		Take(ctx context.Context, m *TakeRequest) (*TakeResponse, error)
 		Report(ctx context.Context, m *ReportRequest) (*ReportResponse, error)
+		// Start gives orders to workers; answer sends one answer.
+		Start(ctx context.Context, m *StartRequest, answer func(*StartResponse) error) error
 	}
 
 	// Peers calls other daemons. Calls fail with tw.ErrGone (no process
@@ -63,6 +66,7 @@
 		waiting *connect.Client[WaitingRequest, WaitingResponse]
 		take    *connect.Client[TakeRequest, TakeResponse]
 		report  *connect.Client[ReportRequest, ReportResponse]
+		start   *connect.Client[StartRequest, StartResponse]
 	}
 )
 
@@ -76,6 +80,8 @@
 	// reports of hundreds of workers. For the short answers to callers and pings the
 	// compression would cost more processor time than the rest of the call.
 	compressAbove = 2 << 10
+	// compressStartsAbove is the same for batches of orders, which are sent when a link is full.
+	compressStartsAbove = 512
 )
 
 // Name implements connect.Codec.
@@ -98,6 +104,10 @@
 	serve(mux, procedureWaiting, h.Waiting)
 	serve(mux, procedureTake, h.Take)
 	serve(mux, procedureReport, h.Report)
+	mux.Handle(procedureStart, connect.NewServerStreamHandlerSimple(procedureStart,
+		func(ctx context.Context, m *StartRequest, stream *connect.ServerStream[StartResponse]) error {
+			return h.Start(ctx, m, stream.Send)
+		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage)))
 	return mux
 }
 
@@ -129,21 +139,22 @@
 		have = &peer{
 			ping:    newClient[PingRequest, PingResponse](p, address, procedurePing),
 			config:  newClient[ConfigRequest, ConfigResponse](p, address, procedureConfig),
-			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit),
+			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit, connect.WithSendGzip(), connect.WithCompressMinBytes(compressStartsAbove)),
 			cancel:  newClient[SubmissionRequest, SubmissionResponse](p, address, procedureCancel),
 			state:   newClient[SubmissionRequest, SubmissionResponse](p, address, procedureState),
 			waiting: newClient[WaitingRequest, WaitingResponse](p, address, procedureWaiting),
 			take:    newClient[TakeRequest, TakeResponse](p, address, procedureTake),
 			report:  newClient[ReportRequest, ReportResponse](p, address, procedureReport),
+			start:   newClient[StartRequest, StartResponse](p, address, procedureStart, connect.WithSendGzip(), connect.WithCompressMinBytes(compressStartsAbove)),
 		}
 		p.clients[address] = have
 	}
 	return have
 }
 
-func newClient[Req, Resp any](p *Peers, address, procedure string) *connect.Client[Req, Resp] {
-	return connect.NewClient[Req, Resp](p.http, "http://"+address+procedure,
-		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage))
+func newClient[Req, Resp any](p *Peers, address, procedure string, more ...connect.ClientOption) *connect.Client[Req, Resp] {
+	options := append([]connect.ClientOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage)}, more...)
+	return connect.NewClient[Req, Resp](p.http, "http://"+address+procedure, options...)
 }
 
 // Ping asks whether a daemon lives.
@@ -187,6 +198,23 @@
 	return call(ctx, p.at(address).report, &m)
 }
 
+// Start has a daemon give a batch of orders to workers.
+func (p *Peers) Start(ctx context.Context, address string, batch []tw.RelayedStart, answer func(tw.RelayedAnswer)) error {
+	request := newStartRequest(batch)
+	stream, err := p.at(address).start.CallServerStream(ctx, connect.NewRequest(&request))
+	if err != nil {
+		return sortError(err)
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		answer(stream.Msg().answer())
+	}
+	if err := stream.Err(); err != nil {
+		return sortError(err)
+	}
+	return nil
+}
+
 func call[Req, Resp any](ctx context.Context, client *connect.Client[Req, Resp], m *Req) (*Resp, error) {
 	resp, err := client.CallUnary(ctx, connect.NewRequest(m))
 	if err != nil {
--- /dev/null
+++ b/member/start_messages.go
@@ -0,0 +1,133 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// StartRequest is a batch of orders to start that a daemon gives for another one. Its
+	// fields have short names, as it is sent when a link is full.
+	StartRequest struct {
+		Starts []StartOrder `json:"o"`
+	}
+
+	// StartOrder is one order, to a worker of its own.
+	StartOrder struct {
+		Worker     tw.WorkerID     `json:"w"`
+		Address    string          `json:"a"`
+		Submission tw.SubmissionID `json:"s"`
+		Repetition int             `json:"k,omitempty"`
+		Step       int             `json:"t,omitempty"`
+		Index      int             `json:"i,omitempty"`
+		Run        tw.RunNumber    `json:"r"`
+		Fence      tw.Fence        `json:"f"`
+		Deadline   tw.WorkerClock  `json:"d"`
+		Checkpoint tw.Checkpoint   `json:"c,omitempty"`
+		Ticket     string          `json:"x,omitempty"`
+		// Spec is missing if an earlier order of the submission has brought it.
+		Spec    *string `json:"p,omitempty"`
+		LimitMs int64   `json:"l"`
+	}
+
+	// StartResponse is the answer to one order of the batch.
+	StartResponse struct {
+		Index   int            `json:"n"`
+		Clock   tw.WorkerClock `json:"c,omitempty"`
+		Outcome startOutcome   `json:"o,omitempty"`
+		// Reason is that of a refusal.
+		Reason tw.RefusalReason `json:"r,omitempty"`
+	}
+
+	startOutcome string
+)
+
+const (
+	startDone    startOutcome = ""
+	startRefused startOutcome = "refused"
+	startNotDone startOutcome = "not-done"
+	// startUnclear is an order that was not answered in time, startCut one whose connection
+	// to the worker ended.
+	startUnclear     startOutcome = "unclear"
+	startCut         startOutcome = "cut"
+	startSpecUnknown startOutcome = "spec-unknown"
+)
+
+func newStartRequest(batch []tw.RelayedStart) StartRequest {
+	out := StartRequest{Starts: make([]StartOrder, len(batch))}
+	for n, s := range batch {
+		id := s.Order.Subtask
+		out.Starts[n] = StartOrder{
+			Worker: s.To.ID, Address: s.To.Address,
+			Submission: id.Submission, Repetition: id.Repetition, Step: id.Step, Index: id.Index,
+			Run: s.Order.Run, Fence: s.Order.Fence, Deadline: s.Order.Deadline, Checkpoint: s.Order.Checkpoint,
+			Ticket: s.Order.Ticket, LimitMs: s.Limit.Milliseconds(),
+		}
+		if !s.SpecKnown {
+			out.Starts[n].Spec = &batch[n].Order.Spec
+		}
+	}
+	return out
+}
+
+// Batch is what the request asks for.
+func (r *StartRequest) Batch() []tw.RelayedStart {
+	out := make([]tw.RelayedStart, len(r.Starts))
+	for n, s := range r.Starts {
+		out[n] = tw.RelayedStart{
+			To: tw.WorkerRef{ID: s.Worker, Address: s.Address},
+			Order: tw.StartOrder{
+				Subtask: tw.SubtaskID{Submission: s.Submission, Repetition: s.Repetition, Step: s.Step, Index: s.Index},
+				Run:     s.Run, Fence: s.Fence, Deadline: s.Deadline, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			},
+			SpecKnown: s.Spec == nil, Limit: time.Duration(s.LimitMs) * time.Millisecond,
+		}
+		if s.Spec != nil {
+			out[n].Order.Spec = *s.Spec
+		}
+	}
+	return out
+}
+
+// NewStartResponse is the answer as it is sent.
+func NewStartResponse(a tw.RelayedAnswer) *StartResponse {
+	out := &StartResponse{Index: a.Index, Clock: a.Clock}
+	var refused *tw.OrderRefused
+	switch {
+	case a.Err == nil:
+	case errors.As(a.Err, &refused):
+		out.Outcome, out.Reason, out.Clock = startRefused, refused.Reason, refused.Clock
+	case errors.Is(a.Err, tw.ErrSpecUnknown):
+		out.Outcome = startSpecUnknown
+	case tw.SurelyNotDone(a.Err):
+		out.Outcome = startNotDone
+	case tw.TimedOut(a.Err):
+		out.Outcome = startUnclear
+	default:
+		out.Outcome = startCut
+	}
+	return out
+}
+
+func (r *StartResponse) answer() tw.RelayedAnswer {
+	out := tw.RelayedAnswer{Index: r.Index, Clock: r.Clock}
+	switch r.Outcome {
+	case startDone:
+	case startRefused:
+		out.Err = &tw.OrderRefused{Reason: r.Reason, Clock: r.Clock}
+	case startSpecUnknown:
+		out.Err = tw.ErrSpecUnknown
+	case startNotDone:
+		out.Err = errors.Wrap(tw.ErrUnavailable, "member: the relay did not give the order")
+	case startCut:
+		out.Err = errors.Wrap(tw.ErrUnclear, "member: the worker closed the relay's connection")
+	default:
+		out.Err = fmt.Errorf("member: the relay got no answer: %w: %w", tw.ErrUnclear, context.DeadlineExceeded)
+	}
+	return out
+}
--- /dev/null
+++ b/member/start_test.go
@@ -0,0 +1,97 @@
+package member_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/traffic"
+	"github.com/tamarindworks/tamarindworks/member"
+)
+
+// startHandler answers the orders of a batch, and keeps the batch.
+type startHandler struct {
+	member.Handler
+	batch   []tw.RelayedStart
+	answers []tw.RelayedAnswer
+	// wait is closed before the last answer is sent.
+	wait chan struct{}
+}
+
+func (h *startHandler) Start(_ context.Context, m *member.StartRequest, answer func(*member.StartResponse) error) error {
+	h.batch = m.Batch()
+	for n, a := range h.answers {
+		if n == len(h.answers)-1 {
+			<-h.wait
+		}
+		if err := answer(member.NewStartResponse(a)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Batches of orders reach the other daemon as they are, and each answer comes as soon as
+// it is known, also where messages are counted.
+func TestStartsBetweenDaemons(t *testing.T) {
+	g := NewWithT(t)
+	h := &startHandler{wait: make(chan struct{}), answers: []tw.RelayedAnswer{
+		{Index: 5, Clock: 77},
+		{Index: 0, Err: &tw.OrderRefused{Reason: tw.RefusedRoom, Clock: 78}},
+		{Index: 1, Err: errors.Wrap(tw.ErrUnavailable, "x")},
+		{Index: 2, Err: tw.ErrSpecUnknown},
+		{Index: 3, Err: errors.Wrap(tw.ErrUnclear, "closed")},
+		{Index: 4, Err: context.DeadlineExceeded},
+	}}
+	server := httptest.NewServer(traffic.New(metrics.NewSet()).Handler(member.NewHandler(h)))
+	defer server.Close()
+	peers := member.NewPeers(traffic.New(metrics.NewSet()))
+	defer peers.Close()
+	batch := []tw.RelayedStart{
+		{
+			To: tw.WorkerRef{ID: "w", Address: "10.0.0.1:1"}, Limit: 300 * time.Millisecond,
+			Order: tw.StartOrder{
+				Subtask: tw.SubtaskID{Submission: "aa", Repetition: 1, Step: 2, Index: 3}, Run: 4, Spec: "",
+				Checkpoint: "c", Ticket: "t", Deadline: 5, Fence: 6,
+			},
+		},
+		{To: tw.WorkerRef{ID: "v", Address: "10.0.0.2:1"}, SpecKnown: true, Order: tw.StartOrder{Run: 1}},
+	}
+	var got []tw.RelayedAnswer
+	err := peers.Start(t.Context(), server.Listener.Addr().String(), batch, func(a tw.RelayedAnswer) {
+		if got = append(got, a); len(got) == len(h.answers)-1 {
+			close(h.wait) // so these have come before the last was sent
+		}
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.batch).To(Equal(batch))
+	g.Expect(got).To(HaveLen(len(h.answers)))
+	for n, a := range got {
+		g.Expect(a.Index).To(Equal(h.answers[n].Index))
+	}
+	g.Expect(got[0]).To(Equal(tw.RelayedAnswer{Index: 5, Clock: 77}))
+	g.Expect(tw.RefusedFor(got[1].Err, tw.RefusedRoom)).To(BeTrue())
+	g.Expect(tw.SurelyNotDone(got[2].Err)).To(BeTrue())
+	g.Expect(got[3].Err).To(MatchError(tw.ErrSpecUnknown))
+	g.Expect(got[4].Err).To(MatchError(tw.ErrUnclear))
+	g.Expect(tw.TimedOut(got[4].Err)).To(BeFalse())
+	g.Expect(got[5].Err).To(MatchError(tw.ErrUnclear))
+	g.Expect(tw.TimedOut(got[5].Err)).To(BeTrue())
+}
+
+// A daemon at whose address no process listens surely gave no orders.
+func TestStartsToNobody(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(nil)
+	server.Close()
+	peers := member.NewPeers(nil)
+	defer peers.Close()
+	err := peers.Start(t.Context(), server.Listener.Addr().String(), make([]tw.RelayedStart, 1), func(tw.RelayedAnswer) {})
+	g.Expect(err).To(MatchError(tw.ErrGone))
+}
--- a/member/succession.go
+++ b/member/succession.go
@@ -202,6 +202,37 @@
 	return Live{}, false
 }
 
+// Near lists the addresses of daemons in a data hall that may give orders for this one: first
+// those that own nothing, of these those with most processor. Each daemon has others.
+func (m *Members) Near(hall tw.HallID) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loads := m.loads()
+	var near []Live
+	for id, l := range m.live {
+		if l.Hall == hall && id != m.config.Self.Daemon {
+			near = append(near, l)
+		}
+	}
+	self := string(m.config.Self.Daemon)
+	slices.SortFunc(near, func(a, b Live) int {
+		return cmp.Or(
+			cmp.Compare(min(loads[a.Daemon], 1), min(loads[b.Daemon], 1)),
+			cmp.Compare(b.Cores, a.Cores),
+			cmp.Compare(mix(self, a.Daemon), mix(self, b.Daemon)),
+		)
+	})
+	near = near[:min(len(near), mostNear)]
+	out := make([]string, len(near))
+	for n, l := range near {
+		out[n] = l.Address
+	}
+	return out
+}
+
+// mostNear bounds the daemons of a data hall that give orders for another one.
+const mostNear = 6
+
 // reliefFactor is how much more processor a daemon must have for a pool that is handed over
 // to it: that stops the pool's starts for some tenths of a second.
 const reliefFactor = 2
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	tw "github.com/tamarindworks/tamarindworks"
+)
+
+type (
+	// ServerConfig configures a Server.
+	ServerConfig struct {
+		// Orders gives the orders; it must not be an Orders, or they could go round.
+		Orders  tw.WorkerOrders
+		Clock   tw.Clock
+		Log     *zap.Logger
+		Metrics *metrics.Set
+	}
+
+	// Server gives orders to start for owners at other daemons.
+	Server struct {
+		config ServerConfig
+		open   atomic.Int64
+		given  *metrics.Counter
+
+		mu    sync.Mutex
+		specs *specs
+	}
+)
+
+const (
+	// mostOpen bounds the orders that a relay has not had an answer to.
+	mostOpen = 128
+	// mostTime bounds an order whatever limit it came with.
+	mostTime = 2 * time.Second
+)
+
+// New makes a server.
+func (c ServerConfig) New() *Server {
+	return &Server{config: c, specs: newSpecs(), given: c.Metrics.GetOrCreateCounter("tamarind_starts_given_for_others_total")}
+}
+
+// Start gives the orders of a batch side by side, hands over each answer as it comes, and
+// returns after the last.
+func (s *Server) Start(ctx context.Context, batch []tw.RelayedStart, answer func(tw.RelayedAnswer)) {
+	began := s.config.Clock.Now()
+	answers := make(chan tw.RelayedAnswer, len(batch))
+	for n, start := range batch {
+		if err := s.accept(&start); err != nil {
+			answers <- tw.RelayedAnswer{Index: n, Err: err}
+			continue
+		}
+		go func() {
+			clock, err := s.give(ctx, start)
+			answers <- tw.RelayedAnswer{Index: n, Clock: clock, Err: err}
+		}()
+	}
+	count := 0
+	for range batch {
+		a := <-answers
+		if answered(a.Err) {
+			count++
+		}
+		answer(a)
+	}
+	s.config.Log.Info("relay: orders given", zap.Int("orders", len(batch)), zap.Int("answered", count),
+		zap.Duration("took", s.config.Clock.Now().Sub(began)))
+}
+
+// accept completes an order and counts it as open, or says why it is not given.
+func (s *Server) accept(start *tw.RelayedStart) error {
+	if err := s.complete(start); err != nil {
+		return err
+	}
+	if s.open.Add(1) > mostOpen {
+		s.open.Add(-1)
+		return errors.Wrap(tw.ErrUnavailable, "relay: too many orders")
+	}
+	return nil
+}
+
+// complete adds the spec that an order was sent without, and keeps one that came with it.
+func (s *Server) complete(start *tw.RelayedStart) error {
+	id := start.Order.Subtask.Submission
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !start.SpecKnown {
+		s.specs.add(id, start.Order.Spec)
+		return nil
+	}
+	if !s.specs.has(id) {
+		return tw.ErrSpecUnknown
+	}
+	start.Order.Spec = s.specs.texts[id]
+	return nil
+}
+
+func (s *Server) give(ctx context.Context, start tw.RelayedStart) (tw.WorkerClock, error) {
+	defer s.open.Add(-1)
+	s.given.Inc()
+	limited, cancel := context.WithTimeout(ctx, min(start.Limit, mostTime))
+	defer cancel()
+	return s.config.Orders.Start(limited, start.To, start.Order)
+}
--- a/run/crash.go
+++ b/run/crash.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -92,13 +91,6 @@
 	return r.seenFrom != 0 || r.sent.Load() && (r.cutOff || r.afterAnswer <= justAnswered)
 }
 
-// timedOut tells whether a call ended because nothing came, rather than by a connection
-// that was closed.
-func timedOut(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // crashedUnder counts the end of a worker against a run; company: work of other submissions may
 // have caused it as well.
 func (o *Owner) crashedUnder(w *worker, r *runState, company bool) {
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -15,6 +15,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/relay"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -41,7 +42,9 @@
 	census *run.Census
 	list   map[tw.WorkerID]tw.WorkerEntry
 	opened []*run.Owner
-	books  int
+	// relayed are the orders of owners that go over other daemons.
+	relayed []*relay.Orders
+	books   int
 	// figures are those of the owner that was opened last.
 	figures *metrics.Set
 	// link and cores are what owners know of their daemon.
@@ -124,8 +127,8 @@
 }
 
 func (r *rig) begin(c run.Config, orders tw.WorkerOrders) *run.Owner {
-	c.Orders, c.Advisor, c.Census, c.ReadWorkers = orders, noAdvisor{}, r.census, func() { r.read++ }
 	r.figures = metrics.NewSet()
+	c.Orders, c.Advisor, c.Census, c.ReadWorkers = r.overRelays(orders), noAdvisor{}, r.census, func() { r.read++ }
 	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.figures
 	c.Link, c.Cores = r.link, r.cores
 	c.Evacuations = r.evacuations.Load
@@ -159,6 +162,9 @@
 	for _, o := range r.opened {
 		o.Close()
 	}
+	for _, o := range r.relayed {
+		o.Close()
+	}
 	r.census.Close()
 }
 
--- a/run/session.go
+++ b/run/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,8 +12,9 @@
 )
 
 type (
-	// session talks to one life of a worker: one goroutine looks, another
-	// gives orders one after the other. Both end with the session's context.
+	// session talks to one life of a worker: one goroutine looks, another gives orders one
+	// after the other, but for starts where these may be given at once. Both end with the
+	// session's context.
 	session struct {
 		ref    tw.WorkerRef
 		orders tw.WorkerOrders
@@ -57,9 +59,14 @@
 		// stale tells whether the order must not be sent any more; nil if it
 		// always may.
 		stale func(now time.Time) bool
+		// start: it is a start.
+		start bool
 	}
 )
 
+// mostAtOnce bounds the starts that are given to a worker at once.
+const mostAtOnce = 4
+
 // errNotSent is the outcome of an order that was not sent because it was
 // outdated, or of a look that the owner itself has interrupted.
 var errNotSent = errors.New("order not sent, it was outdated")
@@ -135,17 +142,41 @@
 }
 
 func (s *session) order(ctx context.Context) {
+	var starts sync.WaitGroup
+	defer starts.Wait()
+	slots := make(chan struct{}, mostAtOnce)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case w := <-s.work:
-			clock, err := s.send(ctx, w)
-			s.report(ctx, func() { w.done(clock, err) })
+			if !w.start || s.startsAtOnce() < 2 {
+				starts.Wait() // a stop must not overtake the start that it is for
+				s.orderOnce(ctx, w)
+				continue
+			}
+			slots <- struct{}{}
+			starts.Go(func() {
+				s.orderOnce(ctx, w)
+				<-slots
+			})
 		}
 	}
 }
 
+func (s *session) orderOnce(ctx context.Context, w workOrder) {
+	clock, err := s.send(ctx, w)
+	s.report(ctx, func() { w.done(clock, err) })
+}
+
+// startsAtOnce is how many starts may be given at once.
+func (s *session) startsAtOnce() int {
+	if parallel, is := s.orders.(tw.ParallelStarts); is {
+		return min(parallel.StartsAtOnce(), mostAtOnce)
+	}
+	return 1
+}
+
 // send gives an order unless it is outdated by now.
 func (s *session) send(ctx context.Context, w workOrder) (tw.WorkerClock, error) {
 	now := s.clock.Now()
--- a/run/session_test.go
+++ b/run/session_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -48,3 +50,47 @@
 		})
 	}
 }
+
+// parallelOrders takes several starts at once.
+type parallelOrders struct{ tw.WorkerOrders }
+
+func (parallelOrders) StartsAtOnce() int { return 3 }
+
+// Starts overlap where the orders take several at once; a stop waits for those before it.
+func TestSessionStartsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const count, takes = 6, 100 * time.Millisecond
+		p := &permit{}
+		p.extend(time.Now().Add(time.Hour))
+		events := make(chan func(), eventQueue)
+		s := &session{
+			orders: parallelOrders{}, clock: tw.SystemClock{}, permit: p, patience: &patience{},
+			work: make(chan workOrder, sessionQueue), events: events,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.order(ctx)
+		}()
+		began := time.Now()
+		var started atomic.Int64
+		stopped := make(chan int64, 1)
+		for range count {
+			s.give(workOrder{start: true, done: func(tw.WorkerClock, error) {}, send: func(context.Context) (tw.WorkerClock, error) {
+				time.Sleep(takes)
+				started.Add(1)
+				return 1, nil
+			}})
+		}
+		s.give(workOrder{done: func(tw.WorkerClock, error) {}, send: func(context.Context) (tw.WorkerClock, error) {
+			stopped <- started.Load()
+			return 1, nil
+		}})
+		g.Expect(<-stopped).To(BeEquivalentTo(count))
+		g.Expect(time.Since(began)).To(Equal(count / 3 * takes))
+		cancel()
+		<-done
+	})
+}
--- a/run/start.go
+++ b/run/start.go
@@ -35,6 +35,7 @@
 	decided := o.now
 	var sentAt, answeredAt time.Time // of the session, which hands them over with its report
 	sent := w.session.give(workOrder{
+		start: true,
 		stale: func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(decided) > startAge },
 		send: func(ctx context.Context) (tw.WorkerClock, error) {
 			r.sent.Store(true)
@@ -132,7 +133,7 @@
 		o.runGone(r, "not sent")
 	default:
 		o.metrics.started("unanswered")
-		r.cutOff = !timedOut(err)
+		r.cutOff = !tw.TimedOut(err)
 		o.logStart(r, err)
 		o.startUnclear(r)
 	}
--- a/worker.go
+++ b/worker.go
@@ -41,6 +41,7 @@
 	WorkerRef struct {
 		ID      WorkerID
 		Address string
+		Hall    HallID
 	}
 
 	// StartOrder tells a worker to start a run.
@@ -110,6 +111,12 @@
 		Pace(ctx context.Context, to WorkerRef, order PaceOrder) (WorkerClock, error)
 	}
 
+	// ParallelStarts is a WorkerOrders that may take several starts to one worker at once.
+	ParallelStarts interface {
+		// StartsAtOnce is how many it takes at present.
+		StartsAtOnce() int
+	}
+
 	// Advice is the answer of the advice service for a step.
 	Advice struct {
 		Tickets map[WorkerID]string
@@ -171,7 +178,9 @@
 }
 
 // Ref addresses the worker.
-func (w *WorkerEntry) Ref() WorkerRef { return WorkerRef{ID: w.ID, Address: w.Address} }
+func (w *WorkerEntry) Ref() WorkerRef {
+	return WorkerRef{ID: w.ID, Address: w.Address, Hall: w.Hall}
+}
 
 // RackOf finds the rack among a worker's labels, which are its kind and its
 // rack, in this order.
