A worker that is back at once was not brought down by a subtask

Five workers in a row had ended just after its starts, which is as often as the rule lets such a subtask be started.

Cause, from the listed trace: two of the five machines ran their next life 0.2 and 0.3 s after the order. A worker that a subtask has brought down is back after some seconds, by the users' page. Such an end isn't counted now if the next life has answered, or tells when it was born, within 1 s of the order.

TestReplacedWorkersAreNotCounted was red before.

--- a/run/born.go
+++ b/run/born.go
@@ -41,7 +41,7 @@
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.Born)),
 		zap.Int64("before", int64(w.born)), zap.Int("runs", len(w.runs)))
 	o.forget(w, "it has started again")
-	o.blame(w)
+	o.blame(w, true)
 	next := o.addWorker(entry)
 	next.listed, next.missingFrom, next.leaving = w.listed, w.missingFrom, w.leaving
 	for _, r := range w.runs {
--- a/run/crash.go
+++ b/run/crash.go
@@ -24,6 +24,9 @@
 	// trialTime is how long a trial takes by the owner's clock: the start is answered within
 	// some milliseconds, and the worker's clock may run slow.
 	trialTime = probation + probation/10
+	// restartLeast is less than a machine takes to run a worker again that a subtask has
+	// brought down: that takes some seconds.
+	restartLeast = time.Second
 	// justAnswered is within which time after its last answer a worker counts as alive.
 	justAnswered = 100 * time.Millisecond
 	// crashesToGiveUp is after how many workers in a row a subtask is given up. It may be
@@ -59,8 +62,9 @@
 	}
 }
 
-// blame counts the end of a worker against the subtasks that may have caused it.
-func (o *Owner) blame(w *worker) {
+// blame counts the end of a worker against the subtasks that may have caused it. followed: its
+// machine runs another life by now.
+func (o *Owner) blame(w *worker, followed bool) {
 	if w.entry.Draining {
 		return
 	}
@@ -69,6 +73,9 @@
 		switch {
 		case w.outlasted(r):
 			o.exonerate(r.task)
+		case followed && o.now.Sub(r.startedAt) < restartLeast:
+			o.log.Info("run: has not ended its worker, which is back too soon", zap.Stringer("subtask", r.task.id),
+				zap.String("worker", string(w.entry.ID)), zap.Duration("since_start", o.now.Sub(r.startedAt)))
 		case r.reached():
 			candidates = append(candidates, r)
 		}
--- a/run/feed.go
+++ b/run/feed.go
@@ -214,7 +214,7 @@
 		zap.Duration("silent", o.now.Sub(w.silentFrom)), zap.Int("runs", len(w.runs)))
 	w.inheritedDoubt = false
 	w.known = false // it must be looked at before it is used again
-	o.blame(w)
+	o.blame(w, false)
 	for _, r := range w.runs {
 		o.runGone(r, "lapsed on a silent worker")
 	}
--- a/run/lives.go
+++ b/run/lives.go
@@ -25,16 +25,19 @@
 // it acts on lists of up to a second, and asks for reports several times a second.
 const endedShown = 3 * time.Second
 
-// lifeEnd is why a worker's life has ended; planned: what ran there has not brought it
-// down. The zero value says that it has not ended.
+// lifeEnd is why a worker's life has ended. The zero value says that it has not ended.
 type lifeEnd struct {
-	why     string
+	why string
+	// planned: what ran there has not brought it down.
 	planned bool
+	// followed: another life of its machine answers by now. That a list names one is no
+	// proof: it may still be starting.
+	followed bool
 }
 
 var (
 	orderedAway = lifeEnd{why: "its machine was ordered away", planned: true}
-	replaced    = lifeEnd{why: "another worker answers at its address"}
+	replaced    = lifeEnd{why: "another worker answers at its address", followed: true}
 )
 
 // endedLife is a worker's life that has ended: when that was known, and when its entry
@@ -189,7 +192,7 @@
 	o.ended[w.entry.ID] = endedLife{since: o.now, seen: o.now, born: w.born} // its entry is not that of a new worker
 	o.forget(w, end.why)
 	if !end.planned {
-		o.blame(w)
+		o.blame(w, end.followed)
 	}
 	for _, r := range w.runs {
 		o.runGone(r, "its worker has ended")
--- a/run/lives_test.go
+++ b/run/lives_test.go
@@ -1,7 +1,9 @@
 package run_test
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -260,3 +262,26 @@
 	}
 	r.Expect(r.fleet.Starts()).To(Equal(4))
 }
+
+// Work whose worker was replaced just after each start was given up, as if it had brought five
+// workers down. A machine whose worker a subtask has brought down is away for seconds.
+func TestReplacedWorkersAreNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.end()
+		o := r.take("a")
+		time.Sleep(settled)
+		r.submit(o, submission("s1", 1))
+		present := workerID(0)
+		for n := range 7 {
+			r.Eventually(func() int { return r.fleet.Running(subtask("s1", 0, 0)) }, 20*time.Second, 5*time.Millisecond).Should(Equal(1))
+			next := tw.WorkerID(fmt.Sprintf("next%d", n))
+			entry := r.reborn(present, next)
+			delete(r.list, present)
+			r.relist(o, entry)
+			present = next
+			r.Expect(r.state(o, "s1")).NotTo(Equal(tw.Failed))
+		}
+		r.eventually(o, "s1", tw.Succeeded, 20*time.Second)
+	})
+}
