Only a narrow link has starts relayed and submissions compressed

Cause: relays were also used by daemons short of processor time, and all submissions between daemons were compressed; both take processor time, which binds there. Found by changing both at once; which of the two cost more was not told apart.

Now relays go by the link alone, and submissions are compressed by daemons of 4 Mbit/s at most.

--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -113,9 +113,12 @@
 	}
 	d.log.Info("daemon: started", zap.String("daemon", string(s.ID)), zap.String("hall", string(s.Hall)),
 		zap.Uint64("life", uint64(d.self.Life)), zap.String("callers", listeners[0].Addr().String()))
+	if link := s.link(); link > 0 && link <= narrowLink {
+		d.peers.CompressSubmissions()
+	}
 	d.relay = relay.ServerConfig{Orders: c.Orders, Clock: c.Clock, Log: c.Log, Metrics: set}.New()
 	d.orders = relay.Config{
-		Direct: c.Orders, Relays: relayPeers{d}, Clock: c.Clock, Log: c.Log, Metrics: set, Link: s.link(), Cores: s.Limits.Cores,
+		Direct: c.Orders, Relays: relayPeers{d}, Clock: c.Clock, Log: c.Log, Metrics: set, Link: s.link(),
 	}.New()
 	d.duties()
 	d.listen(listeners)
--- a/daemon/queue_settings.go
+++ b/daemon/queue_settings.go
@@ -162,8 +162,12 @@
 	}
 }
 
-// bytesPerMegabit is a megabit in bytes.
-const bytesPerMegabit = 1e6 / 8
+const (
+	// bytesPerMegabit is a megabit in bytes.
+	bytesPerMegabit = 1e6 / 8
+	// narrowLink is full before the processor of a small daemon is.
+	narrowLink tw.BytesPerSecond = 4 * bytesPerMegabit
+)
 
 // link is what the daemon's link carries; zero if that is not known.
 func (s *QueueSettings) link() tw.BytesPerSecond {
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -51,6 +51,8 @@
 	// listens there), tw.ErrUnavailable (surely not done) or tw.ErrUnclear.
 	Peers struct {
 		http *http.Client
+		// submitOptions are those of the calls that carry submissions.
+		submitOptions []connect.ClientOption
 
 		mu      sync.Mutex
 		clients map[string]*peer
@@ -80,8 +82,8 @@
 	// reports of hundreds of workers. For the short answers to callers and pings the
 	// compression would cost more processor time than the rest of the call.
 	compressAbove = 2 << 10
-	// compressStartsAbove is the same for batches of orders, which are sent when a link is full.
-	compressStartsAbove = 512
+	// compressRequestsAbove is the same for what is sent while a link is full.
+	compressRequestsAbove = 512
 )
 
 // Name implements connect.Codec.
@@ -128,6 +130,13 @@
 	return &Peers{http: &http.Client{Transport: meter.Transport(transport)}, clients: map[string]*peer{}}
 }
 
+// compressed has requests compressed.
+var compressed = []connect.ClientOption{connect.WithSendGzip(), connect.WithCompressMinBytes(compressRequestsAbove)}
+
+// CompressSubmissions spares narrow links, at the cost of processor time. It must be called
+// before any other method.
+func (p *Peers) CompressSubmissions() { p.submitOptions = compressed }
+
 // Close drops idle connections.
 func (p *Peers) Close() { p.http.CloseIdleConnections() }
 
@@ -139,13 +148,13 @@
 		have = &peer{
 			ping:    newClient[PingRequest, PingResponse](p, address, procedurePing),
 			config:  newClient[ConfigRequest, ConfigResponse](p, address, procedureConfig),
-			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit, connect.WithSendGzip(), connect.WithCompressMinBytes(compressStartsAbove)),
+			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit, p.submitOptions...),
 			cancel:  newClient[SubmissionRequest, SubmissionResponse](p, address, procedureCancel),
 			state:   newClient[SubmissionRequest, SubmissionResponse](p, address, procedureState),
 			waiting: newClient[WaitingRequest, WaitingResponse](p, address, procedureWaiting),
 			take:    newClient[TakeRequest, TakeResponse](p, address, procedureTake),
 			report:  newClient[ReportRequest, ReportResponse](p, address, procedureReport),
-			start:   newClient[StartRequest, StartResponse](p, address, procedureStart, connect.WithSendGzip(), connect.WithCompressMinBytes(compressStartsAbove)),
+			start:   newClient[StartRequest, StartResponse](p, address, procedureStart, compressed...),
 		}
 		p.clients[address] = have
 	}
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -1,4 +1,4 @@
-// Package relay gives the orders of owners whose daemon is short over other daemons. A batch
+// Package relay gives orders to start over other daemons while the own link is full. A batch
 // to a relay names a spec once for each submission, while each order to a worker carries it
 // with a request of its own.
 //
--- a/relay/load.go
+++ b/relay/load.go
@@ -7,10 +7,11 @@
 	tw "github.com/tamarindworks/tamarindworks"
 )
 
-// load tells whether a daemon is short of processor time or of its link: when it sends much
-// of what it could, and workers seem slow to answer. Slow workers alone are no reason.
+// load tells whether a daemon is short of its link: when it sends much of what that could
+// carry, and workers seem slow to answer. Slow workers alone are no reason, nor is a lack of
+// processor time, which a batch and its answers take as well.
 type load struct {
-	// most is about how many starts a second the daemon could send; infinite if that is
+	// most is about how many starts a second the link could carry; infinite if that is
 	// not known.
 	most float64
 	// took is the smoothed time of a direct start, open those that are not answered.
@@ -27,11 +28,10 @@
 }
 
 const (
-	// startsPerCore and orderBytes, for an order with its headers, are those of a daemon that
-	// does nothing else; busyShare of that is many.
-	startsPerCore = 1800
-	orderBytes    = 730
-	busyShare     = 0.2
+	// orderBytes is the usual size of an order with its headers; busyShare of what the link
+	// could carry of such is many.
+	orderBytes = 730
+	busyShare  = 0.2
 	// slowStart is how long a direct start takes at a daemon that is short.
 	slowStart = 25 * time.Millisecond
 	// rateTime is over what the rate of starts is smoothed.
@@ -46,16 +46,12 @@
 	startWeight = 0.1
 )
 
-// mostStarts is about how many starts a second a daemon could send.
-func mostStarts(cores tw.Cores, link tw.BytesPerSecond) float64 {
-	most := math.Inf(1)
-	if cores > 0 {
-		most = startsPerCore * float64(cores)
+// mostStarts is about how many starts a second a link could carry.
+func mostStarts(link tw.BytesPerSecond) float64 {
+	if link == 0 {
+		return math.Inf(1)
 	}
-	if link > 0 {
-		most = min(most, float64(link)/orderBytes)
-	}
-	return most
+	return float64(link) / orderBytes
 }
 
 // start counts a start and tells whether it may go over a relay.
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -21,10 +21,9 @@
 		Clock   tw.Clock
 		Log     *zap.Logger
 		Metrics *metrics.Set
-		// Link is what the daemon's link carries in one direction, Cores its share of
-		// processor cores; zero if that is not known.
-		Link  tw.BytesPerSecond
-		Cores tw.Cores
+		// Link is what the daemon's link carries in one direction; zero if that is not
+		// known, and nothing is relayed then.
+		Link tw.BytesPerSecond
 	}
 
 	// Orders gives orders to workers. While the daemon is short, starts go over relays;
@@ -58,6 +57,8 @@
 const (
 	// nearAge is how old the list of a data hall's relays may be.
 	nearAge = 500 * time.Millisecond
+	// mostLinks is more than the relays of all data halls.
+	mostLinks = 128
 	// relayedAtOnce starts to one worker may be under way over relays.
 	relayedAtOnce = 4
 	// avoidTime is how long a relay that did not answer gets no orders.
@@ -81,7 +82,7 @@
 	return &Orders{
 		WorkerOrders: c.Direct, config: c, ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		counts: counts{answered: count("answered"), unclear: count("unclear"), notRelayed: count("not relayed")},
-		load:   load{most: mostStarts(c.Cores, c.Link)},
+		load:   load{most: mostStarts(c.Link)},
 		links:  map[string]*link{}, near: map[tw.HallID]nearby{},
 	}
 }
@@ -185,6 +186,9 @@
 func (o *Orders) linkTo(address string) *link {
 	l := o.links[address]
 	if l == nil {
+		if len(o.links) >= mostLinks {
+			clear(o.links) // relays that have left; orders under way keep their links
+		}
 		l = &link{orders: o, address: address, specs: newSpecs()}
 		o.links[address] = l
 	}
