--- a/relay/link.go
+++ b/relay/link.go
@@ -183,7 +183,7 @@
 func (l *link) answer(i *item, a tw.RelayedAnswer) {
 	i.answered = true
 	switch {
-	case answered(a.Err):
+	case tw.Answered(a.Err):
 		l.orders.counts.answered.Inc()
 	case errors.Is(a.Err, errNotRelayed), errors.Is(a.Err, tw.ErrSpecUnknown):
 		l.orders.counts.notRelayed.Inc()
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -121,7 +121,7 @@
 	now := o.config.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.load.ended(now, now.Sub(began), answered(err))
+	o.load.ended(now, now.Sub(began), tw.Answered(err))
 	return clock, err
 }
 
@@ -194,9 +194,3 @@
 	}
 	return l
 }
-
-// answered tells whether a worker has answered an order, if only to refuse it.
-func answered(err error) bool {
-	var refused *tw.OrderRefused
-	return err == nil || errors.As(err, &refused)
-}
--- a/relay/server.go
+++ b/relay/server.go
@@ -64,7 +64,7 @@
 	count := 0
 	for range batch {
 		a := <-answers
-		if answered(a.Err) {
+		if tw.Answered(a.Err) {
 			count++
 		}
 		answer(a)
--- a/run/crash.go
+++ b/run/crash.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// blame counts the end of a worker against the subtasks that may have caused it. followed: its
-// machine runs another life by now.
+// blame counts the end of a worker against the subtasks that may have caused it. followed: another
+// life of its machine answers by now.
 func (o *Owner) blame(w *worker, followed bool) {
 	if w.entry.Draining {
 		return
--- a/run/session.go
+++ b/run/session.go
@@ -190,7 +190,7 @@
 	clock, err := w.send(callCtx)
 	done := s.clock.Now()
 	switch {
-	case answered(err):
+	case tw.Answered(err):
 		s.patience.answered(done, done.Sub(now))
 	case callCtx.Err() != nil && ctx.Err() == nil:
 		s.patience.unanswered(done, limit)
@@ -200,13 +200,7 @@
 }
 
 // heard notes whether the worker answers.
-func (s *session) heard(err error) { s.silent.Store(!answered(err)) }
-
-// answered tells whether a worker has answered an order, if only to refuse it.
-func answered(err error) bool {
-	var refused *tw.OrderRefused
-	return err == nil || errors.As(err, &refused)
-}
+func (s *session) heard(err error) { s.silent.Store(!tw.Answered(err)) }
 
 // report hands a result to the loop.
 func (s *session) report(ctx context.Context, event func()) {
--- a/run/start.go
+++ b/run/start.go
@@ -94,7 +94,7 @@
 		o.window.outdated(o.now, r.pending)
 	case sentAt.IsZero():
 		o.window.release(r.pending)
-	case !answered(err):
+	case !tw.Answered(err):
 		o.window.unanswered(o.now, r.pending)
 	default:
 		took := answeredAt.Sub(sentAt)
--- a/worker.go
+++ b/worker.go
@@ -162,6 +162,12 @@
 	return errors.As(err, &refused) && refused.Reason == reason
 }
 
+// Answered tells whether a worker has answered an order, if only to refuse it.
+func Answered(err error) bool {
+	var refused *OrderRefused
+	return err == nil || errors.As(err, &refused)
+}
+
 // Add is c moved by d.
 func (c WorkerClock) Add(d time.Duration) WorkerClock { return c + WorkerClock(d.Milliseconds()) }
 
