Orders that their caller has given up are not relayed

Found by reading the change again: link.batch looked at the order's deadline alone, so that a start whose session had been closed meanwhile still went out with the next batch. Fence and run number make such an order harmless, as any late one, but nobody waits for it. TestGivenUpOrdersAreNotRelayed was red (4 of 5 orders given).

--- a/relay/link.go
+++ b/relay/link.go
@@ -137,7 +137,7 @@
 		if deadline, bounded := i.ctx.Deadline(); bounded {
 			i.start.Limit = deadline.Sub(l.orders.config.Clock.Now())
 		}
-		if i.start.Limit <= 0 {
+		if i.ctx.Err() != nil || i.start.Limit <= 0 {
 			l.answer(i, tw.RelayedAnswer{Err: errNotRelayed})
 			continue
 		}
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -126,9 +126,8 @@
 }
 
 // via is the relay for a start to a worker, or nil if it is to be given directly, which is
-// counted then. The fewest
-// relays of the worker's data hall are used: their batches are larger then, and they open
-// fewer connections to workers.
+// counted then. The fewest relays of the worker's data hall are used: their batches are larger
+// then, and they open fewer connections to workers.
 func (o *Orders) via(to tw.WorkerRef) *link {
 	now := o.config.Clock.Now()
 	o.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -272,3 +272,23 @@
 		r.Expect(r.sizes("r1")).NotTo(BeEmpty())
 	}, "r0", "r1")
 }
+
+// An order that its caller has given up before the batch is sent is not given.
+func TestGivenUpOrdersAreNotRelayed(t *testing.T) {
+	play(t, func(r *rig, o *relay.Orders) {
+		r.shorten(o)
+		before := r.relayed.starts()
+		var wg sync.WaitGroup
+		for n := range 5 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				time.AfterFunc(5*time.Millisecond, cancel)
+				_, err := o.Start(ctx, tw.WorkerRef{ID: tw.WorkerID(fmt.Sprintf("w%d", n)), Hall: hall}, tw.StartOrder{Run: 1})
+				r.Expect(err).To(HaveOccurred())
+			})
+		}
+		wg.Wait()
+		time.Sleep(limit)
+		r.Expect(r.relayed.starts()).To(Equal(before))
+	}, "r0")
+}
