Daemons: signals are received before listeners are open

Callers saw a connection reset after a POST, and could not know whether it had run, when a daemon got SIGTERM, SIGINT or (queue) SIGHUP in its first moments. A SIGHUP, which only says that the settings file has changed, ended the daemon altogether, and no log line told it from a crash.

Cause: both commands opened their listeners in New and asked for signals after that. A signal in between had its default action: the process ended with what was in the backlogs.

Change: signal.Notify comes first in both commands. The signal waits in the channel until New has returned, and the planned stop answers the backlog.

--- a/cmd/tamarindd/queue.go
+++ b/cmd/tamarindd/queue.go
@@ -55,6 +55,10 @@
 }
 
 func (c *queueCommand) run() int {
+	// Before the listeners are open, as a signal without a handler ends the process and resets
+	// the connections in their backlogs.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	settings, err := daemon.LoadQueueSettings(*c.path)
 	if err != nil {
 		return reportBadSettings(*c.path, err)
@@ -71,7 +75,7 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	c.waitForStop(d, log)
+	c.waitForStop(d, signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
@@ -83,9 +87,7 @@
 
 // waitForStop reads the settings file again on SIGHUP and when it has changed,
 // and returns when the process is told to stop.
-func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, log *zap.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, signals <-chan os.Signal, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	written := c.modTime()
--- a/cmd/tamarindd/serve.go
+++ b/cmd/tamarindd/serve.go
@@ -35,6 +35,10 @@
 }
 
 func (c *serveCommand) run() int {
+	// Before the listeners are open, as a signal without a handler ends the process and resets
+	// the connections in their backlogs.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	settings, err := daemon.LoadSettings(*c.path)
 	if err != nil {
 		return reportBadSettings(*c.path, err)
@@ -51,8 +55,6 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout.Std())
 	defer cancel()
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -61,6 +61,12 @@
 	_ = p.cmd.Process.Signal(s) // the process may have exited
 }
 
+func (p *process) signalAll(signals []syscall.Signal) {
+	for _, s := range signals {
+		p.signal(s)
+	}
+}
+
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	p.reaper.Wait()
