Queue daemon: a SIGHUP that waits does not drop SIGTERM

Operators and the platform saw a daemon that went on serving after SIGTERM until SIGKILL ended it, which resets the connections of all its callers.

Cause: SIGHUP and the signals to stop shared a channel with room for one. While a SIGHUP waits in it (as the daemon starts, or reads its settings file) os/signal drops the SIGTERM that follows.

Change: SIGHUP has a channel of its own. A second SIGHUP or SIGTERM that finds its channel full says nothing new.

--- a/cmd/tamarindd/queue.go
+++ b/cmd/tamarindd/queue.go
@@ -57,8 +57,10 @@
 func (c *queueCommand) run() int {
 	// Before the listeners are open, as a signal without a handler ends the process and resets
 	// the connections in their backlogs.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	// SIGHUP has a channel of its own, as a stop that comes while one waits would be dropped.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
 	settings, err := daemon.LoadQueueSettings(*c.path)
 	if err != nil {
 		return reportBadSettings(*c.path, err)
@@ -75,7 +77,7 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	c.waitForStop(d, signals, log)
+	c.waitForStop(d, stop, reload, log)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
@@ -87,16 +89,15 @@
 
 // waitForStop reads the settings file again on SIGHUP and when it has changed,
 // and returns when the process is told to stop.
-func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, signals <-chan os.Signal, log *zap.Logger) {
+func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, stop, reload <-chan os.Signal, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	written := c.modTime()
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return
-			}
+		case <-stop:
+			return
+		case <-reload:
 		case <-ticker.C:
 			now := c.modTime()
 			if now.Equal(written) {
--- a/e2e/early_signal_test.go
+++ b/e2e/early_signal_test.go
@@ -44,11 +44,14 @@
 )
 
 var earlyCases = map[string]earlySignals{
-	"serve, SIGTERM":       {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}},
-	"serve, SIGINT":        {command: "serve", pending: []syscall.Signal{syscall.SIGINT}},
-	"serve, SIGTERM twice": {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
-	"queue, SIGTERM":       {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}},
-	"queue, SIGTERM twice": {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
+	"serve, SIGTERM":              {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}},
+	"serve, SIGINT":               {command: "serve", pending: []syscall.Signal{syscall.SIGINT}},
+	"serve, SIGTERM twice":        {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
+	"queue, SIGTERM":              {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}},
+	"queue, SIGTERM twice":        {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
+	"queue, SIGTERM, then SIGHUP": {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGHUP}},
+	"queue, SIGHUP and SIGTERM":   {command: "queue", pending: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}},
+	"queue, SIGHUP, then SIGTERM": {command: "queue", pending: []syscall.Signal{syscall.SIGHUP}, later: []syscall.Signal{syscall.SIGTERM}},
 }
 
 // A signal that comes while a daemon starts must not end it like a crash: connections in the
