Entry daemon: SIGHUP does not end it

Callers saw connections reset and operators a daemon that was gone when `tamarindd serve` got SIGHUP, at any time of its life: also in the middle of a planned stop, which was cut short.

Cause: only the queue daemon asked for SIGHUP; its default action ends the process.

Evidence: early signals with SIGHUP before and after SIGTERM, serve: 2 of 2 cases red on the code before, "connection reset by peer".

Change: both commands receive the same signals, first thing in main. The entry daemon logs SIGHUP, as it reads its settings at its start only.

--- a/cmd/tamarindd/main.go
+++ b/cmd/tamarindd/main.go
@@ -32,14 +32,15 @@
 )
 
 func main() {
+	signals := receiveSignals()
 	app := kingpin.New("tamarindd", help)
 	serve := addServe(app)
 	queue := addQueue(app)
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case queue.name:
-		os.Exit(queue.run())
+		os.Exit(queue.run(signals))
 	default:
-		os.Exit(serve.run())
+		os.Exit(serve.run(signals))
 	}
 }
 
--- a/cmd/tamarindd/queue.go
+++ b/cmd/tamarindd/queue.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -54,13 +52,7 @@
 	}
 }
 
-func (c *queueCommand) run() int {
-	// Before the listeners are open, as a signal without a handler ends the process and resets
-	// the connections in their backlogs.
-	// SIGHUP has a channel of its own, as a stop that comes while one waits would be dropped.
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP)
+func (c *queueCommand) run(signals *signals) int {
 	settings, err := daemon.LoadQueueSettings(*c.path)
 	if err != nil {
 		return reportBadSettings(*c.path, err)
@@ -77,7 +69,7 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	c.waitForStop(d, stop, reload, log)
+	c.waitForStop(d, signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
@@ -89,15 +81,15 @@
 
 // waitForStop reads the settings file again on SIGHUP and when it has changed,
 // and returns when the process is told to stop.
-func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, stop, reload <-chan os.Signal, log *zap.Logger) {
+func (c *queueCommand) waitForStop(d *daemon.QueueDaemon, signals *signals, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	written := c.modTime()
 	for {
 		select {
-		case <-stop:
+		case <-signals.stop:
 			return
-		case <-reload:
+		case <-signals.reload:
 		case <-ticker.C:
 			now := c.modTime()
 			if now.Equal(written) {
--- a/cmd/tamarindd/serve.go
+++ b/cmd/tamarindd/serve.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
@@ -34,11 +31,7 @@
 	}
 }
 
-func (c *serveCommand) run() int {
-	// Before the listeners are open, as a signal without a handler ends the process and resets
-	// the connections in their backlogs.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+func (c *serveCommand) run(signals *signals) int {
 	settings, err := daemon.LoadSettings(*c.path)
 	if err != nil {
 		return reportBadSettings(*c.path, err)
@@ -55,7 +48,7 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	<-signals
+	waitForStop(signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout.Std())
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
@@ -64,3 +57,15 @@
 	}
 	return 0
 }
+
+// waitForStop returns when the process is told to stop.
+func waitForStop(signals *signals, log *zap.Logger) {
+	for {
+		select {
+		case <-signals.stop:
+			return
+		case <-signals.reload:
+			log.Info("daemon: SIGHUP ignored; settings are read at the start only")
+		}
+	}
+}
--- a/e2e/early_signal_test.go
+++ b/e2e/early_signal_test.go
@@ -47,6 +47,8 @@
 	"serve, SIGTERM":              {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}},
 	"serve, SIGINT":               {command: "serve", pending: []syscall.Signal{syscall.SIGINT}},
 	"serve, SIGTERM twice":        {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
+	"serve, SIGHUP, then SIGTERM": {command: "serve", pending: []syscall.Signal{syscall.SIGHUP}, later: []syscall.Signal{syscall.SIGTERM}},
+	"serve, SIGTERM, then SIGHUP": {command: "serve", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGHUP}},
 	"queue, SIGTERM":              {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}},
 	"queue, SIGTERM twice":        {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGTERM}},
 	"queue, SIGTERM, then SIGHUP": {command: "queue", pending: []syscall.Signal{syscall.SIGTERM}, later: []syscall.Signal{syscall.SIGHUP}},
