Daemons: a failed start does not reset the backlogs of open listeners

Callers that reached a daemon whose start failed, as another of its ports was taken, saw a connection reset after a POST, and could not know whether it had run. A daemon that is started again and again does so each time.

Cause: both commands open three or four listeners one after the other, the callers' first. When a later one failed, listenAll closed the open ones with the connections in their backlogs.

Change: closeListeners serves what is in the backlogs with 503 and Retry-After, and stops like any other server, within 2 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,7 +69,7 @@
 	c.defaults()
 	d := &Daemon{settings: c.Settings, log: c.Log, metrics: metrics.NewSet(), done: make(chan struct{})}
 	listen := c.Settings.Listen
-	listeners, err := listenAll(listen.Gateway, listen.Peer, listen.Admin)
+	listeners, err := listenAll(c.Log, listen.Gateway, listen.Peer, listen.Admin)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -109,7 +109,7 @@
 	if s.Listen.Metrics != "" {
 		addresses = append(addresses, s.Listen.Metrics)
 	}
-	listeners, err := listenAll(addresses...)
+	listeners, err := listenAll(c.Log, addresses...)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -13,22 +14,39 @@
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
 )
 
+// refuseTimeout bounds how long a daemon that can't start answers the connections in its backlogs.
+// A connection without a request is closed after a second.
+const refuseTimeout = 2 * time.Second
+
 // listenAll opens listeners on all addresses; if one fails, it closes the others.
-func listenAll(addresses ...string) ([]*net.TCPListener, error) {
+func listenAll(log *zap.Logger, addresses ...string) ([]*net.TCPListener, error) {
 	var out []*net.TCPListener
 	for _, address := range addresses {
 		l, err := drain.Listen(address)
 		if err != nil {
-			for _, open := range out {
-				_ = open.Close() // only the first error is returned
-			}
-			return nil, errors.Wrap(err, "daemon.listenAll")
+			err = errors.Wrap(err, "daemon.listenAll")
+			return nil, errors.CombineErrors(err, closeListeners(out, log))
 		}
 		out = append(out, l)
 	}
 	return out, nil
 }
 
+// closeListeners refuses the requests in the listeners' backlogs, which closing alone would reset.
+func closeListeners(listeners []*net.TCPListener, log *zap.Logger) error {
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	var servers []*drain.Server
+	for _, l := range listeners {
+		servers = append(servers, serve(l, &http.Server{Handler: refuse}, log))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
+	defer cancel()
+	return shutdown(ctx, servers)
+}
+
 // serve runs a server in the background; shutdown stops it.
 func serve(l *net.TCPListener, s *http.Server, log *zap.Logger) *drain.Server {
 	s.ErrorLog = zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
