Test of stops under load: each server has an address of its own

TestShutdownUnderLoad was red beside itself with "frame header looked like an HTTP/1.1 header" and with more or fewer requests run than answered: a fault of the test, not of the server.

Cause: all servers of all test processes listened on 127.0.0.1, at ports that the kernel chose. A caller whose SYN packet a stop has dropped sends it again after 1 s. By then another server may have the port: the caller reaches one that speaks another protocol, is stopping too, or counts the request as its own.

Change: a loopback address for each server. No check is touched.

--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,9 @@
 	}
 )
 
+// serverCount is the number of addresses returned by freeHost.
+var serverCount atomic.Int64
+
 const (
 	// stopTime bounds each shutdown.
 	stopTime = 3 * time.Second
@@ -60,11 +64,19 @@
 	return r
 }
 
+// freeHost returns a loopback address that no other server of this process or of others beside it
+// has. A caller whose SYN packet was dropped sends it again after 1 s, and would reach another
+// server that has got the same port meanwhile.
+func freeHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8%64, pid%256, 1+serverCount.Add(1)%250)
+}
+
 // newIdleServer returns a server that listens but does not serve yet.
 func newIdleServer(t *testing.T, protocols *http.Protocols) (*testServer, *net.TCPListener) {
 	t.Helper()
 	r := &testServer{WithT: NewWithT(t), release: make(chan struct{}), held: make(chan struct{}, 100)}
-	l, err := drain.Listen("127.0.0.1:0")
+	l, err := drain.Listen(freeHost() + ":0")
 	r.Expect(err).NotTo(HaveOccurred())
 	r.address = l.Addr().String()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
