--- a/cmd/tamarindd/serve.go
+++ b/cmd/tamarindd/serve.go
@@ -12,6 +12,8 @@
 
 const serveHelp = `Forward callers' requests to instances (the default).
 
+The settings file is read at the start only. SIGHUP is logged and ignored.
+
 Example:
 
   tamarindd --settings /etc/tamarindd.toml
