Signals while a daemon starts: read-through

A request that is refused by a start that fails has its log line, as every decision on a request. The test's cases are run by a method; the tests of failed starts listen where no other test does.

--- a/cmd/tamarindd/serve.go
+++ b/cmd/tamarindd/serve.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return reportFailure(err)
 	}
-	waitForStop(signals, log)
+	c.waitForStop(signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout.Std())
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
@@ -61,7 +61,7 @@
 }
 
 // waitForStop returns when the process is told to stop.
-func waitForStop(signals *signals, log *zap.Logger) {
+func (c *serveCommand) waitForStop(signals *signals, log *zap.Logger) {
 	for {
 		select {
 		case <-signals.stop:
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -34,7 +34,9 @@
 
 // closeListeners refuses the requests in the listeners' backlogs, which closing alone would reset.
 func closeListeners(listeners []*net.TCPListener, log *zap.Logger) error {
-	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		log.Info("request: refused", zap.String("method", r.Method), zap.String("host", r.Host),
+			zap.String("path", r.URL.Path), zap.Int("status", http.StatusServiceUnavailable), zap.String("why", "the daemon can't start"))
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
--- a/daemon/servers_test.go
+++ b/daemon/servers_test.go
@@ -14,11 +14,14 @@
 	"github.com/tamarindworks/tamarindworks/internal/drain"
 )
 
+// listenAddress is on a host where no other test listens, as one could get a port that is free again.
+const listenAddress = "127.0.0.2:0"
+
 // A daemon that can't open all of its listeners must not reset the connections in the backlogs of
 // those that are open: their callers could not know whether their requests have run.
 func TestCloseListenersRefusesBacklog(t *testing.T) {
 	g := NewWithT(t)
-	l, err := drain.Listen("127.0.0.1:0")
+	l, err := drain.Listen(listenAddress)
 	g.Expect(err).NotTo(HaveOccurred())
 	conn, err := net.Dial("tcp", l.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -43,15 +46,15 @@
 // The listeners that are open are closed if another one can't be opened.
 func TestListenAllClosesOthers(t *testing.T) {
 	g := NewWithT(t)
-	taken, err := drain.Listen("127.0.0.1:0")
+	taken, err := drain.Listen(listenAddress)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer taken.Close()
-	free, err := drain.Listen("127.0.0.1:0")
+	free, err := drain.Listen(listenAddress)
 	g.Expect(err).NotTo(HaveOccurred())
-	address := free.Addr().String()
+	freed := free.Addr().String()
 	g.Expect(free.Close()).To(Succeed())
-	_, err = listenAll(zap.NewNop(), address, taken.Addr().String())
+	_, err = listenAll(zap.NewNop(), freed, taken.Addr().String())
 	g.Expect(err).To(MatchError(ContainSubstring("address already in use")))
-	_, err = net.Dial("tcp", address)
+	_, err = net.Dial("tcp", freed)
 	g.Expect(err).To(HaveOccurred())
 }
--- a/e2e/early_signal_test.go
+++ b/e2e/early_signal_test.go
@@ -56,33 +56,38 @@
 	"queue, SIGHUP, then SIGTERM": {command: "queue", pending: []syscall.Signal{syscall.SIGHUP}, later: []syscall.Signal{syscall.SIGTERM}},
 }
 
+// earlySettings returns the settings of each command, after starting what its daemons need.
+var earlySettings = map[string]func() daemonSettings{"serve": serveSettings, "queue": queueSettings}
+
 // A signal that comes while a daemon starts must not end it like a crash: connections in the
 // backlogs of its listeners would be reset, with the requests that callers have sent on them.
 var _ = Describe("a daemon that is told to stop as soon as it listens", func() {
 	for _, name := range slices.Sorted(maps.Keys(earlyCases)) {
-		It("answers the request in its backlog: "+name, func() {
-			c := earlyCases[name]
-			settings := map[string]func() daemonSettings{"serve": serveSettings, "queue": queueSettings}[c.command]()
-			// All addresses are chosen before the first start: a process that is being started
-			// inherits the listeners of this one for a moment.
-			var addresses, paths []string
-			for n := range earlyRounds {
-				address, path := freeAddress(), filepath.Join(GinkgoT().TempDir(), fmt.Sprintf("%d.toml", n))
-				Expect(os.WriteFile(path, []byte(settings(n, address)), 0o600)).To(Succeed())
-				addresses, paths = append(addresses, address), append(paths, path)
-			}
-			var wg sync.WaitGroup
-			for n := range earlyRounds {
-				wg.Go(func() {
-					defer GinkgoRecover()
-					c.run(addresses[n], paths[n])
-				})
-			}
-			wg.Wait()
-		})
+		It("answers the request in its backlog: "+name, func() { earlyCases[name].run() })
 	}
 })
 
+// run runs a case with several processes beside each other.
+func (c earlySignals) run() {
+	settings, dir := earlySettings[c.command](), GinkgoT().TempDir()
+	// All addresses are chosen before the first start: a process that is being started inherits
+	// the listeners of this one for a moment.
+	var addresses, paths []string
+	for n := range earlyRounds {
+		address, path := freeAddress(), filepath.Join(dir, fmt.Sprintf("%d.toml", n))
+		Expect(os.WriteFile(path, []byte(settings(n, address)), 0o600)).To(Succeed())
+		addresses, paths = append(addresses, address), append(paths, path)
+	}
+	var wg sync.WaitGroup
+	for n := range earlyRounds {
+		wg.Go(func() {
+			defer GinkgoRecover()
+			c.signalEarly(addresses[n], paths[n])
+		})
+	}
+	wg.Wait()
+}
+
 func serveSettings() daemonSettings {
 	p := start("platform", true, "tamarind-standin", "platform", "--silence", "2s")
 	DeferCleanup(p.forceKill)
@@ -101,9 +106,9 @@
 	}
 }
 
-// run pauses the process once it listens, so that the request and the pending signals arrive
-// before it goes on.
-func (c earlySignals) run(address, path string) {
+// signalEarly starts a daemon and pauses it once it listens, so that the request and the pending
+// signals arrive before it goes on.
+func (c earlySignals) signalEarly(address, path string) {
 	p := start(c.command, false, "tamarindd", c.command, "--settings", path)
 	defer p.forceKill()
 	conn := dialOnceListening(address)
