Drain: a shutdown whose time has passed accepts the backlog

Callers, other daemons mostly, saw connections reset if a daemon began to stop a server after the time of its stop had passed: in half of the cases the listener was closed with connections in its backlog.

Cause: Shutdown waits for Serve to begin or for its context to end, and Go chooses at random if both are true. Serving servers reported "not serving yet" and were closed.

Change: whether the listener is known decides, not which of the two was chosen.

--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -110,17 +110,19 @@
 	return s.http.Close()
 }
 
-// stopListening returns when the last connection has been accepted, or when ctx ends before Serve
-// begins.
+// stopListening returns when the last connection has been accepted, also if ctx has ended, or when
+// ctx ends before Serve begins.
 func (s *Server) stopListening(ctx context.Context) error {
 	select {
 	case <-s.started:
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "drain.Server.Shutdown: not serving yet")
 	}
 	s.mu.Lock()
 	l := s.listener
 	s.mu.Unlock()
+	if l == nil {
+		return errors.Wrap(ctx.Err(), "drain.Server.Shutdown: not serving yet")
+	}
 	err := l.stop()
 	<-s.done
 	return err
--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -260,6 +260,27 @@
 	r.Eventually(ended, stopTime).Should(Receive(BeNil()))
 }
 
+// A shutdown whose time has passed must still accept the connections in the listener's backlog: closing
+// it alone resets them.
+func TestShutdownAfterDeadline(t *testing.T) {
+	const rounds = 10 // a shutdown that may choose whether to accept does so at random
+	for range rounds {
+		r := newTestServer(t, nil)
+		var accepted atomic.Int64
+		blocked, release := make(chan struct{}, 2), make(chan struct{})
+		wait := func() { accepted.Add(1); blocked <- struct{}{}; <-release }
+		r.afterAccept.Store(&wait)
+		r.dial()
+		<-blocked
+		r.dial().send(request)
+		ended := r.shutdown(0)
+		time.Sleep(settleTime)
+		close(release)
+		r.Eventually(ended, stopTime).Should(Receive())
+		r.Expect(accepted.Load()).To(BeEquivalentTo(2))
+	}
+}
+
 // A shutdown of a server that never serves ends with its context.
 func TestShutdownWithoutServe(t *testing.T) {
 	r, l := newIdleServer(t, nil)
