--- a/e2e/early_signal_test.go
+++ b/e2e/early_signal_test.go
@@ -37,6 +37,9 @@
 	// earlyRounds is the number of processes that each case runs beside each other: the pause
 	// may come too late in one of them.
 	earlyRounds = 8
+	// dialPause leaves the processor to the daemons that start, and is short beside the time that
+	// passes between their first listener and the end of their start.
+	dialPause = 20 * time.Microsecond
 	// startLimit bounds how long a program takes until it listens.
 	startLimit = 20 * time.Second
 	// stopLimit is the platform's limit for the time from SIGTERM to the exit.
@@ -134,6 +137,7 @@
 		if conn, err := net.Dial("tcp", address); err == nil {
 			return conn
 		}
+		time.Sleep(dialPause)
 	}
 	Fail("nothing listens on " + address)
 	return nil
