Drain: the log of a stop tells apart why a caller got no answer

What callers see of a connection that a stop ended is the same, a reset or EOF, whether the listener was closed with it in its backlog, the time of the stop had passed, or the caller was still sending when it was closed. The log had a line for none of these, so it could not tell by which way half a large body was cut.

Change: drain.Config.Log. Each listener that a stop ends is a line with how long the stop waited for Serve and how many connections it accepted since; each caller that a stop refuses or cuts off is a line with its address.

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -52,7 +52,7 @@
 // serve runs a server in the background; shutdown stops it.
 func serve(l *net.TCPListener, s *http.Server, log *zap.Logger) *drain.Server {
 	s.ErrorLog = zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
-	server := drain.Config{HTTP: s}.New()
+	server := drain.Config{HTTP: s, Log: log}.New()
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("daemon: listener failed", logsink.Err(err))
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -81,6 +82,8 @@
 			return c.readOrShutdown(p)
 		case phase == partial && c.server.draining.Load():
 			_, _ = io.WriteString(c.TCPConn, refusalResponse) // the caller may be gone
+			c.server.log.Info("request: refused", zap.Stringer("caller", c.RemoteAddr()),
+				zap.Int("status", http.StatusServiceUnavailable), zap.String("why", "it had not arrived whole in time"))
 			return 0, err
 		default:
 			return 0, err
@@ -99,12 +102,27 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	defer c.server.remove(c)
-	if c.server.draining.Load() && !c.server.aborting.Load() {
+	switch {
+	case !c.server.draining.Load():
+	case c.server.aborting.Load():
+		c.logCutOff()
+	default:
 		c.linger()
 	}
 	return c.TCPConn.Close()
 }
 
+// logCutOff logs that the connection is closed before its request was answered.
+func (c *conn) logCutOff() {
+	c.mu.Lock()
+	cutOff, inHandler := c.phase == partial || c.phase == active, c.phase == active
+	c.phase = lingering // Close may be called again
+	c.mu.Unlock()
+	if cutOff {
+		c.server.log.Warn("request: cut off", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("in_handler", inHandler))
+	}
+}
+
 // linger reads until the caller closes the connection too. Errors are left to Close.
 func (c *conn) linger() {
 	c.mu.Lock()
@@ -113,7 +131,11 @@
 	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, c.TCPConn)
+	discarded, err := io.Copy(io.Discard, c.TCPConn)
+	if discarded > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.log.Warn("connection: closed while its caller was sending", zap.Stringer("caller", c.RemoteAddr()),
+			zap.Int64("discarded", discarded))
+	}
 }
 
 // setStopStage makes the connection close itself if the stage no longer allows it to wait.
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 type (
@@ -21,14 +22,18 @@
 	Config struct {
 		// HTTP is the server to stop. New replaces its handler and its ConnState hook.
 		HTTP *http.Server
+		// Log receives how a shutdown went and which requests it did not answer; nil for no log.
+		Log *zap.Logger
 	}
 
 	// Server is an HTTP/1 server, or an HTTP/2 server without TLS, that can be stopped
 	// without cutting off requests.
 	Server struct {
 		http     *http.Server
+		log      *zap.Logger
 		draining atomic.Bool
 		aborting atomic.Bool
+		accepted atomic.Int64 // connections since Serve
 		mu       sync.Mutex
 		conns    map[*conn]struct{}
 		listener *listener
@@ -48,8 +53,11 @@
 
 // New returns a server that does not listen yet.
 func (c Config) New() *Server {
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
 	s := &Server{
-		http: c.HTTP, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
+		http: c.HTTP, log: c.Log, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
 		started: make(chan struct{}), done: make(chan struct{}),
 	}
 	handler := c.HTTP.Handler
@@ -113,6 +121,7 @@
 // stopListening returns when the last connection has been accepted, also if ctx has ended, or when
 // ctx ends before Serve begins.
 func (s *Server) stopListening(ctx context.Context) error {
+	began, acceptedBefore := time.Now(), s.accepted.Load()
 	select {
 	case <-s.started:
 	case <-ctx.Done():
@@ -123,12 +132,16 @@
 	if l == nil {
 		return errors.Wrap(ctx.Err(), "drain.Server.Shutdown: not serving yet")
 	}
+	waited := time.Since(began)
 	err := l.stop()
 	<-s.done
+	s.log.Info("daemon: listener stopped", zap.Stringer("address", l.Addr()), zap.Duration("waited_for_serve", waited),
+		zap.Int64("accepted", s.accepted.Load()-acceptedBefore), zap.Duration("took", time.Since(began)))
 	return err
 }
 
 func (s *Server) add(c *conn) {
+	s.accepted.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
