Drain: a stop whose time passes before Serve begins accepts the backlog

Found while the causes of a cut body were ruled out, by their order: half a body in the backlog, a shutdown whose time passes, then Serve. Callers read what they read of a shutdown before Serve, "connection reset by peer" in the write of the second half.

Cause: Shutdown gave up waiting for Serve when its context ended, and Serve then closed the listener with its backlog. A process that was held up for as long as its stop may take has both behind it when it goes on: the end of the context, and a goroutine of Serve that has not run. Not seen from a real process.

Change: after the end of its context Shutdown waits for up to abortTimeout (0.1 s) more for Serve. The backlog is then accepted as by any stop out of time: an answer within 0.1 s, or 503 for a header that has arrived in part. A server that never serves ends 0.1 s later than before, with the same error. The cost to a daemon is the same at any size of the fleet: one timer for each listener.

--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -46,8 +46,8 @@
 )
 
 const (
-	// abortTimeout is how long connections have to refuse requests that have arrived in part,
-	// after the time for the shutdown has passed.
+	// abortTimeout is how long Serve has to begin, and then connections to refuse requests that
+	// have arrived in part, after the time for the shutdown has passed.
 	abortTimeout = 100 * time.Millisecond
 )
 
@@ -119,20 +119,16 @@
 }
 
 // stopListening returns when the last connection has been accepted, also if ctx has ended, or when
-// ctx ends before Serve begins.
+// Serve does not begin in time.
 func (s *Server) stopListening(ctx context.Context) error {
 	began, acceptedBefore := time.Now(), s.accepted.Load()
-	select {
-	case <-s.started:
-	case <-ctx.Done():
+	if !s.awaitServe(ctx) {
+		return errors.Wrap(ctx.Err(), "drain.Server.Shutdown: not serving yet")
 	}
+	waited := time.Since(began)
 	s.mu.Lock()
 	l := s.listener
 	s.mu.Unlock()
-	if l == nil {
-		return errors.Wrap(ctx.Err(), "drain.Server.Shutdown: not serving yet")
-	}
-	waited := time.Since(began)
 	err := l.stop()
 	<-s.done
 	s.log.Info("daemon: listener stopped", zap.Stringer("address", l.Addr()), zap.Duration("waited_for_serve", waited),
@@ -140,6 +136,24 @@
 	return err
 }
 
+// awaitServe reports whether Serve began before ctx ended or within abortTimeout after that: when a
+// process goes on that was held up, ctx may end before the goroutine of Serve runs.
+func (s *Server) awaitServe(ctx context.Context) bool {
+	select {
+	case <-s.started:
+		return true
+	case <-ctx.Done():
+	}
+	timeout := time.NewTimer(abortTimeout)
+	defer timeout.Stop()
+	select {
+	case <-s.started:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
 func (s *Server) add(c *conn) {
 	s.accepted.Add(1)
 	s.mu.Lock()
--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -281,6 +281,21 @@
 	}
 }
 
+// A shutdown whose time passes before Serve begins must still accept the backlog if Serve begins soon, as
+// it does in a process that was held up for as long as the shutdown: closing the listener resets it.
+func TestShutdownAfterDeadlineBeforeServe(t *testing.T) {
+	r, l := newIdleServer(t, nil)
+	var accepted atomic.Int64
+	count := func() { accepted.Add(1) }
+	r.afterAccept.Store(&count)
+	r.dial().send(request)
+	ended := r.shutdown(0)
+	time.Sleep(settleTime / 10)
+	r.serve(t, l)
+	r.Eventually(ended, stopTime).Should(Receive())
+	r.Expect(accepted.Load()).To(BeEquivalentTo(1))
+}
+
 // A shutdown of a server that never serves ends with its context.
 func TestShutdownWithoutServe(t *testing.T) {
 	r, l := newIdleServer(t, nil)
