Drain: controlled order for what is being sent when a stop comes before serving

TestShutdownBeforeServeAnswers sends the first part of a request, begins the shutdown, lets Serve begin after it and sends the rest. No test that was there is touched.

--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -260,6 +260,37 @@
 	r.Eventually(ended, stopTime).Should(Receive(BeNil()))
 }
 
+// A shutdown that begins before Serve must answer what its callers are still sending.
+func TestShutdownBeforeServeAnswers(t *testing.T) {
+	const half, bodySize = len(request) / 2, 1 << 20
+	body := strings.Repeat("x", bodySize)
+	header := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodySize)
+	for name, scenario := range map[string]struct {
+		before, after string // what is sent before and after Serve begins
+		response      string
+	}{
+		"a request half sent on a new connection":      {before: request[:half], after: request[half:], response: "3"},
+		"a request on a connection opened just before": {after: request, response: "3"},
+		"a large body that is being sent": {
+			before: header + body[:bodySize/2], after: body[bodySize/2:], response: fmt.Sprint(bodySize),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, l := newIdleServer(t, nil)
+			c := r.dial()
+			c.send(scenario.before)
+			ended := r.shutdown(stopTime)
+			time.Sleep(settleTime)
+			r.serve(t, l)
+			time.Sleep(settleTime)
+			c.send(scenario.after)
+			c.expectLast(scenario.response)
+			r.Eventually(ended, stopTime).Should(Receive(BeNil()))
+		})
+	}
+}
+
 // A shutdown whose time has passed must still accept the connections in the listener's backlog: closing
 // it alone resets them.
 func TestShutdownAfterDeadline(t *testing.T) {
