Drain: the log line of data after the last response says no more than is known

It said that a connection was closed while its caller was sending. The server knows only that it discarded data; the line says that, with the bytes, at level info.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -133,8 +133,8 @@
 	}
 	discarded, err := io.Copy(io.Discard, c.TCPConn)
 	if discarded > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		c.server.log.Warn("connection: closed while its caller was sending", zap.Stringer("caller", c.RemoteAddr()),
-			zap.Int64("discarded", discarded))
+		c.server.log.Info("connection: data after the last response discarded",
+			zap.Stringer("caller", c.RemoteAddr()), zap.Int64("bytes", discarded))
 	}
 }
 
--- a/internal/drain/log_test.go
+++ b/internal/drain/log_test.go
@@ -41,8 +41,8 @@
 			send: strings.Replace(request, "/", "/held", 1), message: "request: cut off", field: "in_handler", value: BeTrue(),
 		},
 		"a caller that goes on sending": {
-			send: request, sendLate: request, message: "connection: closed while its caller was sending",
-			field: "discarded", value: BeNumerically(">", 0),
+			send: request, sendLate: request, message: "connection: data after the last response discarded",
+			field: "bytes", value: BeNumerically(">", 0),
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
