Tests around a stop before serving: the order is known, not slept for

The checks are the same. A context that tells when Shutdown begins to wait gives the order; the same for TestShutdownAfterDeadlineBeforeServe, which was not red. Shutdowns of the log's test have 1 s in place of 0.3 s, longer than a connection lingers.

Red as before without their fixes: 10 of 10 runs with the wait after the stop's time taken out, 5 of 5 cases with no log.

--- a/internal/drain/log_test.go
+++ b/internal/drain/log_test.go
@@ -17,9 +17,23 @@
 	"github.com/tamarindworks/tamarindworks/internal/drain"
 )
 
+// observedContext tells when its Done channel is asked for, as Shutdown does when it begins to wait for Serve.
+type observedContext struct {
+	context.Context
+	waiting chan struct{} // has room for one value
+}
+
+func (c observedContext) Done() <-chan struct{} {
+	select {
+	case c.waiting <- struct{}{}:
+	default:
+	}
+	return c.Context.Done()
+}
+
 // The log must tell apart why callers got no answer during a shutdown.
 func TestShutdownLog(t *testing.T) {
-	const within = 3 * settleTime
+	const within = 10 * settleTime // longer than connections linger
 	for name, scenario := range map[string]struct {
 		send      string // before the shutdown
 		sendLate  string // again and again during the shutdown
@@ -69,13 +83,14 @@
 				go serve()
 				time.Sleep(settleTime)
 			}
-			ended := make(chan error, 1)
+			ended, waiting := make(chan error, 1), make(chan struct{}, 1)
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), within)
 				defer cancel()
-				ended <- server.Shutdown(ctx)
+				ended <- server.Shutdown(observedContext{Context: ctx, waiting: waiting})
 			}()
 			if scenario.serveLate {
+				<-waiting
 				time.Sleep(settleTime)
 				go serve()
 			}
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -33,7 +33,7 @@
 		log      *zap.Logger
 		draining atomic.Bool
 		aborting atomic.Bool
-		accepted atomic.Int64 // connections since Serve
+		accepted atomic.Int64 // number of connections accepted so far
 		mu       sync.Mutex
 		conns    map[*conn]struct{}
 		listener *listener
@@ -93,7 +93,8 @@
 
 // Shutdown stops listening, closes connections as they become idle, and returns once all are
 // closed. If ctx ends first, it refuses requests that have arrived in part, and cuts off
-// the others. It waits for Serve to begin, as requests may already be in the listener's backlog.
+// the others. It waits for Serve to begin, as requests may already be in the listener's backlog, for
+// up to abortTimeout after ctx has ended.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDrain()
 	err := s.stopListening(ctx)
--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -320,7 +320,11 @@
 	count := func() { accepted.Add(1) }
 	r.afterAccept.Store(&count)
 	r.dial().send(request)
-	ended := r.shutdown(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 0)
+	defer cancel()
+	ended, waiting := make(chan error, 1), make(chan struct{}, 1)
+	go func() { ended <- r.server.Shutdown(observedContext{Context: ctx, waiting: waiting}) }()
+	<-waiting
 	time.Sleep(settleTime / 10)
 	r.serve(t, l)
 	r.Eventually(ended, stopTime).Should(Receive())
