--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,4 +9,4 @@
 if [ ! -x target/review-harness ]; then
   review/build.sh || exit 2
 fi
-exec target/review-harness cancel review/1/record.txt
+exec target/review-harness failed review/1/record.txt
--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -72,11 +72,11 @@
 
 // loseEnd returns the interception that leaves the first write of the submission's end unanswered, and
 // kills the owner once the request to cancel has been removed from its inbox by another write.
-func (r *rig) loseEnd(owner string, killed chan<- struct{}) func(t txn, serve func() int) bool {
+func (r *rig) loseEnd(owner string, killed chan<- struct{}) func(daemon string, t txn, serve func() int) bool {
 	var mu sync.Mutex
 	lost, done := false, false
 	message := tw.Key(inboxKey + cancelID + ".cancel")
-	return func(t txn, serve func() int) bool {
+	return func(_ string, t txn, serve func() int) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		record, ends := t.puts("tw/submission/" + cancelID)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 func main() {
 	cases := map[string]func(r *rig, trouble bool) int{
 		"cancel": cancelLost,
+		"failed": failedUnrun,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
--- a/review/harness/rig.go
+++ b/review/harness/rig.go
@@ -31,6 +31,9 @@
 	workers  = 4
 	inboxKey = "tw/inbox/" + pool + "/"
 
+	// restartDelay is when the platform starts a killed process again.
+	restartDelay = 500 * time.Millisecond
+
 	// Bounds of a small deployment (sites/falaj-runs.toml).
 	maxHold   = 10 * time.Second
 	stopTime  = 400 * time.Millisecond
@@ -45,18 +48,22 @@
 		fleet *standin.Fleet
 		cloud *standin.Cloud
 		dir   string
-		store string
 
 		out     *os.File
 		began   time.Time
 		servers []*httptest.Server
 
 		mu      sync.Mutex
+		closed  bool
 		daemons map[string]*daemon
 		starts  []start
 		// intercept handles a transaction in place of the store; nil for none. It returns false
 		// to leave it to the store.
-		intercept func(t txn, serve func() int) (handled bool)
+		intercept func(daemon string, t txn, serve func() int) (handled bool)
+		// watches are the times of each daemon's last watch of the inbox.
+		watches map[string]time.Time
+		// proxies lead from each daemon to the store.
+		proxies map[string]*proxy
 		// latency is the time that the store takes for a call beyond its usual 4 ms.
 		latency time.Duration
 	}
@@ -96,14 +103,13 @@
 		kv:    standin.KVConfig{Latency: 4 * time.Millisecond}.New(),
 		fleet: standin.FleetConfig{Latency: time.Millisecond, MaxHold: maxHold, StopTime: stopTime, StartupTime: 300 * time.Millisecond}.New(),
 		cloud: standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second}.New(),
-		dir:   dir, out: out, began: time.Now(), daemons: map[string]*daemon{},
+		dir:   dir, out: out, began: time.Now(), daemons: map[string]*daemon{}, watches: map[string]time.Time{}, proxies: map[string]*proxy{},
 	}
 	r.kv.Put("op/config", fmt.Appendf(nil, `{"version":1,"routes":[{"name":"r","host":%q,"pathPrefix":%q,"timeoutMs":3000,"targetLatencyMs":600,"service":%q,"attempts":3,"stretch":1.6}],"services":[{"name":%q}],"limits":{"maxBodyBytes":262144}}`,
 		host, prefix, pool, pool))
 	for n := range workers {
 		r.addWorker(n)
 	}
-	r.store = r.serve(r.storeHandler())
 	machines := r.serve(r.cloud.Handler())
 	for _, id := range ids {
 		if err := r.startDaemon(id, machines); err != nil {
@@ -172,8 +178,9 @@
 	_, _ = w.Write(recorder.Body.Bytes()) // the daemon may be gone
 }
 
-// storeHandler is the store with its latency and, for transactions, the case's interception.
-func (r *rig) storeHandler() http.Handler {
+// storeHandler is the store as one daemon reaches it, with its latency and, for transactions, the
+// case's interception.
+func (r *rig) storeHandler(daemon string) http.Handler {
 	inner := r.kv.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.mu.Lock()
@@ -181,6 +188,10 @@
 		r.mu.Unlock()
 		if req.URL.Path != "/api/kv-watch" {
 			time.Sleep(latency)
+		} else if req.URL.Query().Get("pathPrefix") == inboxKey {
+			r.mu.Lock()
+			r.watches[daemon] = time.Now()
+			r.mu.Unlock()
 		}
 		if req.URL.Path != "/api/kv-txn" {
 			inner.ServeHTTP(w, req)
@@ -201,7 +212,7 @@
 			inner.ServeHTTP(recorder, copied)
 			return recorder.Code
 		}
-		if intercept != nil && intercept(t, serve) {
+		if intercept != nil && intercept(daemon, t, serve) {
 			<-req.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -230,7 +241,7 @@
 	return false
 }
 
-func (r *rig) setStore(latency time.Duration, intercept func(t txn, serve func() int) bool) {
+func (r *rig) setStore(latency time.Duration, intercept func(daemon string, t txn, serve func() int) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.latency, r.intercept = latency, intercept
@@ -239,6 +250,11 @@
 // startDaemon starts a daemon with settings like those of a small deployment.
 func (r *rig) startDaemon(id, machines string) error {
 	d := &daemon{id: id, callers: freeAddress()}
+	p, err := newProxy(r.serve(r.storeHandler(id)))
+	if err != nil {
+		return err
+	}
+	r.proxies[id] = p
 	settings := fmt.Sprintf(`id = %q
 hall = "muscat-%c"
 [listen]
@@ -260,25 +276,42 @@
 keep_ended = "120s"
 holder_time = "3000ms"
 stop_grace = "6s"
-`, id, 'a'+len(r.daemons)%3, d.callers, freeAddress(), freeAddress(), r.store, machines)
+`, id, 'a'+len(r.daemons)%3, d.callers, freeAddress(), freeAddress(), p.listener.Addr(), machines)
 	path := filepath.Join(r.dir, id+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(r.dir, id+".log"))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.daemons[id] = d
+	return r.run(d)
+}
+
+// run starts the process of a daemon. r.mu must be held.
+func (r *rig) run(d *daemon) error {
+	log, err := os.OpenFile(filepath.Join(r.dir, d.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	d.cmd = exec.Command("target/tamarindd", "queue", "--settings", path)
+	d.cmd = exec.Command("target/tamarindd", "queue", "--settings", filepath.Join(r.dir, d.id+".toml"))
 	d.cmd.Stdout, d.cmd.Stderr = log, log
-	if err := d.cmd.Start(); err != nil {
-		return err
-	}
+	return d.cmd.Start()
+}
+
+// restart starts a killed daemon again, as the platform does after a short delay.
+func (r *rig) restart(id string) {
+	d := r.daemons[id]
+	_ = d.cmd.Wait() // it was killed
+	time.Sleep(restartDelay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.daemons[id] = d
-	return nil
+	if r.closed {
+		return
+	}
+	if err := r.run(d); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
 }
 
 func freeAddress() string {
@@ -298,14 +331,20 @@
 
 // close ends all processes and servers.
 func (r *rig) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
 	for _, d := range r.daemons {
-		_ = d.cmd.Process.Kill() // it may have ended
+		_ = d.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
 		_ = d.cmd.Wait()
 	}
 	if keep := os.Getenv("REVIEW_LOGS"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(r.dir)) // only for reading afterwards
 	}
 	_ = os.RemoveAll(r.dir)
+	for _, p := range r.proxies {
+		p.close()
+	}
 	for _, s := range r.servers {
 		s.CloseClientConnections()
 	}
@@ -387,7 +426,7 @@
 
 // await waits until a condition holds.
 func (r *rig) await(limit time.Duration, condition func() bool) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if condition() {
 			return true
 		}
