--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 	cases := map[string]func(r *rig, trouble bool) int{
 		"cancel": cancelLost,
 		"failed": failedUnrun,
+		"silent": cancelUnseen,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
