Owner: a start that was never made does not count as a crash

Callers saw an accepted submission shown as failed within seconds, although nothing of it had been started and no worker had ended, when owners of its pool ended one after the other (killed, or stopped as planned while the store is slow).

Cause: an owner records a start as a crash before it orders it, as it may end before it learns of the crash. The record was a number. A successor could not tell a start that had crashed its worker from one that was never sent, and counted the next one on top; after four or five owners the submission was given up.

Change: the record names the worker, its incarnation and the run. The run keeps its place on that worker until the record is stored, and is ordered there. A successor that has an answer from the same incarnation takes the count back: the worker refuses orders of earlier owners from then on, and a run that had begun is among its runs or ends, so the worker has not ended under it. A count stands if its worker has ended or does not answer, so that a subtask that crashes its workers stays bounded. A planned stop takes back what it will not order.

--- a/ledger/records.go
+++ b/ledger/records.go
@@ -90,13 +90,26 @@
 		Failures    map[int][]tw.RunNumber `json:"failures,omitempty"`
 		Checkpoints map[int]tw.Checkpoint  `json:"saved,omitempty"`
 		// Crashes counts, for each subtask, the consecutive workers that ended soon
-		// after it was started there.
+		// after it was started there, or may have.
 		Crashes map[int]int `json:"crashes,omitempty"`
+		// PrecountedStarts holds, for each subtask, those starts in Crashes that were
+		// counted before they were ordered and of which no outcome is recorded. They may
+		// never have been made.
+		PrecountedStarts map[int][]PrecountedStart `json:"precounted,omitempty"`
 		// UncountedStarts holds the subtasks that may have been started once more than Crashes
 		// accounts for.
 		UncountedStarts map[int]bool `json:"uncounted,omitempty"`
 	}
 
+	// PrecountedStart is a start that was counted as a crash before it was ordered. It can have
+	// crashed no other worker than the one that it was meant for.
+	PrecountedStart struct {
+		Worker tw.WorkerID `json:"worker"`
+		// StartTime identifies the incarnation of the worker; zero if workers report none.
+		StartTime tw.WorkerStartTime `json:"born,omitempty"`
+		Run       tw.RunNumber       `json:"run"`
+	}
+
 	// WaveProgress is the progress of a maintenance wave.
 	WaveProgress struct {
 		Done     []tw.InstanceID `json:"done"`
--- a/run/crash.go
+++ b/run/crash.go
@@ -97,8 +97,7 @@
 	switch {
 	case t.done || sub.closed():
 		return
-	case r.precounted:
-		r.precounted = false
+	case t.forgetPrecount(r):
 		t.crashedAt, t.crashesUncertain = o.now, true
 	case !t.uncounted:
 		t.noteUncounted()
@@ -128,10 +127,9 @@
 	if t.done || sub.closed() {
 		return
 	}
-	if !r.precounted {
+	if !t.forgetPrecount(r) {
 		t.setCrashes(t.crashes + 1)
 	}
-	r.precounted = false
 	t.crashedAt = o.now
 	sinceStart := o.now.Sub(r.startedAt)
 	t.crashesUncertain = t.crashesUncertain || sinceStart > o.crashDetectLimit()
@@ -178,20 +176,6 @@
 	return t.step.rep.sub.progress.Step(t.id.Repetition, t.id.Step)
 }
 
-// precountedCrashes is the number of crashes that were counted in advance and may not happen.
-func (t *task) precountedCrashes() int {
-	n := 0
-	if t.startPrecounted {
-		n++
-	}
-	for _, r := range t.runs {
-		if r.precounted {
-			n++
-		}
-	}
-	return n
-}
-
 func (o *Owner) giveUp(t *task) {
 	o.endSubmission(t.step.rep.sub, tw.SubmissionFailed, "workers have ended under subtask "+t.id.String()+" each time it was started")
 }
@@ -200,18 +184,21 @@
 func (s *submission) exhausted() bool { return s.firstTask((*task).exhausted) != nil }
 
 // exhausted reports whether the subtask must not be started again.
-func (t *task) exhausted() bool {
-	return !t.done && !t.startPrecounted && t.crashes >= t.uncertainCrashLimit()
-}
+func (t *task) exhausted() bool { return !t.done && t.crashes >= t.uncertainCrashLimit() }
 
 // giveUpIfExhausted gives up a submission if an exhausted subtask would have to be started again,
 // and reports whether it did. It must not be called before all workers are known, as the last run
 // may still go on.
 func (o *Owner) giveUpIfExhausted(sub *submission) bool {
-	t := sub.firstTask(func(t *task) bool { return !t.active() && t.exhausted() })
+	t := sub.firstTask(func(t *task) bool {
+		o.resolvePrecounted(t)
+		return !t.active() && t.exhausted()
+	})
 	if t == nil {
 		return false
 	}
+	o.log.Info("run: may have ended its worker each time", zap.Stringer("subtask", t.id), zap.Int("workers", t.crashes),
+		zap.Any("precounted", t.precounted), zap.Bool("uncounted_start", t.uncounted))
 	o.giveUp(t)
 	return true
 }
@@ -228,51 +215,17 @@
 	return nil
 }
 
-// precountCrash counts the next start of a subtask as a crash before it is ordered. Otherwise, if
-// the ownership ended before a crash was recorded, the next owner would not know of it.
-func (o *Owner) precountCrash(t *task) {
-	t.startPrecounted = true
-	if t.crashes == 0 && t.step.rep.sub.inherited {
-		t.noteUncounted()
-	}
-	t.setCrashes(t.crashes + 1)
-	t.crashedAt = o.now
-	o.writer.markDirty(t.step.rep.sub)
-}
-
-// needsPrecount reports whether the next start must be counted in advance: for suspects, for
-// subtasks that may have been started without being counted or that a previous owner may have
-// started, and for a copy of a run whose worker may have ended under it. So the first start of a new
-// submission waits for no record, and no second start goes uncounted.
-func (t *task) needsPrecount() bool {
-	if t.startPrecounted || t.crashes >= t.uncertainCrashLimit() {
-		return false
-	}
-	return t.suspect() || t.uncounted || t.step.rep.sub.inherited || t.mayHaveCrashedWorker()
-}
-
 // mayHaveCrashedWorker reports whether a worker may have ended under a run of the subtask.
 func (t *task) mayHaveCrashedWorker() bool {
 	return slices.ContainsFunc(t.runs, func(r *runState) bool { return !r.w.survived(r) })
 }
 
-// uncountCrash undoes precountCrash for a run that ended in another way than by a crash.
-func (o *Owner) uncountCrash(r *runState) {
-	t := r.task
-	sub := t.step.rep.sub
-	if !r.precounted || t.crashes == 0 || t.done || sub.closed() {
-		return
-	}
-	r.precounted = false
-	t.setCrashes(t.crashes - 1)
-	o.writer.markDirty(sub)
-}
-
 // clearSuspect resets the crash count of a subtask after a worker has survived a run of it.
 func (o *Owner) clearSuspect(t *task) {
 	if t.crashes == 0 && !t.uncounted {
 		return
 	}
+	t.setPrecounted(nil)
 	t.setCrashes(0)
 	t.uncounted = false
 	delete(t.progress().UncountedStarts, t.id.Index)
@@ -282,7 +235,6 @@
 		o.writer.markDirty(sub)
 	}
 	for _, r := range t.runs {
-		r.precounted = false
 		r.w.endTrial(r)
 	}
 	o.log.Info("run: cleared, its worker survived it", zap.Stringer("subtask", t.id))
@@ -328,7 +280,7 @@
 }
 
 // suspect reports whether workers have ended under the subtask, or may have.
-func (t *task) suspect() bool { return t.crashes > 1 || t.crashes > 0 && !t.startPrecounted }
+func (t *task) suspect() bool { return t.crashes > 0 }
 
 // endTrial records that a run is no longer on trial.
 func (w *worker) endTrial(r *runState) {
--- a/run/evacuation_report.go
+++ b/run/evacuation_report.go
@@ -110,7 +110,7 @@
 	switch {
 	case r.w.unanswered > 0:
 		return RemainsUnanswered
-	case r.phase == starting || r.phase == unconfirmed:
+	case r.phase == placed || r.phase == starting || r.phase == unconfirmed:
 		return RemainsUnconfirmed
 	case r.phase != running:
 		return RemainsStopping
--- a/run/loop.go
+++ b/run/loop.go
@@ -61,6 +61,7 @@
 	}
 	next = earlier(next, o.openRepetitions())
 	next = earlier(next, o.throttle(&o.nextWorkerWatchAt, minWorkerWatchInterval, o.watchWorkers))
+	o.orderRecorded()
 	next = earlier(next, o.placeIfDue())
 	next = earlier(next, o.throttle(&o.nextRunWatchAt, watchInterval, o.watchRuns))
 	next = earlier(next, o.caps.adjust(o))
--- a/run/owner.go
+++ b/run/owner.go
@@ -68,6 +68,10 @@
 	ranks      map[int]bool
 	pollSeq    int64
 	runCounter tw.RunNumber
+	// unrecorded are the placed runs of which the start waits to be recorded. recordsChanged: some
+	// may have been recorded since they were last looked at.
+	unrecorded     []*runState
+	recordsChanged bool
 	// placeRequested requests a placement pass.
 	placeRequested bool
 	// nextPlaceAt is the earliest time of the next pass, so that passes over much waiting
@@ -283,6 +287,7 @@
 	flushed := make(chan struct{})
 	o.post(ctx, func() {
 		o.draining = true
+		o.withdrawUnrecorded()
 		o.writer.whenIdle(func() { close(flushed) })
 	})
 	select {
--- a/run/place.go
+++ b/run/place.go
@@ -60,10 +60,7 @@
 
 // place assigns waiting subtasks to workers and orders their starts.
 func (o *Owner) place() {
-	if !o.permit.valid(o.now) || o.now.Sub(o.writer.confirmed) > maxConfirmAge {
-		return
-	}
-	if !o.updateEvacuations() {
+	if !o.mayOrderStarts() {
 		return
 	}
 	began := o.clock.Now()
@@ -95,6 +92,12 @@
 	o.metrics.placeTime.Update(o.clock.Now().Sub(began).Seconds())
 }
 
+// mayOrderStarts reports whether starts may be ordered at present. It applies the latest list of
+// evacuated halls.
+func (o *Owner) mayOrderStarts() bool {
+	return o.permit.valid(o.now) && o.now.Sub(o.writer.confirmed) <= maxConfirmAge && o.updateEvacuations()
+}
+
 // offers returns the workers that may be given work, each for as many subtasks as it can be
 // expected to start soon. bounded are those that have too many starts in flight at present.
 func (o *Owner) offers() (offers, bounded []*schedule.Worker) {
@@ -142,18 +145,10 @@
 
 // startPlaced orders the starts of placed subtasks.
 func (o *Owner) startPlaced(placements []schedule.Placement) {
-	for _, p := range placements {
-		if t := o.submissions[p.Subtask.Submission].task(p.Subtask); t.needsPrecount() {
-			o.precountCrash(t)
-		}
-	}
 	gangRuns := map[*step]tw.RunNumber{}
+	runs := make([]*runState, 0, len(placements))
 	for _, p := range placements {
 		t := o.submissions[p.Subtask.Submission].task(p.Subtask)
-		if !t.allCrashesRecorded() {
-			continue // placed again once its crashes are recorded
-		}
-		w := o.workers[p.Worker.ID]
 		run := gangRuns[t.step]
 		if run == 0 {
 			run = o.nextRun()
@@ -161,7 +156,14 @@
 		if t.step.spec.Gang {
 			gangRuns[t.step] = run
 		}
-		o.start(t, w, run, o.advisor.ticket(t.step, w.entry.ID))
+		runs = append(runs, o.assign(t, o.workers[p.Worker.ID], run))
+	}
+	for _, r := range runs {
+		if r.task.allCrashesRecorded() {
+			o.order(r)
+		} else {
+			o.unrecorded = append(o.unrecorded, r)
+		}
 	}
 }
 
@@ -307,6 +309,7 @@
 // trial, which are not added.
 func (o *Owner) fillGroup(st *step, g *schedule.Group) (suspects []tw.SubtaskID) {
 	for _, t := range st.tasks {
+		o.resolvePrecounted(t)
 		switch {
 		case t.done:
 		case !t.active() && (!o.writer.confirmed.After(t.lostAt) || !t.crashesRecorded()):
@@ -362,7 +365,7 @@
 	if !r.w.survived(r) && o.now.Sub(r.startedAt) < copyAfter {
 		return false // it may be the reason why its worker does not answer
 	}
-	return r.phase != starting && (o.overdue(r) || r.w.silent())
+	return r.phase != placed && r.phase != starting && (o.overdue(r) || r.w.silent())
 }
 
 func (o *Owner) urgency(st *step, criticalPath time.Duration) schedule.Urgency {
--- a/run/poll.go
+++ b/run/poll.go
@@ -299,8 +299,11 @@
 	r.task = t
 	r.sent.Store(true)
 	r.trial = t.suspect()
-	// A previous owner counted the start of a suspect as a crash before it made the start.
-	r.precounted = t.crashes > 0 && !t.step.spec.AllowCopies
+	if !t.step.spec.AllowCopies && t.crashes > len(t.precounted) && !t.isPrecounted(r) {
+		// A previous owner counted the start of a suspect before it made the start, but its
+		// version did not record for which worker.
+		t.setPrecounted(append(t.precounted, precountOf(r)))
+	}
 	t.addRun(r)
 	w.add(r)
 	sub := t.step.rep.sub
@@ -351,8 +354,8 @@
 // handleMissing handles a run that a poll should list if it existed, but does not.
 func (o *Owner) handleMissing(w *worker, r *runState) {
 	switch r.phase {
-	case starting:
-		return // the start is not answered yet
+	case placed, starting:
+		return // the start is not ordered or not answered yet
 	case unconfirmed:
 		// The start may still be carried out, unless a stop revokes it.
 		o.stop(r, "its start was not answered")
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -168,6 +168,10 @@
 	restartRand *rand.Rand
 	// evacuating makes halls be evacuated at times.
 	evacuating bool
+	// process is the current owner's connection to the store and the workers, if owners are killed
+	// as processes are.
+	process *process
+	killing bool
 	// losing makes workers leave a share of all orders unanswered at times.
 	losing bool
 	// actions is the number of random actions before the faults end.
@@ -184,6 +188,12 @@
 		s.actOnRestarts()
 		return
 	}
+	if s.killing && s.rand.IntN(6) == 0 {
+		for range 1 + s.rand.IntN(maxKillsInARow) {
+			s.killOwner()
+		}
+		return
+	}
 	if s.evacuating && s.rand.IntN(6) == 0 {
 		s.evacuateRandom()
 		return
@@ -244,6 +254,10 @@
 // or bandwidth.
 func (s *soak) newOwner(daemon tw.DaemonID) *run.Owner {
 	s.setFaults(standin.KVFaults{})
+	if s.killing {
+		s.process = newProcess(s.rig, nowhere, false)
+		return s.newOwnerWith(daemon, s.process, s.process)
+	}
 	if s.relaying {
 		return s.newOwnerWith(daemon, s.kv, s.shortOrders())
 	}
--- a/run/stall.go
+++ b/run/stall.go
@@ -28,7 +28,7 @@
 }
 
 func (o *Owner) watchRun(w *worker, r *runState) {
-	if r.precounted && w.survived(r) {
+	if r.task.isPrecounted(r) && w.survived(r) {
 		o.clearSuspect(r.task)
 	}
 	switch {
--- a/run/start.go
+++ b/run/start.go
@@ -20,23 +20,20 @@
 	return o.runCounter
 }
 
-// start orders a worker to start a subtask.
-func (o *Owner) start(t *task, w *worker, run tw.RunNumber, ticket string) {
-	r := &runState{
-		task: t, run: run, w: w, phase: starting, reservation: t.step.spec.Reservation(),
-		startedAt: o.now, progressAt: o.now, pace: fullPace, trial: t.suspect(), precounted: t.startPrecounted,
-		sinceLastAnswer: o.now.Sub(w.clockAt), resumed: t.checkpoint() != "",
-	}
+// order orders the worker of a placed run to start it.
+func (o *Owner) order(r *runState) {
+	t, w := r.task, r.w
 	sub := t.step.rep.sub
 	order := tw.StartOrder{
-		Subtask: t.id, Run: run, Spec: sub.Spec, Checkpoint: t.checkpoint(), Ticket: ticket,
+		Subtask: t.id, Run: r.run, Spec: sub.Spec, Checkpoint: t.checkpoint(), Ticket: o.advisor.ticket(t.step, w.entry.ID),
 		Deadline: w.estimateClock(o.now).Add(o.bounds.MaxHold), Fence: o.self.Fence,
 	}
-	placedAt := o.now
+	r.sinceLastAnswer, r.resumed = o.now.Sub(w.clockAt), order.Checkpoint != ""
+	orderedAt := o.now
 	queued := w.session.enqueue(workOrder{
 		subtask: t.id, isStart: true,
 		repeatable: o.repeatable(r),
-		stale:      func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(placedAt) > maxStartAge },
+		stale:      func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(orderedAt) > maxStartAge },
 		send: func(ctx context.Context) (tw.WorkerTime, error) {
 			r.sent.Store(true)
 			return o.orders.Start(ctx, w.session.ref, order)
@@ -49,18 +46,21 @@
 	})
 	if !queued {
 		o.metrics.started("queue full")
+		o.withdraw(r, "queue full")
 		return
 	}
-	r.pending = o.window.addStart(o.now)
-	w.startsInFlight++
+	if r.startedAt != o.now {
+		// The time for which it waited to be recorded says nothing about its worker.
+		o.window.release(r.pending)
+		r.pending = o.window.addStart(o.now)
+		r.startedAt, r.progressAt = o.now, o.now
+	}
+	r.phase = starting
 	w.grantsExpireAt = o.now.Add(o.maxHoldTime())
-	t.trialWaitSince, t.startPrecounted = time.Time{}, false
-	t.addRun(r)
-	w.add(r)
 	if r.trial {
 		o.requestPoll(w) // an open poll would report late that the worker survived the run
 	}
-	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(run)),
+	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
 		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
 }
--- a/run/submission.go
+++ b/run/submission.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -93,8 +94,12 @@
 		step     *step
 		done     bool
 		failures map[tw.RunNumber]bool
-		// crashes is the number of workers in a row that have ended soon after it was started.
+		// crashes is the number of workers in a row that have ended soon after it was started, or
+		// may have.
 		crashes int
+		// precounted are the starts in crashes that were counted before they were ordered and of
+		// which the outcome is unknown, by this owner or a previous one.
+		precounted []ledger.PrecountedStart
 		// crashesUncertain: one of these workers may have ended for another reason.
 		crashesUncertain bool
 		// uncounted: one more start may have been made than was counted, by this owner or a
@@ -102,8 +107,6 @@
 		uncounted bool
 		// crashedAt is when a crash was last counted, also in advance.
 		crashedAt time.Time
-		// startPrecounted: its next start is already included in crashes.
-		startPrecounted bool
 		// trialWaitSince is since when it has waited for a trial; zero if it does not wait.
 		trialWaitSince time.Time
 		lastCheckpoint tw.Checkpoint
@@ -143,7 +146,7 @@
 		orderedAt time.Time
 		// stopReason is why the run was stopped.
 		stopReason string
-		// pending is the order to start it; nil for a run that this owner has not ordered.
+		// pending is its place in the send window; nil for a run that this owner has not placed.
 		pending *pendingStart
 		// withdrawn: its start must not be sent any more; sent: it was sent.
 		withdrawn, sent atomic.Bool
@@ -156,8 +159,6 @@
 		copyUnanswered bool
 		// firstSeen is the worker's clock when it first reported the run; zero before.
 		firstSeen tw.WorkerTime
-		// precounted: it was counted as a crash before its start, and is not cleared yet.
-		precounted bool
 		// trial: its subtask is a suspect, and the worker has not survived it yet.
 		trial bool
 		// resumed: it went on from a checkpoint.
@@ -166,8 +167,10 @@
 )
 
 const (
+	// placed: it has a worker, and is ordered once its start is recorded as a possible crash.
+	placed phase = iota
 	// starting: the order to start it is in flight.
-	starting phase = iota
+	starting
 	// running: the worker has confirmed it.
 	running
 	// unconfirmed: the order to start it was not answered.
@@ -179,7 +182,7 @@
 )
 
 func (p phase) String() string {
-	return [...]string{"starting", "running", "unclear", "stopping", "blocked"}[p]
+	return [...]string{"placed", "starting", "running", "unclear", "stopping", "blocked"}[p]
 }
 
 // newSubmission returns a submission with its recorded progress.
@@ -292,6 +295,7 @@
 		t.fail(run)
 	}
 	t.crashes = recorded.Crashes[t.id.Index]
+	t.precounted = slices.Clone(recorded.PrecountedStarts[t.id.Index])
 	t.crashesUncertain = t.crashes > 0
 	t.uncounted = recorded.UncountedStarts[t.id.Index]
 	t.lastCheckpoint = recorded.Checkpoints[t.id.Index]
--- a/run/writer.go
+++ b/run/writer.go
@@ -318,7 +318,7 @@
 	if job.sent.After(w.confirmed) {
 		w.confirmed = job.sent
 	}
-	o.placeRequested = true
+	o.placeRequested, o.recordsChanged = true, true
 	o.permit.extend(job.sent.Add(permitTTL))
 	for i, callback := range job.callbacks {
 		callback(results[i])
