Router: work that waits is not shown as running

A caller who asked for the state of a submission while its pool had no reachable owner got running although none of it had been started, and pending again from the next owner.

Cause: the state is then read from the store, where any progress counted as a beginning.

Now progress counts as a beginning if it has a subtask that is done, a failure, a checkpoint or a worker that has ended.

--- a/ledger/records.go
+++ b/ledger/records.go
@@ -191,6 +191,34 @@
 	return s
 }
 
+// Begun reports whether the progress shows that a subtask has been started. Starts that were counted
+// before they were ordered do not show that.
+func (p *Progress) Begun() bool {
+	if p.Finished > 0 {
+		return true
+	}
+	for _, r := range p.Repetitions {
+		for _, s := range r.Steps {
+			if s.begun() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *StepProgress) begun() bool {
+	if len(s.Done)+len(s.Failures)+len(s.Checkpoints) > 0 {
+		return true
+	}
+	for index, crashes := range s.Crashes {
+		if crashes > len(s.PrecountedStarts[index]) {
+			return true
+		}
+	}
+	return false
+}
+
 // All reports whether all numbers from 0 to n-1 are in the set.
 func (b Bitset) All(n int) bool {
 	for i := range n {
--- a/queue/router.go
+++ b/queue/router.go
@@ -264,7 +264,7 @@
 	if err != nil {
 		return "", err
 	}
-	if progress.Finished > 0 || len(progress.Repetitions) > 0 {
+	if progress.Begun() {
 		return tw.SubmissionStarted, nil
 	}
 	return tw.SubmissionWaiting, nil
--- a/queue/router_test.go
+++ b/queue/router_test.go
@@ -11,6 +11,7 @@
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
 )
@@ -59,3 +60,44 @@
 		})
 	}
 }
+
+// recordedStates are what is stored of a submission while its pool has no owner, and the state that is
+// shown.
+var recordedStates = map[string]struct {
+	progress func(p *ledger.Progress)
+	want     tw.SubmissionState
+}{
+	"nothing": {progress: func(*ledger.Progress) {}, want: tw.SubmissionWaiting},
+	"starts that were counted before they were ordered": {progress: func(p *ledger.Progress) {
+		step := p.Step(0, 0)
+		step.Crashes = map[int]int{0: 1}
+		step.PrecountedStarts = map[int][]ledger.PrecountedStart{0: {{Worker: "w1", Run: 20_000_001}}}
+		step.UncountedStarts = map[int]bool{0: true}
+	}, want: tw.SubmissionWaiting},
+	"a worker that has ended": {progress: func(p *ledger.Progress) { p.Step(0, 0).Crashes = map[int]int{0: 1} }, want: tw.SubmissionStarted},
+	"a subtask that is done":  {progress: func(p *ledger.Progress) { p.Step(0, 0).Done.Add(0) }, want: tw.SubmissionStarted},
+	"a failed run":            {progress: func(p *ledger.Progress) { p.Step(0, 0).Failures = map[int][]tw.RunNumber{0: {1}} }, want: tw.SubmissionStarted},
+	"a checkpoint":            {progress: func(p *ledger.Progress) { p.Step(0, 0).Checkpoints = map[int]tw.Checkpoint{0: "c"} }, want: tw.SubmissionStarted},
+	"a finished repetition":   {progress: func(p *ledger.Progress) { p.Finished = 1 }, want: tw.SubmissionStarted},
+}
+
+// TestRecordedState guards against work that is shown as begun, as an owner has only recorded that it
+// is about to start it.
+func TestRecordedState(t *testing.T) {
+	for name, c := range recordedStates {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r, end := newTestRouter()
+				defer end()
+				s := &tw.Submission{ID: "s1", Policy: tw.RoutePolicy{Pool: "p"}}
+				var progress ledger.Progress
+				c.progress(&progress)
+				puts := append(ledger.AcceptSubmission(s).Puts, ledger.SaveProgress("p", s.ID, &progress).Puts...)
+				_, err := r.KV.Commit(t.Context(), tw.KVTxn{Puts: puts})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(r.State(t.Context(), member.SubmissionRequest{Pool: "p", ID: s.ID})).To(Equal(c.want))
+			})
+		})
+	}
+}
