Owner: a confirmed cancel stays in the inbox until the end is recorded

A caller whose cancel was answered with 200 by a daemon that could not reach the owner saw the submission run on and complete, if the owner ended just then.

Cause: the owner queued the removal of the request from the inbox together with the end of the submission. These are separate writes where the store is slow or a write is full; if only the removal was stored before the owner ended, nothing in the store told of the cancel.

Now the request is removed once the end is known to be recorded, so the order in which two writes happen to be done no longer matters. One more write for each cancel through the inbox.

The soak with killed owners sends half of its cancels through the inbox and delays writes by random times.

New log lines tell of a cancel that is left in the inbox, read and removed.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -70,8 +70,10 @@
 		// it last had any.
 		storeFaulty   bool
 		storeFaultyAt time.Time
-		violations    []string
-		starts        int
+		// cancelled holds when a cancel of a submission was confirmed.
+		cancelled  map[tw.SubmissionID]time.Time
+		violations []string
+		starts     int
 		// everStarted holds the submissions of which any subtask was ever started.
 		everStarted map[tw.SubmissionID]bool
 		// evacuated maps each evacuated hall to the start of its evacuation.
@@ -151,7 +153,7 @@
 	return &Fleet{
 		config: c, workers: map[tw.WorkerID]*SimWorker{}, profiles: map[tw.SubtaskID]Profile{},
 		done: map[tw.SubtaskID]bool{}, acked: map[tw.SubtaskID]bool{}, failures: map[tw.SubtaskID]int{},
-		everStarted: map[tw.SubmissionID]bool{}, caps: map[tw.OrganisationID]tw.Resources{}, crashes: map[tw.SubtaskID]crashCount{},
+		everStarted: map[tw.SubmissionID]bool{}, cancelled: map[tw.SubmissionID]time.Time{}, caps: map[tw.OrganisationID]tw.Resources{}, crashes: map[tw.SubtaskID]crashCount{},
 		evacuated: map[tw.HallID]time.Time{},
 	}
 }
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -64,6 +64,9 @@
 	if evacuated && !late && f.config.Clock.Now().Sub(since) > f.config.EvacuationGrace {
 		f.addViolation("EVAC: %s on %s", order.Subtask, w.Entry.ID)
 	}
+	if !late {
+		f.checkCancelled(order.Subtask)
+	}
 	w.runs[order.Subtask] = &simRun{run: order.Run, started: f.config.Clock.Now(), profile: profile, pace: fullPercent}
 	f.starts++
 	f.everStarted[order.Subtask.Submission] = true
--- a/queue/router.go
+++ b/queue/router.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -193,8 +194,10 @@
 			return nil
 		}
 	}
-	_, err = r.KV.Commit(ctx, ledger.CancelViaInbox(record.Pool, m.ID))
-	return err
+	revision, commitErr := r.KV.Commit(ctx, ledger.CancelViaInbox(record.Pool, m.ID))
+	r.Log.Info("submission: cancel left in the inbox", zap.String("submission", string(m.ID)), zap.String("pool", string(record.Pool)),
+		zap.Int64("revision", int64(revision)), zap.String("owner_error", err.Error()), logsink.Err(commitErr))
+	return commitErr
 }
 
 func (r *Router) cancelAtOwner(ctx context.Context, m member.SubmissionRequest) error {
--- a/run/ended_owners_test.go
+++ b/run/ended_owners_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +31,10 @@
 		end atomic.Int32
 		// planned: the owner is told to stop at that point, and its calls go on.
 		planned bool
+		// delays are the random times that writes take to reach the store, so that concurrent
+		// writes arrive in any order; nil for none.
+		delays   *rand.Rand
+		delaysMu sync.Mutex
 		// reached is closed at the point.
 		reached chan struct{}
 		once    sync.Once
@@ -47,10 +53,16 @@
 	startDone
 	// answerRead: the answer to the order is read.
 	answerRead
+	// messageRemoved: a write that removes a message from the inbox is applied, and its answer is not
+	// read.
+	messageRemoved
 	// nowhere: the process ends only when it is killed.
 	nowhere
 )
 
+// maxWriteDelay is five times the time from which the store counts as slow.
+const maxWriteDelay = 400 * time.Millisecond
+
 // ownersInARow is twice the number of workers in a row under which a subtask is given up.
 const ownersInARow = 10
 
@@ -89,9 +101,17 @@
 
 // Commit implements tw.KV.
 func (p *process) Commit(ctx context.Context, txn tw.KVTxn) (tw.KVRevision, error) {
+	time.Sleep(p.delay())
 	if p.dead.Load() {
 		return 0, unanswered(ctx)
 	}
+	if removesMessage(txn) {
+		revision, err := p.KV.Commit(ctx, txn)
+		if !p.pass(messageRemoved) {
+			return 0, unanswered(ctx)
+		}
+		return revision, err
+	}
 	if !savesProgress(txn) {
 		return p.KV.Commit(ctx, txn)
 	}
@@ -106,12 +126,21 @@
 }
 
 func savesProgress(txn tw.KVTxn) bool {
-	for _, put := range txn.Puts {
-		if strings.HasPrefix(string(put.Key), "tw/progress/") {
-			return true
-		}
+	return slices.ContainsFunc(txn.Puts, func(put tw.KVPut) bool { return strings.HasPrefix(string(put.Key), "tw/progress/") })
+}
+
+// delay returns how long the next write takes to reach the store.
+func (p *process) delay() time.Duration {
+	p.delaysMu.Lock()
+	defer p.delaysMu.Unlock()
+	if p.delays == nil {
+		return 0
 	}
-	return false
+	return time.Duration(p.delays.Int64N(int64(maxWriteDelay)))
+}
+
+func removesMessage(txn tw.KVTxn) bool {
+	return slices.ContainsFunc(txn.Removes, func(key tw.Key) bool { return strings.HasPrefix(string(key), "tw/inbox/") })
 }
 
 // Start implements tw.WorkerOrders.
--- a/run/requests.go
+++ b/run/requests.go
@@ -184,6 +184,7 @@
 		return // another attempt of it was stored
 	}
 	delete(o.submissions, sub.ID)
+	o.deleteCancelMessage(sub)
 	o.metrics.refused.Inc()
 	o.metrics.countRefusal(refusedStore)
 	o.log.Info("submission: not taken", zap.String("submission", string(sub.ID)), logsink.Err(err))
@@ -239,9 +240,14 @@
 		for _, result := range cancels {
 			result <- ErrUnknownSubmission
 		}
+		o.deleteCancelMessage(waiting)
 		return
 	}
-	if stored := o.submissions[waiting.ID]; stored != nil && waiting.pendingFinal == tw.SubmissionCancelled && stored.final == "" {
+	switch stored := o.submissions[waiting.ID]; {
+	case stored == nil || stored.final != "":
+		o.deleteCancelMessage(waiting)
+	case waiting.pendingFinal == tw.SubmissionCancelled:
+		stored.cancelInInbox = stored.cancelInInbox || waiting.cancelInInbox
 		o.cancelSubmission(stored)
 	}
 	for _, result := range cancels {
@@ -326,19 +332,35 @@
 
 // messageRemoved is called when a message has been deleted from the inbox.
 func (o *Owner) messageRemoved(m ledger.InboxRecord) {
+	if m.Kind == ledger.InboxCancel {
+		o.log.Info("submission: cancel removed from the inbox", zap.String("submission", string(m.ID)))
+	}
 	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxSubmitted {
 		sub.inboxPending = false
 		o.placeRequested = true
 	}
 }
 
+// applyMessage applies a message from the inbox. A confirmed cancel stays there until the end of its
+// submission is recorded, as nothing else in the store tells the next owner of it.
 func (o *Owner) applyMessage(m ledger.InboxRecord) {
-	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel {
+	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel && sub.final == "" {
+		sub.cancelInInbox = true
+		o.log.Info("submission: cancel read from the inbox", zap.String("submission", string(m.ID)), zap.String("state", string(sub.state())))
 		o.cancelSubmission(sub)
+		return
 	}
 	o.writer.deleteMessage(m)
 }
 
+// deleteCancelMessage has the message of a cancel deleted, if there is one.
+func (o *Owner) deleteCancelMessage(sub *submission) {
+	if sub.cancelInInbox {
+		sub.cancelInInbox = false
+		o.writer.deleteMessage(ledger.InboxRecord{Kind: ledger.InboxCancel, ID: sub.ID})
+	}
+}
+
 func (o *Owner) requestCancel(id tw.SubmissionID, result chan<- error) {
 	sub := o.submissions[id]
 	switch {
@@ -389,6 +411,7 @@
 	delete(o.live, sub.ID)
 	delete(o.scheduled, sub.ID)
 	sub.Steps, sub.Spec = nil, ""
+	o.deleteCancelMessage(sub)
 	sub.notifyWaiters(nil)
 	o.metrics.ended(sub.final)
 	o.log.Info("submission: recorded as ended", zap.String("submission", string(sub.ID)),
--- a/run/soak_submissions_test.go
+++ b/run/soak_submissions_test.go
@@ -56,7 +56,34 @@
 		return
 	}
 	id := s.accepted[s.rand.IntN(len(s.accepted))]
+	if s.killing && s.rand.IntN(2) == 0 {
+		s.cancelThroughStore(id)
+		return
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, callerTimeout)
 	defer cancel()
-	_ = s.owner.Cancel(ctx, "", id) // may fail while the store fails
+	if s.owner.Cancel(ctx, "", id) == nil { // may fail while the store fails
+		s.noteCancelled(id)
+	}
+}
+
+// cancelThroughStore cancels a submission as a daemon does that can't reach the owner, whose watch of the
+// inbox reads the request.
+func (s *soak) cancelThroughStore(id tw.SubmissionID) {
+	record, err := ledger.FindSubmission(s.ctx, s.kv, id)
+	if err != nil || record.Final != "" {
+		return
+	}
+	if _, err := s.kv.Commit(s.ctx, ledger.CancelViaInbox(pool, id)); err == nil {
+		s.noteCancelled(id)
+		s.owner.HandleInbox(s.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
+	}
+}
+
+// noteCancelled records a confirmed cancel.
+func (s *soak) noteCancelled(id tw.SubmissionID) {
+	if s.killing { // other soaks leave owners without word of a new one and of the inbox
+		s.fleet.NoteCancelled(id)
+		s.cancelled = append(s.cancelled, id)
+	}
 }
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -131,6 +131,7 @@
 			}
 			s.endFaults()
 			s.expectAllEnded()
+			s.expectCancelled()
 			s.expectRefusedNotStarted()
 			s.expectNoViolations()
 		})
@@ -172,6 +173,8 @@
 	// as processes are.
 	process *process
 	killing bool
+	// cancelled are the submissions of which a cancel was confirmed.
+	cancelled []tw.SubmissionID
 	// losing makes workers leave a share of all orders unanswered at times.
 	losing bool
 	// actions is the number of random actions before the faults end.
@@ -253,11 +256,10 @@
 // newOwner ends the faults of the store and makes a daemon the owner, which may lack processor time
 // or bandwidth.
 func (s *soak) newOwner(daemon tw.DaemonID) *run.Owner {
-	s.setFaults(standin.KVFaults{})
 	if s.killing {
-		s.process = newProcess(s.rig, nowhere, false)
-		return s.newOwnerWith(daemon, s.process, s.process)
+		return s.newKillableOwner(daemon)
 	}
+	s.setFaults(standin.KVFaults{})
 	if s.relaying {
 		return s.newOwnerWith(daemon, s.kv, s.shortOrders())
 	}
@@ -352,6 +354,7 @@
 		s.addWorker(100 + n)
 	}
 	s.owner = s.newOwner("last")
+	s.setFaults(standin.KVFaults{})
 }
 
 // expectAllEnded waits and then expects every accepted submission to have ended, or to be running
@@ -372,6 +375,18 @@
 	}
 }
 
+// expectCancelled expects that cancelled work has ended, and that the inbox is empty.
+func (s *soak) expectCancelled() {
+	for _, id := range s.cancelled {
+		if state := s.state(s.owner, id); !state.Final() {
+			s.t.Errorf("%s is %s though it was cancelled", id, state)
+		}
+	}
+	if s.killing {
+		s.expectInboxEmpty()
+	}
+}
+
 // isRunning reports whether a long-running submission is running.
 func (s *soak) isRunning(id tw.SubmissionID) bool {
 	return s.fleet.Ready(tw.SubtaskID{Submission: id}) && s.fleet.Ready(tw.SubtaskID{Submission: id, Index: 1})
