Inbox watch: a silent connection is noticed within the bound of a cancel

A caller whose cancel was confirmed by a daemon that could not reach the owner saw its subtasks started for 4.9 s more, by an owner in touch whose connections to the store had gone silent. The platform allows 3 s.

Cause: the watch of the inbox waited 5 s and 1 s for its answer, and the read after it took idle connections that were as silent, 1 s for each.

Cost: one call each 1.5 s for each pool, at its owner, however large the fleet is.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -48,7 +48,11 @@
 	// takeoverTimeout bounds a takeover: a slow store takes 240 ms for each call, and
 	// loading the submissions of all pools takes up to 9 s on a link of 2 Mbit/s.
 	takeoverTimeout = 20 * time.Second
-	inboxWait       = 5 * time.Second
+	// The platform allows starts for 3 s after a confirmed cancel. Within that time an owner whose
+	// connections to the store have gone silent must notice it and read the inbox, for which a slow
+	// store takes a quarter of a second.
+	inboxWait          = 1500 * time.Millisecond
+	inboxAnswerTimeout = 800 * time.Millisecond
 )
 
 func newOwners(d *QueueDaemon) *owners {
@@ -217,9 +221,14 @@
 // watchInbox passes the owner the messages that other daemons write into the pool's inbox
 // in the store.
 func (o *owners) watchInbox(pool tw.PoolID, owner *run.Owner) *member.Watcher {
+	return newInboxWatcher(o.d.kv, o.d.clock, o.d.log, pool, func(message ledger.InboxRecord) { owner.HandleInbox(o.ctx, message) })
+}
+
+// newInboxWatcher calls handle for each message in a pool's inbox.
+func newInboxWatcher(kv tw.KV, clock tw.Clock, log *zap.Logger, pool tw.PoolID, handle func(ledger.InboxRecord)) *member.Watcher {
 	seen := map[tw.Key]tw.KVRevision{}
 	return member.WatcherConfig{
-		KV: o.d.kv, Clock: o.d.clock, Log: o.d.log, Prefix: ledger.InboxPrefix(pool), Wait: inboxWait,
+		KV: kv, Clock: clock, Log: log, Prefix: ledger.InboxPrefix(pool), Wait: inboxWait, AnswerTimeout: inboxAnswerTimeout,
 		Changed: func(items map[tw.Key]tw.KVItem, _ tw.KVRevision) {
 			for key, item := range items {
 				if seen[key] == item.Revision {
@@ -228,10 +237,10 @@
 				seen[key] = item.Revision
 				message, err := ledger.DecodeInbox(item)
 				if err != nil {
-					o.d.log.Error("inbox: message not readable", logsink.Err(err))
+					log.Error("inbox: message not readable", logsink.Err(err))
 					continue
 				}
-				owner.HandleInbox(o.ctx, message)
+				handle(message)
 			}
 		},
 	}.New()
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -22,6 +22,9 @@
 		Prefix tw.Key
 		// Wait is the timeout of one watch call.
 		Wait time.Duration
+		// AnswerTimeout is how long after Wait the answer to a watch call may come. Without an answer
+		// by then, all items are read again. Zero leaves it to KV.
+		AnswerTimeout time.Duration
 		// Gap is the pause after a watch call that returned changes. Each call has a
 		// cost, so changes are batched.
 		Gap time.Duration
@@ -60,7 +63,8 @@
 	minRefreshInterval = 600 * time.Millisecond
 )
 
-// errRefresh is the error of a watch that was cancelled by Refresh.
+// errRefresh is the error of a watch after which all items are read again at once: it was cancelled by
+// Refresh, or had no answer in time.
 var errRefresh = errors.New("watch cancelled by refresh")
 
 // New starts watching. Close stops it.
@@ -159,14 +163,23 @@
 	}
 }
 
-// watch waits for changes. It fails with errRefresh if Refresh ended it.
+// watch waits for changes. It fails with errRefresh if Refresh ended it, or if it had no answer in
+// time.
 func (w *Watcher) watch(ctx context.Context, at tw.KVRevision) ([]tw.KVEvent, tw.KVRevision, error) {
 	watchCtx, stop := context.WithCancel(ctx)
 	defer stop()
+	if w.config.AnswerTimeout > 0 {
+		var cancel context.CancelFunc
+		watchCtx, cancel = context.WithTimeout(watchCtx, w.config.Wait+w.config.AnswerTimeout)
+		defer cancel()
+	}
 	w.setCancelWatch(stop)
 	defer w.setCancelWatch(nil)
 	events, next, err := w.config.KV.Watch(watchCtx, w.config.Prefix, at, w.config.Wait)
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		if errors.Is(watchCtx.Err(), context.DeadlineExceeded) {
+			w.config.Log.Info("watch: no answer in time, reading all items again", zap.String("prefix", string(w.config.Prefix)))
+		}
 		return nil, 0, errRefresh
 	}
 	return events, next, err
