Owner: a worker that has survived a start may end before the subtask is placed

What a worker has survived of its predecessor's starts was taken back when their subtasks were next placed. Work that an owner inherits waits while any worker is silent; a worker that had answered and ended by itself in that time left its count standing, and five of these in a row gave the work up.

It is taken back when the worker first answers now, by an index of the recorded starts by worker. Cost: one entry for each recorded start without an outcome; nothing for each answer but a look-up for the first.

--- a/run/ended_owners_test.go
+++ b/run/ended_owners_test.go
@@ -286,3 +286,48 @@
 		}
 	}
 }
+
+// TestEndedWorkersThatSurvivedTheStart guards against work that is given up as workers have ended by
+// themselves, each after it had shown a new owner that it had survived the start, or never got it.
+func TestEndedWorkersThatSurvivedTheStart(t *testing.T) {
+	runCase(t, "", 10, func(r *rig) {
+		s := submission("s1", 1)
+		r.fleet.RegisterSubmission(&s, nil)
+		r.storeAccepted(s)
+		silent := workerID(9) // it keeps inherited work waiting
+		for n := range 6 {
+			p := newProcess(r, writeDone, false)
+			o := r.newOwnerWith(tw.DaemonID(fmt.Sprint("ended", n)), p, p)
+			time.Sleep(200 * time.Millisecond) // all other workers have answered
+			if n > 0 {
+				r.fleet.Crash(r.precountedOn("s1"))
+				r.rebootCrashed(o)
+			}
+			r.fleet.UpdateWorker(silent, func(w *standin.SimWorker) { w.Silent = false })
+			r.runWithReboots(o, 3*time.Second, func() bool {
+				select {
+				case <-p.reached:
+					return true
+				default:
+					return r.state(o, "s1").Final()
+				}
+			})
+			o.Close()
+			r.fleet.UpdateWorker(silent, func(w *standin.SimWorker) { w.Silent = true })
+		}
+		r.fleet.UpdateWorker(silent, func(w *standin.SimWorker) { w.Silent = false })
+		o := r.newOwner("last")
+		r.runWithReboots(o, 10*time.Second, func() bool { return r.state(o, "s1").Final() })
+		r.Expect(r.state(o, "s1")).To(Equal(tw.SubmissionSucceeded))
+	})
+}
+
+// precountedOn returns the worker that was to get the last recorded start of a submission's first
+// subtask.
+func (r *rig) precountedOn(id tw.SubmissionID) tw.WorkerID {
+	progress, err := ledger.FindProgress(r.ctx, r.kv, pool, id)
+	r.Expect(err).NotTo(HaveOccurred())
+	starts := progress.Step(0, 0).PrecountedStarts[0]
+	r.Expect(starts).NotTo(BeEmpty())
+	return starts[len(starts)-1].Worker
+}
--- a/run/owner.go
+++ b/run/owner.go
@@ -68,6 +68,9 @@
 	ranks      map[int]bool
 	pollSeq    int64
 	runCounter tw.RunNumber
+	// precountedOn are the subtasks with precounted starts of previous owners, by the worker that was
+	// to get the start. They are resolved when that worker first answers.
+	precountedOn map[tw.WorkerID][]*task
 	// unrecorded are the placed runs of which the start waits to be recorded. recordsChanged: some
 	// may have been recorded since they were last looked at.
 	unrecorded     []*runState
@@ -172,6 +175,7 @@
 		runTimes:          map[estimateKey]*schedule.RunTimes{},
 		terminated:        map[tw.WorkerID]terminatedWorker{},
 		unclaimed:         map[tw.SubmissionID][]unclaimedEnd{},
+		precountedOn:      map[tw.WorkerID][]*task{},
 		runCounter:        tw.RunNumber(c.Book.Fence()) * runNumbersPerOwner,
 		placeRequested:    true,
 	}
@@ -224,6 +228,7 @@
 	}
 	o.claimRuns(sub)
 	o.claimEnds(sub)
+	o.indexPrecounted(sub)
 	sub.mayBeExhausted = sub.exhausted()
 	if l.CancelInInbox {
 		// The inbox is read some time later, and the submission would be started before that.
--- a/run/precount.go
+++ b/run/precount.go
@@ -78,6 +78,32 @@
 		zap.Int("workers", t.crashes), zap.Any("precounted", t.precounted))
 }
 
+// indexPrecounted notes the workers that were to get precounted starts of a loaded submission.
+func (o *Owner) indexPrecounted(sub *submission) {
+	for k, rep := range sub.progress.Repetitions {
+		for i, step := range rep.Steps {
+			for index, starts := range step.PrecountedStarts {
+				t := sub.task(tw.SubtaskID{Submission: sub.ID, Repetition: k, Step: i, Index: index})
+				if t == nil {
+					continue // its repetition is not open yet
+				}
+				for _, s := range starts {
+					o.precountedOn[s.Worker] = append(o.precountedOn[s.Worker], t)
+				}
+			}
+		}
+	}
+}
+
+// resolvePrecountedOn takes back what a worker has survived when it first answers: it may end before
+// its subtasks are placed, which can be long after that while other workers are silent.
+func (o *Owner) resolvePrecountedOn(w *worker) {
+	for _, t := range o.precountedOn[w.entry.ID] {
+		o.resolvePrecounted(t)
+	}
+	delete(o.precountedOn, w.entry.ID)
+}
+
 // needsPrecount reports whether the next start must be counted in advance: for suspects, for
 // subtasks that may have been started without being counted or that a previous owner may have
 // started, and for a copy of a run whose worker may have ended under it. So the first start of a new
