--- a/daemon/inbox_watch_test.go
+++ b/daemon/inbox_watch_test.go
@@ -83,8 +83,8 @@
 }
 
 // TestInboxWatchNoticesSilence guards against cancelled work that is started for longer than
-// cancelBound: the connections of an owner to the store had gone silent, and it learned of a confirmed
-// cancel in its inbox after up to 6 s.
+// cancelBound: the connections of an owner to the store had gone silent, and it learned too late of a
+// confirmed cancel in its inbox.
 func TestInboxWatchNoticesSilence(t *testing.T) {
 	g := NewWithT(t)
 	store := newSilentStore()
