Owner: logs and metrics tell why a worker counts as ended, and what is still stopping

What could not be told from the logs of the incident: whether an owner had taken a living worker for ended, whether it ignored its entry or its answers since, and whether stops were under way.

- Counters of workers that are taken for ended and of runs that are given up without a report of their end, by reason.
- Gauge of listed workers whose entry is ignored; the first time it is logged with the reason, its age and the runs that were given up with the worker.
- Counter of answers that are ignored as another incarnation's; the first in a row is logged.
Before, such an answer was dropped without a word.

No decision changes. Cost: some counters; the gauges are set in loops that visit all workers already.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -26,20 +26,32 @@
 		return true
 	case startTime < w.startTime:
 		w.nextPoll = o.now // a late answer of a previous incarnation
+		o.noteIgnoredAnswer(w, startTime)
 		return false
 	}
 	entry := w.entry
 	entry.StartTime = startTime
-	o.replaceIncarnation(w, entry)
+	o.replaceIncarnation(w, entry, "answer")
 	return false
 }
 
+// noteIgnoredAnswer records an answer of another incarnation than the known one. Only the first in a
+// row is logged.
+func (o *Owner) noteIgnoredAnswer(w *worker, startTime tw.WorkerStartTime) {
+	o.metrics.ignoredAnswers.Inc()
+	if w.ignoredAnswers == 0 {
+		o.log.Warn("worker: answer of another incarnation ignored", zap.String("worker", string(w.entry.ID)),
+			zap.Int64("born", int64(startTime)), zap.Int64("known_born", int64(w.startTime)), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
+	}
+	w.ignoredAnswers++
+}
+
 // replaceIncarnation replaces a worker by its next incarnation. Runs that were seen have ended with
 // the previous one. Other starts may still be carried out, even if the previous incarnation was
-// told to revoke them.
-func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry) *worker {
+// told to revoke them. source is what showed the next one.
+func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry, source string) *worker {
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.StartTime)),
-		zap.Int64("before", int64(w.startTime)), zap.Int("runs", len(w.runs)))
+		zap.Int64("before", int64(w.startTime)), zap.String("by", source), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
 	o.removeWorker(w, "it has started again")
 	o.attributeCrash(w, true)
 	next := o.addWorker(entry)
@@ -50,7 +62,7 @@
 			continue
 		}
 		w.remove(r)
-		r.w, r.phase, r.firstVisiblePoll, r.firstSeen = next, unconfirmed, o.pollSeq+1, 0
+		r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, time.Time{}
 		next.add(r)
 	}
 	o.forbidLateStarts(w, next)
--- a/run/metrics.go
+++ b/run/metrics.go
@@ -30,6 +30,13 @@
 	// silentWorkers is the number of workers that do not answer, lostShare the share of orders
 	// to the others that get no answer.
 	silentWorkers, lostShare *metrics.Gauge
+	// ignoredEntries is the number of listed workers that the owner takes for ended.
+	ignoredEntries *metrics.Gauge
+	// ignoredAnswers counts the answers to polls that were taken for those of another incarnation.
+	ignoredAnswers *metrics.Counter
+	// stoppingRuns is the number of runs that were ordered to stop and have not ended, longestStop
+	// for how long the first of them has been stopping, in seconds.
+	stoppingRuns, longestStop *metrics.Gauge
 	// duplicateRuns counts the runs that completed although they had been given up, while another
 	// run of their subtask went on.
 	duplicateRuns *metrics.Counter
@@ -69,6 +76,10 @@
 	}
 	m.silentWorkers = set.GetOrCreateGauge(m.name("workers_silent"), nil)
 	m.lostShare = set.GetOrCreateGauge(m.name("orders_lost_share"), nil)
+	m.ignoredEntries = set.GetOrCreateGauge(m.name("worker_entries_ignored"), nil)
+	m.ignoredAnswers = set.GetOrCreateCounter(m.name("worker_answers_ignored_total"))
+	m.stoppingRuns = set.GetOrCreateGauge(m.name("runs_stopping"), nil)
+	m.longestStop = set.GetOrCreateGauge(m.name("runs_stopping_seconds"), nil)
 	m.polls = set.GetOrCreateCounter(m.name("worker_looks_total"))
 	m.suspectedRuns = set.GetOrCreateCounter(m.name("runs_suspected_total"))
 	m.capWithheld = set.GetOrCreateCounter(m.name("cap_withheld_total"))
@@ -116,6 +127,12 @@
 // stopped counts a stop by its reason.
 func (m *ownerMetrics) stopped(reason string) { m.count("stops_total", "reason", reason) }
 
+// endedWorker counts a worker that the owner takes for ended by the reason.
+func (m *ownerMetrics) endedWorker(reason string) { m.count("workers_ended_total", "reason", reason) }
+
+// givenUp counts a run that was removed without a report of its end, by the reason.
+func (m *ownerMetrics) givenUp(reason string) { m.count("runs_given_up_total", "reason", reason) }
+
 // ended counts a submission by its final state.
 func (m *ownerMetrics) ended(state tw.SubmissionState) {
 	m.count("submissions_ended_total", "state", string(state))
--- a/run/poll.go
+++ b/run/poll.go
@@ -155,7 +155,7 @@
 			zap.Duration("silent", now.Sub(w.silentSince)))
 	}
 	w.noteAnswer(now, result.report.Clock)
-	w.polledAt = now
+	w.polledAt, w.ignoredAnswers = now, 0
 	w.ackedEnd = max(w.ackedEnd, hold.AckedSequence)
 	first := !w.stateKnown
 	if w.knownSince.IsZero() {
--- a/run/stall.go
+++ b/run/stall.go
@@ -18,11 +18,18 @@
 // subtasks. It returns when to check again.
 func (o *Owner) watchRuns() time.Time {
 	next := o.now.Add(watchInterval)
+	stopping, longest := 0, time.Duration(0)
 	for _, w := range o.workers {
 		for _, r := range w.runs {
 			o.watchRun(w, r)
+			if !r.stoppedAt.IsZero() {
+				stopping++
+				longest = max(longest, o.now.Sub(r.stoppedAt))
+			}
 		}
 	}
+	o.metrics.stoppingRuns.Set(float64(stopping))
+	o.metrics.longestStop.Set(longest.Seconds())
 	o.moveLongRunning()
 	return next
 }
@@ -33,6 +40,10 @@
 	}
 	switch {
 	case r.phase == stopping && o.now.Sub(r.orderedAt) > stopRetry:
+		if r.orderedAt.Equal(r.stoppedAt) {
+			o.log.Info("run: stop not confirmed, ordered again", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
+				zap.String("worker", string(w.entry.ID)), zap.String("why", r.stopReason), zap.Bool("silent", w.silent()), w.answerAgeField(o.now))
+		}
 		o.sendStop(r)
 	case r.phase == running && !r.task.step.spec.LongRunning && !w.silent() && o.stalled(r):
 		o.log.Info("run: stalled", zap.Stringer("subtask", r.task.id), zap.String("worker", string(w.entry.ID)),
--- a/run/start.go
+++ b/run/start.go
@@ -230,7 +230,7 @@
 	}
 	r.withdrawn.Store(true)
 	r.phase = stopping
-	r.stopReason = reason
+	r.stopReason, r.stoppedAt = reason, o.now
 	o.metrics.stopped(reason)
 	o.log.Info("run: stopped", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(r.w.entry.ID)), zap.String("why", reason), zap.Int("percent", r.percent))
@@ -286,6 +286,7 @@
 	o.uncountCrash(r)
 	t.removeRun(r)
 	t.endedAt, t.lostAt = o.now, o.now
+	o.metrics.givenUp(reason)
 	o.log.Info("run: gone", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(r.w.entry.ID)), zap.String("why", reason), zap.Stringer("phase", r.phase),
 		zap.Duration("since_start", o.now.Sub(r.startedAt)), r.w.answerAgeField(o.now))
--- a/run/submission.go
+++ b/run/submission.go
@@ -147,8 +147,9 @@
 		pace        int // in percent, as last ordered
 		// orderedAt is when a stop or a pace was last sent.
 		orderedAt time.Time
-		// stopReason is why the run was stopped.
+		// stopReason is why the run was stopped, stoppedAt when that was first ordered.
 		stopReason string
+		stoppedAt  time.Time
 		// pending is its place in the send window; nil for a run that this owner has not placed.
 		pending *pendingStart
 		// withdrawn: its start must not be sent any more; sent: it was sent.
--- a/run/termination.go
+++ b/run/termination.go
@@ -46,6 +46,11 @@
 	since, seenAt time.Time
 	// startTime identifies the incarnation; zero if unknown.
 	startTime tw.WorkerStartTime
+	// reason is why it was taken for ended, runs how many runs were given up with it.
+	reason string
+	runs   int
+	// ignoredLogged: it was logged that its entry is ignored.
+	ignoredLogged bool
 }
 
 // matches reports whether an entry is, or may be, of this incarnation or an earlier one.
@@ -189,7 +194,9 @@
 
 // removeTerminated removes a worker that has certainly ended, with all its runs.
 func (o *Owner) removeTerminated(w *worker, end termination) {
-	o.terminated[w.entry.ID] = terminatedWorker{since: o.now, seenAt: o.now, startTime: w.startTime} // a late entry must not add it again
+	o.terminated[w.entry.ID] = terminatedWorker{ // a late entry must not add it again
+		since: o.now, seenAt: o.now, startTime: w.startTime, reason: end.reason, runs: len(w.runs),
+	}
 	o.removeWorker(w, end.reason)
 	if !end.planned {
 		o.attributeCrash(w, end.replaced)
@@ -201,7 +208,7 @@
 
 // markTerminated records that a worker has ended, even if it was not known here.
 func (o *Owner) markTerminated(id tw.WorkerID) {
-	o.terminated[id] = terminatedWorker{since: o.now, seenAt: o.now}
+	o.terminated[id] = terminatedWorker{since: o.now, seenAt: o.now, reason: machineRemoved.reason}
 }
 
 // unmarkTerminated reports whether a worker may be running. It drops the record of its end if the
@@ -221,6 +228,7 @@
 
 // removeWorker removes a worker. If it is alive, the next list of workers adds it again.
 func (o *Owner) removeWorker(w *worker, reason string) {
+	o.metrics.endedWorker(reason)
 	o.log.Info("worker: ended", zap.String("worker", string(w.entry.ID)), zap.String("why", reason),
 		zap.Int("runs", len(w.runs)), zap.String("instance", string(w.entry.Instance)), zap.Bool("listed", w.listed),
 		zap.Bool("silent", !w.silentSince.IsZero()), w.answerAgeField(o.now))
--- a/run/worker.go
+++ b/run/worker.go
@@ -29,6 +29,9 @@
 		knownSince time.Time
 		// startTime identifies the incarnation; zero if the worker did not report it.
 		startTime tw.WorkerStartTime
+		// ignoredAnswers is the number of answers in a row that were taken for those of another
+		// incarnation.
+		ignoredAnswers int
 		// grantsExpireAt is when the deadlines that any owner may have granted there have
 		// passed, unless the worker answers before.
 		grantsExpireAt time.Time
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -72,15 +72,17 @@
 
 func (o *Owner) setWorkers(list WorkerList) {
 	o.storeReachableSince = list.StoreReachableSince
+	ignored := 0
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
 		if record, ended := o.terminated[id]; ended && record.matches(list.Workers[id]) {
-			record.seenAt = o.now
-			o.terminated[id] = record
+			o.ignoreEntry(list.Workers[id], record)
+			ignored++
 			continue
 		}
 		delete(o.terminated, id)
 		o.setWorker(list.Workers[id])
 	}
+	o.metrics.ignoredEntries.Set(float64(ignored))
 	maps.DeleteFunc(o.terminated, func(_ tw.WorkerID, record terminatedWorker) bool {
 		return o.now.Sub(record.seenAt) > terminatedRetention
 	})
@@ -97,6 +99,17 @@
 	o.placeRequested = true
 }
 
+// ignoreEntry records that the entry of a worker that has ended is still listed.
+func (o *Owner) ignoreEntry(entry tw.WorkerEntry, record terminatedWorker) {
+	if !record.ignoredLogged {
+		o.log.Info("worker: entry ignored, it has ended", zap.String("worker", string(entry.ID)), zap.String("why", record.reason),
+			zap.Duration("since", o.now.Sub(record.since)), zap.Int("runs", record.runs),
+			zap.Int64("born", int64(record.startTime)), zap.Int64("listed_born", int64(entry.StartTime)))
+	}
+	record.seenAt, record.ignoredLogged = o.now, true
+	o.terminated[entry.ID] = record
+}
+
 func (o *Owner) setWorker(entry tw.WorkerEntry) {
 	w := o.workers[entry.ID]
 	if w == nil {
@@ -107,7 +120,7 @@
 		return // an entry of a previous incarnation
 	}
 	if w.startTime != 0 && entry.StartTime > w.startTime {
-		w = o.replaceIncarnation(w, entry)
+		w = o.replaceIncarnation(w, entry, "entry")
 	}
 	if entry.Draining && !w.entry.Draining {
 		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
