--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -71,9 +71,11 @@
 		storeFaulty   bool
 		storeFaultyAt time.Time
 		// cancelled holds when a cancel of a submission was confirmed.
-		cancelled  map[tw.SubmissionID]time.Time
-		violations []string
-		starts     int
+		cancelled map[tw.SubmissionID]time.Time
+		// disturbedAt is until when callers may have been kept from stopping any runs.
+		disturbedAt time.Time
+		violations  []string
+		starts      int
 		// everStarted holds the submissions of which any subtask was ever started.
 		everStarted map[tw.SubmissionID]bool
 		// evacuated maps each evacuated hall to the start of its evacuation.
@@ -125,6 +127,8 @@
 		lateOrders []tw.StartOrder
 		changed    chan struct{}
 		dead       bool
+		// disturbedAt is until when callers may have been kept from stopping its runs.
+		disturbedAt time.Time
 		// connReset is set if a dead worker's address resets connections instead of
 		// giving no answer.
 		connReset bool
@@ -142,6 +146,8 @@
 		profile Profile
 		stopAt  time.Time // zero if no stop was ordered
 		pace    int
+		// outlivedCancel: a violation was recorded as it went on after its cancel.
+		outlivedCancel bool
 	}
 )
 
@@ -292,6 +298,9 @@
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		f.advance(w)
+	}
 	return slices.Clone(f.violations)
 }
 
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -42,6 +42,7 @@
 // advance ends the runs of a worker that are due by now. If the worker's deadline has
 // passed, it also ends those that would have run past the deadline, as expired.
 func (f *Fleet) advance(w *SimWorker) {
+	f.checkStopped(w)
 	now := f.config.Clock.Now()
 	expired := !w.deadline.IsZero() && now.After(w.deadline)
 	for _, id := range w.runsByEnd() {
--- a/run/soak_kills_test.go
+++ b/run/soak_kills_test.go
@@ -81,5 +81,6 @@
 	}
 	s.process.kill()
 	s.owner.Close()
+	s.fleet.NoteDisturbance()
 	s.owner = s.newOwner(tw.DaemonID(fmt.Sprintf("d%d", len(s.opened))))
 }
