Owner: an entry does not end a worker, only an answer does

What callers would see: a submission is cancelled and answered 200, and its subtasks run on until their time runs out, or to their end; others of the same worker are started a second time; the worker gets no more work.

Cause: setWorker took a later start time in an entry as proof that the former incarnation had ended and gave its runs up, and took an entry's address for the worker's. The live worker's answers were then those of "a previous incarnation", or another worker refused the orders at that address, which counted as proof as well.

Change: an entry that contradicts what a worker has answered is a claim. The worker is polled; if the known incarnation answers, the entry is not followed, and if another one answers, that replaces it. Only if it is silent, the address that the entry names is asked too; a refusal there says nothing of the known incarnation. Nothing new is placed until the first answer. A session that is replaced leaves the starts in flight unconfirmed; before, they stayed "starting".

Cost: one poll for each entry that contradicts, none otherwise. It does not depend on the size of the fleet.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -29,9 +29,7 @@
 		o.noteIgnoredAnswer(w, startTime)
 		return false
 	}
-	entry := w.entry
-	entry.StartTime = startTime
-	o.replaceIncarnation(w, entry, "answer")
+	o.replaceIncarnation(w, w.nextEntry(startTime))
 	return false
 }
 
@@ -48,13 +46,14 @@
 
 // replaceIncarnation replaces a worker by its next incarnation. Runs that were seen have ended with
 // the previous one. Other starts may still be carried out, even if the previous incarnation was
-// told to revoke them. source is what showed the next one.
-func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry, source string) *worker {
+// told to revoke them.
+func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry) {
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.StartTime)),
-		zap.Int64("before", int64(w.startTime)), zap.String("by", source), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
+		zap.Int64("before", int64(w.startTime)), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
 	o.removeWorker(w, "it has started again")
 	o.attributeCrash(w, true)
 	next := o.addWorker(entry)
+	next.startTime = entry.StartTime
 	next.listed, next.missingSince, next.vacating, next.maintenanceDue = w.listed, w.missingSince, w.vacating, w.maintenanceDue
 	for _, r := range w.runs {
 		if r.firstSeen != 0 && !r.copyUnanswered || !r.sent.Load() {
@@ -66,7 +65,6 @@
 		next.add(r)
 	}
 	o.forbidLateStarts(w, next)
-	return next
 }
 
 // clockRestarted reports whether the clock in the answer to an order can't be that of the known
--- a/run/termination.go
+++ b/run/termination.go
@@ -143,8 +143,11 @@
 func (w *worker) probing() bool { return w.probeSince.After(w.clockAt) }
 
 // needsProbe reports whether a poll must show that a worker is alive. An idle worker isn't polled
-// otherwise, and would get new work although another worker of its machine is known.
-func (w *worker) needsProbe() bool { return w.probing() || w.duplicateSince.After(w.polledAt) }
+// otherwise, and would get new work although another worker of its machine is known, or its entry
+// names another incarnation.
+func (w *worker) needsProbe() bool {
+	return w.probing() || w.duplicateSince.After(w.polledAt) || w.claim.pending()
+}
 
 // terminationBy returns why a worker has ended according to a list of machines; zero if it has
 // not, or if the list does not tell. A worker that has answered since the list was requested is
@@ -233,6 +236,7 @@
 		zap.Int("runs", len(w.runs)), zap.String("instance", string(w.entry.Instance)), zap.Bool("listed", w.listed),
 		zap.Bool("silent", !w.silentSince.IsZero()), w.answerAgeField(o.now))
 	w.session.close()
+	w.dropClaim()
 	delete(o.workers, w.entry.ID)
 	delete(o.ranks, w.rank)
 	o.sortedWorkers = nil
--- a/run/worker.go
+++ b/run/worker.go
@@ -27,8 +27,10 @@
 		// first did; from then on it accepts no orders of the previous owner.
 		stateKnown bool
 		knownSince time.Time
-		// startTime identifies the incarnation; zero if the worker did not report it.
+		// startTime identifies the incarnation that has answered; zero if none has reported it.
 		startTime tw.WorkerStartTime
+		// claim is a listed entry that contradicts what the worker has answered; nil if none does.
+		claim *claim
 		// ignoredAnswers is the number of answers in a row that were taken for those of another
 		// incarnation.
 		ignoredAnswers int
@@ -177,7 +179,7 @@
 
 // usable reports whether new work may be placed there.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.stateKnown && !w.entry.Draining && !w.silent() &&
+	return w.listed && w.stateKnown && !w.entry.Draining && !w.silent() && !w.claim.pending() &&
 		!now.Before(w.health.quarantinedUntil) && !now.Before(w.fullUntil)
 }
 
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -115,25 +115,41 @@
 	if w == nil {
 		w = o.addWorker(entry)
 	}
-	if w.startTime != 0 && entry.StartTime != 0 && entry.StartTime < w.startTime {
-		w.listed = true
-		return // an entry of a previous incarnation
+	w.listed = true
+	if w.contradicts(entry) {
+		o.noteClaim(w, entry)
+		return
 	}
-	if w.startTime != 0 && entry.StartTime > w.startTime {
-		w = o.replaceIncarnation(w, entry, "entry")
+	w.dropClaim()
+	if w.session.ref.Address != entry.Address || w.polledAt.IsZero() && w.entry.StartTime != entry.StartTime {
+		// The worker was added from the list of machines, before its entry gave its address, or has
+		// started again before it has answered.
+		o.resetSession(w, entry.Ref())
 	}
+	o.applyEntry(w, entry)
+}
+
+// resetSession replaces the session of a worker. The outcome of its starts in flight stays unknown.
+func (o *Owner) resetSession(w *worker, ref tw.WorkerRef) {
+	w.session.close()
+	w.session = newSession(o, ref)
+	for _, r := range w.runs {
+		if r.phase == starting {
+			o.window.release(r.pending)
+			o.startUnconfirmed(r)
+		}
+	}
+	w.startsInFlight = 0
+	w.openPolls = nil
+	w.nextPoll = o.now
+}
+
+// applyEntry takes over what a worker's entry says of it.
+func (o *Owner) applyEntry(w *worker, entry tw.WorkerEntry) {
 	if entry.Draining && !w.entry.Draining {
 		o.log.Info("worker: draining", zap.String("worker", string(entry.ID)),
 			zap.Duration("remaining", entry.Remaining), zap.Int("runs", len(w.runs)))
 	}
-	if w.session.ref != entry.Ref() {
-		// The worker was added from the list of machines, before its entry gave its address.
-		w.session.close()
-		w.session = newSession(o, entry.Ref())
-		w.startsInFlight = 0 // the starts of the previous session are given up
-		w.openPolls = nil
-		w.nextPoll = o.now
-	}
 	if w.entry.Instance != entry.Instance {
 		o.unindexWorker(w)
 		w.entry.Instance, w.duplicateSince = entry.Instance, time.Time{}
@@ -141,13 +157,12 @@
 		o.markDuplicates(w)
 	}
 	w.entry = entry
-	w.listed = true
 	w.vacating, w.maintenanceDue = o.mustVacate(w), o.upcoming[entry.Instance]
 }
 
 func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
 	w := &worker{
-		entry: entry, startTime: entry.StartTime, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(), usage: o.caps.usage,
+		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(), usage: o.caps.usage,
 		// The previous owner may have extended runs there until its permit expired. Workers
 		// that really are new answer their first poll at once, so this costs nothing.
 		grantsExpireAt: o.takeoverAt.Add(permitTTL + o.maxHoldTime()),
