Owner: the order of calls tells which incarnation of a worker is the later one

What callers would see: after a worker starts again under its ID on a machine whose clock was set back, its subtasks are started elsewhere only when their time has run out, and the worker gets no work any more.

An answer with an earlier one than the known one was taken for a late answer of a previous incarnation, for good; so was an entry with an earlier or equal start time than that of an ended one.

Evidence: TestRestartWithAnyClock, red with the clock set back (and green with it ahead) before; green now.

Change: incarnations are told apart by their start times, and ordered by the calls that they have answered: one that answers a poll which was sent after the last answer of the known one is the later one. If the poll was sent before that, the worker is polled again. An ended incarnation is recognised by its own start time only.

Cost: none while no worker starts again.

--- a/run/claim.go
+++ b/run/claim.go
@@ -97,6 +97,7 @@
 	c.asking = true
 	o.pollSeq++
 	o.metrics.polls.Inc()
+	sentAt := o.now
 	c.session.polls <- pollRequest{
 		hold: tw.HoldOrder{Fence: o.self.Fence}, seq: o.pollSeq, timeout: o.orderTimeout.current(o.now),
 		done: func(result pollResult) {
@@ -104,7 +105,7 @@
 			c.nextAsk = o.now.Add(c.delay)
 			c.delay = min(2*c.delay, maxClaimDelay)
 			if w.claim == c && o.workers[w.entry.ID] == w && !o.draining {
-				o.claimAnswered(w, result)
+				o.claimAnswered(w, sentAt, result)
 			}
 		},
 	}
@@ -113,7 +114,7 @@
 
 // claimAnswered handles the result of a poll of a claimed address. Any refusal but that of a stale
 // fence says nothing of the known incarnation: another worker may have that address.
-func (o *Owner) claimAnswered(w *worker, result pollResult) {
+func (o *Owner) claimAnswered(w *worker, sentAt time.Time, result pollResult) {
 	startTime := result.report.StartTime
 	switch {
 	case tw.RefusedFor(result.err, tw.RefusedStaleFence):
@@ -123,7 +124,7 @@
 		if w.claim.entry.Address != w.entry.Address {
 			o.moveSession(w)
 		}
-	case startTime > w.startTime:
+	case sentAt.After(w.polledAt):
 		o.replaceIncarnation(w, w.nextEntry(startTime))
 	}
 }
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -9,23 +9,26 @@
 )
 
 // A worker may restart under its ID and address, so that orders to the previous incarnation reach
-// the new one. The start time tells which of them answers. The owner treats the new incarnation as
-// another worker: unrecorded ends of the previous one must not be acknowledged to it.
+// the new one. The start time tells that another one answers; which is the later one, the order of
+// the calls tells, as a machine's clock may have been set back between them. The owner treats the new
+// incarnation as another worker: unrecorded ends of the previous one must not be acknowledged to it.
 
 // clockTolerance is how far the clock in an answer may seem to lag because of rounding.
 const clockTolerance = 5 * time.Millisecond
 
-// sameIncarnation reports whether a poll was answered by the known incarnation. If it was a newer
-// one, that replaces the worker.
-func (o *Owner) sameIncarnation(w *worker, startTime tw.WorkerStartTime) bool {
+// sameIncarnation reports whether a poll was answered by the known incarnation. If it was sent after
+// that one last answered, another one that answers is a later one and replaces the worker. Otherwise
+// the worker is polled again.
+func (o *Owner) sameIncarnation(w *worker, sentAt time.Time, startTime tw.WorkerStartTime) bool {
 	switch {
 	case startTime == 0 || startTime == w.startTime:
 		return true
 	case w.startTime == 0:
 		w.startTime = startTime
 		return true
-	case startTime < w.startTime:
-		w.nextPoll = o.now // a late answer of a previous incarnation
+	case !sentAt.After(w.polledAt):
+		w.nextPoll = o.now
+		o.requestPoll(w)
 		o.noteIgnoredAnswer(w, startTime)
 		return false
 	}
--- a/run/poll.go
+++ b/run/poll.go
@@ -148,7 +148,7 @@
 		return
 	}
 	o.notePollAnswer(w, poll)
-	if !o.sameIncarnation(w, result.report.StartTime) {
+	if !o.sameIncarnation(w, poll.sentAt, result.report.StartTime) {
 		return
 	}
 	o.refuteClaim(w, poll.sentAt)
--- a/run/termination.go
+++ b/run/termination.go
@@ -53,9 +53,9 @@
 	ignoredLogged bool
 }
 
-// matches reports whether an entry is, or may be, of this incarnation or an earlier one.
+// matches reports whether an entry is, or may be, of this incarnation.
 func (t terminatedWorker) matches(entry tw.WorkerEntry) bool {
-	return t.startTime == 0 || entry.StartTime <= t.startTime
+	return t.startTime == 0 || entry.StartTime == 0 || entry.StartTime == t.startTime
 }
 
 // indexWorker and unindexWorker maintain the index of workers by machine. Without it each new
