Owner: a worker that a list shows as ended is asked as long as it is listed

What callers would see: a worker does not answer for a moment, just then the list of machines shows its machine as down, moving or with another worker, and the submission is cancelled. The worker answers again, and the cancelled subtasks run to their end: nobody stops them or learns of their ends. The worker gets no work for a minute after its entry was last listed.

Cause: the end was an assumption (silence, and a list that may lag or be wrong for a moment), and kept like a proof: the record of it matched each entry of the worker, and each list renewed it. Only the machine manager could lift it.

Change: an end is proven by an answer (another incarnation or worker answers at its address, or an order that took its machine away was answered), or it is presumed. Runs are given up on a presumed end as before, as work would wait for up to 10 s otherwise; but as long as it is listed the worker is asked 1 s later, then every 2 s, every 8 s if another worker of its machine answers. If it answers, that is logged and counted, and its runs are taken over or stopped.

Cost: for each worker that is lost without a word, one or two polls until its entry expires; none for workers that are moved. It grows with such losses only.

--- a/run/metrics.go
+++ b/run/metrics.go
@@ -32,6 +32,8 @@
 	silentWorkers, lostShare *metrics.Gauge
 	// ignoredEntries is the number of listed workers that the owner takes for ended.
 	ignoredEntries *metrics.Gauge
+	// wronglyEnded counts the workers that have answered after they were taken for ended.
+	wronglyEnded *metrics.Counter
 	// ignoredAnswers counts the answers to polls that were taken for those of another incarnation.
 	ignoredAnswers *metrics.Counter
 	// claims counts the entries that contradicted what a worker had answered.
@@ -79,6 +81,7 @@
 	m.silentWorkers = set.GetOrCreateGauge(m.name("workers_silent"), nil)
 	m.lostShare = set.GetOrCreateGauge(m.name("orders_lost_share"), nil)
 	m.ignoredEntries = set.GetOrCreateGauge(m.name("worker_entries_ignored"), nil)
+	m.wronglyEnded = set.GetOrCreateCounter(m.name("workers_wrongly_ended_total"))
 	m.ignoredAnswers = set.GetOrCreateCounter(m.name("worker_answers_ignored_total"))
 	m.claims = set.GetOrCreateCounter(m.name("worker_entries_contradicted_total"))
 	m.stoppingRuns = set.GetOrCreateGauge(m.name("runs_stopping"), nil)
--- a/run/owner.go
+++ b/run/owner.go
@@ -111,6 +111,8 @@
 	beyondLoggedAt time.Time
 	// terminated are workers that no longer run. Their entries may linger or come back.
 	terminated map[tw.WorkerID]terminatedWorker
+	// listed are the workers in the last list of workers. It must not be changed.
+	listed map[tw.WorkerID]tw.WorkerEntry
 	// unclaimed are the ends of runs whose submission is not known yet, by submission. A
 	// previous owner may have started such runs, if it learned of the submission after this
 	// owner had loaded the submissions.
--- a/run/termination.go
+++ b/run/termination.go
@@ -25,9 +25,22 @@
 // times a second.
 const machineListLag = 3 * time.Second
 
+const (
+	// minEndAskDelay and maxEndAskDelay bound the pause after which a worker that is taken for ended
+	// without proof is asked, as long as it is listed. The platform allows 3 s and the time of a stop
+	// for what is cancelled to be gone.
+	minEndAskDelay = time.Second
+	maxEndAskDelay = 2 * time.Second
+	// replacedAskDelay replaces them if another worker of its machine answers.
+	replacedAskDelay = 8 * time.Second
+)
+
 // termination is why an incarnation of a worker has ended. The zero value means that it has not.
 type termination struct {
 	reason string
+	// proven: an answer shows it. Otherwise the worker is silent and a list of machines says so, which
+	// may be wrong for a moment.
+	proven bool
 	// planned: the worker was not crashed by one of its runs.
 	planned bool
 	// replaced: another worker of its machine answers. One that is only listed does not
@@ -36,19 +49,23 @@
 }
 
 var (
-	machineRemoved    = termination{reason: "its machine was ordered away", planned: true}
-	replacedAtAddress = termination{reason: "another worker answers at its address", replaced: true}
+	machineRemoved    = termination{reason: "its machine was ordered away", proven: true, planned: true}
+	replacedAtAddress = termination{reason: "another worker answers at its address", proven: true, replaced: true}
 )
 
-// terminatedWorker is an ended incarnation: since when the owner knows that, and when the entry
-// was last seen.
+// terminatedWorker is an ended incarnation, or one that is taken for ended: since when the owner
+// knows that, and when the entry was last seen.
 type terminatedWorker struct {
 	since, seenAt time.Time
 	// startTime identifies the incarnation; zero if unknown.
 	startTime tw.WorkerStartTime
-	// reason is why it was taken for ended, runs how many runs were given up with it.
-	reason string
-	runs   int
+	// end is why it was taken for ended, runs how many runs were given up with it.
+	end  termination
+	runs int
+	// askAt is when it is asked whether it has ended, unless that is proven, and askDelay the pause
+	// before that.
+	askAt    time.Time
+	askDelay time.Duration
 	// ignoredLogged: it was logged that its entry is ignored.
 	ignoredLogged bool
 }
@@ -58,6 +75,11 @@
 	return t.startTime == 0 || entry.StartTime == 0 || entry.StartTime == t.startTime
 }
 
+// provenFor reports whether it is proven that the worker of an entry has ended.
+func (t terminatedWorker) provenFor(entry tw.WorkerEntry) bool {
+	return t.end.proven && (t.startTime != 0 || entry.StartTime == 0)
+}
+
 // indexWorker and unindexWorker maintain the index of workers by machine. Without it each new
 // list of workers required a comparison of all workers with all others.
 func (o *Owner) indexWorker(w *worker) {
@@ -195,11 +217,9 @@
 	o.placeRequested = true
 }
 
-// removeTerminated removes a worker that has certainly ended, with all its runs.
+// removeTerminated removes a worker that has ended, or is taken for ended, with all its runs.
 func (o *Owner) removeTerminated(w *worker, end termination) {
-	o.terminated[w.entry.ID] = terminatedWorker{ // a late entry must not add it again
-		since: o.now, seenAt: o.now, startTime: w.startTime, reason: end.reason, runs: len(w.runs),
-	}
+	o.noteTerminated(w, end)
 	o.removeWorker(w, end.reason)
 	if !end.planned {
 		o.attributeCrash(w, end.replaced)
@@ -209,9 +229,58 @@
 	}
 }
 
-// markTerminated records that a worker has ended, even if it was not known here.
-func (o *Owner) markTerminated(id tw.WorkerID) {
-	o.terminated[id] = terminatedWorker{since: o.now, seenAt: o.now, reason: machineRemoved.reason}
+// noteTerminated records the end of a worker, so that a late entry does not add it again.
+func (o *Owner) noteTerminated(w *worker, end termination) {
+	record := terminatedWorker{since: o.now, seenAt: o.now, startTime: w.startTime, end: end, runs: len(w.runs), askDelay: minEndAskDelay}
+	if record.startTime == 0 {
+		record.startTime = w.entry.StartTime
+	}
+	if w.presumedEnd != nil {
+		record.askDelay = min(2*w.presumedEnd.askDelay, maxEndAskDelay)
+	}
+	if o.hasAnsweringSibling(w) {
+		record.askDelay = replacedAskDelay
+	}
+	record.askAt = o.now.Add(record.askDelay)
+	o.terminated[w.entry.ID] = record
+}
+
+// hasAnsweringSibling reports whether another worker of the machine has answered since this one did.
+func (o *Owner) hasAnsweringSibling(w *worker) bool {
+	return slices.ContainsFunc(o.workersByInstance[w.entry.Instance], func(other *worker) bool {
+		return other != w && other.polledAt.After(w.polledAt) && !other.silent()
+	})
+}
+
+// askPresumedEnded adds the workers again that are listed although they were taken for ended without
+// proof, so that they are polled. It returns when the next one is due.
+func (o *Owner) askPresumedEnded() time.Time {
+	var next time.Time
+	for id, record := range o.terminated {
+		entry, listed := o.listed[id]
+		switch {
+		case !listed || record.provenFor(entry) || o.workers[id] != nil:
+		case o.now.Before(record.askAt):
+			next = earlier(next, record.askAt)
+		default:
+			delete(o.terminated, id)
+			w := o.addWorker(entry)
+			w.mayHaveInheritedRuns, w.presumedEnd = false, &record
+		}
+	}
+	return next
+}
+
+// noteAlive records that a worker that was taken for ended has answered.
+func (o *Owner) noteAlive(w *worker, running int) {
+	if w.presumedEnd == nil {
+		return
+	}
+	o.metrics.wronglyEnded.Inc()
+	o.log.Warn("worker: lives though it was taken for ended", zap.String("worker", string(w.entry.ID)),
+		zap.String("why", w.presumedEnd.end.reason), zap.Duration("since", o.now.Sub(w.presumedEnd.since)),
+		zap.Int("runs_given_up", w.presumedEnd.runs), zap.Int("running", running))
+	w.presumedEnd = nil
 }
 
 // unmarkTerminated reports whether a worker may be running. It drops the record of its end if the
--- a/run/worker.go
+++ b/run/worker.go
@@ -29,6 +29,9 @@
 		knownSince time.Time
 		// startTime identifies the incarnation that has answered; zero if none has reported it.
 		startTime tw.WorkerStartTime
+		// presumedEnd is the record of its end if it was taken for ended without proof and has not
+		// answered since; nil otherwise.
+		presumedEnd *terminatedWorker
 		// claim is a listed entry that contradicts what the worker has answered; nil if none does.
 		claim *claim
 		// ignoredAnswers is the number of answers in a row that were taken for those of another
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -28,10 +28,7 @@
 func (o *Owner) applyDirections(d Directions) {
 	o.setVacate(setOfMachines(d.Vacate), setOfMachines(d.Upcoming))
 	for _, id := range d.Gone {
-		if w := o.workers[id]; w != nil {
-			o.removeTerminated(w, machineRemoved)
-		}
-		o.markTerminated(id) // also if it was not known here
+		o.workerGone(id)
 	}
 	for _, id := range d.Running {
 		if w := o.workers[id]; o.unmarkTerminated(id) && (w == nil || !w.listed) {
@@ -41,6 +38,21 @@
 	}
 }
 
+// workerGone handles the end of a worker whose machine was ordered away.
+func (o *Owner) workerGone(id tw.WorkerID) {
+	w := o.workers[id]
+	if w != nil {
+		o.removeTerminated(w, machineRemoved)
+		return
+	}
+	record, known := o.terminated[id]
+	if !known {
+		record = terminatedWorker{since: o.now, seenAt: o.now, askAt: o.now.Add(minEndAskDelay), askDelay: minEndAskDelay}
+	}
+	record.end = machineRemoved
+	o.terminated[id] = record
+}
+
 func setOfMachines(ids []tw.InstanceID) map[tw.InstanceID]bool {
 	out := make(map[tw.InstanceID]bool, len(ids))
 	for _, id := range ids {
@@ -71,7 +83,7 @@
 const vacateTTL = 2 * time.Second
 
 func (o *Owner) setWorkers(list WorkerList) {
-	o.storeReachableSince = list.StoreReachableSince
+	o.storeReachableSince, o.listed = list.StoreReachableSince, list.Workers
 	ignored := 0
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
 		if record, ended := o.terminated[id]; ended && record.matches(list.Workers[id]) {
@@ -102,7 +114,7 @@
 // ignoreEntry records that the entry of a worker that has ended is still listed.
 func (o *Owner) ignoreEntry(entry tw.WorkerEntry, record terminatedWorker) {
 	if !record.ignoredLogged {
-		o.log.Info("worker: entry ignored, it has ended", zap.String("worker", string(entry.ID)), zap.String("why", record.reason),
+		o.log.Info("worker: entry ignored, it has ended", zap.String("worker", string(entry.ID)), zap.String("why", record.end.reason),
 			zap.Duration("since", o.now.Sub(record.since)), zap.Int("runs", record.runs),
 			zap.Int64("born", int64(record.startTime)), zap.Int64("listed_born", int64(entry.StartTime)))
 	}
@@ -207,6 +219,7 @@
 		o.machineCache.RequestRefresh(o.now)
 		next = o.now.Add(minRefreshInterval / 4)
 	}
+	next = earlier(next, o.askPresumedEnded())
 	silent := 0
 	for _, w := range o.workers {
 		if w.silent() {
