Owner: a poll that waits at its worker does not keep other polls from extending its runs

What callers would see: subtasks lapse on a sound worker and are started again, as two workers are listed on one machine for longer than their time.

Cause: while it is unclear which worker a machine runs, the owner polls at once and again, beside the poll that waits for an end. Each of these found that one open, took it for a sign of silence and did not extend the time of the runs.

Evidence: TestDisputedMachineKeepsRuns, red in 2 of 4 cases before (6 starts for 4 subtasks), with and without start times. In its log every poll for 6 s has no deadline, and each is answered after 2 ms.

Change: an open poll counts as unanswered once its wait is over.

Cost: none; a worker that falls silent beside a waiting poll may get up to that wait more time.

--- a/run/open_polls.go
+++ b/run/open_polls.go
@@ -106,9 +106,14 @@
 }
 
 // silenceExplained reports whether lost answers can explain that polls are open. The first one
-// needs no explanation.
+// needs no explanation, nor does one that still waits at the worker.
 func (o *Owner) silenceExplained(w *worker) bool {
-	open := w.unexplainedPolls()
+	open := 0
+	for _, p := range w.openPolls {
+		if !p.lost && !o.now.Before(p.sentAt.Add(p.wait)) {
+			open++
+		}
+	}
 	return open == 0 || open < unansweredLimit(o.loss.share(o.now))
 }
 
