Owner: a notice that a worker has gone does not end the next one with its ID

What callers would see where workers keep their IDs: a machine is moved to another pool and back within 8 s, its new worker's subtasks are given up and started a second time.

Cause: the manager repeats for 8 s that the worker went with the move, as its entry may be listed for as long. The owner took each repetition as a new end of whoever had that ID.

Change: the notice tells how long ago the order was answered. A worker that has answered a poll which was sent later than that is not the one that has gone. Managers of an older version do not send it; their notices count as before.

Cost: some ten bytes for each notice.

--- a/maintenance/collect.go
+++ b/maintenance/collect.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		d := out[worker.pool]
-		d.Gone = append(d.Gone, id)
+		d.Gone, d.GoneFor = append(d.Gone, id), append(d.GoneFor, m.Clock.Now().Sub(worker.at))
 		out[worker.pool] = d
 	}
 	return out
--- a/run/foreign_entries_test.go
+++ b/run/foreign_entries_test.go
@@ -181,3 +181,35 @@
 		})
 	}
 }
+
+// TestOldNoticeEndsNoNewWorker guards against a worker that is given up because of a notice that its
+// previous incarnation, which had the same ID, went with a move of its machine.
+func TestOldNoticeEndsNoNewWorker(t *testing.T) {
+	runCase(t, "its machine was moved away and back", 2, func(r *rig) {
+		r.setStartTimes()
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		id := workerID(0)
+		r.fleet.Kill(id)
+		movedAt := time.Now()
+		notice := func() run.Directions {
+			return run.Directions{Gone: []tw.WorkerID{id}, GoneFor: []time.Duration{time.Since(movedAt)}}
+		}
+		_, err := o.Report(r.ctx, notice())
+		r.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * time.Second) // the machine is moved away and back
+		r.relistWorker(o, r.restart(0))
+		time.Sleep(500 * time.Millisecond)
+		s := submission("s1", 8)
+		s.Steps[0].Estimate = 3 * time.Second
+		r.submit(o, s)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			_, err := o.Report(r.ctx, notice())
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		r.eventually(o, "s1", tw.SubmissionSucceeded, 5*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(8))
+		r.expectUsed(o, id)
+	})
+}
--- a/run/poll.go
+++ b/run/poll.go
@@ -158,6 +158,7 @@
 	}
 	w.noteAnswer(now, result.report.Clock)
 	w.polledAt, w.ignoredAnswers = now, 0
+	w.answeredPollOf = later(w.answeredPollOf, poll.sentAt)
 	w.ackedEnd = max(w.ackedEnd, hold.AckedSequence)
 	first := !w.stateKnown
 	if w.knownSince.IsZero() {
--- a/run/report.go
+++ b/run/report.go
@@ -13,8 +13,10 @@
 	Directions struct {
 		// Vacate are the machines to be vacated.
 		Vacate []tw.InstanceID `json:"vacate,omitempty"`
-		// Gone are workers that have certainly ended.
-		Gone []tw.WorkerID `json:"gone,omitempty"`
+		// Gone are workers that have certainly ended, GoneFor how long ago each of them was known to
+		// have. A manager of an older version does not report that.
+		Gone    []tw.WorkerID   `json:"gone,omitempty"`
+		GoneFor []time.Duration `json:"goneFor,omitempty"`
 		// Running are workers of the pool that run according to the list of machines, but
 		// were not in the owner's last report.
 		Running []tw.WorkerID `json:"running,omitempty"`
--- a/run/worker.go
+++ b/run/worker.go
@@ -64,7 +64,9 @@
 		// openPolls are the polls that have not ended, in the order in which they were sent.
 		openPolls []openPoll
 		polledAt  time.Time // of the last answer
-		nextPoll  time.Time // not before
+		// answeredPollOf is when the last answered poll was sent.
+		answeredPollOf time.Time
+		nextPoll       time.Time // not before
 		// sentPoll is the sequence number of the last poll. A poll with at least requestedPoll
 		// answers the last request for one that does not wait for the open ones.
 		sentPoll, requestedPoll int64
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -27,8 +27,12 @@
 // applyDirections applies the directions of the machine manager.
 func (o *Owner) applyDirections(d Directions) {
 	o.setVacate(setOfMachines(d.Vacate), setOfMachines(d.Upcoming))
-	for _, id := range d.Gone {
-		o.workerGone(id)
+	for i, id := range d.Gone {
+		if i < len(d.GoneFor) {
+			o.workerGone(id, o.now.Add(-d.GoneFor[i]))
+		} else {
+			o.workerGone(id, o.now)
+		}
 	}
 	for _, id := range d.Running {
 		if w := o.workers[id]; o.unmarkTerminated(id) && (w == nil || !w.listed) {
@@ -38,9 +42,13 @@
 	}
 }
 
-// workerGone handles the end of a worker whose machine was ordered away.
-func (o *Owner) workerGone(id tw.WorkerID) {
+// workerGone handles the end of a worker whose machine was ordered away at a time. A worker that has
+// answered a poll since then is the next one with its ID.
+func (o *Owner) workerGone(id tw.WorkerID, at time.Time) {
 	w := o.workers[id]
+	if w != nil && w.answeredPollOf.After(at) {
+		return
+	}
 	if w != nil {
 		o.removeTerminated(w, machineRemoved)
 		return
