Owner: a worker that the list of machines names has not ended, whatever machine its entry names

What callers would see: another writer's entry names a living worker with the machine of another one, and the worker does not answer for half a second. Its subtasks are started a second time, or go on after a cancel.

Cause: the list of machines was asked only about the machine that the entry names, and that one runs another worker.

Change: a list that names the worker on any machine that is up does not end it.

--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -8,6 +8,7 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/run"
 )
 
 // startTimesOrNone prepares workers with and without start times.
@@ -96,3 +97,60 @@
 		r.expectUsed(o, next.ID)
 	})
 }
+
+// TestForeignMachineEndsNoSilentWorker guards against a worker that is taken for ended because a
+// foreign entry names the machine of another worker and the worker does not answer for a moment. The
+// list of machines names it on its own machine all the time.
+func TestForeignMachineEndsNoSilentWorker(t *testing.T) {
+	for name, prepare := range startTimesOrNone {
+		runCase(t, "its runs are not started again, "+name, 3, func(r *rig) {
+			prepare(r)
+			o, own := r.silentWorkerWithForeignMachine()
+			r.relistWorker(o, r.fleetEntry(2))
+			time.Sleep(1200 * time.Millisecond)
+			r.relistWorker(o, own)
+			r.fleet.UpdateWorker(own.ID, func(w *standin.SimWorker) { w.Silent = false })
+			for _, id := range []tw.SubmissionID{"cancelled", "kept"} {
+				r.eventually(o, id, tw.SubmissionSucceeded, 15*time.Second)
+			}
+			r.Expect(r.fleet.Starts()).To(Equal(8))
+		})
+		runCase(t, "its runs are stopped after a cancel, "+name, 3, func(r *rig) {
+			prepare(r)
+			o, own := r.silentWorkerWithForeignMachine()
+			time.Sleep(1200 * time.Millisecond)
+			r.Expect(o.Cancel(r.ctx, "", "cancelled")).To(Succeed())
+			r.fleet.NoteCancelled("cancelled")
+			r.fleet.UpdateWorker(own.ID, func(w *standin.SimWorker) { w.Silent = false })
+			r.relistWorker(o, own)
+			time.Sleep(4 * time.Second)
+			r.Expect(r.fleet.SubmissionRuns("cancelled")).To(BeZero())
+		})
+	}
+}
+
+// silentWorkerWithForeignMachine runs two submissions on two workers. Then one does not answer, and a
+// foreign entry of it names the machine of the other.
+func (r *rig) silentWorkerWithForeignMachine() (o *run.Owner, own tw.WorkerEntry) {
+	o = r.newOwner("a")
+	time.Sleep(takeoverSettleTime)
+	for n := range 3 {
+		r.listAsRunning(r.list[workerID(n)])
+	}
+	r.withdrawWorker(o, 2)
+	for _, id := range []string{"cancelled", "kept"} {
+		s := submission(id, 4)
+		s.Steps[0].MaxPerWorker = 2
+		s.Steps[0].Estimate = 12 * time.Second
+		r.submit(o, s)
+	}
+	time.Sleep(time.Second)
+	r.Expect(r.fleet.Starts()).To(Equal(8))
+	own = r.list[workerID(0)]
+	foreign := own
+	foreign.Instance = r.list[workerID(1)].Instance
+	r.fleet.UpdateWorker(own.ID, func(w *standin.SimWorker) { w.Silent = true })
+	r.relistWorker(o, foreign)
+	time.Sleep(300 * time.Millisecond)
+	return o, own
+}
--- a/run/termination.go
+++ b/run/termination.go
@@ -182,6 +182,9 @@
 	if w.entry.Instance == "" || since.IsZero() || !list.RequestedAt.After(since) || w.clockAt.After(list.RequestedAt) {
 		return termination{}
 	}
+	if list.running[w.entry.ID] {
+		return termination{} // also if its entry names another machine
+	}
 	machine, found := list.Machines[w.entry.Instance]
 	if !found {
 		return termination{reason: "its machine has left"}
