Owner: entries that change all the time do not keep polls from their answers

What callers would see: another writer changes a worker's entry faster than the worker answers (4 times a second, answers after 0.3 s). Its subtasks lapse and are started again, although it answers.

Cause: each contradiction cancelled the open polls to ask anew, so that none was answered, and reset the pause between polls of the claimed address.

Change: open polls go on, and the pause stays.

--- a/run/claim.go
+++ b/run/claim.go
@@ -39,8 +39,8 @@
 	if w.startTime == 0 && w.polledAt.IsZero() {
 		return false // it has not answered
 	}
-	otherIncarnation := w.startTime != 0 && entry.StartTime != 0 && entry.StartTime != w.startTime
-	return otherIncarnation || w.entry.Address != "" && entry.Address != w.entry.Address
+	return w.startTime != 0 && entry.StartTime != 0 && entry.StartTime != w.startTime ||
+		w.entry.Address != "" && entry.Address != w.entry.Address
 }
 
 // pending reports whether the known incarnation must be asked about a claim.
@@ -52,15 +52,19 @@
 		c.entry = entry
 		return
 	}
+	c := &claim{entry: entry, since: o.now, delay: minClaimDelay}
+	if w.claim != nil {
+		c.nextAsk, c.delay = w.claim.nextAsk, w.claim.delay // entries may change all the time
+	}
 	w.dropClaim()
-	w.claim = &claim{entry: entry, since: o.now, delay: minClaimDelay}
+	w.claim = c
 	o.metrics.claims.Inc()
 	o.log.Info("worker: listed with another start or address, it is asked", zap.String("worker", string(entry.ID)),
 		zap.Int64("listed_born", int64(entry.StartTime)), zap.Int64("born", int64(w.startTime)), zap.String("listed_address", entry.Address),
 		zap.String("address", w.entry.Address), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
-	if w.stateKnown {
-		o.requestPoll(w)
-	}
+	// Open polls are not cancelled: entries that change all the time would keep them from extending the
+	// time of the runs.
+	w.nextPoll, w.requestedPoll = o.now, o.pollSeq+1
 }
 
 // dropClaim forgets the claim, if there is one.
@@ -119,27 +123,12 @@
 	switch {
 	case tw.RefusedFor(result.err, tw.RefusedStaleFence):
 		o.loseOwnership("a worker has a newer owner")
-	case result.err != nil || !w.silent():
-	case startTime == 0 || startTime == w.startTime:
-		if w.claim.entry.Address != w.entry.Address {
-			o.moveSession(w)
-		}
+	case result.err != nil || startTime == 0 || startTime == w.startTime:
 	case sentAt.After(w.polledAt):
 		o.replaceIncarnation(w, w.nextEntry(startTime))
 	}
 }
 
-// moveSession has a worker called at the address that its entry claims, as it has answered there.
-func (o *Owner) moveSession(w *worker) {
-	o.log.Info("worker: answers at another address", zap.String("worker", string(w.entry.ID)), zap.String("address", w.claim.entry.Address),
-		zap.String("before", w.entry.Address), zap.Int("runs", len(w.runs)))
-	entry := w.claim.entry
-	w.dropClaim()
-	o.resetSession(w, entry.Ref())
-	w.entry.Address = entry.Address
-	o.applyEntry(w, entry)
-}
-
 // nextEntry returns the entry of the worker's next incarnation: the claimed one if it is of that
 // incarnation, else what is known of the machine.
 func (w *worker) nextEntry(startTime tw.WorkerStartTime) tw.WorkerEntry {
--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -154,3 +154,31 @@
 	time.Sleep(300 * time.Millisecond)
 	return o, own
 }
+
+// TestChangingForeignEntryKeepsRuns guards against runs that lapse on a worker that answers, because
+// each of many foreign entries in a row cancels the poll that would have extended their time.
+func TestChangingForeignEntryKeepsRuns(t *testing.T) {
+	runCase(t, "answers take longer than the time between two entries", 0, func(r *rig) {
+		r.fleet = standin.FleetConfig{Latency: 300 * time.Millisecond, MaxHold: maxHold, StopTime: stopTime}.New()
+		r.addWorker(0)
+		r.addWorker(1)
+		r.setStartTimes()
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		s := submission("s1", 8)
+		s.Steps[0].Estimate = 12 * time.Second
+		r.submit(o, s)
+		time.Sleep(2 * time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(8))
+		own := r.list[workerID(0)]
+		foreign := own
+		for range 40 {
+			foreign.StartTime += 10
+			r.relistWorker(o, foreign)
+			time.Sleep(250 * time.Millisecond)
+		}
+		r.relistWorker(o, own)
+		r.eventually(o, "s1", tw.SubmissionSucceeded, 15*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(8))
+	})
+}
--- a/run/pace.go
+++ b/run/pace.go
@@ -70,9 +70,10 @@
 // zero and sends another order.
 func (o *Owner) sendPace(w *worker, r *runState, percent int) {
 	order := tw.PaceOrder{Subtask: r.task.id, Run: r.run, Percent: percent, Fence: o.self.Fence}
+	ref := w.session.ref
 	w.session.enqueue(workOrder{
 		subtask: r.task.id,
-		send:    func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Pace(ctx, w.session.ref, order) },
+		send:    func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Pace(ctx, ref, order) },
 		done: func(result orderResult, err error) {
 			switch {
 			case err == nil:
--- a/run/start.go
+++ b/run/start.go
@@ -29,14 +29,14 @@
 		Deadline: w.estimateClock(o.now).Add(o.bounds.MaxHold), Fence: o.self.Fence,
 	}
 	r.sinceLastAnswer, r.resumed = o.now.Sub(w.clockAt), order.Checkpoint != ""
-	orderedAt := o.now
+	orderedAt, ref := o.now, w.session.ref
 	queued := w.session.enqueue(workOrder{
 		subtask: t.id, isStart: true,
 		repeatable: o.repeatable(r),
 		stale:      func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(orderedAt) > maxStartAge },
 		send: func(ctx context.Context) (tw.WorkerTime, error) {
 			r.sent.Store(true)
-			return o.orders.Start(ctx, w.session.ref, order)
+			return o.orders.Start(ctx, ref, order)
 		},
 		done: func(result orderResult, err error) {
 			o.noteOrder(r, result)
@@ -241,9 +241,10 @@
 	w := r.w
 	order := tw.StopOrder{Subtask: r.task.id, Run: r.run, Fence: o.self.Fence}
 	r.orderedAt = o.now
+	ref := w.session.ref
 	w.session.enqueue(workOrder{
 		subtask: r.task.id, repeatable: true,
-		send: func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Stop(ctx, w.session.ref, order) },
+		send: func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Stop(ctx, ref, order) },
 		done: func(result orderResult, err error) {
 			o.noteOrder(r, result)
 			o.stopAnswered(r, result, err)
