Owner: a notice that a worker has gone waits for the first answer where IDs are used again

What callers would see: as with notices that end the next worker with an ID, if the notice comes before that has answered, as at a new owner.

Cause: nothing tells then which of the two the listed worker is.

Change: such a worker is polled, as any that has not answered, and the list of machines tells if it has gone. Workers without start times have IDs of their own; for them the notice counts as before.

--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -98,6 +98,62 @@
 	})
 }
 
+// TestOldNoticeBeforeTheFirstAnswer guards against a worker that is given up because a notice that its
+// previous incarnation went with a move of its machine comes before the first answer of the next one.
+func TestOldNoticeBeforeTheFirstAnswer(t *testing.T) {
+	runCase(t, "listed again just before the notice", 2, func(r *rig) {
+		r.setStartTimes()
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		id := workerID(0)
+		r.fleet.Kill(id)
+		movedAt := time.Now()
+		notify := func() {
+			_, err := o.Report(r.ctx, run.Directions{Gone: []tw.WorkerID{id}, GoneFor: []time.Duration{time.Since(movedAt)}})
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		notify()
+		time.Sleep(3 * time.Second)
+		r.relistWorker(o, r.restart(0))
+		notify()
+		time.Sleep(500 * time.Millisecond)
+		r.expectUsed(o, id)
+	})
+	runCase(t, "to a new owner, as the worker does not answer for a moment", 2, func(r *rig) {
+		r.setStartTimes()
+		a := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		id := workerID(0)
+		r.fleet.Kill(id)
+		movedAt := time.Now()
+		notice := func() run.Directions {
+			return run.Directions{Gone: []tw.WorkerID{id}, GoneFor: []time.Duration{time.Since(movedAt)}}
+		}
+		_, err := a.Report(r.ctx, notice())
+		r.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * time.Second)
+		r.relistWorker(a, r.restart(0))
+		time.Sleep(100 * time.Millisecond)
+		s := submission("s1", 8)
+		s.Steps[0].Estimate = 15 * time.Second
+		r.submit(a, s)
+		time.Sleep(500 * time.Millisecond)
+		r.Expect(r.fleet.Starts()).To(Equal(8))
+		r.fleet.UpdateWorker(id, func(w *standin.SimWorker) { w.Silent = true })
+		a.Close()
+		b := r.newOwner("b")
+		time.Sleep(100 * time.Millisecond)
+		_, err = b.Report(r.ctx, notice())
+		r.Expect(err).NotTo(HaveOccurred())
+		r.fleet.UpdateWorker(id, func(w *standin.SimWorker) { w.Silent = false })
+		time.Sleep(100 * time.Millisecond)
+		r.Expect(b.Cancel(r.ctx, "", "s1")).To(Succeed())
+		r.fleet.NoteCancelled("s1")
+		time.Sleep(4 * time.Second)
+		r.Expect(r.fleet.SubmissionRuns("s1")).To(BeZero())
+	})
+}
+
 // TestForeignMachineEndsNoSilentWorker guards against a worker that is taken for ended because a
 // foreign entry names the machine of another worker and the worker does not answer for a moment. The
 // list of machines names it on its own machine all the time.
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -43,10 +43,11 @@
 }
 
 // workerGone handles the end of a worker whose machine was ordered away at a time. A worker that has
-// answered a poll since then is the next one with its ID.
+// answered a poll since then is the next one with its ID, and where IDs are used again, one that has not
+// answered yet may be.
 func (o *Owner) workerGone(id tw.WorkerID, at time.Time) {
 	w := o.workers[id]
-	if w != nil && w.answeredPollOf.After(at) {
+	if w != nil && (w.answeredPollOf.After(at) || w.polledAt.IsZero() && w.entry.StartTime != 0) {
 		return
 	}
 	if w != nil {
