Owner: ends are acknowledged once, and only to a worker that has just answered

What callers would see where workers keep their IDs: a worker starts again, its next incarnation completes subtasks, and these are started again although they were done (TWICE).

Cause: every poll repeated the acknowledgement of all ends so far, also a second or more after the last answer. Incarnations number their ends from one, so that the next one drops ends that nobody has seen.

Change: an acknowledgement is sent until it is answered, and within a second of the worker's last answer, in which no machine starts its next worker.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -84,9 +84,11 @@
 }
 
 // ackableEnd returns the sequence number of the last end that may be acknowledged to a worker. It
-// is zero while another incarnation may answer, as that numbers its ends from one.
-func (w *worker) ackableEnd() int64 {
-	if w.startTime != 0 && (w.unanswered > 0 || len(w.openPolls) > 0) {
+// is zero while the next incarnation may answer, as that numbers its ends from one, and if it has been
+// acknowledged.
+func (w *worker) ackableEnd(now time.Time) int64 {
+	mayHaveRestarted := w.unanswered > 0 || len(w.openPolls) > 0 || now.Sub(w.answeredPollOf) >= minRestartTime
+	if w.startTime != 0 && (mayHaveRestarted || w.recordedEnd <= w.ackedEnd) {
 		return 0
 	}
 	return w.recordedEnd
--- a/run/poll.go
+++ b/run/poll.go
@@ -115,7 +115,7 @@
 func (o *Owner) poll(w *worker, wait time.Duration) {
 	o.pollSeq++
 	wait = min(wait, maxPollWait(o.loss.share(o.now)))
-	hold := tw.HoldOrder{Fence: o.self.Fence, AckedSequence: w.ackableEnd(), Wait: wait}
+	hold := tw.HoldOrder{Fence: o.self.Fence, AckedSequence: w.ackableEnd(o.now), Wait: wait}
 	if w.stateKnown && w.unanswered == 0 && o.silenceExplained(w) {
 		hold.Deadline = w.estimateClock(o.now).Add(o.bounds.MaxHold)
 		w.grantsExpireAt = o.now.Add(o.maxHoldTime())
