Soak: entries of another writer, and workers that start again with their clocks set back

The case of TestDisputedMachineKeepsRuns, an entry with another worker's machine, is among those of TestForeignEntryEndsNoWorker now. TestDisputedMachineKeepsRuns keeps its promise with a list of machines that names another worker.

--- a/run/foreign_entries_test.go
+++ b/run/foreign_entries_test.go
@@ -29,6 +29,7 @@
 		entry.StartTime += 10
 		entry.Address = "10.0.0.1:1"
 	},
+	"another worker's machine": func(entry *tw.WorkerEntry) { entry.Instance = "m1" },
 }
 
 // foreignEntryTimes are for how long the foreign entry is listed before the worker writes its own again.
@@ -37,27 +38,35 @@
 // TestForeignEntryEndsNoWorker guards against runs that are given up on a living worker because of an
 // entry that it did not write: they went on after their submission was cancelled.
 func TestForeignEntryEndsNoWorker(t *testing.T) {
-	for name, change := range foreignEntries {
-		runForeignEntry(t, name, change)
+	for change, apply := range foreignEntries {
+		for lasting, listed := range foreignEntryTimes {
+			name := change + ", " + lasting
+			runCase(t, name, 2, func(r *rig) {
+				r.setStartTimes()
+				r.foreignEntry(apply, listed)
+			})
+			runCase(t, name+", workers without start times", 2, func(r *rig) { r.foreignEntry(apply, listed) })
+		}
 	}
 }
 
 // TestDisputedMachineKeepsRuns guards against runs that lapse on a worker that answers: the time of its
-// runs was not extended while it was asked again and again, as another worker was listed on its machine.
+// runs was not extended while it was asked again and again, as the list of machines named another worker.
 func TestDisputedMachineKeepsRuns(t *testing.T) {
-	runForeignEntry(t, "listed on another worker's machine", func(entry *tw.WorkerEntry) { entry.Instance = "m1" })
-}
-
-// runForeignEntry runs foreignEntry for each time that the entry may be listed, with and without start
-// times of the workers.
-func runForeignEntry(t *testing.T, name string, change func(entry *tw.WorkerEntry)) {
-	for lasting, listed := range foreignEntryTimes {
-		runCase(t, name+", "+lasting, 2, func(r *rig) {
-			r.setStartTimes()
-			r.foreignEntry(change, listed)
-		})
-		runCase(t, name+", "+lasting+", workers without start times", 2, func(r *rig) { r.foreignEntry(change, listed) })
-	}
+	runCase(t, "for longer than the time of the runs", 1, func(r *rig) {
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		s := submission("s1", 4)
+		s.Steps[0].Estimate = 12 * time.Second
+		r.submit(o, s)
+		time.Sleep(time.Second)
+		other := r.list[workerID(0)]
+		other.ID, other.Address = "other", unusedAddress
+		r.listAsRunning(other)
+		r.relistWorker(o, other)
+		r.eventually(o, "s1", tw.SubmissionSucceeded, 15*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(4))
+	})
 }
 
 // foreignEntry lists a foreign entry of a worker that runs subtasks of two submissions, cancels one of
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -167,6 +167,8 @@
 	mayGiveUp bool
 	// restartRand is the random source for restarts of workers under their IDs; nil for none.
 	restartRand *rand.Rand
+	// clockRand sets the clock of some of these workers back; nil for none.
+	clockRand *rand.Rand
 	// evacuating makes halls be evacuated at times.
 	evacuating bool
 	// process is the current owner's connection to the store and the workers, if owners are killed
@@ -175,6 +177,8 @@
 	killing bool
 	// cancelled are the submissions of which a cancel was confirmed.
 	cancelled []tw.SubmissionID
+	// foreignWriter has another writer change entries of workers at times.
+	foreignWriter bool
 	// losing makes workers leave a share of all orders unanswered at times.
 	losing bool
 	// actions is the number of random actions before the faults end.
@@ -201,6 +205,10 @@
 		s.evacuateRandom()
 		return
 	}
+	if s.foreignWriter && s.rand.IntN(3) == 0 {
+		s.actAsForeignWriter()
+		return
+	}
 	if s.losing && s.rand.IntN(6) == 0 {
 		s.loseOrders(s.rand)
 		return
--- a/run/worker_restart_test.go
+++ b/run/worker_restart_test.go
@@ -33,6 +33,21 @@
 	return r.fleet.Restart(workerID(n), startTimeNow())
 }
 
+// restartWithClock is restart, after the time that a machine needs for it and with a clock that may have
+// been set back, if the soak has such clocks.
+func (s *soak) restartWithClock(n int) tw.WorkerEntry {
+	if s.clockRand == nil {
+		return s.restart(n)
+	}
+	s.fleet.Kill(workerID(n))
+	time.Sleep(time.Second)
+	startTime := startTimeNow()
+	if s.clockRand.IntN(2) == 0 {
+		startTime -= tw.WorkerStartTime(1 + s.clockRand.IntN(60_000))
+	}
+	return s.fleet.Restart(workerID(n), startTime)
+}
+
 func (r *rig) relistWorker(o *run.Owner, entry tw.WorkerEntry) {
 	r.list[entry.ID] = entry
 	r.publishWorkers(o)
@@ -178,7 +193,7 @@
 func (s *soak) actOnRestarts() {
 	n := s.restartRand.IntN(soakMachines)
 	if s.restartRand.IntN(2) == 0 && s.list[workerID(n)].ID != "" {
-		s.workersByMachine[n] = append(s.workersByMachine[n], s.restart(n))
+		s.workersByMachine[n] = append(s.workersByMachine[n], s.restartWithClock(n))
 		s.listAsRunning(s.currentWorker(n))
 	}
 	entry := s.workersByMachine[n][len(s.workersByMachine[n])-1]
