Owner: a worker that runs in another pool is not asked because an entry says otherwise

What callers would see: another writer's entry lists a worker of one pool in another one for 0.2 s. The other pool's owner polls it, which raises the worker's fence, and stops what runs there; the worker then refuses its own owner's orders, which takes that for a newer owner of the pool and ends.

Cause: an owner asked every worker that is listed in its pool. Fences are those of a pool, so that a call by the owner of another one is no harmless question.

Change: a listed worker that is not known yet is left alone as long as the daemon's list of machines names it in another pool; the list is read anew meanwhile. Workers that the list does not name, as new ones, are asked as before.

--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -4,10 +4,12 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
@@ -238,3 +240,74 @@
 		r.Expect(r.fleet.Starts()).To(Equal(8))
 	})
 }
+
+// TestRestartIsNoticedBeforeItsEntry guards against a worker that is refused for good because it started
+// again with a clock behind that of its previous incarnation, where only its answers tell.
+func TestRestartIsNoticedBeforeItsEntry(t *testing.T) {
+	for name, shift := range setBackClocks {
+		runCase(t, name, 2, func(r *rig) {
+			r.setStartTimes()
+			o := r.newOwner("a")
+			time.Sleep(takeoverSettleTime)
+			r.submit(o, submission("s1", 8))
+			time.Sleep(300 * time.Millisecond)
+			entry := r.list[workerID(0)]
+			r.fleet.Restart(entry.ID, entry.StartTime+shift)
+			r.eventually(o, "s1", tw.SubmissionSucceeded, 4*time.Second)
+			r.expectUsed(o, entry.ID)
+		})
+	}
+}
+
+// TestForeignPoolKeepsOwnership guards against an owner that loses its pool, and runs that are stopped,
+// because a foreign entry lists one of its workers in another pool, whose owner has a higher fence.
+func TestForeignPoolKeepsOwnership(t *testing.T) {
+	runCase(t, "listed in another pool for a moment", 2, func(r *rig) {
+		other := r.newOwnerOf("other", "b", 5)
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		s := submission("s1", 8)
+		s.Steps[0].Estimate = 5 * time.Second
+		r.submit(o, s)
+		time.Sleep(time.Second)
+		own := r.list[workerID(0)]
+		foreign := own
+		foreign.Pool = "other"
+		delete(r.list, own.ID)
+		r.publishWorkers(o)
+		other.SetWorkers(r.ctx, run.WorkerList{
+			Workers: map[tw.WorkerID]tw.WorkerEntry{foreign.ID: foreign}, StoreReachableSince: time.Now().Add(-time.Minute),
+		})
+		time.Sleep(200 * time.Millisecond)
+		other.SetWorkers(r.ctx, run.WorkerList{StoreReachableSince: time.Now().Add(-time.Minute)})
+		r.relistWorker(o, own)
+		time.Sleep(time.Second)
+		_, err := o.State(r.ctx, "", "s1")
+		r.Expect(err).NotTo(HaveOccurred())
+		r.eventually(o, "s1", tw.SubmissionSucceeded, 6*time.Second)
+		r.Expect(r.fleet.Starts()).To(Equal(8))
+	})
+}
+
+// newOwnerOf makes a daemon the owner of a pool without workers, with a given fence.
+func (r *rig) newOwnerOf(pool tw.PoolID, daemon tw.DaemonID, fence tw.FencingToken) *run.Owner {
+	for {
+		r.ownersOpened++
+		self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.2:1", Incarnation: tw.Incarnation(r.ownersOpened)}
+		book, err := ledger.Config{KV: r.kv, Clock: tw.SystemClock{}, Log: testLog(), Owner: self}.Open(r.ctx)
+		r.Expect(err).NotTo(HaveOccurred())
+		if book.Fence() < fence {
+			continue
+		}
+		loaded, err := book.Load(r.ctx)
+		r.Expect(err).NotTo(HaveOccurred())
+		self.Fence = book.Fence()
+		o := run.Config{
+			Book: book, Loaded: loaded, Self: self, KV: r.kv, Orders: r.fleet, Advisor: noAdvisor{}, MachineCache: r.machineCache, RefreshWorkers: func() {},
+			Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(), Evacuations: r.evacuations.Load,
+			QueueConfig: func() *tw.QueueConfig { return nil }, Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
+		}.New()
+		r.opened = append(r.opened, o)
+		return o
+	}
+}
--- a/run/machine_cache.go
+++ b/run/machine_cache.go
@@ -38,8 +38,8 @@
 		Machines map[tw.InstanceID]tw.Machine
 		// RequestedAt is when the list was requested. It shows the state at that time or later.
 		RequestedAt time.Time
-		// running are the workers that run according to the list.
-		running map[tw.WorkerID]bool
+		// running are the pools of the workers that run according to the list.
+		running map[tw.WorkerID]tw.PoolID
 	}
 )
 
@@ -115,12 +115,12 @@
 
 func (c *MachineCache) set(requestedAt time.Time, list []tw.Machine) {
 	latest := &MachineList{
-		Machines: make(map[tw.InstanceID]tw.Machine, len(list)), RequestedAt: requestedAt, running: make(map[tw.WorkerID]bool, len(list)),
+		Machines: make(map[tw.InstanceID]tw.Machine, len(list)), RequestedAt: requestedAt, running: make(map[tw.WorkerID]tw.PoolID, len(list)),
 	}
 	for _, m := range list {
 		latest.Machines[m.ID] = m
 		if m.State == tw.MachineUp && m.Worker != "" {
-			latest.running[m.Worker] = true
+			latest.running[m.Worker] = m.Pool
 		}
 	}
 	c.mu.Lock()
--- a/run/termination.go
+++ b/run/termination.go
@@ -182,7 +182,7 @@
 	if w.entry.Instance == "" || since.IsZero() || !list.RequestedAt.After(since) || w.clockAt.After(list.RequestedAt) {
 		return termination{}
 	}
-	if list.running[w.entry.ID] {
+	if _, running := list.running[w.entry.ID]; running {
 		return termination{} // also if its entry names another machine
 	}
 	machine, found := list.Machines[w.entry.Instance]
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -93,7 +93,7 @@
 
 func (o *Owner) setWorkers(list WorkerList) {
 	o.storeReachableSince, o.listed = list.StoreReachableSince, list.Workers
-	ignored := 0
+	ignored, elsewhere := 0, 0
 	for _, id := range slices.Sorted(maps.Keys(list.Workers)) {
 		if record, ended := o.terminated[id]; ended && record.matches(list.Workers[id]) {
 			o.ignoreEntry(list.Workers[id], record)
@@ -101,9 +101,14 @@
 			continue
 		}
 		delete(o.terminated, id)
+		if o.runsElsewhere(id) {
+			elsewhere++
+			continue
+		}
 		o.setWorker(list.Workers[id])
 	}
-	o.metrics.ignoredEntries.Set(float64(ignored))
+	o.metrics.ignoredEntries.Set(float64(ignored + elsewhere))
+	o.listedElsewhere = elsewhere
 	maps.DeleteFunc(o.terminated, func(_ tw.WorkerID, record terminatedWorker) bool {
 		return o.now.Sub(record.seenAt) > terminatedRetention
 	})
@@ -120,6 +125,38 @@
 	o.placeRequested = true
 }
 
+// runsElsewhere reports whether a worker that is not known yet runs in another pool according to the
+// list of machines. A poll would keep it from taking the orders of that pool's owner.
+func (o *Owner) runsElsewhere(id tw.WorkerID) bool {
+	list := o.machineCache.Latest()
+	if list == nil || o.workers[id] != nil {
+		return false
+	}
+	pool, running := list.running[id]
+	return running && pool != o.pool
+}
+
+// addListedElsewhere adds the listed workers that ran in another pool once a newer list of machines does
+// not say so any more. It returns when to look again.
+func (o *Owner) addListedElsewhere() time.Time {
+	if o.listedElsewhere == 0 {
+		return time.Time{}
+	}
+	o.machineCache.RequestRefresh(o.now)
+	o.listedElsewhere = 0
+	for id, entry := range o.listed {
+		_, ended := o.terminated[id]
+		switch {
+		case ended || o.workers[id] != nil:
+		case o.runsElsewhere(id):
+			o.listedElsewhere++
+		default:
+			o.setWorker(entry)
+		}
+	}
+	return o.now.Add(minRefreshInterval / 4)
+}
+
 // ignoreEntry records that the entry of a worker that has ended is still listed.
 func (o *Owner) ignoreEntry(entry tw.WorkerEntry, record terminatedWorker) {
 	if !record.ignoredLogged {
@@ -228,7 +265,7 @@
 		o.machineCache.RequestRefresh(o.now)
 		next = o.now.Add(minRefreshInterval / 4)
 	}
-	next = earlier(next, o.askPresumedEnded())
+	next = earlier(earlier(next, o.askPresumedEnded()), o.addListedElsewhere())
 	silent := 0
 	for _, w := range o.workers {
 		if w.silent() {
