--- a/run/claim.go
+++ b/run/dispute.go
@@ -11,9 +11,9 @@
 // An entry in the list of workers is what somebody wrote. Where it contradicts what a worker has
 // answered, the worker is asked, and only an answer replaces what is known.
 
-// claim is a listed entry that names another incarnation or another address of a worker than the ones
+// dispute is a listed entry that names another incarnation or another address of a worker than the ones
 // that have answered.
-type claim struct {
+type dispute struct {
 	entry tw.WorkerEntry
 	// since is when the entry was first listed.
 	since time.Time
@@ -29,9 +29,9 @@
 }
 
 const (
-	// minClaimDelay and maxClaimDelay bound the pause between two polls of a claimed address.
-	minClaimDelay = 500 * time.Millisecond
-	maxClaimDelay = 4 * time.Second
+	// minDisputeDelay and maxDisputeDelay bound the pause between two polls of the address that an entry names.
+	minDisputeDelay = 500 * time.Millisecond
+	maxDisputeDelay = 4 * time.Second
 )
 
 // contradicts reports whether an entry contradicts what the worker has answered.
@@ -43,22 +43,22 @@
 		w.entry.Address != "" && entry.Address != w.entry.Address
 }
 
-// pending reports whether the known incarnation must be asked about a claim.
-func (c *claim) pending() bool { return c != nil && !c.refuted }
+// pending reports whether the known incarnation must be asked. A nil dispute is settled.
+func (d *dispute) pending() bool { return d != nil && !d.refuted }
 
-// noteClaim records an entry that contradicts what the worker has answered, and has the worker polled.
-func (o *Owner) noteClaim(w *worker, entry tw.WorkerEntry) {
-	if c := w.claim; c != nil && c.entry.StartTime == entry.StartTime && c.entry.Address == entry.Address {
-		c.entry = entry
+// noteDispute records an entry that contradicts what the worker has answered, and has the worker polled.
+func (o *Owner) noteDispute(w *worker, entry tw.WorkerEntry) {
+	if d := w.dispute; d != nil && d.entry.StartTime == entry.StartTime && d.entry.Address == entry.Address {
+		d.entry = entry
 		return
 	}
-	c := &claim{entry: entry, since: o.now, delay: minClaimDelay}
-	if w.claim != nil {
-		c.nextAsk, c.delay = w.claim.nextAsk, w.claim.delay // entries may change all the time
+	d := &dispute{entry: entry, since: o.now, delay: minDisputeDelay}
+	if w.dispute != nil {
+		d.nextAsk, d.delay = w.dispute.nextAsk, w.dispute.delay // entries may change all the time
 	}
-	w.dropClaim()
-	w.claim = c
-	o.metrics.claims.Inc()
+	w.dropDispute()
+	w.dispute = d
+	o.metrics.disputes.Inc()
 	o.log.Info("worker: listed with another start or address, it is asked", zap.String("worker", string(entry.ID)),
 		zap.Int64("listed_born", int64(entry.StartTime)), zap.Int64("born", int64(w.startTime)), zap.String("listed_address", entry.Address),
 		zap.String("address", w.entry.Address), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
@@ -67,74 +67,75 @@
 	w.nextPoll, w.requestedPoll = o.now, o.pollSeq+1
 }
 
-// dropClaim forgets the claim, if there is one.
-func (w *worker) dropClaim() {
-	if w.claim != nil && w.claim.session != nil {
-		w.claim.session.close()
+// dropDispute forgets the dispute, if there is one.
+func (w *worker) dropDispute() {
+	if w.dispute != nil && w.dispute.session != nil {
+		w.dispute.session.close()
 	}
-	w.claim = nil
+	w.dispute = nil
 }
 
-// refuteClaim records that the known incarnation has answered a poll.
-func (o *Owner) refuteClaim(w *worker, sentAt time.Time) {
-	if !w.claim.pending() || sentAt.Before(w.claim.since) {
+// refuteDispute records that the known incarnation has answered a poll.
+func (o *Owner) refuteDispute(w *worker, sentAt time.Time) {
+	if !w.dispute.pending() || sentAt.Before(w.dispute.since) {
 		return
 	}
-	w.claim.refuted = true
+	w.dispute.refuted = true
 	o.log.Info("worker: answers as before, its entry is not followed", zap.String("worker", string(w.entry.ID)),
-		zap.Int64("listed_born", int64(w.claim.entry.StartTime)), zap.String("listed_address", w.claim.entry.Address))
+		zap.Int64("listed_born", int64(w.dispute.entry.StartTime)), zap.String("listed_address", w.dispute.entry.Address))
 }
 
-// askClaimed polls a worker that does not answer at the address that its entry claims, without regard
-// to the polls that are still open. It returns when the next poll is due.
-func (o *Owner) askClaimed(w *worker) time.Time {
-	c := w.claim
-	if c == nil || c.asking || !w.silent() {
+// askDisputed polls a worker that does not answer at the address that its entry names, without regard
+// to the polls that are still open. It returns when the next poll is due; zero if none is.
+func (o *Owner) askDisputed(w *worker) time.Time {
+	d := w.dispute
+	if d == nil || d.asking || !w.silent() {
 		return time.Time{}
 	}
-	if o.now.Before(c.nextAsk) {
-		return c.nextAsk
+	if o.now.Before(d.nextAsk) {
+		return d.nextAsk
 	}
-	if c.session == nil {
-		c.session = newSession(o, c.entry.Ref())
+	if d.session == nil {
+		d.session = newSession(o, d.entry.Ref())
 	}
-	c.asking = true
+	d.asking = true
 	o.pollSeq++
 	o.metrics.polls.Inc()
 	sentAt := o.now
-	c.session.polls <- pollRequest{
+	d.session.polls <- pollRequest{
 		hold: tw.HoldOrder{Fence: o.self.Fence}, seq: o.pollSeq, timeout: o.orderTimeout.current(o.now),
 		done: func(result pollResult) {
-			c.asking = false
-			c.nextAsk = o.now.Add(c.delay)
-			c.delay = min(2*c.delay, maxClaimDelay)
-			if w.claim == c && o.workers[w.entry.ID] == w && !o.draining {
-				o.claimAnswered(w, sentAt, result)
+			d.asking = false
+			d.nextAsk = o.now.Add(d.delay)
+			d.delay = min(2*d.delay, maxDisputeDelay)
+			if w.dispute == d && o.workers[w.entry.ID] == w && !o.draining {
+				o.disputeAnswered(w, sentAt, result)
 			}
 		},
 	}
 	return time.Time{}
 }
 
-// claimAnswered handles the result of a poll of a claimed address. Any refusal but that of a stale
+// disputeAnswered handles the result of a poll of the address that an entry names. Any refusal but that of a stale
 // fence says nothing of the known incarnation: another worker may have that address.
-func (o *Owner) claimAnswered(w *worker, sentAt time.Time, result pollResult) {
+func (o *Owner) disputeAnswered(w *worker, sentAt time.Time, result pollResult) {
 	startTime := result.report.StartTime
 	switch {
 	case tw.RefusedFor(result.err, tw.RefusedStaleFence):
 		o.loseOwnership("a worker has a newer owner")
 	case result.err != nil || startTime == 0 || startTime == w.startTime:
+		// It shows no other incarnation.
 	case sentAt.After(w.polledAt):
 		o.replaceIncarnation(w, w.nextEntry(startTime))
 	}
 }
 
-// nextEntry returns the entry of the worker's next incarnation: the claimed one if it is of that
+// nextEntry returns the entry of the worker's next incarnation: the disputed one if it is of that
 // incarnation, else what is known of the machine.
 func (w *worker) nextEntry(startTime tw.WorkerStartTime) tw.WorkerEntry {
 	entry := w.entry
-	if w.claim != nil && w.claim.entry.StartTime == startTime {
-		entry = w.claim.entry
+	if w.dispute != nil && w.dispute.entry.StartTime == startTime {
+		entry = w.dispute.entry
 	}
 	entry.StartTime = startTime
 	return entry
--- a/run/metrics.go
+++ b/run/metrics.go
@@ -36,8 +36,8 @@
 	wronglyEnded *metrics.Counter
 	// ignoredAnswers counts the answers to polls that were taken for those of another incarnation.
 	ignoredAnswers *metrics.Counter
-	// claims counts the entries that contradicted what a worker had answered.
-	claims *metrics.Counter
+	// disputes counts the entries that contradicted what a worker had answered.
+	disputes *metrics.Counter
 	// stoppingRuns is the number of runs that were ordered to stop and have not ended, longestStop
 	// for how long the first of them has been stopping, in seconds.
 	stoppingRuns, longestStop *metrics.Gauge
@@ -83,7 +83,7 @@
 	m.ignoredEntries = set.GetOrCreateGauge(m.name("worker_entries_ignored"), nil)
 	m.wronglyEnded = set.GetOrCreateCounter(m.name("workers_wrongly_ended_total"))
 	m.ignoredAnswers = set.GetOrCreateCounter(m.name("worker_answers_ignored_total"))
-	m.claims = set.GetOrCreateCounter(m.name("worker_entries_contradicted_total"))
+	m.disputes = set.GetOrCreateCounter(m.name("worker_entries_contradicted_total"))
 	m.stoppingRuns = set.GetOrCreateGauge(m.name("runs_stopping"), nil)
 	m.longestStop = set.GetOrCreateGauge(m.name("runs_stopping_seconds"), nil)
 	m.polls = set.GetOrCreateCounter(m.name("worker_looks_total"))
--- a/run/poll.go
+++ b/run/poll.go
@@ -20,7 +20,7 @@
 		if w.entry.Address == "" {
 			continue
 		}
-		next = earlier(next, o.askClaimed(w))
+		next = earlier(next, o.askDisputed(w))
 		at, mayWait, wanted := o.pollDue(w)
 		if !wanted {
 			continue
@@ -151,7 +151,7 @@
 	if !o.sameIncarnation(w, poll.sentAt, result.report.StartTime) {
 		return
 	}
-	o.refuteClaim(w, poll.sentAt)
+	o.refuteDispute(w, poll.sentAt)
 	if w.silent() {
 		o.log.Info("worker: answers again", zap.String("worker", string(w.entry.ID)),
 			zap.Duration("silent", now.Sub(w.silentSince)))
--- a/run/termination.go
+++ b/run/termination.go
@@ -12,8 +12,9 @@
 // A machine runs one incarnation of a worker at a time. The order in which entries arrive does
 // not show which of the known ones is current: a write may be delayed by a network partition, and
 // an expired entry may be written once more. Proof that an incarnation has ended is an answer of
-// another one at its address, an answered order that took the machine away, or silence together
-// with the platform's list of machines, if that was requested after the worker became uncertain.
+// another one at the address at which it has answered, or an answered order that took the machine
+// away. Silence together with the platform's list of machines, if that was requested after the worker
+// became uncertain, is a presumption: the runs are given up, and the worker is asked again.
 
 // terminatedRetention is how long an ended incarnation is remembered after its entry was last
 // seen. With workers cut off for 6 s, entries of previous incarnations came back 4 to 5 s after
@@ -171,7 +172,7 @@
 // otherwise, and would get new work although another worker of its machine is known, or its entry
 // names another incarnation.
 func (w *worker) needsProbe() bool {
-	return w.probing() || w.duplicateSince.After(w.polledAt) || w.claim.pending()
+	return w.probing() || w.duplicateSince.After(w.polledAt) || w.dispute.pending()
 }
 
 // terminationBy returns why a worker has ended according to a list of machines; zero if it has
@@ -333,7 +334,7 @@
 		zap.Int("runs", len(w.runs)), zap.String("instance", string(w.entry.Instance)), zap.Bool("listed", w.listed),
 		zap.Bool("silent", !w.silentSince.IsZero()), w.answerAgeField(o.now))
 	w.session.close()
-	w.dropClaim()
+	w.dropDispute()
 	delete(o.workers, w.entry.ID)
 	delete(o.ranks, w.rank)
 	o.sortedWorkers = nil
--- a/run/worker.go
+++ b/run/worker.go
@@ -32,8 +32,8 @@
 		// presumedEnd is the record of its end if it was taken for ended without proof and has not
 		// answered since; nil otherwise.
 		presumedEnd *terminatedWorker
-		// claim is a listed entry that contradicts what the worker has answered; nil if none does.
-		claim *claim
+		// dispute is a listed entry that contradicts what the worker has answered; nil if none does.
+		dispute *dispute
 		// ignoredAnswers is the number of answers in a row that were taken for those of another
 		// incarnation.
 		ignoredAnswers int
@@ -184,7 +184,7 @@
 
 // usable reports whether new work may be placed there.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.stateKnown && !w.entry.Draining && !w.silent() && !w.claim.pending() &&
+	return w.listed && w.stateKnown && !w.entry.Draining && !w.silent() && !w.dispute.pending() &&
 		!now.Before(w.health.quarantinedUntil) && !now.Before(w.fullUntil)
 }
 
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -175,10 +175,10 @@
 	}
 	w.listed = true
 	if w.contradicts(entry) {
-		o.noteClaim(w, entry)
+		o.noteDispute(w, entry)
 		return
 	}
-	w.dropClaim()
+	w.dropDispute()
 	if w.session.ref.Address != entry.Address || w.polledAt.IsZero() && w.entry.StartTime != entry.StartTime {
 		// The worker was added from the list of machines, before its entry gave its address, or has
 		// started again before it has answered.
