Owner: stops do not wait behind other orders to their worker

What callers would see: a worker answers polls and leaves changes of pace without an answer for some seconds. A submission is cancelled, and its subtasks there run on for 3.5 to 6.9 s after the answer, where 3.4 s are allowed.

Cause: orders to a worker are sent one after the other, except starts, and an order without an answer holds up those behind it until its timeout. A stop stood behind all changes of pace and all stops before it.

The test: TestHungOrdersHoldUpNoStop, 4.3 s behind 12 changes of pace before, 0 now.

Change: stops have a queue of their own, and a stop that is not answered in the usual time lets the next one pass. Orders about the same subtask keep their order.

Cost: for each worker of a pool a goroutine and 6 KB for its queue; more connections only to a worker that does not answer stops.

--- a/run/config.go
+++ b/run/config.go
@@ -109,6 +109,8 @@
 	eventQueueSize = 1024
 	// sessionQueueSize bounds the orders queued for a worker.
 	sessionQueueSize = 256
+	// stopQueueSize bounds the stops queued for a worker. Those that find it full are ordered again.
+	stopQueueSize = 64
 	// drainTimeout bounds the writes before a planned end of the ownership. It covers two
 	// writes of a slow store, which take 240 ms each.
 	drainTimeout = 800 * time.Millisecond
--- a/run/copies.go
+++ b/run/copies.go
@@ -198,8 +198,8 @@
 		return
 	}
 	limit := unansweredLimit(c.s.loss.share(now))
-	if c.s.silence.explains(len(c.open), limit) {
-		c.s.leaveGate(c.order) // the answer may be lost
+	if c.order.isStop || c.s.silence.explains(len(c.open), limit) {
+		c.s.leaveGate(c.order) // the answer may be lost, and a stop must not wait for others
 	}
 	if c.order.repeatable && c.result.copies <= limit && c.result.copies < maxCopies && c.ctx.Err() == nil && c.s.maySend(c.order.workOrder, now) {
 		c.sendAgain()
--- a/run/open_orders.go
+++ b/run/open_orders.go
@@ -18,7 +18,9 @@
 		workOrder
 		// ended is closed when the order ends; nil if no other order waits for that.
 		ended chan struct{}
-		// left: it no longer holds up other orders.
+		// gate is the one that it has entered; nil if it has entered none. left: it no longer holds up
+		// other orders.
+		gate *gate
 		left bool
 	}
 )
--- a/run/session.go
+++ b/run/session.go
@@ -15,7 +15,8 @@
 type (
 	// session sends orders to one incarnation of a worker, and polls it. Orders are sent one
 	// after the other, except for starts where several at once are of use; an order whose answer
-	// may be lost does not hold up those behind it. All goroutines end with the session's context.
+	// may be lost does not hold up those behind it, and only stops hold up stops. All goroutines end
+	// with the session's context.
 	session struct {
 		ref    tw.WorkerRef
 		orders tw.WorkerOrders
@@ -27,14 +28,15 @@
 		loss         *answerLoss
 		copiesSent   *metrics.Counter
 		polls        chan pollRequest
-		work         chan workOrder
+		work, stops  chan workOrder
 		events       chan<- func()
 		cancel       context.CancelFunc
 		done         chan struct{}
 		// silence tells lost answers from a worker that does not answer.
 		silence silence
-		gate    gate
-		open    openOrders
+		// gate bounds the orders of work that are sent at the same time, stopGate the stops.
+		gate, stopGate gate
+		open           openOrders
 		// late counts the goroutines that wait, or may have to, for answers to copies of orders.
 		late sync.WaitGroup
 
@@ -74,8 +76,8 @@
 		stale func(now time.Time) bool
 		// subtask is the subtask that the order is about.
 		subtask tw.SubtaskID
-		// isStart: the order is a start.
-		isStart bool
+		// isStart: the order is a start; isStop: it is a stop.
+		isStart, isStop bool
 		// repeatable: it may be sent again while it has no answer.
 		repeatable bool
 	}
@@ -101,7 +103,7 @@
 	s := &session{
 		ref: ref, orders: o.orders, clock: o.clock, permit: &o.permit, orderTimeout: &o.orderTimeout, hedge: &o.hedge, loss: &o.loss,
 		copiesSent: o.metrics.copies, events: o.events, cancel: cancel,
-		polls: make(chan pollRequest, maxOpenPolls), work: make(chan workOrder, sessionQueueSize), done: make(chan struct{}),
+		polls: make(chan pollRequest, maxOpenPolls), work: make(chan workOrder, sessionQueueSize), stops: make(chan workOrder, stopQueueSize), done: make(chan struct{}),
 	}
 	pollLoopDone := make(chan struct{})
 	go func() {
@@ -193,20 +195,28 @@
 }
 
 func (s *session) orderLoop(ctx context.Context) {
-	orders := newReusedGoroutines()
 	defer s.late.Wait()
+	var stops sync.WaitGroup
+	defer stops.Wait()
+	stops.Go(func() { s.sendOrders(ctx, s.stops, &s.stopGate) })
+	s.sendOrders(ctx, s.work, &s.gate)
+}
+
+// sendOrders sends the orders of a queue.
+func (s *session) sendOrders(ctx context.Context, queue <-chan workOrder, gate *gate) {
+	orders := newReusedGoroutines()
 	defer orders.wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-s.work:
+		case w := <-queue:
 			limit := 1
 			if w.isStart {
 				limit = s.parallelStarts()
 			}
-			s.gate.enter(ctx, limit)
-			order := &openOrder{workOrder: w}
+			gate.enter(ctx, limit)
+			order := &openOrder{workOrder: w, gate: gate}
 			earlier := s.open.add(order)
 			orders.run(ctx, func() { s.executeOrder(ctx, order, earlier) })
 		}
@@ -229,9 +239,9 @@
 
 // leaveGate lets other orders pass, if that was not done yet.
 func (s *session) leaveGate(order *openOrder) {
-	if !order.left {
+	if !order.left && order.gate != nil {
 		order.left = true
-		s.gate.leave()
+		order.gate.leave()
 	}
 }
 
@@ -312,8 +322,12 @@
 
 // enqueue queues an order. It returns false if the queue is full.
 func (s *session) enqueue(w workOrder) bool {
+	queue := s.work
+	if w.isStop {
+		queue = s.stops
+	}
 	select {
-	case s.work <- w:
+	case queue <- w:
 		return true
 	default:
 		return false
--- a/run/session_test.go
+++ b/run/session_test.go
@@ -100,6 +100,53 @@
 	})
 }
 
+// hungOrders are orders to a worker that answers polls and none of these.
+var hungOrders = map[string]struct {
+	isStop bool
+	within time.Duration
+}{
+	"changes of pace": {within: 0},
+	"stops":           {isStop: true, within: time.Second},
+}
+
+// TestHungOrdersHoldUpNoStop guards against runs that go on after a cancel because their stops wait behind
+// other orders to the worker, each until its timeout.
+func TestHungOrdersHoldUpNoStop(t *testing.T) {
+	for name, c := range hungOrders {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s, _ := newTestSession()
+				s.loss.note(time.Now(), 100, 0)
+				s.work, s.stops = make(chan workOrder, sessionQueueSize), make(chan workOrder, sessionQueueSize)
+				s.events = make(chan func(), eventQueueSize)
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					s.orderLoop(ctx)
+				}()
+				began := time.Now()
+				stopped := make(chan struct{})
+				noResult := func(orderResult, error) {}
+				for n := range 12 {
+					s.enqueue(workOrder{subtask: tw.SubtaskID{Index: n}, isStop: c.isStop, done: noResult, send: func(ctx context.Context) (tw.WorkerTime, error) {
+						return 1, copyAnswer{lost: true}.await(ctx)
+					}})
+				}
+				s.enqueue(workOrder{subtask: tw.SubtaskID{Index: 12}, isStop: true, done: noResult, send: func(context.Context) (tw.WorkerTime, error) {
+					close(stopped)
+					return 1, nil
+				}})
+				<-stopped
+				g.Expect(time.Since(began)).To(BeNumerically("<=", c.within))
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
 // TestAllocationsPerOrder bounds what a session adds to an order that is answered at once, as an
 // owner sends thousands a second.
 func TestAllocationsPerOrder(t *testing.T) {
--- a/run/start.go
+++ b/run/start.go
@@ -243,7 +243,7 @@
 	r.orderedAt = o.now
 	ref := w.session.ref
 	w.session.enqueue(workOrder{
-		subtask: r.task.id, repeatable: true,
+		subtask: r.task.id, isStop: true, repeatable: true,
 		send: func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Stop(ctx, ref, order) },
 		done: func(result orderResult, err error) {
 			o.noteOrder(r, result)
