TestInboxWatchCalls: count the calls of the test's own client

Cause: the test counted all watch calls that came to its server's port. A daemon of another process whose store had that port before calls it too. Its own watcher makes two calls until the count.

Change: calls are counted for a pool that only this run of the test knows, beside another client of the same port, and against the time that has passed: one for each 1.5 s and one more, the same 3 in 3 s. A red run lists each call with caller, prefix, time and status. TestInboxWatchInterval closes its watcher also when it fails; before, it ended the test process.

--- a/daemon/inbox_watch_test.go
+++ b/daemon/inbox_watch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -25,6 +27,9 @@
 // may still start its work.
 const cancelBound = 3 * time.Second
 
+// inboxInterval is the time for which the store may be charged one watch call of an inbox.
+const inboxInterval = 1500 * time.Millisecond
+
 // countedCalls counts the calls of a watcher.
 type countedCalls struct {
 	tw.KV
@@ -51,7 +56,16 @@
 	mu sync.Mutex
 	// silencedAt is when the connections that were open then went silent.
 	silencedAt time.Time
-	watches    int
+	watches    []watchCall
+}
+
+// watchCall is a watch call as the store sees it.
+type watchCall struct {
+	prefix     tw.Key
+	from       string // address of the caller
+	began      time.Time
+	took       time.Duration // zero if it has not ended
+	statusCode int
 }
 
 type acceptedAtKey struct{}
@@ -60,13 +74,13 @@
 	s := &silentStore{kv: standin.KVConfig{Latency: time.Millisecond}.New()}
 	inner := s.kv.Handler()
 	s.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		s.mu.Lock()
+		ended := func(int) {}
 		if strings.HasSuffix(req.URL.Path, "/kv-watch") {
-			s.watches++
+			ended = s.noteWatch(req)
 		}
-		s.mu.Unlock()
 		recorder := httptest.NewRecorder()
 		inner.ServeHTTP(recorder, req)
+		ended(recorder.Code)
 		if s.isSilent(req) {
 			<-req.Context().Done()
 			return
@@ -89,11 +103,30 @@
 	return acceptedAt.Before(s.silencedAt)
 }
 
-// watchCount returns the number of watch calls so far.
-func (s *silentStore) watchCount() int {
+// noteWatch records a watch call. ended records its end.
+func (s *silentStore) noteWatch(req *http.Request) (ended func(statusCode int)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, began := len(s.watches), time.Now()
+	s.watches = append(s.watches, watchCall{prefix: tw.Key(req.URL.Query().Get("pathPrefix")), from: req.RemoteAddr, began: began})
+	return func(statusCode int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.watches[n].took, s.watches[n].statusCode = time.Since(began), statusCode
+	}
+}
+
+// watchCount returns the number of watch calls for a prefix so far, and a description of all of them.
+func (s *silentStore) watchCount(prefix tw.Key) (count int, all string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.watches
+	for _, w := range s.watches {
+		if w.prefix == prefix {
+			count++
+		}
+		all += fmt.Sprintf("%s %s from %s: status %d after %s\n", w.began.Format(time.StampMilli), w.prefix, w.from, w.statusCode, w.took)
+	}
+	return count, all
 }
 
 func (s *silentStore) silence() {
@@ -139,24 +172,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := &countedCalls{KV: standin.KVConfig{Latency: time.Millisecond}.New()}
 		w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(ledger.InboxRecord) {})
+		defer w.Close()
 		time.Sleep(30 * time.Second)
 		g := NewWithT(t)
 		g.Expect(kv.watches.Load()).To(Equal(int64(20)))
 		g.Expect(kv.ranges.Load()).To(Equal(int64(1)))
-		w.Close()
 	})
 }
 
-// TestInboxWatchCalls bounds what the watch of a pool's inbox costs the store while nothing happens.
-// It does not depend on the size of the fleet.
+// TestInboxWatchCalls bounds what the watch of a pool's inbox costs the store while nothing happens, by
+// the requests of the real client in the time that has passed. It does not depend on the size of the
+// fleet. Requests for other prefixes are not the watch's: processes of other tests can call the port.
 func TestInboxWatchCalls(t *testing.T) {
 	g := NewWithT(t)
 	store := newSilentStore()
 	defer store.server.Close()
 	kv := platform.KVConfig{Address: strings.TrimPrefix(store.server.URL, "http://")}.New()
 	defer kv.Close()
-	w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(ledger.InboxRecord) {})
-	time.Sleep(2 * inboxWait)
+	pool := tw.PoolID(rand.Text()) // no other process calls for it
+	other := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(ledger.InboxRecord) {})
+	defer other.Close()
+	began := time.Now()
+	w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), pool, func(ledger.InboxRecord) {})
+	time.Sleep(2 * inboxInterval)
 	w.Close()
-	g.Expect(store.watchCount()).To(BeNumerically("<=", 3))
+	allowed := 1 + int(time.Since(began)/inboxInterval)
+	count, all := store.watchCount(ledger.InboxPrefix(pool))
+	g.Expect(count).To(BeNumerically("<=", allowed), all)
 }
