Resender: copies of a call leave connections that went silent at once

What callers saw: nothing yet; found by a check of the table of calls that may stay silent. Where all connections of an owner to the store go silent at once and new ones work, its next write is known after 1.01 s. From 0.9 s on it asks another daemon to take its pool, so the pool changed hands for nothing.

Cause: the store's client keeps eight idle connections, and a call has at most eight copies without an answer: all took silent ones until the first timed out.

Change: from two copies without an answer on, the next one and other calls use new connections. No further call; nothing grows with the fleet. While a store loses answers, idle connections are closed where two copies in a row have none.

--- a/daemon/silent_connections_test.go
+++ b/daemon/silent_connections_test.go
@@ -19,6 +19,14 @@
 	bound time.Duration
 	call  func(ctx context.Context, r *silentRig) error
 }{
+	"write of an owner": {
+		path: "/api/kv-txn", bound: storeOutageTimeout,
+		call: func(ctx context.Context, r *silentRig) error { return r.ownerWrite(ctx) },
+	},
+	"renewal": {
+		path: "/api/kv-keep/", bound: recordTTL - renewInterval,
+		call: func(ctx context.Context, r *silentRig) error { return r.store.Renew(ctx, r.lease) },
+	},
 	"read of one key": {
 		path: "/api/kv-key", bound: contactTime,
 		call: func(ctx context.Context, r *silentRig) error {
@@ -46,8 +54,13 @@
 	},
 }
 
-// retryPause is the pause of callers that repeat a call.
-const retryPause = 50 * time.Millisecond
+const (
+	// recordTTL is the lease of a daemon's record, renewInterval the pause between its renewals.
+	recordTTL     = 1500 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
+	// retryPause is the pause of callers that repeat a call.
+	retryPause = 50 * time.Millisecond
+)
 
 // repeat makes a call until it succeeds.
 func repeat(ctx context.Context, call func() error) error {
--- a/daemon/silent_rig_test.go
+++ b/daemon/silent_rig_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
@@ -173,6 +174,16 @@
 	calls.Wait()
 }
 
+// ownerWrite makes a write as an owner does, and resolves a conflict with an earlier copy of it.
+func (r *silentRig) ownerWrite(ctx context.Context) error {
+	key := tw.Key("owned")
+	_, err := r.store.Commit(ctx, tw.KVTxn{Conditions: []tw.KVCondition{{Key: key}}, Puts: []tw.KVPut{{Key: key, Value: []byte("v")}}})
+	if conflict := (*tw.KVConflictError)(nil); errors.As(err, &conflict) && string(conflict.Find(key).Value) == "v" {
+		return nil
+	}
+	return err
+}
+
 // silentWays are the directions in which connections go silent.
 var silentWays = map[string]silentDirections{
 	"requests": {requests: true}, "answers": {answers: true}, "both": {requests: true, answers: true},
--- a/ledger/resender.go
+++ b/ledger/resender.go
@@ -45,6 +45,9 @@
 		silentSince time.Time
 	}
 
+	// reconnecter is a tw.KV whose further calls can be made to use new connections.
+	reconnecter interface{ Reconnect() }
+
 	// answer is the result of one copy of a call.
 	answer[T any] struct {
 		value T
@@ -70,6 +73,9 @@
 	slowLinkRate = 250e3
 	// usualTimeDecay: each shorter answer reduces the usual time by this fraction of it.
 	usualTimeDecay = 8
+	// silentCopies is the number of unanswered copies from which new connections are used: a
+	// client may keep several that went silent at once, and each would take a copy.
+	silentCopies = 2
 	// maxCopies bounds the unanswered copies of a call.
 	maxCopies = 8
 	// loggedCopies is the number of copies from which an answer is logged.
@@ -156,6 +162,9 @@
 		case <-timer:
 			if unanswered < maxCopies && ctx.Err() == nil {
 				r.resent.Inc()
+				if unanswered >= silentCopies {
+					r.reconnect()
+				}
 				send()
 			}
 			if copies > steadyCopies {
@@ -166,6 +175,13 @@
 	}
 }
 
+// reconnect has further calls use new connections, if the store's client can.
+func (r *Resender) reconnect() {
+	if c, ok := r.KV.(reconnecter); ok {
+		c.Reconnect()
+	}
+}
+
 // undecided returns the error of a call whose copies were refused or not answered: one that was not
 // answered may be executed, whatever the other answers.
 func undecided(ambiguous, refused error) error {
