Peers: new connections to a daemon after a call without an answer

What callers saw: nothing yet; found by a check of the table of calls that may stay silent. Where the connections to an owner go silent and new ones work, a daemon took it for unresponsive for 6.2 s and left submissions and cancels in the inbox.

Cause: the client keeps eight idle connections to each daemon, and each ping took the next silent one and its time-out of 0.7 s.

Change: a call without an answer in time closes the idle connections to that daemon; the connections of each daemon have a transport of their own. No call more, and none to the store.

--- a/daemon/silent_connections_test.go
+++ b/daemon/silent_connections_test.go
@@ -6,8 +6,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/member"
 )
 
 // maxKept is the number of connections that the clients of the store and of other daemons keep.
@@ -94,3 +98,53 @@
 		}
 	}
 }
+
+// pingNoticed is the time after which an owner that does not answer is known to be unresponsive: a ping
+// is sent each 0.25 s and waits for 0.7 s.
+const pingNoticed = 950 * time.Millisecond
+
+// TestPingsNoticeSilence guards against an owner that is not used for longer than contactTime after the
+// connections to it have gone silent, and against callers that wait for it meanwhile.
+func TestPingsNoticeSilence(t *testing.T) {
+	for way, directions := range silentWays {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			r := newSilentRig(t)
+			r.keepConnections(maxKept, func() error {
+				_, err := r.peers.Ping(t.Context(), r.link.address(), member.PingRequest{From: "a"})
+				return err
+			})
+			members := r.pingingMembers(t)
+			address := r.link.address()
+			time.Sleep(300 * time.Millisecond) // it is pinged
+			r.Expect(members.Unresponsive(address)).To(BeFalse())
+			r.link.silenceAt("/Ping", directions)
+			r.Eventually(r.link.struckCount, time.Second, time.Millisecond).Should(BeNumerically(">=", maxKept))
+			struck := time.Now()
+			unresponsive := func() bool { return members.Unresponsive(address) }
+			r.Eventually(unresponsive, pingNoticed+silenceMargin, 5*time.Millisecond).Should(BeTrue())
+			r.Eventually(unresponsive, contactTime-time.Since(struck), 5*time.Millisecond).Should(BeFalse())
+		})
+	}
+}
+
+// pingingMembers returns the members of a daemon that pings the owner of pool p.
+func (r *silentRig) pingingMembers(t *testing.T) *member.Members {
+	clock, log := tw.SystemClock{}, zap.NewNop()
+	kv := standin.KVConfig{Latency: time.Millisecond}.New()
+	self := member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}
+	presence := member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
+	members := member.Config{
+		KV: kv, Clock: clock, Log: log, Self: self, Peers: r.peers, Presence: presence,
+		Pools: func() []tw.PoolID { return nil }, OwnedPools: func() []tw.PoolID { return nil },
+		ConfigVersion: func() tw.Version { return 0 }, TakeOver: func(tw.PoolID, string) {},
+		OnNewerConfig: func(string, tw.Version) {},
+		Evacuations:   func() *tw.Evacuations { return nil }, OnEvacuations: func(*tw.Evacuations, string) {},
+	}.New()
+	members.RecordOwner(ledger.Owner{Pool: "p", Daemon: "b", Address: r.link.address(), Incarnation: 1, Fence: 1})
+	t.Cleanup(func() {
+		members.Close()
+		presence.Close(context.Background())
+	})
+	return members
+}
--- a/daemon/silent_rig_test.go
+++ b/daemon/silent_rig_test.go
@@ -24,6 +24,9 @@
 	"github.com/tamarindworks/tamarindworks/run"
 )
 
+// silenceMargin is what a call may take beyond its timeout on a busy machine.
+const silenceMargin = 600 * time.Millisecond
+
 type (
 	// silentRig is a daemon's clients of a store, a worker and another daemon, which owns pool p. All
 	// are reached over one link.
--- a/member/rpc.go
+++ b/member/rpc.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/tcp"
@@ -54,7 +55,7 @@
 	// listens at the address), tw.ErrUnavailable (certainly not executed) or
 	// tw.ErrAmbiguous.
 	Peers struct {
-		http *http.Client
+		meter *traffic.Meter
 		// bulkOptions are the options of the calls that carry most bytes: Submit and Start.
 		bulkOptions []connect.ClientOption
 
@@ -62,19 +63,27 @@
 		clients map[string]*peerClients
 	}
 
-	// peerClients holds the RPC clients for one daemon.
+	// peerClient is the RPC client of one procedure of a daemon, and the connections to that daemon.
+	peerClient[Req, Resp any] struct {
+		*connect.Client[Req, Resp]
+		connections *http.Client
+	}
+
+	// peerClients holds the RPC clients for one daemon, and their connections.
 	peerClients struct {
-		ping    *connect.Client[PingRequest, PingResponse]
-		config  *connect.Client[ConfigRequest, ConfigResponse]
-		submit  *connect.Client[SubmitRequest, SubmitResponse]
-		cancel  *connect.Client[SubmissionRequest, SubmissionResponse]
-		state   *connect.Client[SubmissionRequest, SubmissionResponse]
-		waiting *connect.Client[WaitingRequest, WaitingResponse]
-		take    *connect.Client[TakeRequest, TakeResponse]
-		report  *connect.Client[ReportRequest, ReportResponse]
-		start   *connect.Client[StartRequest, StartResponse]
-
-		evacuations *connect.Client[EvacuationsRequest, EvacuationsResponse]
+		connections *http.Client
+
+		ping    peerClient[PingRequest, PingResponse]
+		config  peerClient[ConfigRequest, ConfigResponse]
+		submit  peerClient[SubmitRequest, SubmitResponse]
+		cancel  peerClient[SubmissionRequest, SubmissionResponse]
+		state   peerClient[SubmissionRequest, SubmissionResponse]
+		waiting peerClient[WaitingRequest, WaitingResponse]
+		take    peerClient[TakeRequest, TakeResponse]
+		report  peerClient[ReportRequest, ReportResponse]
+		start   peerClient[StartRequest, StartResponse]
+
+		evacuations peerClient[EvacuationsRequest, EvacuationsResponse]
 	}
 )
 
@@ -130,13 +139,7 @@
 // NewPeers returns a client for all daemons. It makes no calls yet. The meter counts the bytes
 // transferred; it may be nil.
 func NewPeers(meter *traffic.Meter) *Peers {
-	transport := &http.Transport{
-		DialContext:         tcp.NewDialer().DialContext,
-		MaxIdleConnsPerHost: maxIdlePeerConns,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
-	}
-	return &Peers{http: &http.Client{Transport: meter.Transport(transport)}, clients: map[string]*peerClients{}}
+	return &Peers{meter: meter, clients: map[string]*peerClients{}}
 }
 
 // compressRequests are the options that compress requests.
@@ -147,34 +150,50 @@
 func (p *Peers) CompressRequests() { p.bulkOptions = compressRequests }
 
 // Close closes idle connections.
-func (p *Peers) Close() { p.http.CloseIdleConnections() }
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, client := range p.clients {
+		client.connections.CloseIdleConnections()
+	}
+}
 
 func (p *Peers) clientsFor(address string) *peerClients {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	client := p.clients[address]
 	if client == nil {
+		transport := &http.Transport{
+			DialContext:         tcp.NewDialer().DialContext,
+			MaxIdleConnsPerHost: maxIdlePeerConns,
+			IdleConnTimeout:     peerIdleTimeout,
+			DisableCompression:  true,
+		}
+		connections := &http.Client{Transport: p.meter.Transport(transport)}
 		client = &peerClients{
-			ping:    newClient[PingRequest, PingResponse](p, address, procedurePing),
-			config:  newClient[ConfigRequest, ConfigResponse](p, address, procedureConfig),
-			submit:  newClient[SubmitRequest, SubmitResponse](p, address, procedureSubmit, p.bulkOptions...),
-			cancel:  newClient[SubmissionRequest, SubmissionResponse](p, address, procedureCancel),
-			state:   newClient[SubmissionRequest, SubmissionResponse](p, address, procedureState),
-			waiting: newClient[WaitingRequest, WaitingResponse](p, address, procedureWaiting),
-			take:    newClient[TakeRequest, TakeResponse](p, address, procedureTake),
-			report:  newClient[ReportRequest, ReportResponse](p, address, procedureReport),
-			start:   newClient[StartRequest, StartResponse](p, address, procedureStart, p.bulkOptions...),
-
-			evacuations: newClient[EvacuationsRequest, EvacuationsResponse](p, address, procedureEvacuations),
+			connections: connections,
+
+			ping:    newClient[PingRequest, PingResponse](connections, address, procedurePing),
+			config:  newClient[ConfigRequest, ConfigResponse](connections, address, procedureConfig),
+			submit:  newClient[SubmitRequest, SubmitResponse](connections, address, procedureSubmit, p.bulkOptions...),
+			cancel:  newClient[SubmissionRequest, SubmissionResponse](connections, address, procedureCancel),
+			state:   newClient[SubmissionRequest, SubmissionResponse](connections, address, procedureState),
+			waiting: newClient[WaitingRequest, WaitingResponse](connections, address, procedureWaiting),
+			take:    newClient[TakeRequest, TakeResponse](connections, address, procedureTake),
+			report:  newClient[ReportRequest, ReportResponse](connections, address, procedureReport),
+			start:   newClient[StartRequest, StartResponse](connections, address, procedureStart, p.bulkOptions...),
+
+			evacuations: newClient[EvacuationsRequest, EvacuationsResponse](connections, address, procedureEvacuations),
 		}
 		p.clients[address] = client
 	}
 	return client
 }
 
-func newClient[Req, Resp any](p *Peers, address, procedure string, more ...connect.ClientOption) *connect.Client[Req, Resp] {
+func newClient[Req, Resp any](connections *http.Client, address, procedure string, more ...connect.ClientOption) peerClient[Req, Resp] {
 	options := append([]connect.ClientOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage)}, more...)
-	return connect.NewClient[Req, Resp](p.http, "http://"+address+procedure, options...)
+	client := connect.NewClient[Req, Resp](connections, "http://"+address+procedure, options...)
+	return peerClient[Req, Resp]{Client: client, connections: connections}
 }
 
 // Ping checks whether a daemon is live.
@@ -244,9 +263,14 @@
 	return nil
 }
 
-func call[Req, Resp any](ctx context.Context, client *connect.Client[Req, Resp], m *Req) (*Resp, error) {
+// call makes a call. After one without an answer in time, further calls to that daemon use new
+// connections: if its connection has gone silent, the idle ones probably have as well.
+func call[Req, Resp any](ctx context.Context, client peerClient[Req, Resp], m *Req) (*Resp, error) {
 	resp, err := client.CallUnary(ctx, connect.NewRequest(m))
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			client.connections.CloseIdleConnections()
+		}
 		return nil, classifyError(err)
 	}
 	return resp.Msg, nil
