--- a/daemon/silent_watches_test.go
+++ b/daemon/silent_watches_test.go
@@ -10,7 +10,9 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
 
@@ -82,3 +84,30 @@
 		})
 	}
 }
+
+// membersNoticed is the time, beside a quick store, after which a daemon knows the records of others that
+// were written after its connections to the store had gone silent. No promise has a shorter bound: that an
+// owner is dead shows by pings, and a call to a daemon that owns a pool no longer says so.
+const membersNoticed = 4600 * time.Millisecond
+
+// TestMembersWatchNoticesSilence bounds how long a daemon does not know a new one.
+func TestMembersWatchNoticesSilence(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	store := newSilentStore()
+	defer store.server.Close()
+	kv := platform.KVConfig{Address: strings.TrimPrefix(store.server.URL, "http://")}.New()
+	defer kv.Close()
+	store.openIdleConnections(t, kv)
+	members, end := membertest.Start(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
+	defer end()
+	known := func(id tw.DaemonID) func() bool {
+		return func() bool { _, known := members.AddressOf(id); return known }
+	}
+	membertest.Announce(store.kv, member.DaemonRecord{Daemon: "b", Incarnation: 1, Address: "b:1"})
+	g.Eventually(known("b"), time.Second).Should(BeTrue())
+	time.Sleep(50 * time.Millisecond)
+	store.silence()
+	membertest.Announce(store.kv, member.DaemonRecord{Daemon: "c", Incarnation: 1, Address: "c:1"})
+	g.Eventually(known("c"), membersNoticed).Should(BeTrue())
+}
