--- a/run/soak_loss_test.go
+++ b/run/soak_loss_test.go
@@ -71,3 +71,11 @@
 		}
 	}
 }
+
+// TestLossSoakThirdStart runs a seed in which a subtask that crashes its workers gets a third start after
+// the third crash, in about every third run.
+func TestLossSoakThirdStart(t *testing.T) {
+	for range 10 {
+		runSoak(t, 423, withAllFaults, assignHalls, func(s *soak) { s.mayGiveUp, s.losing = true, true })
+	}
+}
