Inbox: a cancel survives owners of the older version

Also one that an owner of this version had read is lost if it ends before the end is recorded and its older successor does as well; the CHANGELOG said that it is not.

Cause: an older owner removes the request as soon as it has read it, beside the write of the end. If it ends in between, nothing in the store tells of it.

Change: a daemon that leaves a cancel writes it under two keys in one transaction. An older owner reads both and removes the one that it knows; an owner of this version removes both once the end is recorded. No call more. A cancel that an older daemon left has one key, and can be lost as before.

Not run: a program of the older version.

--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -37,7 +37,11 @@
 
 // RemoveMessage returns the change that removes a message from the inbox.
 func RemoveMessage(pool tw.PoolID, m InboxRecord) Change {
-	return Change{Removes: []tw.Key{InboxKey(pool, m)}}
+	removes := []tw.Key{InboxKey(pool, m)}
+	if m.Kind == InboxCancel {
+		removes = append(removes, keptCancelKey(pool, m.ID))
+	}
+	return Change{Removes: removes}
 }
 
 // SaveWaveProgress returns the change that stores the progress of a maintenance wave.
@@ -62,8 +66,10 @@
 }
 
 // CancelViaInbox returns the transaction by which a daemon that cannot reach the pool's
-// owner leaves a request to cancel a submission.
+// owner leaves a request to cancel a submission. There are two copies: an owner of an older version
+// removes the first one before the end is recorded, and does not know the key of the other.
 func CancelViaInbox(pool tw.PoolID, id tw.SubmissionID) tw.KVTxn {
 	message := InboxRecord{Kind: InboxCancel, ID: id}
-	return tw.KVTxn{Puts: []tw.KVPut{{Key: InboxKey(pool, message), Value: mustEncode(message)}}}
+	value := mustEncode(message)
+	return tw.KVTxn{Puts: []tw.KVPut{{Key: InboxKey(pool, message), Value: value}, {Key: keptCancelKey(pool, id), Value: value}}}
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -147,6 +147,11 @@
 	return InboxPrefix(pool) + tw.Key(string(m.ID)+"."+string(m.Kind))
 }
 
+// keptCancelKey is the key of the second copy of a request to cancel.
+func keptCancelKey(pool tw.PoolID, id tw.SubmissionID) tw.Key {
+	return InboxPrefix(pool) + tw.Key(string(id)+"."+string(InboxCancel)+".kept")
+}
+
 // ProgressKey is the key of a submission's progress.
 func ProgressKey(pool tw.PoolID, id tw.SubmissionID) tw.Key {
 	return poolProgressPrefix(pool) + tw.Key(id)
