Workers' entries, waves and configurations are read within limits

Times in a configuration of 1e308 came out as what the processor makes of them. An error of 1 MB went into the log for a number of a million digits.

Cause: values were checked for their sign at most, and each reader computed with them.

Change: platform/limits.go says what a usable value is. An id can be sent in a header, an address is unicast, without a zone, with a port; amounts are at most 2^40, so that sums over millions of workers and times that far ahead hold; a wave stands under its number, and its maximum is at most the number of its machines. Errors are cut to 100 characters.

Cost: a few comparisons for each entry that has changed; does not grow with the fleet otherwise.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -220,7 +220,7 @@
 }
 
 func (d *directory) applyWave(item tw.KVItem) {
-	wave, err := platform.DecodeWave(item.Value)
+	wave, err := platform.DecodeWave(item)
 	if err != nil {
 		d.log.Error("wave: not readable", zap.String("key", string(item.Key)), logsink.Err(err))
 		return
