Log lines of unusable items are limited, and the operators' keys are decoded once

What operators would see: an entry whose fault changes with each write, or entries that come and go, gave a log line at each reading of the list, four a second and key, at each daemon that owns a pool. An unreadable wave or configuration gave one at each change of any key of the operators, up to 50 a second, and was decoded anew each time.

Cause: a line was left out only if its text was that of the entry's last one; the operators' keys had no memory of what was read.

Change: after 20 lines a daemon logs one a second of items that it can't use; the metric counts all, and the line has the count. A key of the operators is decoded when its revision changes. An unreadable newer configuration leaves the former in force, as before.

Evidence: TestDirectoryFollowsBesideOddItem puts 40 odd items, one at a time, beside a worker, a configuration and a wave: no change of the others comes late, none of the odd ones is in use.

Cost: one map entry for each key of the operators; less work where these change often.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
@@ -36,6 +37,9 @@
 	generation int
 	config     *tw.QueueConfig
 	waves      map[int64]tw.MaintenanceWave
+	// operatorRevisions are the revisions of the operators' keys that were applied last. Only the
+	// callback of operatorWatcher uses them.
+	operatorRevisions map[tw.Key]tw.KVRevision
 	// evacuations is nil until the evacuated halls are known.
 	evacuations *tw.Evacuations
 	// evacuatedSince is when the evacuation of each evacuated hall was learned of.
@@ -46,6 +50,9 @@
 	metrics        *metrics.Set
 	// invalidEntries counts the worker entries read that can't be used.
 	invalidEntries *metrics.Counter
+	// unreadableLog limits the log lines of items that can't be used: their writers may change them all
+	// the time, and leave any number of them.
+	unreadableLog rate.Sometimes
 }
 
 // decodedEntry caches the decoding of one revision of a worker's entry.
@@ -67,6 +74,11 @@
 	// workersGap is the pause after each watch call that returned changes. It limits the
 	// rate of reads: some tens of workers write their status reports each second.
 	workersGap = 250 * time.Millisecond
+
+	// After the first maxUnreadableLines, one line of an item that can't be used is logged per
+	// unreadableLogInterval.
+	maxUnreadableLines    = 20
+	unreadableLogInterval = time.Second
 )
 
 func newDirectory(kv tw.KV, clock tw.Clock, log *zap.Logger, set *metrics.Set, workersChanged func()) *directory {
@@ -74,7 +86,8 @@
 		kv: kv, clock: clock, log: log, workersChanged: workersChanged, metrics: set,
 		invalidEntries: set.GetOrCreateCounter("tamarind_worker_entries_set_aside_total"),
 		waves:          map[int64]tw.MaintenanceWave{}, decoded: map[tw.WorkerID]decodedEntry{},
-		evacuatedSince: map[tw.HallID]time.Time{},
+		evacuatedSince: map[tw.HallID]time.Time{}, operatorRevisions: map[tw.Key]tw.KVRevision{},
+		unreadableLog: rate.Sometimes{First: maxUnreadableLines, Interval: unreadableLogInterval},
 	}
 	set.GetOrCreateGauge("tamarind_evacuations_revision", d.evacuationsRevision)
 	set.GetOrCreateGauge("tamarind_evacuated_halls", d.evacuatedHalls)
@@ -185,6 +198,10 @@
 func (d *directory) operatorChanged(items map[tw.Key]tw.KVItem, at tw.KVRevision) {
 	d.applyEvacuations(platform.EvacuationsFromKeys(maps.Keys(items), at), "store")
 	for key, item := range items {
+		if d.operatorRevisions[key] == item.Revision {
+			continue
+		}
+		d.operatorRevisions[key] = item.Revision
 		switch {
 		case key == platform.QueueConfigKey:
 			d.decodeConfig(item.Value)
@@ -192,13 +209,14 @@
 			d.applyWave(item)
 		}
 	}
+	maps.DeleteFunc(d.operatorRevisions, func(key tw.Key, _ tw.KVRevision) bool { return items[key].Revision == 0 })
 }
 
 // decodeConfig decodes the operators' configuration and applies it if it is newer.
 func (d *directory) decodeConfig(value []byte) {
 	config, err := platform.DecodeQueueConfig(value)
 	if err != nil {
-		d.log.Error("config: not readable", logsink.Err(err))
+		d.unreadableLog.Do(func() { d.log.Error("config: not readable", logsink.Err(err)) })
 		return
 	}
 	d.applyConfig(config, "store")
@@ -222,7 +240,7 @@
 func (d *directory) applyWave(item tw.KVItem) {
 	wave, err := platform.DecodeWave(item)
 	if err != nil {
-		d.log.Error("wave: not readable", zap.String("key", string(item.Key)), logsink.Err(err))
+		d.unreadableLog.Do(func() { d.log.Error("wave: not readable", zap.String("key", string(item.Key)), logsink.Err(err)) })
 		return
 	}
 	d.mu.Lock()
@@ -235,7 +253,7 @@
 }
 
 // decodeEntry decodes an entry of the list of workers. An invalid entry is ignored, and
-// logged only if its error is new, as its writer may keep writing it.
+// logged only if its error is new, as its writer may keep writing it, and if there are few such lines.
 func (d *directory) decodeEntry(item tw.KVItem, before decodedEntry) decodedEntry {
 	entry, err := platform.DecodeWorker(item)
 	if err == nil {
@@ -243,7 +261,10 @@
 	}
 	d.invalidEntries.Inc()
 	if err.Error() != before.invalid {
-		d.log.Error("worker: entry set aside", zap.String("key", string(item.Key)), logsink.Err(err))
+		d.unreadableLog.Do(func() {
+			d.log.Error("worker: entry set aside", zap.String("key", string(item.Key)), logsink.Err(err),
+				zap.Uint64("set_aside", d.invalidEntries.Get()))
+		})
 	}
 	return decodedEntry{revision: item.Revision, invalid: err.Error()}
 }
