A stored record that can't be worked with ends no owner

What callers would see: every daemon that took a pool over ended by itself, one after the other, and the pool had no owner any more. Progress with an empty repetition or step, or a submission whose step waits for one that doesn't exist, is JSON as it should be, and the owner read it. A message under another's key cancelled a submission that nobody had cancelled. An owner record with the largest fence kept all daemons from taking the pool, one under another pool's key gave that pool an owner, and one unreadable record left `tamarind queue status` without a result.

Cause: records were decoded and not checked: only bytes that aren't JSON counted as unreadable.

What isn't usable is skipped and left as it is, as before. The survey passes over it.

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -83,9 +82,9 @@
 	out = make(map[tw.SubmissionID]Progress, len(items))
 	unreadable = map[tw.SubmissionID]bool{}
 	for _, item := range items {
-		var p Progress
-		if err := json.Unmarshal(item.Value, &p); err != nil {
-			b.logUnreadable(errors.Wrapf(err, "ledger.Load: %s", item.Key))
+		p, err := decodeProgress(item)
+		if err != nil {
+			b.logUnreadable(err)
 			unreadable[submissionIDFromKey(item.Key, prefix)] = true
 			continue
 		}
@@ -127,7 +126,11 @@
 
 // FindProgress reads the progress of a submission, which is zero if none is stored.
 func FindProgress(ctx context.Context, kv tw.KV, pool tw.PoolID, id tw.SubmissionID) (Progress, error) {
-	return getDecoded[Progress](ctx, kv, ProgressKey(pool, id))
+	item, err := getItem(ctx, kv, ProgressKey(pool, id))
+	if err != nil || item.Revision == 0 {
+		return Progress{}, err
+	}
+	return decodeProgress(item)
 }
 
 // FindWave reads the progress of a maintenance wave, which is zero if none is stored.
@@ -135,7 +138,8 @@
 	return getDecoded[WaveProgress](ctx, kv, waveKey(wave))
 }
 
-// FindOrders reads when machines were last changed; the map is nil if none is stored.
+// FindOrders reads when machines were last changed; the map is nil if none is stored. It fails with
+// ErrUnreadable if the record can't be decoded.
 func FindOrders(ctx context.Context, kv tw.KV) (map[tw.InstanceID]time.Time, error) {
 	return getDecoded[map[tw.InstanceID]time.Time](ctx, kv, ordersKey)
 }
@@ -165,27 +169,6 @@
 	if item.Revision == 0 {
 		return out, nil
 	}
-	err := json.Unmarshal(item.Value, &out)
-	return out, errors.Wrapf(err, "ledger: %s", item.Key)
-}
-
-// DecodeInbox decodes an inbox message.
-func DecodeInbox(item tw.KVItem) (InboxRecord, error) {
-	var m InboxRecord
-	err := json.Unmarshal(item.Value, &m)
-	return m, errors.Wrapf(err, "ledger: %s", item.Key)
-}
-
-// DecodeOwner decodes the owner record of a pool.
-func DecodeOwner(item tw.KVItem) (Owner, error) {
-	var o Owner
-	err := json.Unmarshal(item.Value, &o)
-	return o, errors.Wrapf(err, "ledger: %s", item.Key)
-}
-
-// DecodeRecord decodes a stored submission.
-func DecodeRecord(item tw.KVItem) (Record, error) {
-	var r Record
-	err := json.Unmarshal(item.Value, &r)
-	return r, errors.Wrapf(err, "ledger: %s", item.Key)
+	err := unmarshal(item, &out)
+	return out, err
 }
--- a/ledger/open.go
+++ b/ledger/open.go
@@ -60,6 +60,12 @@
 	}
 	record, recordErr := DecodeOwner(owner)
 	last, err := decode[head](headItem)
+	if err == nil && !validFence(last.Fence) {
+		err = errors.Newf("ledger: %s: fence %d", headItem.Key, last.Fence)
+	}
+	if err != nil {
+		last = head{}
+	}
 	if err != nil && recordErr != nil {
 		return previousOwner{}, err
 	}
--- a/ledger/survey.go
+++ b/ledger/survey.go
@@ -33,8 +33,8 @@
 	}
 )
 
-// TakeSurvey reads the records of all pools. It takes no snapshot: a concurrent change may be
-// visible in part.
+// TakeSurvey reads the records of all pools, without those that are unreadable. It takes no snapshot:
+// a concurrent change may be visible in part.
 func TakeSurvey(ctx context.Context, kv tw.KV) (*Survey, error) {
 	pools := map[tw.PoolID]*PoolSurvey{}
 	surveyOf := func(pool tw.PoolID) *PoolSurvey {
@@ -69,11 +69,9 @@
 			out.Daemons = append(out.Daemons, tw.DaemonID(id))
 			continue
 		}
-		owner, err := DecodeOwner(item)
-		if err != nil {
-			return err
+		if owner, err := DecodeOwner(item); err == nil {
+			surveyOf(owner.Pool).Owner = owner
 		}
-		surveyOf(owner.Pool).Owner = owner
 	}
 	return nil
 }
@@ -86,7 +84,7 @@
 	for _, item := range submissions {
 		record, err := DecodeRecord(item)
 		if err != nil {
-			return err
+			continue
 		}
 		if record.Final == "" {
 			surveyOf(record.Pool).Open++
