A daemon's record counts only under its own key

What callers would see: a record under tw/member/live/x that names daemon b took the place of that daemon's record, by the order of a map: its pools could seem to be those of a former process, and be taken over (by reading; the test shows the record that was replaced). A record that is replaced a hundred times a second gave up to 50 log lines a second at each daemon.

Cause: the daemon in a record was believed, whatever key it stood under.

Change: a record has the key of its daemon, and between 0 and 65,536 cores. Log lines of unreadable records are limited as in the directory. Reading the records moves to member/records.go, unchanged but for this.

What remains: a record that looks like that of a daemon, under its key, is taken for one; it is pinged and, as it doesn't answer, passed over as a candidate after half a second.

Cost: one comparison of texts for each record that has changed.

--- a/member/daemon_record.go
+++ b/member/daemon_record.go
@@ -163,9 +163,3 @@
 		p.announce(ctx)
 	}
 }
-
-func decodeDaemonRecord(item tw.KVItem) (DaemonRecord, error) {
-	var record DaemonRecord
-	err := json.Unmarshal(item.Value, &record)
-	return record, errors.Wrapf(err, "member: %s", item.Key)
-}
--- a/member/members.go
+++ b/member/members.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
@@ -83,6 +82,9 @@
 		heard map[tw.DaemonID]heardEvacuations
 		// records caches the decoded records of the members, by key.
 		records map[tw.Key]cachedRecord
+		// unreadableLog limits the log lines of records that can't be read, as their writers may change
+		// them all the time.
+		unreadableLog rate.Sometimes
 		// orphanedAt is the time at which a pool was first found to have no live owner.
 		orphanedAt map[tw.PoolID]time.Time
 		// handovers are the last requests to other daemons to take over a pool of this one.
@@ -169,6 +171,7 @@
 		config: c, started: c.Clock.Now(), cancel: cancel, done: make(chan struct{}),
 		live: map[tw.DaemonID]DaemonRecord{}, lastKnown: map[tw.DaemonID]DaemonRecord{}, owners: map[tw.PoolID]ledger.Owner{}, pingStates: map[string]*pingState{},
 		orphanedAt: map[tw.PoolID]time.Time{}, poolLostAt: map[tw.PoolID]time.Time{}, handovers: map[tw.PoolID]handover{},
+		unreadableLog: rate.Sometimes{First: maxUnreadableLines, Interval: unreadableLogInterval},
 	}
 	m.connectedCtx, m.cancelConnected = context.WithCancel(context.Background())
 	m.watcher = WatcherConfig{
@@ -234,64 +237,6 @@
 	m.owners[o.Pool] = o
 }
 
-// applyRecords updates the members from the records in the store.
-func (m *Members) applyRecords(items map[tw.Key]tw.KVItem, _ tw.KVRevision) {
-	live := make(map[tw.DaemonID]DaemonRecord, len(items))
-	records := make(map[tw.Key]cachedRecord, len(items))
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for key, item := range items {
-		have, known := m.records[key]
-		if !known || have.revision != item.Revision {
-			have = m.readRecord(key, item)
-		}
-		records[key] = have
-		if have.daemon != nil {
-			live[have.daemon.Daemon] = *have.daemon
-		}
-	}
-	m.records = records
-	m.logLivenessChanges(live)
-	m.live = live
-	maps.Copy(m.lastKnown, live)
-	m.pingedPools, m.hallProbes, m.searchOrder = nil, nil, nil
-}
-
-// readRecord decodes a new or changed record. An owner record also updates the owner of its pool.
-func (m *Members) readRecord(key tw.Key, item tw.KVItem) cachedRecord {
-	out := cachedRecord{revision: item.Revision}
-	switch {
-	case strings.HasPrefix(string(key), string(ledger.LivePrefix)):
-		record, err := decodeDaemonRecord(item)
-		if err != nil {
-			m.config.Log.Error("member: unreadable record", logsink.Err(err))
-			return out
-		}
-		out.daemon = &record
-	case strings.HasPrefix(string(key), string(ledger.OwnerPrefix)):
-		o, err := ledger.DecodeOwner(item)
-		if err != nil {
-			m.config.Log.Error("member: unreadable record", logsink.Err(err))
-			return out
-		}
-		m.setOwner(o)
-	}
-	return out
-}
-
-func (m *Members) logLivenessChanges(live map[tw.DaemonID]DaemonRecord) {
-	for id, record := range live {
-		if have, found := m.live[id]; !found || have.Incarnation != record.Incarnation {
-			m.config.Log.Info("member: daemon is live", zap.String("daemon", string(id)), zap.Uint64("life", uint64(record.Incarnation)))
-		}
-	}
-	for id := range m.live {
-		if _, found := live[id]; !found {
-			m.config.Log.Info("member: daemon's record is gone", zap.String("daemon", string(id)))
-		}
-	}
-}
-
 func (m *Members) run(ctx context.Context) {
 	var pinged time.Time
 	for {
