The size of a pool's machines is that of workers that have answered

What operators would see: an entry that claims a worker of 2^40 millicores, under any address, made the machines of its pool count as that large. The pool seemed to need next to none; by reading, the manager would move its machines away or park them.

Cause: machineSize took the largest capacity of all listed workers, also of those that never answered.

Change: only workers that have answered their owner count; before any has, all that are listed.

Evidence: TestMachineSize, "not one that has not answered", red on. Green now, with -race; the other tests of the manager are unchanged.

Cost: none; the same pass over the report's workers.

--- a/maintenance/forecast.go
+++ b/maintenance/forecast.go
@@ -200,12 +200,22 @@
 }
 
 // machineSize returns the size of the pool's machines, or the largest of each resource if they
-// differ.
+// differ. Only workers that have answered count, unless none has: the entry of another one may claim
+// any size, and the pool would seem to need no machines.
 func machineSize(r *run.Report) tw.Resources {
-	var size tw.Resources
+	var answered, listed tw.Resources
 	for _, load := range r.Workers {
-		size.CPU = max(size.CPU, load.Capacity.CPU)
-		size.MemoryMB = max(size.MemoryMB, load.Capacity.MemoryMB)
+		listed = largest(listed, load.Capacity)
+		if load.Known {
+			answered = largest(answered, load.Capacity)
+		}
+	}
+	if answered == (tw.Resources{}) {
+		return listed
 	}
-	return size
+	return answered
+}
+
+func largest(a, b tw.Resources) tw.Resources {
+	return tw.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB)}
 }
--- a/maintenance/forecast_test.go
+++ b/maintenance/forecast_test.go
@@ -105,3 +105,37 @@
 		})
 	}
 }
+
+// sizeCases are the workers of a pool and the size that its machines count as.
+var sizeCases = map[string]struct {
+	workers []run.WorkerLoad
+	want    tw.Resources
+}{
+	"the largest that has answered": {
+		workers: []run.WorkerLoad{
+			{Known: true, Capacity: tw.Resources{CPU: 1000, MemoryMB: 3000}}, {Known: true, Capacity: tw.Resources{CPU: 2000, MemoryMB: 2000}},
+		},
+		want: tw.Resources{CPU: 2000, MemoryMB: 3000},
+	},
+	"not one that has not answered": {
+		workers: []run.WorkerLoad{
+			{Known: true, Capacity: tw.Resources{CPU: 1000, MemoryMB: 3000}}, {Capacity: tw.Resources{CPU: 1 << 40, MemoryMB: 1 << 40}},
+		},
+		want: tw.Resources{CPU: 1000, MemoryMB: 3000},
+	},
+	"what is listed before any has answered": {
+		workers: []run.WorkerLoad{{Capacity: tw.Resources{CPU: 1000, MemoryMB: 3000}}},
+		want:    tw.Resources{CPU: 1000, MemoryMB: 3000},
+	},
+	"none": {},
+}
+
+// TestMachineSize guards against a pool that loses its machines because an entry that no worker
+// answers for claims to be a huge worker.
+func TestMachineSize(t *testing.T) {
+	for name, c := range sizeCases {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(machineSize(&run.Report{Workers: c.workers})).To(Equal(c.want))
+		})
+	}
+}
