An unreadable record of machine changes does not leave the machines without a manager

What operators would see: with one unreadable value under tw/orders no daemon could become the manager of machines: each takeover failed at that record, for good. No wave was carried out and no machine changed its pool. An unreadable record of a wave gave ten log lines a second.

Cause: a record that can't be decoded was an error like a store that doesn't answer.

Change: the manager starts. As any machine may have been changed a moment ago, it changes none until the minimum time between two holders and the longest delay of an order have passed. Its first orders replace the record. Log lines of an unreadable wave record come once a second.

Cost: none while the record can be read.

--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -168,10 +168,11 @@
 	}
 	if pool == maintenance.ManagerPool {
 		recent, err := ledger.FindOrders(ctx, d.kv)
-		if err != nil {
+		unreadable := errors.Is(err, ledger.ErrUnreadable)
+		if err != nil && !unreadable {
 			return err
 		}
-		o.startManager(book, self, recent)
+		o.startManager(book, self, recent, unreadable)
 		d.members.RecordOwner(self)
 		return nil
 	}
@@ -232,14 +233,14 @@
 	return nil
 }
 
-// startManager starts the machine manager.
-func (o *owners) startManager(book *ledger.Book, self ledger.Owner, recent map[tw.InstanceID]time.Time) {
+// startManager starts the machine manager. unreadable means that the record of recent is.
+func (o *owners) startManager(book *ledger.Book, self ledger.Owner, recent map[tw.InstanceID]time.Time, unreadable bool) {
 	d := o.d
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.managerRecord = self
 	o.manager = maintenance.Config{
-		Book: book, RecentlyChanged: recent, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Incarnation), KV: d.kv, Machines: d.machines,
+		Book: book, RecentlyChanged: recent, RecentChangesUnknown: unreadable, Holder: fmt.Sprintf("%s/%d", d.self.Daemon, d.self.Incarnation), KV: d.kv, Machines: d.machines,
 		MachineCache: d.machineCache, Owners: d, Clock: d.clock, Log: d.log, Metrics: d.metrics,
 		Waves: d.directory.Waves, Queue: d.directory.Config, Evacuations: d.directory.Evacuations, WaveStatus: platform.WaveStatus,
 		HolderTime: d.settings.Bounds.HolderTime.Std(), ParkAfter: d.settings.Machines.ParkAfter.Std(),
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/logsink"
@@ -33,14 +34,17 @@
 		Book *ledger.Book
 		// RecentlyChanged holds the times of recent changes of machines by former managers.
 		RecentlyChanged map[tw.InstanceID]time.Time
-		Holder          string
-		KV              tw.KV
-		Machines        tw.Machines
-		MachineCache    *run.MachineCache
-		Owners          Owners
-		Clock           tw.Clock
-		Log             *zap.Logger
-		Metrics         *metrics.Set
+		// RecentChangesUnknown: the record of RecentlyChanged is unreadable, so that any machine may have
+		// been changed a moment ago.
+		RecentChangesUnknown bool
+		Holder               string
+		KV                   tw.KV
+		Machines             tw.Machines
+		MachineCache         *run.MachineCache
+		Owners               Owners
+		Clock                tw.Clock
+		Log                  *zap.Logger
+		Metrics              *metrics.Set
 		// Waves returns the waves that operators have requested.
 		Waves func() []tw.MaintenanceWave
 		// Queue returns the configuration in force, or nil.
@@ -90,7 +94,11 @@
 		// times until which machines must not be changed.
 		recentlyChanged, blocked map[tw.InstanceID]time.Time
 		limiter                  orderLimiter
-		poolMetrics              poolMetrics
+		// noOrdersUntil is the time until which no machine must be changed.
+		noOrdersUntil time.Time
+		// unreadableLog limits the log lines of waves whose record can't be read, as each pass reads them.
+		unreadableLog rate.Sometimes
+		poolMetrics   poolMetrics
 	}
 )
 
@@ -102,6 +110,8 @@
 	// maxListAge is the maximum age of the list of machines to act on. The list is
 	// read several times a second.
 	maxListAge = time.Second
+	// unreadableLogInterval is the least time between two log lines of records that can't be read.
+	unreadableLogInterval = time.Second
 )
 
 // New starts a manager, which Close ends.
@@ -115,9 +125,13 @@
 		reports: map[tw.PoolID]report{}, ended: map[tw.WorkerID]endedWorker{}, confirmedAt: now, forecasts: map[tw.PoolID]*forecast{}, total: forecast{window: c.ParkAfter},
 		unfit:           map[tw.InstanceID]map[tw.PoolID]bool{},
 		recentlyChanged: map[tw.InstanceID]time.Time{}, blocked: map[tw.InstanceID]time.Time{}, limiter: orderLimiter{limit: initialOrderLimit},
-		poolMetrics: poolMetrics{set: c.Metrics, gauges: map[string]*metrics.Gauge{}},
+		unreadableLog: rate.Sometimes{Interval: unreadableLogInterval},
+		poolMetrics:   poolMetrics{set: c.Metrics, gauges: map[string]*metrics.Gauge{}},
 	}
 	m.adoptRecent(c.RecentlyChanged)
+	if c.RecentChangesUnknown {
+		m.noOrdersUntil = now.Add(m.HolderTime + maxOrderDelay)
+	}
 	m.Log = c.Log.With(zap.Int64("machine_fence", int64(m.fence)))
 	m.Log.Info("maintenance: this daemon manages the machines")
 	go func() {
@@ -171,6 +185,9 @@
 	if list == nil || m.Clock.Now().Sub(list.RequestedAt) > maxListAge || !list.RequestedAt.After(m.startedAt) {
 		return nil // the list may be stale
 	}
+	if m.Clock.Now().Before(m.noOrdersUntil) {
+		return m.confirmOwnership()
+	}
 	m.reconcileOrders(list)
 	state := m.state(config, list)
 	decision := Decide(state)
@@ -200,7 +217,9 @@
 			continue
 		}
 		if err := m.loadWave(wave); err != nil {
-			m.Log.Warn("wave: progress not readable, retrying in the next pass", zap.Int64("wave", wave.Number), logsink.Err(err))
+			m.unreadableLog.Do(func() {
+				m.Log.Warn("wave: progress not readable, retrying in the next pass", zap.Int64("wave", wave.Number), logsink.Err(err))
+			})
 		}
 	}
 }
