--- a/ledger/decode.go
+++ b/ledger/decode.go
@@ -71,7 +71,8 @@
 		return InboxRecord{}, err
 	}
 	known := m.Kind == InboxSubmitted || m.Kind == InboxCancel
-	if !known || m.ID == "" || !strings.HasSuffix(string(item.Key), string(InboxKey("", m)[len(inboxPrefix):])) {
+	key := strings.TrimSuffix(string(item.Key), keptSuffix)
+	if !known || m.ID == "" || !strings.HasSuffix(key, string(InboxKey("", m)[len(inboxPrefix):])) {
 		return InboxRecord{}, errors.Newf("ledger: %s: no message", item.Key)
 	}
 	return m, nil
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -147,9 +147,12 @@
 	return InboxPrefix(pool) + tw.Key(string(m.ID)+"."+string(m.Kind))
 }
 
+// keptSuffix ends the key of the second copy of a request to cancel.
+const keptSuffix = ".kept"
+
 // keptCancelKey is the key of the second copy of a request to cancel.
 func keptCancelKey(pool tw.PoolID, id tw.SubmissionID) tw.Key {
-	return InboxPrefix(pool) + tw.Key(string(id)+"."+string(InboxCancel)+".kept")
+	return InboxKey(pool, InboxRecord{Kind: InboxCancel, ID: id}) + keptSuffix
 }
 
 // ProgressKey is the key of a submission's progress.
