Owner: a call for advice waits for the time that the service takes, and a second

What callers would see on a queue with advice: the one connection to the service has gone silent, and nothing of a step begins for 5 s, where 3 s are allowed with room for it.

Cause: only the client's time-out of 5 s bounded the call.

Change: the policy says how long the service takes (decide_ms, each_ms for each worker); a second more covers calls of this daemon's other owners.

--- a/run/advice.go
+++ b/run/advice.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -39,6 +40,8 @@
 		st      *step
 		id      tw.SubtaskID
 		workers []tw.WorkerID
+		// timeout is the time within which the service answers.
+		timeout time.Duration
 	}
 )
 
@@ -52,6 +55,9 @@
 	// adviceRetry is the minimum time between two requests for a step, and the pause after a
 	// call that failed.
 	adviceRetry = 300 * time.Millisecond
+	// adviceMargin is added to the time that the service takes for a call. It covers the calls of this
+	// daemon's other owners, which the service handles one after the other.
+	adviceMargin = time.Second
 )
 
 func newAdvisorClient(o *Owner, service tw.Advisor) *advisorClient {
@@ -72,7 +78,9 @@
 			return
 		case request := <-a.requests:
 			sent := a.o.clock.Now()
-			advice, err := a.service.Advise(a.o.ctx, request.id, request.workers)
+			ctx, cancel := context.WithTimeout(a.o.ctx, request.timeout)
+			advice, err := a.service.Advise(ctx, request.id, request.workers)
+			cancel()
 			a.o.post(a.o.ctx, func() { a.handleAnswer(request, sent, advice, err) })
 			if err != nil {
 				select {
@@ -104,7 +112,8 @@
 // request asks for advice on the usable workers for which there is no valid answer.
 func (a *advisorClient) request(st *step) {
 	now := a.o.now
-	valid := st.rep.sub.Policy.Advice.Valid
+	policy := st.rep.sub.Policy.Advice
+	valid := policy.Valid
 	if st.advice.inFlight || now.Sub(st.advice.requestedAt) < adviceRetry {
 		return
 	}
@@ -124,8 +133,9 @@
 		ids = append(ids, w.entry.ID)
 	}
 	id := st.tasks[0].id
+	timeout := policy.Decide + time.Duration(len(ids))*policy.Each + adviceMargin
 	select {
-	case a.requests <- adviceRequest{st: st, id: id, workers: ids}:
+	case a.requests <- adviceRequest{st: st, id: id, workers: ids, timeout: timeout}:
 		st.advice.inFlight = true
 		st.advice.requestedAt = now
 	default: // the next placement pass requests it again
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -51,6 +51,8 @@
 	// link and cores are the bandwidth and processor share configured for new owners.
 	link  tw.BytesPerSecond
 	cores tw.Cores
+	// advisor is the advice service of new owners, which answers nothing by default.
+	advisor tw.Advisor
 	// queueConfig is the configuration of new owners; nil for none.
 	queueConfig *tw.QueueConfig
 	// refreshes counts the owners' requests to refresh the list of workers.
@@ -79,7 +81,7 @@
 			Latency: latency, MaxHold: maxHold, StopTime: stopTime, StartupTime: 500 * time.Millisecond, EvacuationGrace: evacuateTime,
 		}.New(),
 		cloud: standin.CloudConfig{MoveTime: time.Second, MaintenanceTime: time.Second}.New(),
-		list:  map[tw.WorkerID]tw.WorkerEntry{},
+		list:  map[tw.WorkerID]tw.WorkerEntry{}, advisor: noAdvisor{},
 	}
 	r.evacuations.Store(&tw.Evacuations{Revision: 1})
 	r.machineCache = run.MachineCacheConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
@@ -133,7 +135,7 @@
 
 func (r *rig) startOwner(c run.Config, orders tw.WorkerOrders) *run.Owner {
 	r.metricSet = metrics.NewSet()
-	c.Orders, c.Advisor, c.MachineCache, c.RefreshWorkers = r.withRelays(orders), noAdvisor{}, r.machineCache, func() { r.refreshes++ }
+	c.Orders, c.Advisor, c.MachineCache, c.RefreshWorkers = r.withRelays(orders), r.advisor, r.machineCache, func() { r.refreshes++ }
 	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.metricSet
 	c.LinkBandwidth, c.Cores = r.link, r.cores
 	c.Evacuations = r.evacuations.Load
