--- a/run/soak_submissions_test.go
+++ b/run/soak_submissions_test.go
@@ -87,3 +87,8 @@
 		s.cancelled = append(s.cancelled, id)
 	}
 }
+
+// isRunning reports whether a long-running submission is running.
+func (s *soak) isRunning(id tw.SubmissionID) bool {
+	return s.fleet.Ready(tw.SubtaskID{Submission: id}) && s.fleet.Ready(tw.SubtaskID{Submission: id, Index: 1})
+}
--- a/run/soak_test.go
+++ b/run/soak_test.go
@@ -394,8 +394,3 @@
 		s.expectInboxEmpty()
 	}
 }
-
-// isRunning reports whether a long-running submission is running.
-func (s *soak) isRunning(id tw.SubmissionID) bool {
-	return s.fleet.Ready(tw.SubtaskID{Submission: id}) && s.fleet.Ready(tw.SubtaskID{Submission: id, Index: 1})
-}
