Owner: an end may be acknowledged within a second of the worker's last answer, not of its last call

What was seen: on a deployment whose workers keep their IDs, the poll after one that waited for a second or more carried no acknowledgement, so that the worker told of the same ends again and a further poll followed.

Cause: the second was counted from the sending of the answered poll, which may have waited at the worker for longer.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -87,7 +87,7 @@
 // is zero while the next incarnation may answer, as that numbers its ends from one, and if it has been
 // acknowledged.
 func (w *worker) ackableEnd(now time.Time) int64 {
-	mayHaveRestarted := w.unanswered > 0 || len(w.openPolls) > 0 || now.Sub(w.answeredPollOf) >= minRestartTime
+	mayHaveRestarted := w.unanswered > 0 || len(w.openPolls) > 0 || now.Sub(w.polledAt) >= minRestartTime
 	if w.startTime != 0 && (mayHaveRestarted || w.recordedEnd <= w.ackedEnd) {
 		return 0
 	}
--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -33,7 +33,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
 			w := &worker{
-				recordedEnd: 7, ackedEnd: c.acked, unanswered: c.unanswered, openPolls: make([]openPoll, c.open), answeredPollOf: now.Add(-c.answerAge),
+				recordedEnd: 7, ackedEnd: c.acked, unanswered: c.unanswered, openPolls: make([]openPoll, c.open), polledAt: now.Add(-c.answerAge),
 			}
 			if c.sameID {
 				w.startTime = 1
