--- a/run/foreign_entries_test.go
+++ b/run/foreign_entries_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// TestDisputedMachineKeepsRuns guards against runs that lapse on a worker that answers: the time of its
-// runs was not extended while it was asked again and again, as the list of machines named another worker.
+// TestDisputedMachineKeepsRuns checks that the runs of a worker that answers go on while the list of
+// machines names another worker for longer than the time of the runs.
 func TestDisputedMachineKeepsRuns(t *testing.T) {
 	runCase(t, "for longer than the time of the runs", 1, func(r *rig) {
 		o := r.newOwner("a")
@@ -186,6 +186,7 @@
 			r.fleet.UpdateWorker(entry.ID, func(w *standin.SimWorker) { w.Silent = false })
 			time.Sleep(4 * time.Second)
 			r.Expect(r.fleet.SubmissionRuns("s1")).To(BeZero())
+			r.Expect(r.counter("workers_wrongly_ended_total")).To(BeEquivalentTo(1))
 			r.expectUsed(o, entry.ID)
 		})
 	}
--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -289,6 +289,26 @@
 	})
 }
 
+// TestWorkerOfAnotherPoolIsUsedOnceItRunsHere guards against a worker that is left alone for good because
+// the list of machines named it in another pool when it was first listed.
+func TestWorkerOfAnotherPoolIsUsedOnceItRunsHere(t *testing.T) {
+	runCase(t, "its machine was moved", 2, func(r *rig) {
+		moved := r.list[workerID(0)]
+		machine := tw.Machine{ID: moved.Instance, Pool: "other", State: tw.MachineUp, Worker: moved.ID, Capacity: moved.Capacity, Labels: moved.Labels}
+		delete(r.list, moved.ID)
+		r.cloud.Add(machine)
+		o := r.newOwner("a")
+		time.Sleep(takeoverSettleTime)
+		r.relistWorker(o, moved)
+		time.Sleep(time.Second)
+		r.Expect(r.knownWorkers(o)).NotTo(ContainElement(moved.ID))
+		machine.Pool = pool
+		r.cloud.Add(machine)
+		time.Sleep(time.Second)
+		r.expectUsed(o, moved.ID)
+	})
+}
+
 // newOwnerOf makes a daemon the owner of a pool without workers, with a given fence.
 func (r *rig) newOwnerOf(pool tw.PoolID, daemon tw.DaemonID, fence tw.FencingToken) *run.Owner {
 	for {
