--- a/daemon/queue_daemon.go
+++ b/daemon/queue_daemon.go
@@ -175,7 +175,7 @@
 // startServers starts the servers for callers, the load balancer, other daemons and metrics.
 func (d *QueueDaemon) startServers(listeners []*net.TCPListener) {
 	router := queue.RouterConfig{
-		Pools: d.owners, Members: d.members, Peers: d.peers, KV: d.kv, StoreSilence: d.store.Silence, Clock: d.clock, Log: d.log,
+		Pools: d.owners, Members: d.members, Peers: d.peers, KV: d.kv, StoreSilence: d.store.Silence, Clock: d.clock, Log: d.log, Metrics: d.metrics,
 	}.New()
 	handler := queue.HandlerConfig{
 		Router: router, Codec: platform.Codec{}, Config: d.directory.Config, Clock: d.clock, Log: d.log, Metrics: d.metrics,
--- a/queue/router.go
+++ b/queue/router.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
-	"github.com/tamarindworks/tamarindworks/internal/logsink"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -33,6 +33,8 @@
 		StoreSilence func() time.Duration
 		Clock        tw.Clock
 		Log          *zap.Logger
+		// Metrics counts the answers to cancels; it may be nil.
+		Metrics *metrics.Set
 	}
 
 	// Router forwards requests to the owner of their pool.
@@ -72,6 +74,9 @@
 	if c.StoreSilence == nil {
 		c.StoreSilence = func() time.Duration { return 0 }
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
 	return &Router{RouterConfig: c, counts: map[tw.RouteName]waitingCount{}, busy: map[tw.PoolID]busyOwner{}}
 }
 
@@ -159,64 +164,6 @@
 	return owner, nil
 }
 
-// Cancel cancels a submission. It fails with run.ErrUnknownSubmission if there
-// is no such submission.
-func (r *Router) Cancel(ctx context.Context, m member.SubmissionRequest) error {
-	ctx, stop := r.Members.ContextUntilIsolated(ctx)
-	defer stop()
-	for {
-		err := r.cancelOnce(ctx, m)
-		if err == nil || errors.Is(err, run.ErrUnknownSubmission) || !r.waitRetry(ctx) {
-			return err
-		}
-	}
-}
-
-func (r *Router) cancelOnce(ctx context.Context, m member.SubmissionRequest) error {
-	err := r.cancelAtOwner(ctx, m)
-	if err == nil {
-		return nil
-	}
-	record, findErr := ledger.FindSubmission(ctx, r.KV, m.ID)
-	switch {
-	case errors.Is(findErr, tw.ErrNotFound):
-		return run.ErrUnknownSubmission
-	case findErr != nil:
-		return findErr
-	case record.Organisation != m.Organisation:
-		return run.ErrUnknownSubmission
-	case record.Final != "":
-		return nil
-	}
-	if record.Pool != m.Pool {
-		m.Pool = record.Pool
-		if err := r.cancelAtOwner(ctx, m); err == nil {
-			return nil
-		}
-	}
-	revision, commitErr := r.KV.Commit(ctx, ledger.CancelViaInbox(record.Pool, m.ID))
-	r.Log.Info("submission: cancel left in the inbox", zap.String("submission", string(m.ID)), zap.String("pool", string(record.Pool)),
-		zap.Int64("revision", int64(revision)), zap.String("owner_error", err.Error()), logsink.Err(commitErr))
-	return commitErr
-}
-
-func (r *Router) cancelAtOwner(ctx context.Context, m member.SubmissionRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	if local := r.Pools.Local(m.Pool); local != nil {
-		return local.Cancel(ctx, m.Organisation, m.ID)
-	}
-	owner, err := r.owner(m.Pool)
-	if err != nil {
-		return err
-	}
-	resp, err := r.Peers.Cancel(ctx, owner.Address, m)
-	if err != nil {
-		return err
-	}
-	return ErrorOf(resp.Outcome)
-}
-
 // State returns a submission's state. It fails with run.ErrUnknownSubmission if
 // there is no such submission.
 func (r *Router) State(ctx context.Context, m member.SubmissionRequest) (tw.SubmissionState, error) {
--- a/run/inbox.go
+++ b/run/inbox.go
@@ -41,6 +41,7 @@
 func (o *Owner) applyMessage(m ledger.InboxRecord) {
 	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel && sub.final == "" {
 		sub.cancelInInbox = true
+		o.metrics.cancelRead()
 		o.log.Info("submission: cancel read from the inbox", zap.String("submission", string(m.ID)), zap.String("state", string(sub.state())))
 		o.cancelSubmission(sub)
 		return
--- a/run/metrics.go
+++ b/run/metrics.go
@@ -139,6 +139,18 @@
 // givenUp counts a run that was removed without a report of its end, by the reason.
 func (m *ownerMetrics) givenUp(reason string) { m.count("runs_given_up_total", "reason", reason) }
 
+// cancelRequested counts a cancel that a daemon has passed on, of a submission that is stored or is not yet.
+func (m *ownerMetrics) cancelRequested(stored bool) {
+	source := "request"
+	if !stored {
+		source = "request before it was stored"
+	}
+	m.count("submissions_cancels_total", "source", source)
+}
+
+// cancelRead counts a cancel that was found in the inbox.
+func (m *ownerMetrics) cancelRead() { m.count("submissions_cancels_total", "source", "inbox") }
+
 // ended counts a submission by its final state.
 func (m *ownerMetrics) ended(state tw.SubmissionState) {
 	m.count("submissions_ended_total", "state", string(state))
--- a/run/owner.go
+++ b/run/owner.go
@@ -203,7 +203,7 @@
 		o.loadSubmission(l)
 	}
 	o.replayHandIns()
-	o.log.Info("owner: taken", zap.Int("submissions", len(o.submissions)))
+	o.logTaken()
 	go func() {
 		defer close(o.done)
 		o.loop()
@@ -211,6 +211,17 @@
 	return o
 }
 
+// logTaken logs what the owner has read of its pool.
+func (o *Owner) logTaken() {
+	ending := 0
+	for _, sub := range o.live {
+		if sub.closed() {
+			ending++
+		}
+	}
+	o.log.Info("owner: taken", zap.Int("submissions", len(o.submissions)), zap.Int("live", len(o.live)), zap.Int("ending", ending))
+}
+
 // loadSubmission adds a submission as read from the store.
 func (o *Owner) loadSubmission(l ledger.LoadedSubmission) {
 	if l.Record.Final != "" {
--- a/run/requests.go
+++ b/run/requests.go
@@ -322,6 +322,7 @@
 		result <- nil
 	default:
 		sub.cancelWaiters = append(sub.cancelWaiters, result)
+		o.metrics.cancelRequested(sub.durable)
 		o.cancelSubmission(sub)
 	}
 }
@@ -340,7 +341,7 @@
 	sub.pendingFinal = state
 	o.markBegun(sub)
 	o.log.Info("submission: ends", zap.String("submission", string(sub.ID)),
-		zap.String("state", string(state)), zap.String("why", reason))
+		zap.String("state", string(state)), zap.String("why", reason), zap.Bool("stored", sub.durable))
 	for _, rep := range sub.reps {
 		for _, st := range rep.steps {
 			for _, t := range st.tasks {
