--- /dev/null
+++ b/run/cancel_answer_test.go
@@ -0,0 +1,80 @@
+package run_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/ledger"
+	"github.com/tamarindworks/tamarindworks/run"
+)
+
+// TestCancelOfUnstoredSubmissionSurvivesItsOwner guards against a confirmed cancel that is lost with the
+// owner: a submission was cancelled while it was being stored, and the cancel was confirmed as soon as
+// the submission was stored, before its end was.
+func TestCancelOfUnstoredSubmissionSurvivesItsOwner(t *testing.T) {
+	ends := map[string]func(r *rig, o *run.Owner){
+		"killed":  func(_ *rig, o *run.Owner) { o.Close() },
+		"stopped": func(r *rig, o *run.Owner) { o.Drain(r.ctx) },
+	}
+	for name, end := range ends {
+		runCase(t, name, 4, func(r *rig) {
+			o := r.newOwnerWith("a", lostEnds{r.kv}, r.fleet)
+			time.Sleep(time.Second)
+			r.kv.SetFaults(standin.KVFaults{Slow: 200 * time.Millisecond})
+			s := submission("s1", 2)
+			r.fleet.RegisterSubmission(&s, nil)
+			submitted, cancelled := make(chan error, 1), make(chan error, 1)
+			go func() { submitted <- o.Submit(r.ctx, s) }()
+			time.Sleep(100 * time.Millisecond)
+			ctx, stop := context.WithTimeout(r.ctx, 2*time.Second)
+			defer stop()
+			go func() { cancelled <- o.Cancel(ctx, "", s.ID) }()
+			r.Expect(<-submitted).To(Succeed())
+			time.Sleep(time.Second)
+			end(r, o)
+			confirmed := <-cancelled == nil
+			r.kv.SetFaults(standin.KVFaults{})
+			o = r.newOwner("b")
+			if confirmed {
+				r.fleet.NoteCancelled(s.ID)
+				r.eventually(o, s.ID, tw.SubmissionCancelled, 5*time.Second)
+				r.Expect(r.fleet.EverStarted(s.ID)).To(BeFalse())
+			} else {
+				r.eventually(o, s.ID, tw.SubmissionSucceeded, 5*time.Second)
+			}
+		})
+	}
+}
+
+// confirmCancelInStore cancels a submission as a daemon does that can't reach the owner, and confirms that
+// to its caller.
+func (r *rig) confirmCancelInStore(id tw.SubmissionID) {
+	r.t.Helper()
+	_, err := r.kv.Commit(r.ctx, ledger.CancelViaInbox(pool, id))
+	r.Expect(err).NotTo(HaveOccurred())
+	r.fleet.NoteCancelled(id)
+}
+
+// TestConfirmedCancelOutlastsItsMessage guards against a confirmed cancel that no owner knows of: the
+// messages in the inbox were the only trace of it, and one owner removed them and ended.
+func TestConfirmedCancelOutlastsItsMessage(t *testing.T) {
+	runCase(t, "", 4, func(r *rig) {
+		r.newOwner("a").Close()
+		s := r.storeViaInbox(submission("s1", 2))
+		r.confirmCancelInStore(s.ID)
+		items, _, err := r.kv.Range(r.ctx, ledger.InboxPrefix(pool))
+		r.Expect(err).NotTo(HaveOccurred())
+		for _, item := range items {
+			_, err := r.kv.Commit(r.ctx, tw.KVTxn{Removes: []tw.Key{item.Key}})
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		b := r.newOwner("b")
+		r.eventually(b, s.ID, tw.SubmissionCancelled, 5*time.Second)
+		r.Expect(r.fleet.EverStarted(s.ID)).To(BeFalse())
+	})
+}
