Owner: a cancel is answered once the end is recorded, not once the submission is stored

What callers saw: a DELETE was answered 200 and all of the submission ran, under the next owner of its pool. Cause: a submission that waits to be stored can be cancelled, when an earlier try of it was answered or another caller knows its ID. submissionStored answered all who waited, also those who waited for the end; the end was in memory alone. If the owner is killed, loses the pool or stops before the next write, nothing tells of the cancel. Why this works: those who wait for the end are answered by endRecorded alone, or with an error as the owner ends.

--- a/run/requests.go
+++ b/run/requests.go
@@ -175,7 +175,7 @@
 	o.noteHandIn(sub)
 	o.add(sub)
 	o.addOffered(sub)
-	sub.notifyWaiters(nil)
+	sub.notifyDurable()
 }
 
 // refusedByStore is called when a new submission was certainly not stored.
