Ledger: a confirmed cancel is in the record of its submission

What callers may see: a DELETE that was answered by a daemon which can't reach the owner, and work that goes on under a later owner. Cause: such a cancel lived in messages beside the submission. Class: an answer that rests on something which the next owner does not have to read before it starts work. Change: the daemon marks the record itself, on the condition that it is as it was read, and leaves the notice in the inbox in the same transaction. Each owner reads the record before it starts anything, and the mark goes only with the record of the end. So no order of writes, and no removal of a message, loses it; the notice only tells the present owner. A cancel whose answer is lost is sent again on another connection now, as it has a condition, and one that is done late changes nothing once the end is recorded. TestTwoTries also checks that owners after a confirmed cancel know of it. Cost: no further call; the record is written once more, one condition and one put in the same transaction. It does not depend on the size of the fleet. Tests: those that used a cancel as a write without conditions use another such write (the liveness record's).

--- a/daemon/silent_calls_test.go
+++ b/daemon/silent_calls_test.go
@@ -28,7 +28,7 @@
 // silentCalls are the calls of the table in docs/PROMISES.md that are not watches.
 var silentCalls = map[string]silentCall{
 	"write without conditions": {path: "/api/kv-txn", noticed: time.Second, want: tw.ErrAmbiguous, call: func(ctx context.Context, r *silentRig) error {
-		_, err := r.store.Commit(ctx, ledger.CancelViaInbox("p", "known"))
+		_, err := r.store.Commit(ctx, tw.KVTxn{Puts: []tw.KVPut{{Key: ledger.LiveKey("a"), Value: []byte("{}")}}})
 		return err
 	}},
 	"grant of a lease": {path: "/api/kv-lease", noticed: time.Second, want: tw.ErrAmbiguous, call: func(ctx context.Context, r *silentRig) error {
--- a/daemon/silent_connections_test.go
+++ b/daemon/silent_connections_test.go
@@ -51,7 +51,11 @@
 		path: "/api/kv-txn", bound: contactTime,
 		call: func(ctx context.Context, r *silentRig) error {
 			return repeat(ctx, func() error {
-				_, err := r.store.Commit(ctx, ledger.CancelViaInbox("p", "known"))
+				record, err := ledger.FindSubmission(ctx, r.stand, "known")
+				if err != nil || record.Cancelled {
+					return err
+				}
+				_, err = r.store.Commit(ctx, ledger.ConfirmCancel("known", record))
 				return err
 			})
 		},
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -65,11 +65,24 @@
 	}
 }
 
-// CancelViaInbox returns the transaction by which a daemon that cannot reach the pool's
-// owner leaves a request to cancel a submission. There are two copies: an owner of an older version
-// removes the first one before the end is recorded, and does not know the key of the other.
-func CancelViaInbox(pool tw.PoolID, id tw.SubmissionID) tw.KVTxn {
-	message := InboxRecord{Kind: InboxCancel, ID: id}
-	value := mustEncode(message)
-	return tw.KVTxn{Puts: []tw.KVPut{{Key: InboxKey(pool, message), Value: value}, {Key: keptCancelKey(pool, id), Value: value}}}
+// ConfirmCancel returns the transaction by which a daemon that cannot reach the pool's owner cancels a
+// submission that has not ended. The record tells every later owner, which reads it before it starts
+// anything; the notice in the inbox tells the present one. There are two copies of the notice: an owner of
+// an older version, which does not know the mark in the record, removes the first one before the end is
+// recorded, and does not know the key of the other.
+func ConfirmCancel(id tw.SubmissionID, record Record) tw.KVTxn {
+	record.Cancelled = true
+	return cancelTxn(id, record)
+}
+
+func cancelTxn(id tw.SubmissionID, record Record) tw.KVTxn {
+	key, message := SubmissionKey(id), InboxRecord{Kind: InboxCancel, ID: id}
+	notice := mustEncode(message)
+	return tw.KVTxn{
+		Conditions: []tw.KVCondition{{Key: key, Revision: record.Revision}},
+		Puts: []tw.KVPut{
+			{Key: key, Value: mustEncode(record)},
+			{Key: InboxKey(record.Pool, message), Value: notice}, {Key: keptCancelKey(record.Pool, id), Value: notice},
+		},
+	}
 }
--- a/ledger/decode.go
+++ b/ledger/decode.go
@@ -48,6 +48,7 @@
 	if err := unmarshal(item, &r); err != nil {
 		return Record{}, err
 	}
+	r.Revision = item.Revision
 	switch {
 	case r.Final != "" && !r.Final.Final():
 		return Record{}, errors.Newf("ledger: %s: unknown final state %.20q", item.Key, string(r.Final))
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -21,8 +21,7 @@
 		// InInbox means that the message of the daemon that stored the submission is
 		// still in the inbox, so no owner has started any of its subtasks.
 		InInbox bool
-		// CancelInInbox means that the inbox holds a cancel request that another
-		// daemon has acknowledged to its caller.
+		// CancelInInbox means that the inbox has the notice of a confirmed cancel.
 		CancelInInbox bool
 	}
 )
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -50,11 +50,16 @@
 		Pool       tw.PoolID          `json:"pool"`
 		Submission *tw.Submission     `json:"submission,omitempty"`
 		Final      tw.SubmissionState `json:"final,omitempty"`
+		// Cancelled: a cancel is confirmed and the end is still to be recorded. Nothing of the submission is
+		// started any more, whoever owns the pool.
+		Cancelled bool `json:"cancelled,omitempty"`
 		// Organisation owns the submission; it is kept after the end.
 		Organisation tw.OrganisationID `json:"organisation,omitempty"`
 		// Stopping holds the resources of the runs that were still being stopped when the
 		// submission ended.
 		Stopping tw.Resources `json:"left,omitzero"`
+		// Revision is that of the item from which the record was decoded.
+		Revision tw.KVRevision `json:"-"`
 	}
 
 	// InboxKind is the kind of an inbox message.
@@ -147,10 +152,10 @@
 	return InboxPrefix(pool) + tw.Key(string(m.ID)+"."+string(m.Kind))
 }
 
-// keptSuffix ends the key of the second copy of a request to cancel.
+// keptSuffix ends the key of the second copy of a notice of a cancel.
 const keptSuffix = ".kept"
 
-// keptCancelKey is the key of the second copy of a request to cancel.
+// keptCancelKey is the key of the second copy of a notice of a cancel.
 func keptCancelKey(pool tw.PoolID, id tw.SubmissionID) tw.Key {
 	return InboxKey(pool, InboxRecord{Kind: InboxCancel, ID: id}) + keptSuffix
 }
--- a/ledger/resender_test.go
+++ b/ledger/resender_test.go
@@ -128,7 +128,7 @@
 	},
 	"sends a transaction without conditions once": func(b *fixture) {
 		kv, calls := b.resend(func(int) outcome { return lost })
-		_, err := kv.Commit(b.ctx, ledger.CancelViaInbox(pool, "s1"))
+		_, err := kv.Commit(b.ctx, tw.KVTxn{Puts: []tw.KVPut{{Key: "k"}}})
 		b.Expect(err).To(MatchError(tw.ErrAmbiguous))
 		b.Expect(calls.count()).To(Equal(1))
 	},
--- a/queue/cancel.go
+++ b/queue/cancel.go
@@ -21,8 +21,8 @@
 const (
 	// basisOwner: the owner has recorded the end.
 	basisOwner cancelBasis = "owner"
-	// basisInbox: the request is in the inbox of the pool.
-	basisInbox cancelBasis = "inbox"
+	// basisRecord: the cancel is in the submission's record, and the notice of it in the inbox of the pool.
+	basisRecord cancelBasis = "record"
 	// basisEnded: the end was recorded before.
 	basisEnded cancelBasis = "ended"
 	// basisUnknown: the store has no such submission.
@@ -55,36 +55,39 @@
 		zap.Duration("took", took), logsink.Err(err))
 }
 
-// cancelOnce makes one attempt to cancel a submission. It returns what the answer rests on.
+// cancelOnce makes one attempt to cancel a submission. It returns what the answer rests on. An answer must
+// hold for every later owner, so it rests on what is in the store by then.
 func (r *Router) cancelOnce(ctx context.Context, m member.SubmissionRequest) (cancelBasis, error) {
-	err := r.cancelAtOwner(ctx, m)
-	if err == nil {
+	ownerErr := r.cancelAtOwner(ctx, m)
+	if ownerErr == nil {
 		return basisOwner, nil
 	}
-	record, findErr := ledger.FindSubmission(ctx, r.KV, m.ID)
+	record, err := ledger.FindSubmission(ctx, r.KV, m.ID)
 	switch {
-	case errors.Is(findErr, tw.ErrNotFound):
+	case errors.Is(err, tw.ErrNotFound):
 		return basisUnknown, run.ErrUnknownSubmission
-	case findErr != nil:
-		return basisNone, findErr
+	case err != nil:
+		return basisNone, err
 	case record.Organisation != m.Organisation:
 		return basisUnknown, run.ErrUnknownSubmission
 	case record.Final != "":
 		return basisEnded, nil
+	case record.Cancelled:
+		return basisRecord, nil
 	}
 	if record.Pool != m.Pool {
 		m.Pool = record.Pool
-		if err := r.cancelAtOwner(ctx, m); err == nil {
+		if r.cancelAtOwner(ctx, m) == nil {
 			return basisOwner, nil
 		}
 	}
-	revision, commitErr := r.KV.Commit(ctx, ledger.CancelViaInbox(record.Pool, m.ID))
+	revision, err := r.KV.Commit(ctx, ledger.ConfirmCancel(m.ID, record))
 	r.Log.Info("submission: cancel left in the inbox", zap.String("submission", string(m.ID)), zap.String("pool", string(record.Pool)),
-		zap.Int64("revision", int64(revision)), zap.String("owner_error", err.Error()), logsink.Err(commitErr))
-	if commitErr != nil {
-		return basisNone, commitErr
+		zap.Int64("revision", int64(revision)), zap.String("owner_error", ownerErr.Error()), logsink.Err(err))
+	if err != nil {
+		return basisNone, err
 	}
-	return basisInbox, nil
+	return basisRecord, nil
 }
 
 func (r *Router) cancelAtOwner(ctx context.Context, m member.SubmissionRequest) error {
--- a/run/cancel_answer_test.go
+++ b/run/cancel_answer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -51,11 +52,27 @@
 	}
 }
 
-// confirmCancelInStore cancels a submission as a daemon does that can't reach the owner, and confirms that
-// to its caller.
+// cancelInStore cancels a submission as a daemon does that can't reach the owner. It returns the
+// transaction of that, which is empty if the submission has ended.
+func cancelInStore(ctx context.Context, kv tw.KV, id tw.SubmissionID) (tw.KVTxn, error) {
+	record, err := ledger.FindSubmission(ctx, kv, id)
+	var txn tw.KVTxn
+	switch {
+	case errors.Is(err, tw.ErrNotFound):
+		return tw.KVTxn{}, nil
+	case err != nil || record.Final != "":
+		return tw.KVTxn{}, err
+	default:
+		txn = ledger.ConfirmCancel(id, record)
+	}
+	_, err = kv.Commit(ctx, txn)
+	return txn, err
+}
+
+// confirmCancelInStore has cancelInStore confirmed to the caller.
 func (r *rig) confirmCancelInStore(id tw.SubmissionID) {
 	r.t.Helper()
-	_, err := r.kv.Commit(r.ctx, ledger.CancelViaInbox(pool, id))
+	_, err := cancelInStore(r.ctx, r.kv, id)
 	r.Expect(err).NotTo(HaveOccurred())
 	r.fleet.NoteCancelled(id)
 }
--- a/run/duplicate_submissions_test.go
+++ b/run/duplicate_submissions_test.go
@@ -119,6 +119,9 @@
 	results   []chan error
 	other     []error
 	cancelled bool
+	// cancelInStore: a cancel was confirmed by what is in the store. Owners that are replaced after that
+	// must know it.
+	cancelInStore bool
 }
 
 // triesActions is the number of random actions per seed.
@@ -156,15 +159,22 @@
 		p.kv.dropAnswers.Store(p.rand.IntN(2) == 0)
 	case 10:
 		p.cancelled = true
-		_, err := p.rig.kv.Commit(p.ctx, ledger.CancelViaInbox(pool, "s1"))
+		_, err := cancelInStore(p.ctx, p.rig.kv, "s1")
 		p.Expect(err).NotTo(HaveOccurred())
+		p.cancelInStore = true
 	case 8:
 		if p.rand.IntN(2) == 0 {
 			p.replaceOwner()
 			return
 		}
 		p.cancelled = true
-		p.call(func(ctx context.Context, o *run.Owner) error { return o.Cancel(ctx, "", "s1") })
+		p.call(func(ctx context.Context, o *run.Owner) error {
+			err := o.Cancel(ctx, "", "s1")
+			if err == nil {
+				p.fleet.NoteCancelled("s1")
+			}
+			return err
+		})
 	}
 }
 
@@ -210,6 +220,9 @@
 func (p *tries) replaceOwner() {
 	p.kv = &unansweredKV{KV: p.rig.kv}
 	p.owner = p.newOwnerWith(tw.DaemonID(fmt.Sprint("d", len(p.opened))), p.kv, p.fleet)
+	if p.cancelInStore {
+		p.fleet.NoteCancelled("s1")
+	}
 }
 
 func (p *tries) endFaults() {
--- a/run/inbox_cancel_test.go
+++ b/run/inbox_cancel_test.go
@@ -30,9 +30,7 @@
 // cancelViaInbox cancels a submission as another daemon does that can't reach the owner, and confirms
 // that to its caller.
 func (r *rig) cancelViaInbox(o *run.Owner, id tw.SubmissionID) {
-	_, err := r.kv.Commit(r.ctx, ledger.CancelViaInbox(pool, id))
-	r.Expect(err).NotTo(HaveOccurred())
-	r.fleet.NoteCancelled(id)
+	r.confirmCancelInStore(id)
 	o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
 }
 
--- a/run/inbox_test.go
+++ b/run/inbox_test.go
@@ -52,8 +52,7 @@
 	"starts nothing whose cancel is in the inbox at takeover": func(r *rig) {
 		r.newOwner("a").Close()
 		r.storeViaInbox(submission("s1", 2))
-		_, err := r.kv.Commit(r.ctx, ledger.CancelViaInbox(pool, "s1"))
-		r.Expect(err).NotTo(HaveOccurred())
+		r.confirmCancelInStore("s1")
 		b := r.newOwner("b")
 		time.Sleep(500 * time.Millisecond) // the inbox is read only then
 		b.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: "s1"})
--- a/run/owner.go
+++ b/run/owner.go
@@ -246,7 +246,7 @@
 	o.claimEnds(sub)
 	o.indexPrecounted(sub)
 	sub.mayBeExhausted = sub.exhausted()
-	if l.CancelInInbox {
+	if l.Record.Cancelled || l.CancelInInbox {
 		// The inbox is read some time later, and the submission would be started before that.
 		o.applyMessage(ledger.InboxRecord{Kind: ledger.InboxCancel, ID: sub.ID})
 	}
--- a/run/soak_submissions_test.go
+++ b/run/soak_submissions_test.go
@@ -70,11 +70,7 @@
 // cancelThroughStore cancels a submission as a daemon does that can't reach the owner, whose watch of the
 // inbox reads the request.
 func (s *soak) cancelThroughStore(id tw.SubmissionID) {
-	record, err := ledger.FindSubmission(s.ctx, s.kv, id)
-	if err != nil || record.Final != "" {
-		return
-	}
-	if _, err := s.kv.Commit(s.ctx, ledger.CancelViaInbox(pool, id)); err == nil {
+	if txn, err := cancelInStore(s.ctx, s.kv, id); err == nil && len(txn.Puts) > 0 {
 		s.noteCancelled(id)
 		s.owner.HandleInbox(s.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
 	}
--- a/run/submission.go
+++ b/run/submission.go
@@ -24,8 +24,8 @@
 		// started, and need not wait for silent workers. Without this, submissions stored
 		// while a pool had no owner waited 5.8 s on average during a network partition.
 		inboxPending bool
-		// cancelInInbox: the inbox has a confirmed cancel of it, which is deleted once its end is
-		// recorded.
+		// cancelInInbox: the inbox has the notice of a confirmed cancel of it, which is deleted once its
+		// end is recorded.
 		cancelInInbox bool
 		// durable: it is in the store.
 		durable bool
