Cancels: a submission that is not stored yet is cancelled in the store before the answer

What callers may see: a DELETE is answered 410, and the submission is accepted and runs. Cause: a daemon took the absence of a record for proof that there is no such submission, while a write that stores it was under way: unanswered, sent again, or done late by the store. Change: before it answers 410 the daemon stores a record of the end under the ID, on the condition that there is none. The write under way has the same condition and fails; a POST that comes later is answered as for any submission that was cancelled, and a GET 410 as before. The notice in the inbox has the owner take the record into those that it deletes after status_s. Cost: a write and a read by the owner for each cancel of an unknown ID, none for others. Tests: "stored" in TestHandler means a submission; a record that only keeps one out is not one.

--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -75,6 +75,12 @@
 	return cancelTxn(id, record)
 }
 
+// CancelUnsubmitted returns the transaction that cancels a submission which the store does not have. A
+// write under way that would store it fails afterwards.
+func CancelUnsubmitted(pool tw.PoolID, organisation tw.OrganisationID, id tw.SubmissionID) tw.KVTxn {
+	return cancelTxn(id, Record{Pool: pool, Final: tw.SubmissionCancelled, Organisation: organisation, Unsubmitted: true})
+}
+
 func cancelTxn(id tw.SubmissionID, record Record) tw.KVTxn {
 	key, message := SubmissionKey(id), InboxRecord{Kind: InboxCancel, ID: id}
 	notice := mustEncode(message)
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -53,6 +53,9 @@
 		// Cancelled: a cancel is confirmed and the end is still to be recorded. Nothing of the submission is
 		// started any more, whoever owns the pool.
 		Cancelled bool `json:"cancelled,omitempty"`
+		// Unsubmitted: it was cancelled before it was stored. The record keeps a write under way from
+		// storing it later.
+		Unsubmitted bool `json:"unsubmitted,omitempty"`
 		// Organisation owns the submission; it is kept after the end.
 		Organisation tw.OrganisationID `json:"organisation,omitempty"`
 		// Stopping holds the resources of the runs that were still being stopped when the
--- a/queue/cancel.go
+++ b/queue/cancel.go
@@ -25,7 +25,7 @@
 	basisRecord cancelBasis = "record"
 	// basisEnded: the end was recorded before.
 	basisEnded cancelBasis = "ended"
-	// basisUnknown: the store has no such submission.
+	// basisUnknown: the store had no such submission, and will not get it.
 	basisUnknown cancelBasis = "unknown"
 	// basisNone: there was no answer in time.
 	basisNone cancelBasis = "none"
@@ -65,10 +65,10 @@
 	record, err := ledger.FindSubmission(ctx, r.KV, m.ID)
 	switch {
 	case errors.Is(err, tw.ErrNotFound):
-		return basisUnknown, run.ErrUnknownSubmission
+		return r.cancelUnsubmitted(ctx, m)
 	case err != nil:
 		return basisNone, err
-	case record.Organisation != m.Organisation:
+	case record.Organisation != m.Organisation, record.Unsubmitted:
 		return basisUnknown, run.ErrUnknownSubmission
 	case record.Final != "":
 		return basisEnded, nil
@@ -90,6 +90,14 @@
 	return basisRecord, nil
 }
 
+// cancelUnsubmitted cancels a submission that the store does not have.
+func (r *Router) cancelUnsubmitted(ctx context.Context, m member.SubmissionRequest) (cancelBasis, error) {
+	if _, err := r.KV.Commit(ctx, ledger.CancelUnsubmitted(m.Pool, m.Organisation, m.ID)); err != nil {
+		return basisNone, err
+	}
+	return basisUnknown, run.ErrUnknownSubmission
+}
+
 func (r *Router) cancelAtOwner(ctx context.Context, m member.SubmissionRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/queue/router.go
+++ b/queue/router.go
@@ -194,7 +194,7 @@
 		return "", run.ErrUnknownSubmission
 	case err != nil:
 		return "", err
-	case record.Organisation != m.Organisation:
+	case record.Organisation != m.Organisation, record.Unsubmitted:
 		return "", run.ErrUnknownSubmission
 	case record.Final != "":
 		return record.Final, nil
--- a/run/owner.go
+++ b/run/owner.go
@@ -226,7 +226,7 @@
 func (o *Owner) loadSubmission(l ledger.LoadedSubmission) {
 	if l.Record.Final != "" {
 		o.caps.inherit(l.Record)
-		sub := &submission{Submission: tw.Submission{ID: l.ID, Organisation: l.Record.Organisation}, durable: true, final: l.Record.Final, endedAt: o.now}
+		sub := &submission{Submission: tw.Submission{ID: l.ID, Organisation: l.Record.Organisation}, durable: true, final: l.Record.Final, unsubmitted: l.Record.Unsubmitted, endedAt: o.now}
 		o.submissions[l.ID] = sub
 		o.ended = append(o.ended, sub)
 		return
--- a/run/requests.go
+++ b/run/requests.go
@@ -42,7 +42,7 @@
 func (o *Owner) State(ctx context.Context, by tw.OrganisationID, id tw.SubmissionID) (tw.SubmissionState, error) {
 	return query(ctx, o, func() (tw.SubmissionState, error) {
 		sub := o.submissions[id]
-		if sub == nil || !sub.durable || o.isHidden(id, by) {
+		if sub == nil || !sub.durable || sub.unsubmitted || o.isHidden(id, by) {
 			return "", ErrUnknownSubmission
 		}
 		return sub.state(), nil
@@ -316,7 +316,7 @@
 	switch {
 	case o.draining:
 		result <- ErrNotOwner
-	case sub == nil:
+	case sub == nil || sub.unsubmitted:
 		result <- ErrUnknownSubmission
 	case sub.final != "":
 		result <- nil
--- a/run/submission.go
+++ b/run/submission.go
@@ -27,6 +27,8 @@
 		// cancelInInbox: the inbox has the notice of a confirmed cancel of it, which is deleted once its
 		// end is recorded.
 		cancelInInbox bool
+		// unsubmitted: it was cancelled before it was stored, and never is.
+		unsubmitted bool
 		// durable: it is in the store.
 		durable bool
 		// ahead is how far its organisation was ahead of its weight with it; zero if it is
