Owner: a cancel of an unknown ID is no hand-in of its organisation

What callers may see: submissions that are put behind others as beyond their organisation's weight, as the organisation has cancelled IDs that were never submitted. Cause: the owner takes up the record that such a cancel leaves as it takes up a submission from the inbox, and counts that in the organisation's rate. Change: a record that has ended when it is read counts for no weight.

--- a/run/beyond_weight_test.go
+++ b/run/beyond_weight_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
 // TestLongRunningBeyondWeight checks that long-running work is not put behind other work where its
@@ -56,3 +57,25 @@
 		r.Expect(r.metricSet.GetOrCreateCounter(`tamarind_submissions_beyond_weight_total{pool="checks"}`).Get()).To(BeZero())
 	})
 }
+
+// TestCancelsOfUnknownSubmissionsCountForNoWeight guards against submissions that count as beyond their
+// organisation's weight because it has cancelled IDs that were never submitted.
+func TestCancelsOfUnknownSubmissionsCountForNoWeight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4)
+		defer r.end()
+		r.queueConfig = &tw.QueueConfig{Version: 1, Organisations: []tw.Organisation{{ID: "red", Weight: 10}}}
+		o := r.newOwner("a")
+		for n := range 100 {
+			id := tw.SubmissionID(fmt.Sprintf("%016x", n+100))
+			_, err := r.kv.Commit(r.ctx, ledger.CancelUnsubmitted(pool, "red", id))
+			r.Expect(err).NotTo(HaveOccurred())
+			o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
+		}
+		r.expectInboxEmpty()
+		s := submission("s1", 1)
+		s.Organisation = "red"
+		r.submit(o, s)
+		r.Expect(r.metricSet.GetOrCreateCounter(`tamarind_submissions_beyond_weight_total{pool="checks"}`).Get()).To(BeZero())
+	})
+}
--- a/run/requests.go
+++ b/run/requests.go
@@ -304,7 +304,7 @@
 
 func (o *Owner) addFetched(l ledger.LoadedSubmission) {
 	o.loadSubmission(l)
-	if sub := o.submissions[l.ID]; sub != nil {
+	if sub := o.submissions[l.ID]; sub != nil && sub.final == "" {
 		o.noteHandIn(sub)
 		o.delayStart(sub)
 	}
