Acceptance: a conflict without a readable record is no proof that a submission is stored

What callers may see: a POST is answered 200, and the submission is not stored, or under a record that no owner can read; it never runs, and a GET is answered 410 or 503. Cause: each conflict counted as an earlier attempt's success, also one that names no record of the submission, and one whose record can't be decoded. Class: an answer that rests on something that no later owner reads. The writes of an owner already treat a conflict without a failed condition as of unknown outcome. Change: the outcome is unknown, at the daemon that stores without the owner and at the owner; the caller tries again or gets 504.

--- a/queue/store.go
+++ b/queue/store.go
@@ -39,9 +39,13 @@
 // resolveDuplicate returns the result for a submission whose id already exists: nil if it belongs to
 // the same organisation, so that a repeated request succeeds. The existence of a submission of
 // another organisation is not revealed; the caller gets the error that its own was not accepted.
+// Without a readable record it is unknown whether an earlier request was accepted.
 func resolveDuplicate(conflict *tw.KVConflictError, s *tw.Submission) error {
 	record, err := ledger.DecodeRecord(conflict.Find(ledger.SubmissionKey(s.ID)))
-	if err == nil && record.Organisation != s.Organisation {
+	switch {
+	case err != nil:
+		return errors.Wrapf(tw.ErrAmbiguous, "queue: refused by the store without a readable record: %v", err)
+	case record.Organisation != s.Organisation:
 		return errors.Wrap(tw.ErrUnavailable, "queue: the store does not take it")
 	}
 	return nil
--- a/run/duplicate_submissions_test.go
+++ b/run/duplicate_submissions_test.go
@@ -250,3 +250,13 @@
 		p.Expect(p.state(p.owner, "s1")).To(Equal(tw.SubmissionSucceeded))
 	}
 }
+
+// TestUnreadableRecordIsNoAcceptance guards against a submission that is confirmed and never runs: the
+// store had another record under its ID, which no owner can read.
+func TestUnreadableRecordIsNoAcceptance(t *testing.T) {
+	runCase(t, "", 1, func(r *rig) {
+		o := r.newOwner("a")
+		r.kv.Put(ledger.SubmissionKey("s1"), []byte("{"))
+		r.Expect(o.Submit(r.ctx, submission("s1", 1))).To(MatchError(tw.ErrAmbiguous))
+	})
+}
--- a/run/owner.go
+++ b/run/owner.go
@@ -372,9 +372,12 @@
 }
 
 // notifyDurable reports to its waiters that the submission is stored.
-func (s *submission) notifyDurable() {
+func (s *submission) notifyDurable() { s.answerWaiters(nil) }
+
+// answerWaiters passes a result to the requests that wait for the submission to be stored.
+func (s *submission) answerWaiters(err error) {
 	for _, waiter := range s.waiters {
-		waiter <- nil
+		waiter <- err
 	}
 	s.waiters = nil
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -201,7 +201,7 @@
 	if record, err := ledger.DecodeRecord(stored); err == nil {
 		sub.answerStored(record)
 	} else {
-		sub.notifyDurable()
+		sub.answerWaiters(errors.Wrapf(tw.ErrAmbiguous, "run: stored by another attempt, and not readable: %v", err))
 	}
 	o.fetch(sub.ID, false, func() { o.forwardCancel(sub) })
 }
@@ -211,10 +211,7 @@
 // them.
 func (s *submission) answerStored(record ledger.Record) {
 	if record.Organisation != s.Organisation {
-		for _, waiter := range s.waiters {
-			waiter <- errNotStored
-		}
-		s.waiters = nil
+		s.answerWaiters(errNotStored)
 		return
 	}
 	s.notifyDurable()
