--- a/run/cancel_answer_test.go
+++ b/run/cancel_answer_test.go
@@ -95,3 +95,37 @@
 		r.Expect(r.fleet.EverStarted(s.ID)).To(BeFalse())
 	})
 }
+
+// markedCancelCases have an owner learn of a submission with a confirmed cancel otherwise than from the
+// notice of the cancel.
+var markedCancelCases = map[string]func(r *rig, o *run.Owner, s tw.Submission){
+	"message of the submission": func(r *rig, o *run.Owner, s tw.Submission) {
+		o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: s.ID})
+	},
+	"submitted again": func(r *rig, o *run.Owner, s tw.Submission) { r.Expect(o.Submit(r.ctx, s)).To(Succeed()) },
+}
+
+// TestMarkedCancelIsReadWithTheSubmission guards against a confirmed cancel of which an owner knows nothing
+// although it has read the submission's record.
+func TestMarkedCancelIsReadWithTheSubmission(t *testing.T) {
+	for name, learn := range markedCancelCases {
+		runCase(t, name, 4, func(r *rig) {
+			o := r.newOwner("a")
+			s := r.storeViaInbox(submission("s1", 2))
+			r.confirmCancelInStore(s.ID)
+			r.removeNotices(s.ID)
+			learn(r, o, s)
+			r.Eventually(func() (tw.SubmissionState, error) { return o.State(r.ctx, "", s.ID) }, 5*time.Second, 20*time.Millisecond).
+				Should(Equal(tw.SubmissionCancelled))
+			r.Expect(r.fleet.EverStarted(s.ID)).To(BeFalse())
+		})
+	}
+}
+
+// removeNotices removes the notices of a cancel from the inbox, as an owner of an older version may.
+func (r *rig) removeNotices(id tw.SubmissionID) {
+	r.t.Helper()
+	removal := ledger.RemoveMessage(pool, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
+	_, err := r.kv.Commit(r.ctx, tw.KVTxn{Removes: removal.Removes})
+	r.Expect(err).NotTo(HaveOccurred())
+}
