--- a/run/cancel_answer_test.go
+++ b/run/cancel_answer_test.go
@@ -129,3 +129,54 @@
 	_, err := r.kv.Commit(r.ctx, tw.KVTxn{Removes: removal.Removes})
 	r.Expect(err).NotTo(HaveOccurred())
 }
+
+// unsubmittedCases have an owner learn of a cancel of a submission that the store does not have.
+var unsubmittedCases = map[string]func(r *rig, id tw.SubmissionID) *run.Owner{
+	"at takeover": func(r *rig, id tw.SubmissionID) *run.Owner {
+		r.confirmCancelInStore(id)
+		return r.newOwner("a")
+	},
+	"from the inbox": func(r *rig, id tw.SubmissionID) *run.Owner {
+		o := r.newOwner("a")
+		r.confirmCancelInStore(id)
+		return o
+	},
+	"while it stores the submission": func(r *rig, id tw.SubmissionID) *run.Owner {
+		o := r.newOwner("a")
+		r.kv.SetFaults(standin.KVFaults{Slow: 200 * time.Millisecond})
+		s := submission(string(id), 2)
+		go func() { _ = o.Submit(r.ctx, s) }()
+		time.Sleep(100 * time.Millisecond) // the write is under way
+		for _, put := range ledger.CancelUnsubmitted(pool, "", id).Puts {
+			r.kv.Put(put.Key, put.Value)
+		}
+		r.kv.SetFaults(standin.KVFaults{})
+		return o
+	},
+}
+
+// TestCancelBeforeSubmission checks that an owner shows nothing of a submission that was cancelled before it was
+// stored, starts nothing of it, and removes the notice of the cancel.
+func TestCancelBeforeSubmission(t *testing.T) {
+	for name, learn := range unsubmittedCases {
+		runCase(t, name, 4, func(r *rig) {
+			const id = "00000000000000aa"
+			o := learn(r, id)
+			o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: id})
+			r.expectInboxEmpty()
+			check := func() {
+				_, err := o.State(r.ctx, "", id)
+				r.Expect(err).To(MatchError(run.ErrUnknownSubmission))
+				r.Expect(o.Cancel(r.ctx, "", id)).To(MatchError(run.ErrUnknownSubmission))
+			}
+			check()
+			r.Expect(o.Submit(r.ctx, submission(id, 2))).To(Succeed())
+			time.Sleep(2 * time.Second)
+			check()
+			waiting, err := o.Waiting(r.ctx, "quick")
+			r.Expect(err).NotTo(HaveOccurred())
+			r.Expect(waiting).To(BeZero())
+			r.Expect(r.fleet.EverStarted(id)).To(BeFalse())
+		})
+	}
+}
