Acceptance: a submission that the store can't take is refused

What callers may see: one submission of 300 KB after which the owner of its pool accepts nothing more, and records no end and no cancel, until it ends. Cause: the body limit bounds what callers send, not the record. JSON writes some bytes as six. A record just below the limit could be stored and not be marked as cancelled. Change: the daemon that takes the request refuses it (413), with room for the mark of a cancel. Evidence: TestRefusesSubmissionOverTheStoresLimit was red (200 instead of 413). Cost: a submission of up to 128 KiB is not encoded once more. Not covered: the progress of a submission has no such bound.

--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -13,6 +13,14 @@
 	return Change{Create: key, Puts: []tw.KVPut{{Key: key, Value: mustEncode(record)}}}
 }
 
+// maxRecordBytes is what the platform's store takes as a value, less what a confirmed cancel adds to the
+// record of a submission.
+const maxRecordBytes = 1<<20 - 1<<10
+
+// Fits reports whether the store takes the record of a submission. A write with one that it does not take
+// would be repeated for ever.
+func Fits(s *tw.Submission) bool { return len(AcceptSubmission(s).Puts[0].Value) <= maxRecordBytes }
+
 // SaveProgress returns the change that stores the progress of a submission.
 func SaveProgress(pool tw.PoolID, id tw.SubmissionID, p *Progress) Change {
 	return Change{Puts: []tw.KVPut{{Key: ProgressKey(pool, id), Value: mustEncode(p)}}}
--- a/queue/handler.go
+++ b/queue/handler.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/run"
 )
@@ -73,6 +74,9 @@
 	// capRetryAfter is the Retry-After header in seconds for submissions that
 	// cannot be accepted unless the configuration changes.
 	capRetryAfter = "30"
+	// largeBody is the body size in bytes up to which a submission fits into the store, as no byte of
+	// it takes more than six there.
+	largeBody = 128 << 10
 	// defaultBodyLimit is the maximum body size in bytes if the configuration
 	// sets none.
 	defaultBodyLimit = 1 << 20
@@ -183,6 +187,10 @@
 	s.Organisation = t.organisation()
 	s.Policy = t.route.Policy
 	s.Accepted = h.Clock.Now()
+	if len(body) > largeBody && !ledger.Fits(&s) {
+		h.refuse(w, r, http.StatusRequestEntityTooLarge, "submission over the store's limit")
+		return
+	}
 	if t.caller != nil && !t.caller.Fits(&s) && !h.Router.Stored(ctx, &s) {
 		w.Header().Set("Retry-After", capRetryAfter)
 		h.refuse(w, r, http.StatusServiceUnavailable, "not taken: a gang of it asks for more than the organisation's usage cap")
--- a/queue/handler_test.go
+++ b/queue/handler_test.go
@@ -113,6 +113,19 @@
 	"cancel of an unknown submission": {method: "DELETE", path: "/x/" + goodID, status: 410},
 }
 
+// TestRefusesSubmissionOverTheStoresLimit guards against an owner that can't write any more: it accepted a
+// submission whose record is larger than the store takes, and repeated that write for ever.
+func TestRefusesSubmissionOverTheStoresLimit(t *testing.T) {
+	for label, status := range map[int]int{300_000: http.StatusRequestEntityTooLarge, 100_000: http.StatusOK} {
+		g := newFixture(t)
+		g.config.Limits.Body = 0
+		body := `{"steps":[{"count":1,"constraints":"` + strings.Repeat("<", label) + `"}]}` // each is encoded as six bytes
+		w := g.call("POST", "/x/"+goodID, body)
+		g.Expect(w.Code).To(Equal(status), "label of %d bytes", label)
+		g.Expect(g.stored()).To(Equal(status == http.StatusOK))
+	}
+}
+
 func TestHandler(t *testing.T) {
 	for name, c := range handlerCases {
 		t.Run(name, func(t *testing.T) {
