Caps: a submission cancelled at a takeover counts until its workers have answered

What users may see: an organisation runs more than its cap allows, by all that a cancelled submission runs, for as long as its workers stay silent (up to the lease of its runs). Cause: a new owner that reads a confirmed cancel records the end within milliseconds, before workers have answered it. It then knew of none of the submission's runs: the record said that none were being stopped, and the submission counted no more as inherited work. Class: an act that rests on what this owner has not read yet. Change: until all workers have answered, such a submission counts with what its unknown runs can take, in memory and in the record that the next owner reads. Evidence: two cases of TestCaps were red (QUOTA at 4 subtasks). With one of the two parts taken out again, one of the cases is red. Cost: none without organisations; while workers have not answered after a takeover, the ended submissions are counted in each placement pass as the live ones are.

--- a/run/caps.go
+++ b/run/caps.go
@@ -51,6 +51,9 @@
 		// leftover is the usage of submissions that had ended under a previous owner and whose runs
 		// may not have been stopped yet.
 		leftover usage
+		// endedEarly are the inherited submissions that have ended under this owner before it had
+		// reached all workers that may run them.
+		endedEarly []*submission
 		// capped is what is needed of the configuration last used.
 		capped *cappedConfig
 	}
--- a/run/caps_test.go
+++ b/run/caps_test.go
@@ -147,6 +147,20 @@
 	return out
 }
 
+// cancelOnSilentWorkers has work that takes the whole cap cancelled by a daemon that can't reach the owner,
+// while the workers that run it are silent.
+func (r *capRig) cancelOnSilentWorkers() tw.SubmissionID {
+	id := r.send("checks", "red", redCap, 5*time.Second)
+	r.watch(time.Second)
+	for n := range redCap {
+		for _, w := range r.fleet.RunningOn(subtask(string(id), 0, n)) {
+			r.fleet.UpdateWorker(w, func(w *standin.SimWorker) { w.Silent = true })
+		}
+	}
+	r.confirmCancelInStore(id)
+	return id
+}
+
 // capCases are scenarios in which organisation red has a cap over all pools.
 var capCases = map[string]func(r *capRig){
 	"all pools ask for more than the cap": func(r *capRig) {
@@ -209,6 +223,21 @@
 		r.send("boards", "red", 30, 2*time.Second)
 		r.watch(5 * time.Second)
 	},
+	"work is cancelled at a takeover while the workers that run it are silent": func(r *capRig) {
+		r.cancelOnSilentWorkers()
+		r.takePool("checks")
+		r.send("checks", "red", redCap, 2*time.Second)
+		r.watch(5 * time.Second)
+	},
+	"its pool changes owner again before they answer": func(r *capRig) {
+		id := r.cancelOnSilentWorkers()
+		o := r.takePool("checks")
+		r.Eventually(func() (tw.SubmissionState, error) { return o.State(r.ctx, "red", id) }, time.Second, 5*time.Millisecond).
+			Should(Equal(tw.SubmissionCancelled))
+		r.takePool("checks")
+		r.send("checks", "red", redCap, 2*time.Second)
+		r.watch(5 * time.Second)
+	},
 	"the store loses answers and writes late": func(r *capRig) {
 		r.send("checks", "red", 30, time.Second)
 		r.watch(time.Second)
--- a/run/requests.go
+++ b/run/requests.go
@@ -356,6 +356,9 @@
 	sub.final = sub.pendingFinal
 	sub.endedAt = o.now
 	o.ended = append(o.ended, sub)
+	if o.mayHaveUnknownRuns(sub) {
+		o.caps.endedEarly = append(o.caps.endedEarly, sub)
+	}
 	delete(o.live, sub.ID)
 	delete(o.scheduled, sub.ID)
 	sub.Steps, sub.Spec = nil, ""
--- a/run/usage.go
+++ b/run/usage.go
@@ -55,17 +55,18 @@
 // not answered.
 func (o *Owner) unknownUsage() usage {
 	if !o.mayHaveInheritedRuns() {
+		o.caps.endedEarly = nil
 		return nil
 	}
 	out := maps.Clone(o.caps.leftover)
 	for _, sub := range o.live {
-		if !sub.inherited || sub.Organisation == "" {
-			continue
-		}
-		for _, rep := range sub.reps {
-			out[sub.Organisation] = out[sub.Organisation].Plus(rep.unknownNeed())
+		if sub.inherited && sub.Organisation != "" {
+			out[sub.Organisation] = out[sub.Organisation].Plus(sub.unknownNeed())
 		}
 	}
+	for _, sub := range o.caps.endedEarly {
+		out[sub.Organisation] = out[sub.Organisation].Plus(sub.unknownNeed())
+	}
 	if !o.machineListRead {
 		return out
 	}
@@ -83,6 +84,31 @@
 	return out
 }
 
+// unknownNeed is what runs of the submission that this owner does not know can take.
+func (s *submission) unknownNeed() tw.Resources {
+	var out tw.Resources
+	for _, rep := range s.reps {
+		out = out.Plus(rep.unknownNeed())
+	}
+	return out
+}
+
+// stoppingUsage is the most that the runs of a submission that ends can still take, with those of the
+// previous owner on workers that this owner has not reached yet.
+func (o *Owner) stoppingUsage(sub *submission) tw.Resources {
+	out := sub.capUsage()
+	if o.mayHaveUnknownRuns(sub) {
+		out = out.Plus(sub.unknownNeed())
+	}
+	return out
+}
+
+// mayHaveUnknownRuns reports whether runs of a submission that count against a cap may be on workers that
+// this owner has not reached yet.
+func (o *Owner) mayHaveUnknownRuns(sub *submission) bool {
+	return sub.inherited && sub.Organisation != "" && o.mayHaveInheritedRuns()
+}
+
 // unknownNeed is what the subtasks that are not done and have no known run would take.
 func (r *repetition) unknownNeed() tw.Resources {
 	var out tw.Resources
--- a/run/writer.go
+++ b/run/writer.go
@@ -261,7 +261,7 @@
 			sub.recordedAt = w.lastSent
 		})
 	}
-	return add(ledger.EndSubmission(w.o.pool, &sub.Submission, sub.pendingFinal, sub.capUsage()), func(err error) {
+	return add(ledger.EndSubmission(w.o.pool, &sub.Submission, sub.pendingFinal, w.o.stoppingUsage(sub)), func(err error) {
 		if err != nil {
 			w.markDirty(sub)
 			return
