--- a/run/cancel_answer_test.go
+++ b/run/cancel_answer_test.go
@@ -180,3 +180,24 @@
 		})
 	}
 }
+
+// TestCancelOfAnOlderDaemonIsReadAtTakeover guards against a confirmed cancel that is lost during an upgrade:
+// a daemon of an older version leaves messages in the inbox and does not mark the record.
+func TestCancelOfAnOlderDaemonIsReadAtTakeover(t *testing.T) {
+	runCase(t, "", 4, func(r *rig) {
+		r.newOwner("a").Close()
+		s := r.storeViaInbox(submission("s1", 2))
+		record, err := ledger.FindSubmission(r.ctx, r.kv, s.ID)
+		r.Expect(err).NotTo(HaveOccurred())
+		for _, put := range ledger.ConfirmCancel(s.ID, record).Puts {
+			if put.Key != ledger.SubmissionKey(s.ID) {
+				r.kv.Put(put.Key, put.Value)
+			}
+		}
+		r.fleet.NoteCancelled(s.ID)
+		b := r.newOwner("b")
+		r.eventually(b, s.ID, tw.SubmissionCancelled, 5*time.Second)
+		r.Expect(r.fleet.EverStarted(s.ID)).To(BeFalse())
+		r.expectInboxEmpty()
+	})
+}
