Owner: a submission is read once at a time

What operators may see: the calls that the store takes from all daemons are used up, as callers repeat a request whose ID has an unreadable record. Cause: each request and each message for such an ID read the record again every 150 ms, as long as the owner lived. Change: requests for one ID share a read. One that comes while a read is in progress waits for the next, as that read does not show what was written after it began. The new case of TestInbox is red if a request joins the read in progress.

--- a/run/duplicate_submissions_test.go
+++ b/run/duplicate_submissions_test.go
@@ -260,3 +260,18 @@
 		r.Expect(o.Submit(r.ctx, submission("s1", 1))).To(MatchError(tw.ErrAmbiguous))
 	})
 }
+
+// TestUnreadableRecordIsReadOnceAtATime guards against repeated requests for a submission with an unreadable
+// record that use up the calls that the store takes: each of them read it again and again.
+func TestUnreadableRecordIsReadOnceAtATime(t *testing.T) {
+	runCase(t, "", 1, func(r *rig) {
+		o := r.newOwner("a")
+		r.kv.Put(ledger.SubmissionKey("s1"), []byte("{"))
+		for range 20 {
+			r.Expect(o.Submit(r.ctx, submission("s1", 1))).To(MatchError(tw.ErrAmbiguous))
+		}
+		before := r.kv.Calls()
+		time.Sleep(5 * time.Second)
+		r.Expect(r.kv.Calls() - before).To(BeNumerically("<", 60)) // 33 reads, and the owner's own calls
+	})
+}
--- a/run/faults_test.go
+++ b/run/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
 )
@@ -112,3 +113,13 @@
 	}
 	return revision, err
 }
+
+// lateReadKV answers each Get some time after the item was read.
+type lateReadKV struct{ tw.KV }
+
+// Get implements tw.KV.
+func (k lateReadKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	item, err := k.KV.Get(ctx, key)
+	time.Sleep(200 * time.Millisecond)
+	return item, err
+}
--- a/run/inbox_test.go
+++ b/run/inbox_test.go
@@ -69,6 +69,16 @@
 		kv.failing.Store(false)
 		r.Eventually(r.fleet.Starts, 2*time.Second).Should(Equal(2))
 	},
+	"reads a submission again that was stored after the read in progress": func(r *rig) {
+		o := r.newOwnerWith("a", lateReadKV{r.kv}, r.fleet)
+		s := submission("s1", 2)
+		o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxCancel, ID: "s1"}) // nothing is stored
+		time.Sleep(100 * time.Millisecond)
+		r.storeViaInbox(s)
+		o.HandleInbox(r.ctx, ledger.InboxRecord{Kind: ledger.InboxSubmitted, ID: "s1"})
+		time.Sleep(time.Second)
+		r.eventually(o, "s1", tw.SubmissionSucceeded, 5*time.Second)
+	},
 	"adopts a run of the previous owner before it knows the submission": func(r *rig) {
 		s := submission("s1", 1)
 		r.fleet.RegisterSubmission(&s, nil)
--- a/run/owner.go
+++ b/run/owner.go
@@ -101,6 +101,7 @@
 	window        *sendWindow
 	backlog       backlog
 	writer        *writer
+	fetches       fetches
 	caps          *caps
 	// runTimes are the learned run times.
 	runTimes map[estimateKey]*schedule.RunTimes
@@ -181,6 +182,7 @@
 		terminated:        map[tw.WorkerID]terminatedWorker{},
 		unclaimed:         map[tw.SubmissionID][]unclaimedEnd{},
 		precountedOn:      map[tw.WorkerID][]*task{},
+		fetches:           fetches{},
 		runCounter:        tw.RunNumber(c.Book.Fence()) * runNumbersPerOwner,
 		placeRequested:    true,
 	}
--- a/run/requests.go
+++ b/run/requests.go
@@ -252,42 +252,6 @@
 	}
 }
 
-// fetch reads a submission that another daemon has stored and adds it. It retries until the store
-// answers. After that it calls the given function, even if there is no such submission. inInbox
-// is true if the submission's message is still in the inbox.
-func (o *Owner) fetch(id tw.SubmissionID, inInbox bool, then func()) {
-	go func() {
-		for {
-			loaded, err := o.readSubmission(id)
-			loaded.InInbox = inInbox
-			if err == nil || errors.Is(err, tw.ErrNotFound) {
-				o.post(o.ctx, func() {
-					if err == nil {
-						o.handleFetched(loaded)
-					}
-					then()
-				})
-				return
-			}
-			o.log.Warn("submission: not readable, retrying", zap.String("submission", string(id)), logsink.Err(err))
-			select {
-			case <-o.clock.After(flushRetryDelay):
-			case <-o.ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
-func (o *Owner) readSubmission(id tw.SubmissionID) (ledger.LoadedSubmission, error) {
-	record, err := ledger.FindSubmission(o.ctx, o.kv, id)
-	if err != nil {
-		return ledger.LoadedSubmission{}, err
-	}
-	progress, err := ledger.FindProgress(o.ctx, o.kv, record.Pool, id)
-	return ledger.LoadedSubmission{ID: id, Record: record, Progress: progress}, err
-}
-
 func (o *Owner) handleFetched(l ledger.LoadedSubmission) {
 	existing := o.submissions[l.ID]
 	switch {
