Tests: an owner of an older version does not see the mark of a confirmed cancel

Since the record is marked, TestInboxCancelSurvivesOlderOwners passed with the messages removed before the end is recorded, as its older owners read the mark.

--- a/run/inbox_versions_test.go
+++ b/run/inbox_versions_test.go
@@ -59,6 +59,36 @@
 	return k.KV.Commit(ctx, txn)
 }
 
+// Get implements tw.KV.
+func (k *olderKV) Get(ctx context.Context, key tw.Key) (tw.KVItem, error) {
+	item, err := k.KV.Get(ctx, key)
+	return withoutMark(item), err
+}
+
+// Range implements tw.KV.
+func (k *olderKV) Range(ctx context.Context, prefix tw.Key) ([]tw.KVItem, tw.KVRevision, error) {
+	items, at, err := k.KV.Range(ctx, prefix)
+	for i, item := range items {
+		items[i] = withoutMark(item)
+	}
+	return items, at, err
+}
+
+// withoutMark returns the record of a submission without the mark of a confirmed cancel, which an older
+// owner does not know.
+func withoutMark(item tw.KVItem) tw.KVItem {
+	if !strings.HasPrefix(string(item.Key), "tw/submission/") {
+		return item
+	}
+	var record map[string]any
+	if json.Unmarshal(item.Value, &record) != nil || record["cancelled"] == nil {
+		return item
+	}
+	delete(record, "cancelled")
+	item.Value, _ = json.Marshal(record) // it was decoded from JSON
+	return item
+}
+
 // dropField removes a field from a decoded JSON value at any depth. It reports whether there was one.
 func dropField(value any, field string) bool {
 	object, ok := value.(map[string]any)
