--- a/run/inbox.go
+++ b/run/inbox.go
@@ -36,8 +36,9 @@
 	}
 }
 
-// applyMessage applies a message from the inbox. A confirmed cancel stays there until the end of its
-// submission is recorded, as nothing else in the store tells the next owner of it.
+// applyMessage applies a message from the inbox. The notice of a confirmed cancel stays there until the end
+// of its submission is recorded: daemons of older versions do not mark the record, and owners of older
+// versions do not read the mark.
 func (o *Owner) applyMessage(m ledger.InboxRecord) {
 	if sub := o.submissions[m.ID]; sub != nil && m.Kind == ledger.InboxCancel && sub.final == "" {
 		sub.cancelInInbox = true
