--- a/run/duplicate_submissions_test.go
+++ b/run/duplicate_submissions_test.go
@@ -250,3 +250,28 @@
 		p.Expect(p.state(p.owner, "s1")).To(Equal(tw.SubmissionSucceeded))
 	}
 }
+
+// TestUnreadableRecordIsNoAcceptance guards against a submission that is confirmed and never runs: the
+// store had another record under its ID, which no owner can read.
+func TestUnreadableRecordIsNoAcceptance(t *testing.T) {
+	runCase(t, "", 1, func(r *rig) {
+		o := r.newOwner("a")
+		r.kv.Put(ledger.SubmissionKey("s1"), []byte("{"))
+		r.Expect(o.Submit(r.ctx, submission("s1", 1))).To(MatchError(tw.ErrAmbiguous))
+	})
+}
+
+// TestUnreadableRecordIsReadOnceAtATime guards against repeated requests for a submission with an unreadable
+// record that use up the calls that the store takes: each of them read it again and again.
+func TestUnreadableRecordIsReadOnceAtATime(t *testing.T) {
+	runCase(t, "", 1, func(r *rig) {
+		o := r.newOwner("a")
+		r.kv.Put(ledger.SubmissionKey("s1"), []byte("{"))
+		for range 20 {
+			r.Expect(o.Submit(r.ctx, submission("s1", 1))).To(MatchError(tw.ErrAmbiguous))
+		}
+		before := r.kv.Calls()
+		time.Sleep(5 * time.Second)
+		r.Expect(r.kv.Calls() - before).To(BeNumerically("<", 60)) // 33 reads, and the owner's own calls
+	})
+}
--- a/run/owner.go
+++ b/run/owner.go
@@ -101,6 +101,7 @@
 	window        *sendWindow
 	backlog       backlog
 	writer        *writer
+	fetches       fetches
 	caps          *caps
 	// runTimes are the learned run times.
 	runTimes map[estimateKey]*schedule.RunTimes
@@ -181,6 +182,7 @@
 		terminated:        map[tw.WorkerID]terminatedWorker{},
 		unclaimed:         map[tw.SubmissionID][]unclaimedEnd{},
 		precountedOn:      map[tw.WorkerID][]*task{},
+		fetches:           fetches{},
 		runCounter:        tw.RunNumber(c.Book.Fence()) * runNumbersPerOwner,
 		placeRequested:    true,
 	}
@@ -372,9 +374,12 @@
 }
 
 // notifyDurable reports to its waiters that the submission is stored.
-func (s *submission) notifyDurable() {
+func (s *submission) notifyDurable() { s.answerWaiters(nil) }
+
+// answerWaiters passes a result to the requests that wait for the submission to be stored.
+func (s *submission) answerWaiters(err error) {
 	for _, waiter := range s.waiters {
-		waiter <- nil
+		waiter <- err
 	}
 	s.waiters = nil
 }
--- a/run/requests.go
+++ b/run/requests.go
@@ -201,7 +201,7 @@
 	if record, err := ledger.DecodeRecord(stored); err == nil {
 		sub.answerStored(record)
 	} else {
-		sub.notifyDurable()
+		sub.answerWaiters(errors.Wrapf(tw.ErrAmbiguous, "run: stored by another attempt, and not readable: %v", err))
 	}
 	o.fetch(sub.ID, false, func() { o.forwardCancel(sub) })
 }
@@ -211,10 +211,7 @@
 // them.
 func (s *submission) answerStored(record ledger.Record) {
 	if record.Organisation != s.Organisation {
-		for _, waiter := range s.waiters {
-			waiter <- errNotStored
-		}
-		s.waiters = nil
+		s.answerWaiters(errNotStored)
 		return
 	}
 	s.notifyDurable()
@@ -255,42 +252,6 @@
 	}
 }
 
-// fetch reads a submission that another daemon has stored and adds it. It retries until the store
-// answers. After that it calls the given function, even if there is no such submission. inInbox
-// is true if the submission's message is still in the inbox.
-func (o *Owner) fetch(id tw.SubmissionID, inInbox bool, then func()) {
-	go func() {
-		for {
-			loaded, err := o.readSubmission(id)
-			loaded.InInbox = inInbox
-			if err == nil || errors.Is(err, tw.ErrNotFound) {
-				o.post(o.ctx, func() {
-					if err == nil {
-						o.handleFetched(loaded)
-					}
-					then()
-				})
-				return
-			}
-			o.log.Warn("submission: not readable, retrying", zap.String("submission", string(id)), logsink.Err(err))
-			select {
-			case <-o.clock.After(flushRetryDelay):
-			case <-o.ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
-func (o *Owner) readSubmission(id tw.SubmissionID) (ledger.LoadedSubmission, error) {
-	record, err := ledger.FindSubmission(o.ctx, o.kv, id)
-	if err != nil {
-		return ledger.LoadedSubmission{}, err
-	}
-	progress, err := ledger.FindProgress(o.ctx, o.kv, record.Pool, id)
-	return ledger.LoadedSubmission{ID: id, Record: record, Progress: progress}, err
-}
-
 func (o *Owner) handleFetched(l ledger.LoadedSubmission) {
 	existing := o.submissions[l.ID]
 	switch {
@@ -304,7 +265,7 @@
 
 func (o *Owner) addFetched(l ledger.LoadedSubmission) {
 	o.loadSubmission(l)
-	if sub := o.submissions[l.ID]; sub != nil {
+	if sub := o.submissions[l.ID]; sub != nil && sub.final == "" {
 		o.noteHandIn(sub)
 		o.delayStart(sub)
 	}
@@ -359,6 +320,9 @@
 	sub.final = sub.pendingFinal
 	sub.endedAt = o.now
 	o.ended = append(o.ended, sub)
+	if o.mayHaveUnknownRuns(sub) {
+		o.caps.endedEarly = append(o.caps.endedEarly, sub)
+	}
 	delete(o.live, sub.ID)
 	delete(o.scheduled, sub.ID)
 	sub.Steps, sub.Spec = nil, ""
