Ledger: progress that the store would not take is written without its checkpoints

What callers may see: the owner of a pool accepts nothing more and records no end, once an accepted submission of 20,000 checkpointing subtasks has had two failures of each. Cause: its progress takes 1.3 MB, more than the store's value; the write is refused and repeated for ever. Checkpoints only save work; failures, ends and counted starts are kept. Not bounded: the failures of a queue with many attempts.

--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -13,17 +13,25 @@
 	return Change{Create: key, Puts: []tw.KVPut{{Key: key, Value: mustEncode(record)}}}
 }
 
-// maxRecordBytes is what the platform's store takes as a value, less what a confirmed cancel adds to the
-// record of a submission.
-const maxRecordBytes = 1<<20 - 1<<10
+const (
+	// maxValueBytes is what the platform's store takes as a value.
+	maxValueBytes = 1 << 20
+	// maxRecordBytes leaves room for what a confirmed cancel adds to the record of a submission.
+	maxRecordBytes = maxValueBytes - 1<<10
+)
 
 // Fits reports whether the store takes the record of a submission. A write with one that it does not take
 // would be repeated for ever.
 func Fits(s *tw.Submission) bool { return len(AcceptSubmission(s).Puts[0].Value) <= maxRecordBytes }
 
-// SaveProgress returns the change that stores the progress of a submission.
+// SaveProgress returns the change that stores the progress of a submission. It leaves the checkpoints out if the
+// store would not take them: that costs the next owner some work, while the write would be repeated for ever.
 func SaveProgress(pool tw.PoolID, id tw.SubmissionID, p *Progress) Change {
-	return Change{Puts: []tw.KVPut{{Key: ProgressKey(pool, id), Value: mustEncode(p)}}}
+	value := mustEncode(p)
+	if len(value) > maxValueBytes {
+		value = mustEncode(p.withoutCheckpoints())
+	}
+	return Change{Puts: []tw.KVPut{{Key: ProgressKey(pool, id), Value: value}}}
 }
 
 // EndSubmission returns the change that ends a submission: its record keeps the final state instead
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -207,6 +207,22 @@
 	return s
 }
 
+// withoutCheckpoints returns a copy of the progress that shares all but the checkpoints.
+func (p *Progress) withoutCheckpoints() *Progress {
+	out := *p
+	out.Repetitions = make(map[int]*Repetition, len(p.Repetitions))
+	for k, r := range p.Repetitions {
+		steps := make(map[int]*StepProgress, len(r.Steps))
+		for i, s := range r.Steps {
+			step := *s
+			step.Checkpoints = nil
+			steps[i] = &step
+		}
+		out.Repetitions[k] = &Repetition{Steps: steps}
+	}
+	return &out
+}
+
 // Begun reports whether the progress shows that a subtask has been started. Starts that were counted
 // before they were ordered do not show that.
 func (p *Progress) Begun() bool {
