--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -350,6 +350,8 @@
 		b.Expect(err).NotTo(HaveOccurred())
 		_, err = b.kv.Commit(b.ctx, ledger.AcceptViaInbox(submission("s3")))
 		b.Expect(err).NotTo(HaveOccurred())
+		_, err = b.kv.Commit(b.ctx, ledger.CancelUnsubmitted(pool, "", "s4"))
+		b.Expect(err).NotTo(HaveOccurred())
 		survey, err := ledger.TakeSurvey(b.ctx, b.kv)
 		b.Expect(err).NotTo(HaveOccurred())
 		b.Expect(survey.Pools).To(HaveLen(1))
@@ -358,7 +360,7 @@
 		b.Expect(got.OwnerAlive).To(BeFalse())
 		b.Expect(got.Open).To(Equal(2))
 		b.Expect(got.Ended).To(Equal(map[tw.SubmissionState]int{tw.SubmissionFailed: 1}))
-		b.Expect(got.Inbox).To(Equal(1))
+		b.Expect(got.Inbox).To(Equal(3))
 	},
 	"stores the progress of a wave": func(b *fixture) {
 		book := b.open("a")
--- a/ledger/survey.go
+++ b/ledger/survey.go
@@ -86,9 +86,11 @@
 		if err != nil {
 			continue
 		}
-		if record.Final == "" {
+		switch {
+		case record.Unsubmitted:
+		case record.Final == "":
 			surveyOf(record.Pool).Open++
-		} else {
+		default:
 			surveyOf(record.Pool).Ended[record.Final]++
 		}
 	}
