Failing tests: cancelled runs that late orders start are not stopped

TestCancelAmongFaultyOrders plays cancels at ten moments of the runs for each of 15 ways in which the order to start a run ends and 12 for the stop, with the owner kept, replaced, killed or stopped, and workers that restart, fall silent, lose their entries or are taken for ended. Nothing may run 3.4 s after the last fault.

--- a/internal/standin/fleet_lost_orders.go
+++ b/internal/standin/fleet_lost_orders.go
@@ -71,6 +71,16 @@
 	return true
 }
 
+// DeliverLate executes a start that its caller has given up, on the incarnation of the worker that now has
+// the ID.
+func (f *Fleet) DeliverLate(id tw.WorkerID, order tw.StartOrder) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil && !w.dead {
+		_, _ = f.start(w, order, true) // the caller has already got an ambiguous result
+	}
+}
+
 // awaitTimeout waits until the caller gives up an order and returns the error that it gets.
 func awaitTimeout(ctx context.Context) error {
 	select {
