Owner: a revoked start is revoked again on the worker's next incarnation

Cause: replaceIncarnation set runs that were never seen to unconfirmed, also those that had been ordered to stop. If a late order started such a run on the next incarnation before its first answer, that answer confirmed it, and no one stopped it any more: a run of cancelled work went on until its end.

Change: a run that was ordered to stop is ordered to stop on the next incarnation at once.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -49,7 +49,7 @@
 
 // replaceIncarnation replaces a worker by its next incarnation. Runs that were seen have ended with
 // the previous one. Other starts may still be carried out, even if the previous incarnation was
-// told to revoke them.
+// told to revoke them: the next one is told again.
 func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry) {
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.StartTime)),
 		zap.Int64("before", int64(w.startTime)), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
@@ -64,8 +64,12 @@
 			continue
 		}
 		w.remove(r)
+		revoked := r.phase == stopping || r.phase == stopConfirmed
 		r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, time.Time{}
 		next.add(r)
+		if revoked {
+			o.stop(r, r.stopReason)
+		}
 	}
 	o.forbidLateStarts(w, next)
 }
