Owner: late starts are forbidden on a worker that was wrongly taken for ended

Cause: a worker that is silent and named as ended by the list of machines loses its runs. Once it answers, an order to start from before may still be carried out there, and a worker without known runs is not polled: the run went on unseen until its time ran out, cancelled or started elsewhere meanwhile.

Change: the starts that were sent and not seen are remembered with the presumed end, and stopped in advance once the worker answers, as on a next incarnation.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -71,7 +71,7 @@
 			o.stop(r, r.stopReason)
 		}
 	}
-	o.forbidLateStarts(w, next)
+	o.forbidLateStarts(w.lateStarts, next)
 }
 
 // clockRestarted reports whether the clock in the answer to an order can't be that of the known
--- a/run/late_starts.go
+++ b/run/late_starts.go
@@ -27,10 +27,22 @@
 	w.lateStarts = append(w.lateStarts, lateStart{key: w.key(r), orderAt: r.startedAt})
 }
 
-// forbidLateStarts stops, in advance, the runs that late orders to the previous incarnation of a
-// worker could start there. Those that are still expected to run are not among them.
-func (o *Owner) forbidLateStarts(previous, w *worker) {
-	for _, l := range previous.lateStarts {
+// startsUnderWay returns the runs that orders may still start on a worker of which the end is not proven.
+func (w *worker) startsUnderWay() []lateStart {
+	out := slices.Clone(w.lateStarts)
+	for key, r := range w.runs {
+		if r.sent.Load() && r.firstSeen == 0 {
+			out = append(out, lateStart{key: key, orderAt: r.startedAt})
+		}
+	}
+	return out
+}
+
+// forbidLateStarts stops, in advance, the runs that late orders could start on a worker: the next
+// incarnation, or one that was wrongly taken for ended. Those that are still expected to run are not
+// among them.
+func (o *Owner) forbidLateStarts(late []lateStart, w *worker) {
+	for _, l := range late {
 		if o.now.Sub(l.orderAt) > maxOrderDelay {
 			continue
 		}
@@ -42,6 +54,6 @@
 		r := &runState{task: t, run: l.key.run, w: w, phase: running, startedAt: l.orderAt, progressAt: o.now, pace: fullPace}
 		t.addRun(r)
 		w.add(r)
-		o.stop(r, "a late order could start it on the next worker")
+		o.stop(r, "a late order could start it")
 	}
 }
