Owner: stops that found their queue full are ordered again soon, queued ones are not

Cause: a stop that found the queue of its worker full was ordered again after the 400 ms in which an answer could have come; and stops that waited in the queue for longer than that were queued a second time, in the place of others. An answer of a replaced session was taken for one of the next incarnation.

Change: a stop is ordered again at the next look (200 ms) if there was no room, and only once its last order has a result. Results of a replaced session are ignored.

--- a/run/stall.go
+++ b/run/stall.go
@@ -39,7 +39,7 @@
 		o.clearSuspect(r.task)
 	}
 	switch {
-	case r.phase == stopping && o.now.Sub(r.orderedAt) > stopRetry:
+	case r.phase == stopping && !r.stopOpen && o.now.Sub(r.orderedAt) > stopRetry:
 		if r.orderedAt.Equal(r.stoppedAt) {
 			o.log.Info("run: stop not confirmed, ordered again", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
 				zap.String("worker", string(w.entry.ID)), zap.String("why", r.stopReason), zap.Bool("silent", w.silent()), w.answerAgeField(o.now))
--- a/run/start.go
+++ b/run/start.go
@@ -241,15 +241,22 @@
 	w := r.w
 	order := tw.StopOrder{Subtask: r.task.id, Run: r.run, Fence: o.self.Fence}
 	r.orderedAt = o.now
-	ref := w.session.ref
-	w.session.enqueue(workOrder{
+	session := w.session
+	r.stopOpen = session.enqueue(workOrder{
 		subtask: r.task.id, isStop: true, repeatable: true,
-		send: func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Stop(ctx, ref, order) },
+		send: func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Stop(ctx, session.ref, order) },
 		done: func(result orderResult, err error) {
 			o.noteOrder(r, result)
+			if r.w != w || w.session != session {
+				return // it says nothing of the next incarnation, which was given another order
+			}
+			r.stopOpen = false
 			o.stopAnswered(r, result, err)
 		},
 	})
+	if !r.stopOpen {
+		r.orderedAt = time.Time{} // there may be room before an answer could have come
+	}
 }
 
 func (o *Owner) stopAnswered(r *runState, result orderResult, err error) {
--- a/run/submission.go
+++ b/run/submission.go
@@ -149,6 +149,8 @@
 		pace        int // in percent, as last ordered
 		// orderedAt is when a stop or a pace was last sent.
 		orderedAt time.Time
+		// stopOpen: a stop is queued or has no result yet.
+		stopOpen bool
 		// stopReason is why the run was stopped, stoppedAt when that was first ordered.
 		stopReason string
 		stoppedAt  time.Time
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -187,11 +187,12 @@
 	o.applyEntry(w, entry)
 }
 
-// resetSession replaces the session of a worker. The outcome of its starts in flight stays unknown.
+// resetSession replaces the session of a worker. The outcome of its orders in flight stays unknown.
 func (o *Owner) resetSession(w *worker, ref tw.WorkerRef) {
 	w.session.close()
 	w.session = newSession(o, ref)
 	for _, r := range w.runs {
+		r.stopOpen = false
 		if r.phase == starting {
 			o.window.release(r.pending)
 			o.startUnconfirmed(r)
