Members: a dark owner beside a silent watch is noticed by its candidates

What callers may see: cancelled work goes on, and a pool serves nothing, for up to 5.2 s after the trouble is over: the owner's machine was dark, and the watch of the members had become silent before it told that the owner's record was gone. Cause: a dead owner shows by pings within 1.2 s, but a takeover needs the record to be gone, which only the watch tells; a silent one is noticed after 4 s, and its error counts as an outage of the store, for another 1.2 s. Change: the first two candidates for the pool of an owner that does not answer and still has a record read the records again, at most each 2 s. Cost: nothing while owners answer.

--- a/internal/membertest/membertest.go
+++ b/internal/membertest/membertest.go
@@ -49,12 +49,20 @@
 
 // StartWithPeers is Start with the given peers.
 func StartWithPeers(kv tw.KV, self member.DaemonRecord, peers *Peers) (members *member.Members, end func()) {
+	return StartWithPools(kv, self, peers, nil, func(tw.PoolID, string) {})
+}
+
+// StartWithPools is StartWithPeers with the pools of the configuration. takeOver is called for those that
+// the daemon should take over.
+func StartWithPools(
+	kv tw.KV, self member.DaemonRecord, peers member.Pinger, pools []tw.PoolID, takeOver func(pool tw.PoolID, reason string),
+) (members *member.Members, end func()) {
 	clock, log := tw.SystemClock{}, zap.NewNop()
 	presence := member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
 	members = member.Config{
 		KV: kv, Clock: clock, Log: log, Self: self, Peers: peers, Presence: presence,
-		Pools: func() []tw.PoolID { return nil }, OwnedPools: func() []tw.PoolID { return nil },
-		ConfigVersion: func() tw.Version { return 0 }, TakeOver: func(tw.PoolID, string) {},
+		Pools: func() []tw.PoolID { return pools }, OwnedPools: func() []tw.PoolID { return nil },
+		ConfigVersion: func() tw.Version { return 0 }, TakeOver: takeOver,
 		OnNewerConfig: func(string, tw.Version) {},
 		Evacuations:   func() *tw.Evacuations { return nil }, OnEvacuations: func(*tw.Evacuations, string) {},
 	}.New()
--- a/member/succession.go
+++ b/member/succession.go
@@ -22,6 +22,14 @@
 	}
 )
 
+const (
+	// refreshingCandidates is the number of candidates for the pool of an owner that does not answer that
+	// read the records again, recordRefreshInterval the least time between two such reads. An owner that is
+	// cut off from these daemons alone keeps its record, and the reads go on meanwhile.
+	refreshingCandidates  = 2
+	recordRefreshInterval = 2 * time.Second
+)
+
 // handoverMemory is how long a pool counts for the daemon that was asked to take it over. It is above
 // the time that most takeovers take; a pool that is still here then counts as this daemon's again.
 const handoverMemory = 2 * time.Second
@@ -112,6 +120,38 @@
 	return ""
 }
 
+// checkDarkOwners has the records read again if an owner does not answer whose record this daemon still
+// has, and this daemon is one of those that would take its pool: the watch may have become silent before
+// it told that the record is gone.
+func (m *Members) checkDarkOwners(now time.Time) {
+	if now.Sub(m.refreshedAt) < recordRefreshInterval || !m.candidateOfDarkOwner(now) {
+		return
+	}
+	m.refreshedAt = now
+	m.watcher.Refresh()
+}
+
+// candidateOfDarkOwner reports whether this daemon is among the first candidates for a pool whose owner
+// does not answer and still has a record.
+func (m *Members) candidateOfDarkOwner(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for pool, o := range m.owners {
+		state := m.pingStates[o.Address]
+		if record, present := m.live[o.Daemon]; !present || record.Incarnation != o.Incarnation || state == nil {
+			continue
+		}
+		if state.failingSince.IsZero() || now.Sub(state.quietSince) <= recordMissingTimeout {
+			continue
+		}
+		rank := slices.Index(m.candidates(pool, m.poolCounts(), now), m.config.Self.Daemon)
+		if 0 <= rank && rank < refreshingCandidates {
+			return true
+		}
+	}
+	return false
+}
+
 // poolCounts counts the pools of each live daemon. A pool of this daemon that another one was asked to
 // take over a moment ago counts as that one's.
 func (m *Members) poolCounts() map[tw.DaemonID]int {
