--- a/run/cancel_cluster_test.go
+++ b/run/cancel_cluster_test.go
@@ -33,7 +33,10 @@
 		// owner is the daemon that took the pool last; nil at first. taking: a takeover is under way.
 		owner  *clusterDaemon
 		taking bool
-		next   int
+		// former is the owner before, ownedSince when owner took the pool.
+		former     *clusterDaemon
+		ownedSince time.Time
+		next       int
 		// takeoverWanted: a daemon takes the pool although its owner is well.
 		takeoverWanted bool
 		// disturbedUntil is the end of the last disturbance.
@@ -91,9 +94,11 @@
 
 	// leaseTime is how long a daemon that does not answer keeps its pool, killedTime how long one that was
 	// killed does, restartTime the time until it is started again.
-	leaseTime    = 3 * time.Second
-	killedTime   = 100 * time.Millisecond
-	restartTime  = time.Second
+	leaseTime   = 3 * time.Second
+	killedTime  = 100 * time.Millisecond
+	restartTime = time.Second
+	// staleTime is how long after a takeover daemons do not know of it.
+	staleTime    = time.Second
 	clusterTick  = 25 * time.Millisecond
 	inboxWait    = 1500 * time.Millisecond
 	inboxTimeout = 800 * time.Millisecond
@@ -203,12 +208,7 @@
 	case d.away(now):
 		return now.Sub(d.awaySince) < leaseTime
 	}
-	select {
-	case <-d.o.Done():
-		return false
-	default:
-		return true
-	}
+	return d.owns()
 }
 
 // away reports whether a process is paused or cut off from the store.
@@ -231,7 +231,7 @@
 			defer c.mu.Unlock()
 			c.taking = false
 			if err == nil {
-				c.owner = d
+				c.former, c.owner, c.ownedSince = c.owner, d, time.Now()
 			}
 		})
 		return
@@ -299,19 +299,37 @@
 	}.New()
 }
 
-// Local implements queue.Pools: calls to another daemon's owner are made as those to a local one.
+// Local implements queue.Pools: calls to another daemon's owner are made as those to a local one. For a
+// while after a takeover daemons call the former owner, which does not know of it either.
 func (r reach) Local(tw.PoolID) *run.Owner {
 	c, now := r.d.c, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r.d.owns() {
+		return r.d.o
+	}
 	owner := c.owner
+	if now.Sub(c.ownedSince) < staleTime && c.former != nil && c.former.owns() {
+		owner = c.former
+	}
 	switch {
-	case owner == nil || owner.o == nil:
+	case r.alone, owner == nil, now.Before(r.d.cutUntil[toDaemons]):
 		return nil
-	case owner == r.d:
-		return owner.o
-	case r.alone || owner.dead || now.Before(owner.pausedUntil), now.Before(r.d.cutUntil[toDaemons]), now.Before(owner.cutUntil[toDaemons]):
+	case owner.dead, now.Before(owner.pausedUntil), now.Before(owner.cutUntil[toDaemons]):
 		return nil
 	}
 	return owner.o
 }
+
+// owns reports whether the daemon has an owner that has not ended, which may have lost the pool. c.mu is held.
+func (d *clusterDaemon) owns() bool {
+	if d.o == nil || d.dead {
+		return false
+	}
+	select {
+	case <-d.o.Done():
+		return false
+	default:
+		return true
+	}
+}
