--- a/daemon/inbox_faults_test.go
+++ b/daemon/inbox_faults_test.go
@@ -93,7 +93,7 @@
 
 var storeFaults = map[string]storeFault{
 	"none": {},
-	"slow": {lasting: true, call: func(ctx context.Context) error {
+	"slow": {lasting: true, call: func(context.Context) error {
 		time.Sleep(240 * time.Millisecond)
 		return nil
 	}},
