--- a/run/caps_test.go
+++ b/run/caps_test.go
@@ -147,20 +147,6 @@
 	return out
 }
 
-// cancelOnSilentWorkers has work that takes the whole cap cancelled by a daemon that can't reach the owner,
-// while the workers that run it are silent.
-func (r *capRig) cancelOnSilentWorkers() tw.SubmissionID {
-	id := r.send("checks", "red", redCap, 5*time.Second)
-	r.watch(time.Second)
-	for n := range redCap {
-		for _, w := range r.fleet.RunningOn(subtask(string(id), 0, n)) {
-			r.fleet.UpdateWorker(w, func(w *standin.SimWorker) { w.Silent = true })
-		}
-	}
-	r.confirmCancelInStore(id)
-	return id
-}
-
 // capCases are scenarios in which organisation red has a cap over all pools.
 var capCases = map[string]func(r *capRig){
 	"all pools ask for more than the cap": func(r *capRig) {
