--- a/member/members.go
+++ b/member/members.go
@@ -87,7 +87,7 @@
 		unreadableLog rate.Sometimes
 		// orphanedAt is the time at which a pool was first found to have no live owner.
 		orphanedAt map[tw.PoolID]time.Time
-		// refreshedAt is when checkDarkOwners last had the records read again. Only run uses it.
+		// refreshedAt is when checkSilentOwners last had the records read again. Only run uses it.
 		refreshedAt time.Time
 		// handovers are the last requests to other daemons to take over a pool of this one.
 		handovers map[tw.PoolID]handover
@@ -256,7 +256,7 @@
 			pinged = now
 			m.sendPings(ctx, now)
 			m.checkPresence(now)
-			m.checkDarkOwners(now)
+			m.checkSilentOwners(now)
 			m.checkIsolation(now)
 		}
 		for _, t := range m.takeoversDue(now) {
--- a/member/dark_owner_test.go
+++ b/member/silent_owner_test.go
@@ -36,10 +36,10 @@
 	return events, next, err
 }
 
-// TestDarkOwnerBesideSilentWatch guards against cancelled work that goes on without an owner: the owner's
-// machine was dark, and the watch that would have told that its record was gone had become silent. The
+// TestSilentOwnerBesideSilentWatch guards against cancelled work that goes on without an owner: the owner's
+// machine had lost power, and the watch that would have told that its record was gone had become silent. The
 // platform allows 3 s and the time of a stop once the trouble is over.
-func TestDarkOwnerBesideSilentWatch(t *testing.T) {
+func TestSilentOwnerBesideSilentWatch(t *testing.T) {
 	const ttl = 1500 * time.Millisecond // of the owner's record
 	const watchInterval = 3 * time.Second
 	for n := range 48 { // the silence begins and ends at each moment of a watch
@@ -103,7 +103,7 @@
 					id := tw.DaemonID(fmt.Sprint("other", n))
 					membertest.Announce(kv.KV, member.DaemonRecord{Daemon: id, Incarnation: 1, Address: string(id) + ":1", Cores: 4})
 				}
-				peers := &deafOwner{}
+				peers := &silentOwner{}
 				members, end := membertest.StartWithPools(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Cores: 1}, peers,
 					[]tw.PoolID{"p"}, func(tw.PoolID, string) {})
 				defer end()
@@ -128,11 +128,11 @@
 	return k.KV.Range(ctx, prefix)
 }
 
-// deafOwner are daemons of which one, "owner", does not answer.
-type deafOwner struct{}
+// silentOwner are daemons of which one, "owner", does not answer.
+type silentOwner struct{}
 
 // Ping implements member.Pinger.
-func (deafOwner) Ping(ctx context.Context, address string, _ member.PingRequest) (*member.PingResponse, error) {
+func (silentOwner) Ping(ctx context.Context, address string, _ member.PingRequest) (*member.PingResponse, error) {
 	if address == "owner:1" {
 		<-ctx.Done()
 		return nil, tw.ErrAmbiguous
--- a/member/succession.go
+++ b/member/succession.go
@@ -120,20 +120,20 @@
 	return ""
 }
 
-// checkDarkOwners has the records read again if an owner does not answer whose record this daemon still
+// checkSilentOwners has the records read again if an owner does not answer whose record this daemon still
 // has, and this daemon is one of those that would take its pool: the watch may have become silent before
 // it told that the record is gone.
-func (m *Members) checkDarkOwners(now time.Time) {
-	if now.Sub(m.refreshedAt) < recordRefreshInterval || !m.candidateOfDarkOwner(now) {
+func (m *Members) checkSilentOwners(now time.Time) {
+	if now.Sub(m.refreshedAt) < recordRefreshInterval || !m.candidateForSilentOwner(now) {
 		return
 	}
 	m.refreshedAt = now
 	m.watcher.Refresh()
 }
 
-// candidateOfDarkOwner reports whether this daemon is among the first candidates for a pool whose owner
+// candidateForSilentOwner reports whether this daemon is among the first candidates for a pool whose owner
 // does not answer and still has a record.
-func (m *Members) candidateOfDarkOwner(now time.Time) bool {
+func (m *Members) candidateForSilentOwner(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for pool, o := range m.owners {
