--- a/review/rig2/gang.go
+++ b/review/rig2/gang.go
@@ -61,6 +61,6 @@
 		time.Sleep(time.Second)
 	}
 	starts := len(r.fleet.startsOf(id + ".0.1."))
-	used, capacity := r.fleet.usedCPU()
+	used, capacity := r.fleet.usedCPU(pool)
 	return verdict{broken: true, text: fmt.Sprintf("LOST: 40 s after its turn came the gang has %d starts, with %d of %d millicores in use", starts, used, capacity)}, nil
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -26,7 +26,7 @@
 		dir     string
 		trouble bool
 		kv      *standin.KV
-		cloud   *standin.Cloud
+		cloud   *cloud
 		fleet   *fleet
 		// store and machines are the addresses of the platform's services.
 		store, machines string
@@ -72,14 +72,13 @@
 	}
 	r := &rig{
 		rec: rec, dir: temporary, trouble: trouble,
-		kv:    standin.KVConfig{Latency: 4 * time.Millisecond}.New(),
-		cloud: standin.CloudConfig{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second}.New(),
-		fleet: newFleet(rec), stopFleet: make(chan struct{}),
+		kv: standin.KVConfig{Latency: 4 * time.Millisecond}.New(), fleet: newFleet(rec), stopFleet: make(chan struct{}),
 	}
+	r.cloud = &cloud{rig: r}
 	if r.store, err = r.listen(r.kv.Handler()); err != nil {
 		return nil, err
 	}
-	if r.machines, err = r.listen(r.cloud.Handler()); err != nil {
+	if r.machines, err = r.listen(r.cloud.handler()); err != nil {
 		return nil, err
 	}
 	go r.fleet.run(r.stopFleet)
@@ -103,10 +102,7 @@
 	if err := r.fleet.add(w); err != nil {
 		return err
 	}
-	r.cloud.Add(tw.Machine{
-		ID: tw.InstanceID(w.machine), Pool: tw.PoolID(w.pool), State: tw.MachineUp, Worker: tw.WorkerID(w.id), Hall: tw.HallID(w.hall),
-		Labels: w.labels, Capacity: tw.Resources{CPU: tw.Millicores(w.cpu), MemoryMB: int64(w.mem)},
-	})
+	r.cloud.add(w)
 	r.kv.Put(tw.Key("servers/"+w.id), w.entry())
 	return nil
 }
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -122,6 +122,16 @@
 	return nil
 }
 
+// crash ends a worker: all that runs there is gone, and its address refuses connections.
+func (w *worker) crash() {
+	w.fleet.mu.Lock()
+	w.dead = true
+	w.runs = map[string]*workRun{}
+	w.fleet.mu.Unlock()
+	_ = w.server.Close()
+	w.fleet.rec.logf("worker %s crashed", w.id)
+}
+
 // entry is what the worker writes of itself into the store.
 func (w *worker) entry() []byte {
 	out, _ := json.Marshal(map[string]any{
@@ -175,7 +185,7 @@
 	switch {
 	case len(members) < r.step.Count && now.Sub(r.started) >= f.gangWait:
 		w.end(r, "alone")
-	case len(members) == r.step.Count && now.Sub(complete) >= r.step.work:
+	case !r.step.LongRunning && len(members) == r.step.Count && now.Sub(complete) >= r.step.work:
 		for _, other := range f.workers {
 			for _, member := range other.sortedRuns() {
 				if slices.Contains(members, member) {
@@ -407,12 +417,12 @@
 	return slices.DeleteFunc(slices.Clone(f.ends), func(e endEvent) bool { return !strings.HasPrefix(e.task, prefix) })
 }
 
-// usedCPU returns what runs on live workers, and what they have.
-func (f *fleet) usedCPU() (used, capacity int) {
+// usedCPU returns what runs on the live workers of a pool, and what they have.
+func (f *fleet) usedCPU(pool string) (used, capacity int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.workers {
-		if w.dead {
+		if w.dead || w.pool != pool {
 			continue
 		}
 		capacity += w.cpu
