--- a/review/rig2/jobs.go
+++ b/review/rig2/jobs.go
@@ -16,6 +16,8 @@
 
 	// work is how long a subtask works.
 	work time.Duration
+	// deadly means that the first of them crashes its worker as it begins.
+	deadly bool
 }
 
 // jobSpec is a job as callers submit it.
--- a/review/rig2/machines.go
+++ b/review/rig2/machines.go
@@ -83,6 +83,36 @@
 	c.rig.kv.Remove(tw.Key("servers/" + w.id))
 }
 
+// restart starts another worker on the machine of a crashed one, after some seconds. The entry of the
+// crashed one goes after three status reports.
+func (c *cloud) restart(w *worker) {
+	time.AfterFunc(3*heartbeat, func() { c.rig.kv.Remove(tw.Key("servers/" + w.id)) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.machines, func(m *machine) bool { return m.worker == w })
+	if i < 0 {
+		return
+	}
+	c.machines[i].state, c.machines[i].worker = stateDown, nil
+	c.lives++
+	next := &worker{id: w.id + "-" + strconv.Itoa(c.lives), machine: w.machine, pool: w.pool, hall: w.hall, labels: w.labels, cpu: w.cpu, mem: w.mem}
+	time.AfterFunc(crashTime, func() { c.startNext(c.machines[i], next) })
+}
+
+// startNext starts the next worker of a machine.
+func (c *cloud) startNext(m *machine, next *worker) {
+	if err := c.rig.fleet.add(next); err != nil {
+		return
+	}
+	c.mu.Lock()
+	m.state, m.pool, m.worker = stateUp, next.pool, next
+	c.mu.Unlock()
+	c.rig.kv.Put(tw.Key("servers/"+next.id), next.entry())
+}
+
+// crashTime is how long a machine is down after its worker has crashed.
+const crashTime = 4500 * time.Millisecond
+
 // heartbeat is the platform's heartbeatMs.
 const heartbeat = 1500 * time.Millisecond
 
@@ -169,12 +199,6 @@
 		old.crash()
 		c.rig.kv.Remove(tw.Key("servers/" + old.id))
 		time.Sleep(takes)
-		if err := c.rig.fleet.add(next); err != nil {
-			return
-		}
-		c.mu.Lock()
-		m.state, m.pool, m.worker = stateUp, pool, next
-		c.mu.Unlock()
-		c.rig.kv.Put(tw.Key("servers/"+next.id), next.entry())
+		c.startNext(m, next)
 	}()
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,7 +21,7 @@
 
 // cases are the cases by the name that run.sh gives.
 var cases = map[string]func(r *rig) (verdict, error){
-	"gang": gangAfterKill, "count": countAfterRouteChange, "reserve": reservedForGang,
+	"gang": gangAfterKill, "count": countAfterRouteChange, "reserve": reservedForGang, "deadly": deadlySubtask,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -19,6 +19,9 @@
 		// maxHold, stopTime and gangWait are the platform's maxHoldMs, stop_ms and gang_ms.
 		maxHold, stopTime, gangWait time.Duration
 
+		// onSilent is called when a worker has crashed silently.
+		onSilent func(w *worker)
+
 		mu      sync.Mutex
 		jobs    map[string]jobSpec
 		workers []*worker
@@ -38,9 +41,11 @@
 		labels   []string
 		cpu, mem int
 
-		server   *http.Server
-		startAt  time.Time
-		dead     bool
+		server  *http.Server
+		startAt time.Time
+		dead    bool
+		// dark means that it was dead without a reset of its connections.
+		dark     bool
 		fence    int64
 		deadline time.Time
 		runs     map[string]*workRun
@@ -132,6 +137,17 @@
 	w.fleet.rec.logf("worker %s crashed", w.id)
 }
 
+// silent ends a worker without a word: all that runs there is gone, and nothing is answered, neither on
+// open connections nor on new ones. Its machine starts another one later. The lock is held.
+func (w *worker) silent() {
+	w.dead, w.dark = true, true
+	w.runs = map[string]*workRun{}
+	w.fleet.rec.logf("worker %s crashed, silent", w.id)
+	if w.fleet.onSilent != nil {
+		go w.fleet.onSilent(w)
+	}
+}
+
 // entry is what the worker writes of itself into the store.
 func (w *worker) entry() []byte {
 	out, _ := json.Marshal(map[string]any{
@@ -283,18 +299,29 @@
 	return ""
 }
 
-func (w *worker) start(rw http.ResponseWriter, _ *http.Request, order orderBody) {
+// hang leaves an order to a dead worker without an answer. Unless the worker went silent, the connection is
+// reset. The lock is held.
+func (w *worker) hang(r *http.Request) {
+	if w.dark {
+		w.fleet.mu.Unlock()
+		<-r.Context().Done()
+		w.fleet.mu.Lock()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (w *worker) start(rw http.ResponseWriter, r *http.Request, order orderBody) {
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.dead {
-		panic(http.ErrAbortHandler)
+		w.hang(r)
 	}
 	if refusal := w.admit(order); refusal != "" {
 		w.answer(rw, http.StatusConflict, refusal)
 		return
 	}
-	if r := w.runs[order.Task]; r != nil && r.run == order.Run {
+	if known := w.runs[order.Task]; known != nil && known.run == order.Run {
 		w.answer(rw, http.StatusOK, "")
 		return
 	}
@@ -309,23 +336,27 @@
 	w.runs[order.Task] = &workRun{task: order.Task, run: order.Run, started: time.Now(), step: step}
 	f.starts = append(f.starts, startEvent{at: time.Now(), worker: w.id, task: order.Task, run: order.Run, spec: order.Spec})
 	f.rec.logf("worker %s: %s run %d started, fence %d", w.id, order.Task, order.Run, order.Fence)
+	if step.deadly && strings.HasSuffix(order.Task, ".0") {
+		w.silent()
+		w.hang(r)
+	}
 	w.answer(rw, http.StatusOK, "")
 }
 
-func (w *worker) stop(rw http.ResponseWriter, _ *http.Request, order orderBody) {
+func (w *worker) stop(rw http.ResponseWriter, r *http.Request, order orderBody) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	if w.dead {
-		panic(http.ErrAbortHandler)
+		w.hang(r)
 	}
 	if refusal := w.admit(order); refusal != "" {
 		w.answer(rw, http.StatusConflict, refusal)
 		return
 	}
 	w.fleet.rec.logf("worker %s: %s run %d told to stop", w.id, order.Task, order.Run)
-	if r := w.runs[order.Task]; r != nil && r.run <= order.Run {
-		if r.stopAt.IsZero() {
-			r.stopAt = time.Now().Add(w.fleet.stopTime / 2)
+	if run := w.runs[order.Task]; run != nil && run.run <= order.Run {
+		if run.stopAt.IsZero() {
+			run.stopAt = time.Now().Add(w.fleet.stopTime / 2)
 		}
 	} else {
 		w.closed[order.Task] = max(w.closed[order.Task], order.Run)
@@ -337,6 +368,9 @@
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if w.dead {
+		w.hang(r)
+	}
 	if refusal := w.admit(order); refusal != "" && refusal != "late" {
 		w.answer(rw, http.StatusConflict, refusal)
 		return
@@ -349,7 +383,7 @@
 		f.mu.Lock()
 	}
 	if w.dead {
-		panic(http.ErrAbortHandler)
+		w.hang(r)
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, run := range w.sortedRuns() {
