Run: logs and metrics that tell the causes of doubled runs after a restart apart

run: ordered, run: gone and run: start not confirmed have the incarnation (born); run: gone has reported; refusals have clock_offset_ms. No decision changes.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -58,20 +58,26 @@
 	next := o.addWorker(entry)
 	next.startTime = entry.StartTime
 	next.listed, next.missingSince, next.vacating, next.maintenanceDue = w.listed, w.missingSince, w.vacating, w.maintenanceDue
+	ended, unclear := 0, 0
 	for _, r := range w.runs {
 		if r.firstSeen != 0 && !r.copyUnanswered || !r.sent.Load() {
+			ended++
 			o.runGone(r, "its worker has started again")
 			continue
 		}
+		unclear++
 		w.remove(r)
 		revoked := r.phase == stopping || r.phase == stopConfirmed
-		r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, time.Time{}
+		r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
 		next.add(r)
 		if revoked {
 			o.stop(r, r.stopReason)
 		}
 	}
 	o.forbidLateStarts(w.lateStarts, next)
+	o.metrics.restarted(ended, unclear)
+	o.log.Info("worker: runs of its previous incarnation", zap.String("worker", string(entry.ID)), next.incarnationField(), zap.Int("ended", ended),
+		zap.Int("unclear", unclear), zap.Int("late_starts", len(w.lateStarts)), zap.Duration("grants_left", next.grantsExpireAt.Sub(o.now)))
 }
 
 // clockRestarted reports whether the clock in the answer to an order can't be that of the known
@@ -87,6 +93,15 @@
 	return clock.Add(clockTolerance) < w.clock.Add(since)
 }
 
+// incarnationField returns the start time of the worker's incarnation as a log field; an empty one if no
+// report has told it.
+func (w *worker) incarnationField() zap.Field {
+	if w.startTime == 0 {
+		return zap.Skip()
+	}
+	return zap.Int64("born", int64(w.startTime))
+}
+
 // ackableEnd returns the sequence number of the last end that may be acknowledged to a worker. It
 // is zero while the next incarnation may answer, as that numbers its ends from one, and if it has been
 // acknowledged.
--- a/run/metrics.go
+++ b/run/metrics.go
@@ -109,14 +109,17 @@
 }
 
 // count adds one to a counter with a label. Only the owner's loop may call it.
-func (m *ownerMetrics) count(metric, label, value string) {
+func (m *ownerMetrics) count(metric, label, value string) { m.add(metric, label, value, 1) }
+
+// add adds n to a counter with a label. Only the owner's loop may call it.
+func (m *ownerMetrics) add(metric, label, value string, n int) {
 	key := counterKey{metric: metric, value: value}
 	counter := m.counters[key]
 	if counter == nil {
 		counter = m.set.GetOrCreateCounter(fmt.Sprintf("tamarind_%s{pool=%q,%s=%q}", metric, string(m.pool), label, value))
 		m.counters[key] = counter
 	}
-	counter.Inc()
+	counter.Add(n)
 }
 
 // countRefusal counts a refused submission by the reason.
@@ -136,6 +139,13 @@
 // endedWorker counts a worker that the owner takes for ended by the reason.
 func (m *ownerMetrics) endedWorker(reason string) { m.count("workers_ended_total", "reason", reason) }
 
+// restarted counts the runs that were known on a worker when its next incarnation was noticed: those that
+// have ended with the previous one, and those that either may have.
+func (m *ownerMetrics) restarted(ended, unclear int) {
+	m.add("worker_restart_runs_total", "state", "ended", ended)
+	m.add("worker_restart_runs_total", "state", "unclear", unclear)
+}
+
 // givenUp counts a run that was removed without a report of its end, by the reason.
 func (m *ownerMetrics) givenUp(reason string) { m.count("runs_given_up_total", "reason", reason) }
 
--- a/run/poll.go
+++ b/run/poll.go
@@ -346,6 +346,7 @@
 
 func (o *Owner) updateProgress(r *runState, running tw.RunningSubtask, clock tw.WorkerTime) {
 	r.noteSeen(clock)
+	r.reported = true
 	if r.phase == starting || r.phase == unconfirmed {
 		o.confirmStart(r)
 	}
--- a/run/start.go
+++ b/run/start.go
@@ -61,7 +61,7 @@
 		o.requestPoll(w) // an open poll would report late that the worker survived the run
 	}
 	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
-		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
+		zap.String("worker", string(w.entry.ID)), w.incarnationField(), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
 		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
 }
 
@@ -139,7 +139,8 @@
 	var refused *tw.OrderRefusedError
 	switch {
 	case err == nil && w.clockRestarted(result.clock, result.sentAt):
-		o.log.Info("worker: clock has restarted", zap.String("worker", string(w.entry.ID)), zap.Stringer("subtask", r.task.id))
+		o.log.Info("worker: clock has restarted", zap.String("worker", string(w.entry.ID)), w.incarnationField(), zap.Stringer("subtask", r.task.id),
+			w.clockOffsetField(result.clock, o.now))
 		w.noteUncertain(o.now)
 		o.startUnconfirmed(r)
 	case err == nil:
@@ -178,9 +179,11 @@
 	}
 }
 
-func (o *Owner) logStartFailure(r *runState, err error) {
-	o.log.Info("run: start not confirmed", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
-		zap.String("worker", string(r.w.entry.ID)), logsink.Err(err))
+func (o *Owner) logStartFailure(r *runState, err error, extra ...zap.Field) {
+	fields := append([]zap.Field{
+		zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)), zap.String("worker", string(r.w.entry.ID)), r.w.incarnationField(), logsink.Err(err),
+	}, extra...)
+	o.log.Info("run: start not confirmed", fields...)
 }
 
 // confirmStart records that a run exists on its worker.
@@ -205,7 +208,7 @@
 	w := r.w
 	r.sent.Store(false) // so it cannot be the cause of the worker's end
 	o.metrics.started(string(refused.Reason))
-	o.logStartFailure(r, refused)
+	o.logStartFailure(r, refused, w.clockOffsetField(refused.Clock, o.now))
 	w.noteAnswer(o.now, refused.Clock)
 	switch refused.Reason {
 	case tw.RefusedStaleFence:
@@ -297,7 +300,8 @@
 	o.metrics.givenUp(reason)
 	o.log.Info("run: gone", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(r.w.entry.ID)), zap.String("why", reason), zap.Stringer("phase", r.phase),
-		zap.Duration("since_start", o.now.Sub(r.startedAt)), r.w.answerAgeField(o.now))
+		r.w.incarnationField(),
+		zap.Bool("reported", r.reported), zap.Duration("since_start", o.now.Sub(r.startedAt)), r.w.answerAgeField(o.now))
 	o.writer.confirmAfter(o.now)
 	o.placeRequested = true
 	if t.step.spec.Gang {
--- a/run/submission.go
+++ b/run/submission.go
@@ -167,6 +167,9 @@
 		copyUnanswered bool
 		// firstSeen is the worker's clock when it first reported the run; zero before.
 		firstSeen tw.WorkerTime
+		// reported: a report of its worker has listed it. Unlike an answer to the start, a report
+		// tells which incarnation it is from.
+		reported bool
 		// trial: its subtask is a suspect, and the worker has not survived it yet.
 		trial bool
 		// resumed: it went on from a checkpoint.
--- a/run/worker.go
+++ b/run/worker.go
@@ -163,6 +163,16 @@
 	return zap.Duration("last_answer", now.Sub(w.clockAt))
 }
 
+// clockOffsetField returns how far the clock in an answer is ahead of the worker's estimated clock, in
+// milliseconds, as a log field; an empty one if either is unknown. An offset of more than the time of the
+// call shows that another incarnation has answered.
+func (w *worker) clockOffsetField(clock tw.WorkerTime, now time.Time) zap.Field {
+	if clock == 0 || w.clockAt.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64("clock_offset_ms", int64(clock-w.estimateClock(now)))
+}
+
 // noteUnanswered records an order without an answer.
 func (w *worker) noteUnanswered(now time.Time) {
 	w.unanswered++
