--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -109,6 +109,8 @@
 		previousCapacityUntil time.Time
 
 		bootedAt time.Time
+		// bootClock is the reading of its clock at its start.
+		bootClock tw.WorkerTime
 		fence    tw.FencingToken
 		deadline time.Time
 		runs     map[tw.SubtaskID]*simRun
@@ -169,7 +171,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := &SimWorker{
-		Entry: entry, bootedAt: f.config.Clock.Now(), runs: map[tw.SubtaskID]*simRun{},
+		Entry: entry, bootedAt: f.config.Clock.Now(), bootClock: defaultBootClock, runs: map[tw.SubtaskID]*simRun{},
 		restartedAfter: map[int64]bool{}, closedRuns: map[tw.SubtaskID]tw.RunNumber{}, changed: make(chan struct{}),
 	}
 	f.workers[entry.ID] = w
--- a/internal/standin/fleet_restart.go
+++ b/internal/standin/fleet_restart.go
@@ -31,6 +31,14 @@
 	return f.replaceWorker(id, func(entry *tw.WorkerEntry) { entry.StartTime = startTime })
 }
 
+// RestartWithClock is Restart with another reading of the new worker's clock at its start. The clock of a
+// restarted worker may be ahead of that of the previous incarnation, or behind it.
+func (f *Fleet) RestartWithClock(id tw.WorkerID, startTime tw.WorkerStartTime, clock tw.WorkerTime) tw.WorkerEntry {
+	entry := f.Restart(id, startTime)
+	f.UpdateWorker(id, func(w *SimWorker) { w.bootClock = clock })
+	return entry
+}
+
 // replaceWorker kills a worker and adds one with its entry, modified by change.
 func (f *Fleet) replaceWorker(id tw.WorkerID, change func(entry *tw.WorkerEntry)) tw.WorkerEntry {
 	f.Kill(id)
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -9,11 +9,11 @@
 
 // clock returns the time on the worker's own clock.
 func (w *SimWorker) clock(now time.Time) tw.WorkerTime {
-	return tw.WorkerTime(now.Sub(w.bootedAt).Milliseconds()) + clockStart
+	return tw.WorkerTime(now.Sub(w.bootedAt).Milliseconds()) + w.bootClock
 }
 
-// clockStart is the reading of a worker's clock at its start.
-const clockStart tw.WorkerTime = 1000
+// defaultBootClock is the reading of a worker's clock at its start.
+const defaultBootClock tw.WorkerTime = 1000
 
 // admit checks an order's fencing token and extends the worker's deadline to the order's
 // deadline, but to no later than MaxHold from now.
@@ -26,7 +26,7 @@
 	if deadline == 0 {
 		return nil
 	}
-	until := w.bootedAt.Add(time.Duration(deadline-clockStart) * time.Millisecond)
+	until := w.bootedAt.Add(time.Duration(deadline-w.bootClock) * time.Millisecond)
 	if until.Before(now) {
 		return &tw.OrderRefusedError{Reason: tw.RefusedDeadlinePassed, Clock: w.clock(now)}
 	}
