Workers: what an earlier incarnation was granted bounds the runs on the next one

Cause: when a poll shows that a worker has restarted, its unconfirmed starts are handed to the next incarnation. addWorker took the time at which all grants have expired from the takeover, for every worker that is added; 15 s after a takeover that lies in the past, so that the next round took the runs for lapsed, milliseconds after the worker had answered, and started them elsewhere. Change: an order without an answer may be carried out by the next incarnation, up to maxOrderDelay after it was sent, and its grant counts from then. When a grant was last sent is kept for the ID when a worker is removed, and bounds what runs on the next worker with that ID. Until when runs of the previous owner are assumed is a bound of its own, so that inherited work waits no longer than before.

--- a/run/owner.go
+++ b/run/owner.go
@@ -112,6 +112,8 @@
 	beyondLoggedAt time.Time
 	// terminated are workers that no longer run. Their entries may linger or come back.
 	terminated map[tw.WorkerID]terminatedWorker
+	// underWay are the orders to removed workers that may still be carried out.
+	underWay map[tw.WorkerID]ordersUnderWay
 	// listed are the workers in the last list of workers. It must not be changed.
 	listed map[tw.WorkerID]tw.WorkerEntry
 	// listedElsewhere is the number of those that are not used, as the list of machines names them in
@@ -180,6 +182,7 @@
 		ranks:             map[int]bool{},
 		runTimes:          map[estimateKey]*schedule.RunTimes{},
 		terminated:        map[tw.WorkerID]terminatedWorker{},
+		underWay:          map[tw.WorkerID]ordersUnderWay{},
 		unclaimed:         map[tw.SubmissionID][]unclaimedEnd{},
 		precountedOn:      map[tw.WorkerID][]*task{},
 		fetches:           fetches{},
--- a/run/poll.go
+++ b/run/poll.go
@@ -118,7 +118,7 @@
 	hold := tw.HoldOrder{Fence: o.self.Fence, AckedSequence: w.ackableEnd(o.now), Wait: wait}
 	if w.stateKnown && w.unanswered == 0 && o.silenceExplained(w) {
 		hold.Deadline = w.estimateClock(o.now).Add(o.bounds.MaxHold)
-		w.grantsExpireAt = o.now.Add(o.maxHoldTime())
+		w.noteGrant(o.now, o.now.Add(o.maxHoldTime()))
 	}
 	w.sentPoll = o.pollSeq
 	w.openPolls = append(w.openPolls, openPoll{seq: o.pollSeq, sentAt: o.now, wait: wait})
--- a/run/start.go
+++ b/run/start.go
@@ -56,7 +56,7 @@
 		r.startedAt, r.progressAt = o.now, o.now
 	}
 	r.phase = starting
-	w.grantsExpireAt = o.now.Add(o.maxHoldTime())
+	w.noteGrant(o.now, o.now.Add(o.maxHoldTime()))
 	if r.trial {
 		o.requestPoll(w) // an open poll would report late that the worker survived the run
 	}
--- a/run/termination.go
+++ b/run/termination.go
@@ -338,6 +338,7 @@
 		zap.Bool("silent", !w.silentSince.IsZero()), w.answerAgeField(o.now))
 	w.session.close()
 	w.dropDispute()
+	o.keepOrdersUnderWay(w)
 	delete(o.workers, w.entry.ID)
 	delete(o.ranks, w.rank)
 	o.sortedWorkers = nil
--- a/run/worker.go
+++ b/run/worker.go
@@ -40,9 +40,13 @@
 		// grantsExpireAt is when the deadlines that any owner may have granted there have
 		// passed, unless the worker answers before.
 		grantsExpireAt time.Time
+		// grantedAt is when an order that extends these deadlines was last sent to a worker with this
+		// ID.
+		grantedAt time.Time
 		// mayHaveInheritedRuns: it existed before this ownership and has not answered yet, so
-		// runs of the previous owner may be on it.
+		// runs of the previous owner may be on it, until inheritedExpireAt at the latest.
 		mayHaveInheritedRuns bool
+		inheritedExpireAt    time.Time
 
 		// lateStarts are the runs of which an order may still come after it was answered.
 		lateStarts []lateStart
@@ -146,6 +150,14 @@
 	return w.clock.Add(time.Duration(float64(now.Sub(w.clockAt)) / clockDrift))
 }
 
+// noteGrant records an order that extends the deadline of the runs on the worker, until expireAt at the latest.
+func (w *worker) noteGrant(now, expireAt time.Time) {
+	w.grantedAt, w.grantsExpireAt = later(w.grantedAt, now), later(w.grantsExpireAt, expireAt)
+	if w.mayHaveInheritedRuns {
+		w.inheritedExpireAt = w.grantsExpireAt
+	}
+}
+
 // noteAnswer records an answer and the worker's clock that it carried.
 func (w *worker) noteAnswer(now time.Time, clock tw.WorkerTime) {
 	if clock != 0 {
@@ -163,6 +175,14 @@
 	return zap.Duration("last_answer", now.Sub(w.clockAt))
 }
 
+// silentField returns how long the worker has been silent as a log field; an empty one if it is not.
+func (w *worker) silentField(now time.Time) zap.Field {
+	if w.silentSince.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration("silent", now.Sub(w.silentSince))
+}
+
 // clockOffsetField returns how far the clock in an answer is ahead of the worker's estimated clock, in
 // milliseconds, as a log field; an empty one if either is unknown. An offset of more than the time of the
 // call shows that another incarnation has answered.
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -107,6 +107,7 @@
 		}
 		o.setWorker(list.Workers[id])
 	}
+	o.dropOldOrders()
 	o.metrics.ignoredEntries.Set(float64(ignored + elsewhere))
 	o.listedElsewhere = elsewhere
 	maps.DeleteFunc(o.terminated, func(_ tw.WorkerID, record terminatedWorker) bool {
@@ -220,13 +221,20 @@
 }
 
 func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
+	underWay := o.takeOrdersUnderWay(entry.ID)
 	w := &worker{
 		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(), usage: o.caps.usage,
 		// The previous owner may have extended runs there until its permit expired. Workers
 		// that really are new answer their first poll at once, so this costs nothing.
-		grantsExpireAt: o.takeoverAt.Add(permitTTL + o.maxHoldTime()),
+		grantedAt: later(o.takeoverAt.Add(permitTTL), underWay.grantedAt),
+	}
+	w.inheritedExpireAt = o.takeoverAt.Add(permitTTL + o.maxHoldTime())
+	w.mayHaveInheritedRuns = o.now.Before(w.inheritedExpireAt)
+	w.grantsExpireAt = w.inheritedExpireAt
+	if !underWay.grantedAt.IsZero() {
+		// What an earlier incarnation was granted may be carried out late, and counts from then.
+		w.grantsExpireAt = later(w.grantsExpireAt, underWay.grantedAt.Add(maxOrderDelay+o.maxHoldTime()))
 	}
-	w.mayHaveInheritedRuns = o.now.Before(w.grantsExpireAt)
 	w.session = newSession(o, entry.Ref())
 	o.workers[entry.ID] = w
 	o.ranks[w.rank] = true
@@ -283,10 +291,8 @@
 		if uncertain {
 			o.machineCache.RequestRefresh(o.now)
 		}
-		if !w.grantsExpireAt.IsZero() && !o.now.Before(w.grantsExpireAt) {
-			if !w.listed || w.silent() || !w.stateKnown {
-				o.expireRuns(w)
-			}
+		if !w.listed || w.silent() || !w.stateKnown {
+			o.expireRuns(w)
 		}
 		next = earlier(next, o.now.Add(pollRetryDelay))
 	}
@@ -312,13 +318,17 @@
 // expireRuns drops the runs of a worker that has not answered until all deadlines granted there
 // have passed.
 func (o *Owner) expireRuns(w *worker) {
-	if len(w.runs) == 0 && !w.mayHaveInheritedRuns {
+	if w.mayHaveInheritedRuns && !o.now.Before(w.inheritedExpireAt) {
+		w.mayHaveInheritedRuns = false
+		w.stateKnown = false // it must be polled before it is used again
+		o.placeRequested = true
+	}
+	if len(w.runs) == 0 || o.now.Before(w.grantsExpireAt) {
 		return
 	}
-	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)),
-		zap.Duration("silent", o.now.Sub(w.silentSince)), zap.Int("runs", len(w.runs)))
-	w.mayHaveInheritedRuns = false
-	w.stateKnown = false // it must be polled before it is used again
+	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)), w.incarnationField(),
+		w.silentField(o.now), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
+	w.stateKnown = false
 	o.attributeCrash(w, false)
 	for _, r := range w.runs {
 		o.runGone(r, "lapsed on a silent worker")
