Workers: only a report proves which incarnation has started a run

Cause: only reports of polls carry the worker's start time. A start that was answered counted as seen on the known incarnation, so that a run which the next one had started was given up as ended with the previous one. The clock in an answer shows a restart only where it is behind, and the clock of a refusal was taken over unchecked, which hid the next one. Answers that were handled after the replacement were credited to the next incarnation. Change: a run has ended with its incarnation if a report has listed it and no copy of its order is open; any other one is handed to the next incarnation, which lists it or is told to refuse it. Results of orders count for the incarnation and session that they were sent to. An answer with another clock, or a refusal for a deadline that can't have passed, has the worker asked instead of setting its clock. A filler that is handed over has full pace, as the next incarnation starts it so.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -47,9 +47,9 @@
 	w.ignoredAnswers++
 }
 
-// replaceIncarnation replaces a worker by its next incarnation. Runs that were seen have ended with
-// the previous one. Other starts may still be carried out, even if the previous incarnation was
-// told to revoke them: the next one is told again.
+// replaceIncarnation replaces a worker by its next incarnation. Runs that a report has listed have ended
+// with the previous one. Other starts may have been carried out by the next one, also if they were answered,
+// or may still be, even if the previous incarnation was told to revoke them: the next one is told again.
 func (o *Owner) replaceIncarnation(w *worker, entry tw.WorkerEntry) {
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.StartTime)),
 		zap.Int64("before", int64(w.startTime)), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
@@ -60,24 +60,48 @@
 	next.listed, next.missingSince, next.vacating, next.maintenanceDue = w.listed, w.missingSince, w.vacating, w.maintenanceDue
 	ended, unclear := 0, 0
 	for _, r := range w.runs {
-		if r.firstSeen != 0 && !r.copyUnanswered || !r.sent.Load() {
+		if r.reported && !r.startOpen || !r.sent.Load() {
 			ended++
 			o.runGone(r, "its worker has started again")
 			continue
 		}
 		unclear++
-		w.remove(r)
-		revoked := r.phase == stopping || r.phase == stopConfirmed
-		r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
-		next.add(r)
-		if revoked {
-			o.stop(r, r.stopReason)
-		}
+		o.handOver(r, next)
 	}
 	o.forbidLateStarts(w.lateStarts, next)
 	o.metrics.restarted(ended, unclear)
 	o.log.Info("worker: runs of its previous incarnation", zap.String("worker", string(entry.ID)), next.incarnationField(), zap.Int("ended", ended),
-		zap.Int("unclear", unclear), zap.Int("late_starts", len(w.lateStarts)), zap.Duration("grants_left", next.grantsExpireAt.Sub(o.now)))
+		zap.Int("unclear", unclear), zap.Int("late_starts", len(next.lateStarts)), zap.Duration("grants_left", next.grantsExpireAt.Sub(o.now)))
+}
+
+// handOver makes a run one that the next incarnation of its worker may have started.
+func (o *Owner) handOver(r *runState, next *worker) {
+	r.w.remove(r)
+	revoked := r.phase == stopping || r.phase == stopConfirmed
+	r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
+	r.pace = fullPace
+	next.add(r)
+	if revoked {
+		o.stop(r, r.stopReason)
+	}
+}
+
+// noteOrderAnswer records the answer to an order other than a poll, which does not tell the incarnation. It returns
+// false, and has the worker polled, if the clock in the answer shows that another one than the known has answered.
+func (o *Owner) noteOrderAnswer(w *worker, clock tw.WorkerTime, sentAt time.Time) (known bool) {
+	if w.clockRestarted(clock, sentAt) {
+		o.log.Info("worker: clock has restarted", zap.String("worker", string(w.entry.ID)), w.incarnationField(), w.clockOffsetField(clock, o.now))
+		o.askIncarnation(w)
+		return false
+	}
+	w.noteAnswer(o.now, clock)
+	return true
+}
+
+// askIncarnation has a worker polled of which another incarnation seems to have answered an order.
+func (o *Owner) askIncarnation(w *worker) {
+	w.noteUncertain(o.now)
+	o.requestPoll(w)
 }
 
 // clockRestarted reports whether the clock in the answer to an order can't be that of the known
--- a/run/late_starts.go
+++ b/run/late_starts.go
@@ -20,7 +20,7 @@
 // given the order refuses the copy or has the run, but where the next one has the same ID it would
 // start the run again.
 func (w *worker) noteLateStart(r *runState, now time.Time) {
-	if w.startTime == 0 || !r.copyUnanswered {
+	if w.startTime == 0 || !r.startOpen {
 		return
 	}
 	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(l lateStart) bool { return now.Sub(l.orderAt) > maxOrderDelay })
--- a/run/pace.go
+++ b/run/pace.go
@@ -70,14 +70,19 @@
 // zero and sends another order.
 func (o *Owner) sendPace(w *worker, r *runState, percent int) {
 	order := tw.PaceOrder{Subtask: r.task.id, Run: r.run, Percent: percent, Fence: o.self.Fence}
-	ref := w.session.ref
-	w.session.enqueue(workOrder{
+	session := w.session
+	session.enqueue(workOrder{
 		subtask: r.task.id,
-		send:    func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Pace(ctx, ref, order) },
+		send:    func(ctx context.Context) (tw.WorkerTime, error) { return o.orders.Pace(ctx, session.ref, order) },
 		done: func(result orderResult, err error) {
 			switch {
+			case r.w != w:
+				// Its next incarnation starts runs at full pace.
+			case w.session != session:
+				r.pace = paceUnknown
+			case err == nil && !o.noteOrderAnswer(w, result.clock, result.sentAt):
+				r.pace = paceUnknown
 			case err == nil:
-				w.noteAnswer(o.now, result.clock)
 			case tw.RefusedFor(err, tw.RefusedStaleFence):
 				o.loseOwnership("a worker has a newer owner")
 			default:
--- a/run/start.go
+++ b/run/start.go
@@ -29,19 +29,22 @@
 		Deadline: w.estimateClock(o.now).Add(o.bounds.MaxHold), Fence: o.self.Fence,
 	}
 	r.sinceLastAnswer, r.resumed = o.now.Sub(w.clockAt), order.Checkpoint != ""
-	orderedAt, ref := o.now, w.session.ref
-	queued := w.session.enqueue(workOrder{
+	orderedAt, session := o.now, w.session
+	queued := session.enqueue(workOrder{
 		subtask: t.id, isStart: true,
 		repeatable: o.repeatable(r),
 		stale:      func(now time.Time) bool { return r.withdrawn.Load() || now.Sub(orderedAt) > maxStartAge },
 		send: func(ctx context.Context) (tw.WorkerTime, error) {
 			r.sent.Store(true)
-			return o.orders.Start(ctx, ref, order)
+			return o.orders.Start(ctx, session.ref, order)
 		},
 		done: func(result orderResult, err error) {
 			o.noteOrder(r, result)
-			o.startFinished(r, result)
-			o.startAnswered(r, result, err)
+			o.startFinished(w, r, result)
+			if r.w == w && w.session == session {
+				// Else nothing tells whether the next incarnation has answered.
+				o.startAnswered(r, result, err)
+			}
 		},
 	})
 	if !queued {
@@ -57,6 +60,7 @@
 	}
 	r.phase = starting
 	w.noteGrant(o.now, o.now.Add(o.maxHoldTime()))
+	r.startOpen = true
 	if r.trial {
 		o.requestPoll(w) // an open poll would report late that the worker survived the run
 	}
@@ -102,8 +106,7 @@
 }
 
 // startFinished updates the send window with the outcome of an order to start.
-func (o *Owner) startFinished(r *runState, result orderResult) {
-	w := r.w
+func (o *Owner) startFinished(w *worker, r *runState, result orderResult) {
 	if w.startsInFlight >= o.window.workerLimit(w.startLatency) || o.window.limited(o.now) {
 		o.placeRequested = true // work may have waited for this answer
 	}
@@ -131,25 +134,21 @@
 // startAnswered updates the run with the outcome of the order to start it.
 func (o *Owner) startAnswered(r *runState, result orderResult, err error) {
 	w := r.w
-	r.copyUnanswered = result.unanswered
+	r.startOpen = result.unanswered
 	w.noteLateStart(r, o.now)
 	if o.workers[w.entry.ID] != w || w.runs[w.key(r)] != r {
 		return // the run has been removed meanwhile
 	}
 	var refused *tw.OrderRefusedError
 	switch {
-	case err == nil && w.clockRestarted(result.clock, result.sentAt):
-		o.log.Info("worker: clock has restarted", zap.String("worker", string(w.entry.ID)), w.incarnationField(), zap.Stringer("subtask", r.task.id),
-			w.clockOffsetField(result.clock, o.now))
-		w.noteUncertain(o.now)
+	case err == nil && !o.noteOrderAnswer(w, result.clock, result.sentAt):
 		o.startUnconfirmed(r)
 	case err == nil:
 		o.metrics.started("started")
-		w.noteAnswer(o.now, result.clock)
 		r.noteSeen(result.clock)
 		o.confirmStart(r)
 	case errors.As(err, &refused):
-		o.startRefused(r, refused)
+		o.startRefused(r, refused, result.sentAt)
 	case errors.Is(err, errNotSent):
 		o.metrics.started("outdated")
 		o.runGone(r, "outdated")
@@ -204,12 +203,18 @@
 }
 
 // startRefused handles an order that the worker certainly did not execute.
-func (o *Owner) startRefused(r *runState, refused *tw.OrderRefusedError) {
+func (o *Owner) startRefused(r *runState, refused *tw.OrderRefusedError, sentAt time.Time) {
 	w := r.w
 	r.sent.Store(false) // so it cannot be the cause of the worker's end
 	o.metrics.started(string(refused.Reason))
 	o.logStartFailure(r, refused, w.clockOffsetField(refused.Clock, o.now))
-	w.noteAnswer(o.now, refused.Clock)
+	if refused.Reason == tw.RefusedDeadlinePassed && w.startTime != 0 {
+		// The order was not on its way for as long as a deadline lasts, so that is the time of another
+		// incarnation.
+		o.askIncarnation(w)
+	} else {
+		o.noteOrderAnswer(w, refused.Clock, sentAt)
+	}
 	switch refused.Reason {
 	case tw.RefusedStaleFence:
 		o.loseOwnership("a worker has a newer owner")
@@ -269,7 +274,9 @@
 	}
 	switch {
 	case err == nil, tw.RefusedFor(err, tw.RefusedStaleRun):
-		w.noteAnswer(o.now, result.clock)
+		if !o.noteOrderAnswer(w, result.clock, result.sentAt) {
+			return // it is ordered again
+		}
 		r.phase = stopConfirmed
 		r.firstVisiblePoll = o.pollSeq + 1
 		w.nextPoll = earlier(w.nextPoll, o.now.Add(o.bounds.StopTime/2))
--- a/run/submission.go
+++ b/run/submission.go
@@ -162,9 +162,9 @@
 		// connectionLost: the connection was closed before the start was answered.
 		sinceLastAnswer time.Duration
 		connectionLost  bool
-		// copyUnanswered: a copy of the order to start it was not answered, and may be carried
-		// out later.
-		copyUnanswered bool
+		// startOpen: the order to start it, or a copy of it, has no answer and may be carried out
+		// later.
+		startOpen bool
 		// firstSeen is the worker's clock when it first reported the run; zero before.
 		firstSeen tw.WorkerTime
 		// reported: a report of its worker has listed it. Unlike an answer to the start, a report
