Workers: late starts are kept for the next worker with the same ID

What callers would see, as the test shows: a subtask runs twice (TWICE), or a worker is filled beyond its capacity (LIMIT), seconds after it has come back under its ID. Cause: the starts that may still be carried out late were kept with the incarnation, and lost where it was removed in another way than by its next one's answer: taken for ended by the list of machines, ordered away, not listed any more, or listed with another start. Starts without any result, as their session had ended, were not among them, nor were those of a previous owner. Change: the starts under way to an ID are kept when its worker is removed, for whatever reason, and the next worker with that ID is told to refuse them when it first answers. An incarnation that has had a run refuses its order by itself and is not told. A next incarnation that answers is not taken for one that was wrongly taken for ended.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -68,7 +68,7 @@
 		unclear++
 		o.handOver(r, next)
 	}
-	o.forbidLateStarts(w.lateStarts, next)
+	o.forbidLateStarts(next)
 	o.metrics.restarted(ended, unclear)
 	o.log.Info("worker: runs of its previous incarnation", zap.String("worker", string(entry.ID)), next.incarnationField(), zap.Int("ended", ended),
 		zap.Int("unclear", unclear), zap.Int("late_starts", len(next.lateStarts)), zap.Duration("grants_left", next.grantsExpireAt.Sub(o.now)))
--- a/run/late_starts.go
+++ b/run/late_starts.go
@@ -3,19 +3,20 @@
 import (
 	"slices"
 	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
 )
 
-// lateStart is a run that was ordered several times. A copy of the order that has no answer may still
-// reach the worker.
+// lateStart is a run of which an order to start it may still reach the worker, because the order or a copy
+// of it has no answer.
 type lateStart struct {
 	key     runKey
 	orderAt time.Time
+	// refusedBy is the incarnation that refuses the order, as it has or had the run; zero if none is known
+	// to.
+	refusedBy tw.WorkerStartTime
 }
 
-// maxOrderDelay is longer than the time after which an order without an answer may still be
-// carried out.
-const maxOrderDelay = 20 * time.Second
-
 // noteLateStart remembers a run if a copy of its start may still come. The incarnation that was
 // given the order refuses the copy or has the run, but where the next one has the same ID it would
 // start the run again.
@@ -23,31 +24,47 @@
 	if w.startTime == 0 || !r.startOpen {
 		return
 	}
-	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(l lateStart) bool { return now.Sub(l.orderAt) > maxOrderDelay })
-	w.lateStarts = append(w.lateStarts, lateStart{key: w.key(r), orderAt: r.startedAt})
+	w.lateStarts = append(recentStarts(w.lateStarts, now), lateStart{key: w.key(r), orderAt: r.startedAt})
 }
 
-// startsUnderWay returns the runs that orders may still start on a worker of which the end is not proven.
-func (w *worker) startsUnderWay() []lateStart {
-	out := slices.Clone(w.lateStarts)
+// recentStarts returns the starts that may still come.
+func recentStarts(starts []lateStart, now time.Time) []lateStart {
+	return slices.DeleteFunc(starts, func(l lateStart) bool { return now.Sub(l.orderAt) > maxOrderDelay })
+}
+
+// startsUnderWay returns the runs that orders may still start on a worker with the ID of this one. Of runs that
+// a previous owner has ordered it is not known whether a copy of the order is under way.
+func (w *worker) startsUnderWay(now time.Time) []lateStart {
+	var out []lateStart
+	for _, l := range w.lateStarts {
+		if r := w.runs[l.key]; r == nil || r.reported {
+			l.refusedBy = w.startTime
+		}
+		out = append(out, l)
+	}
+	out = append(out, w.unforbidden...)
 	for key, r := range w.runs {
-		if r.sent.Load() && r.firstSeen == 0 {
-			out = append(out, lateStart{key: key, orderAt: r.startedAt})
+		ordered := r.sent.Load() && (r.startOpen || r.pending == nil)
+		if !ordered || r.reported && w.startTime == 0 || slices.ContainsFunc(out, func(l lateStart) bool { return l.key == key }) {
+			continue
+		}
+		l := lateStart{key: key, orderAt: r.startedAt}
+		if r.reported {
+			l.refusedBy = w.startTime
 		}
+		out = append(out, l)
 	}
-	return out
+	return recentStarts(out, now)
 }
 
-// forbidLateStarts stops, in advance, the runs that late orders could start on a worker: the next
-// incarnation, or one that was wrongly taken for ended. Those that are still expected to run are not
-// among them.
-func (o *Owner) forbidLateStarts(late []lateStart, w *worker) {
+// forbidLateStarts stops, in advance, the runs that late orders could start on a worker that has answered: the
+// next incarnation, or one that was wrongly taken for ended.
+func (o *Owner) forbidLateStarts(w *worker) {
+	late := recentStarts(w.unforbidden, o.now)
+	w.unforbidden = nil
 	for _, l := range late {
-		if o.now.Sub(l.orderAt) > maxOrderDelay {
-			continue
-		}
 		w.lateStarts = append(w.lateStarts, l)
-		if w.runs[l.key] != nil {
+		if w.runs[l.key] != nil || l.refusedBy != 0 && l.refusedBy == w.startTime {
 			continue
 		}
 		t := orphanTask(l.key.task, o.submissions[l.key.task.Submission])
--- a/run/poll.go
+++ b/run/poll.go
@@ -177,6 +177,7 @@
 	if first {
 		o.noteAlive(w, len(result.report.Running))
 		o.resolvePrecountedOn(w)
+		o.forbidLateStarts(w)
 		o.log.Info("worker: answers", zap.String("worker", string(w.entry.ID)),
 			zap.Int("running", len(result.report.Running)), zap.Int("ended", len(result.report.Ended)))
 	}
--- a/run/termination.go
+++ b/run/termination.go
@@ -65,8 +65,6 @@
 	// end is why it was taken for ended, runs how many runs were given up with it.
 	end  termination
 	runs int
-	// lateStarts are the runs that it may still start, if it lives.
-	lateStarts []lateStart
 	// askAt is when it is asked whether it has ended, unless that is proven, and askDelay the pause
 	// before that.
 	askAt    time.Time
@@ -266,7 +264,7 @@
 func (o *Owner) noteTerminated(w *worker, end termination) {
 	record := terminatedWorker{
 		since: o.now, seenAt: o.now, startTime: w.startTime, address: w.entry.Address, answered: w.hasAnswered(),
-		end: end, runs: len(w.runs), lateStarts: w.startsUnderWay(), askDelay: minEndAskDelay,
+		end: end, runs: len(w.runs), askDelay: minEndAskDelay,
 	}
 	if record.startTime == 0 {
 		record.startTime = w.entry.StartTime
@@ -307,11 +305,14 @@
 	if w.presumedEnd == nil {
 		return
 	}
+	if previous := w.presumedEnd.startTime; previous != 0 && w.startTime != previous {
+		w.presumedEnd = nil
+		return // the next incarnation has answered
+	}
 	o.metrics.wronglyEnded.Inc()
 	o.log.Warn("worker: lives though it was taken for ended", zap.String("worker", string(w.entry.ID)),
 		zap.String("why", w.presumedEnd.end.reason), zap.Duration("since", o.now.Sub(w.presumedEnd.since)),
 		zap.Int("runs_given_up", w.presumedEnd.runs), zap.Int("running", running))
-	o.forbidLateStarts(w.presumedEnd.lateStarts, w)
 	w.presumedEnd = nil
 }
 
--- a/run/under_way.go
+++ b/run/under_way.go
@@ -12,13 +12,18 @@
 
 // ordersUnderWay are the orders to a worker that was removed which may still be carried out.
 type ordersUnderWay struct {
+	starts []lateStart
 	// grantedAt is when an order that extends the deadline of runs was last sent.
 	grantedAt time.Time
 }
 
+// maxOrderDelay is longer than the time after which an order without an answer may still be
+// carried out.
+const maxOrderDelay = 20 * time.Second
+
 // keepOrdersUnderWay keeps what is under way to a removed worker for the next one with its ID.
 func (o *Owner) keepOrdersUnderWay(w *worker) {
-	o.underWay[w.entry.ID] = ordersUnderWay{grantedAt: w.grantedAt}
+	o.underWay[w.entry.ID] = ordersUnderWay{starts: w.startsUnderWay(o.now), grantedAt: w.grantedAt}
 }
 
 // takeOrdersUnderWay returns what is under way to a worker that is added.
--- a/run/worker.go
+++ b/run/worker.go
@@ -48,8 +48,9 @@
 		mayHaveInheritedRuns bool
 		inheritedExpireAt    time.Time
 
-		// lateStarts are the runs of which an order may still come after it was answered.
-		lateStarts []lateStart
+		// lateStarts are the runs of which an order may still come although they have ended, or will
+		// be stopped if they start. unforbidden are those that the worker is still to be told of.
+		lateStarts, unforbidden []lateStart
 
 		// runs are changed by add and remove only, which update the tally.
 		runs  map[runKey]*runState
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -226,7 +226,8 @@
 		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(), usage: o.caps.usage,
 		// The previous owner may have extended runs there until its permit expired. Workers
 		// that really are new answer their first poll at once, so this costs nothing.
-		grantedAt: later(o.takeoverAt.Add(permitTTL), underWay.grantedAt),
+		grantedAt:   later(o.takeoverAt.Add(permitTTL), underWay.grantedAt),
+		unforbidden: underWay.starts,
 	}
 	w.inheritedExpireAt = o.takeoverAt.Add(permitTTL + o.maxHoldTime())
 	w.mayHaveInheritedRuns = o.now.Before(w.inheritedExpireAt)
