Workers: none is dropped while the store does not answer

A worker that is not listed is dropped once the store has been reachable for 2.5 s. While it does not answer, that time is zero and its age 292 years, so that workers went, and what is under way to them with them, exactly then. Change: a zero time counts as not reachable.

--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -309,7 +309,8 @@
 // canRemove reports whether an unlisted worker can be removed: its entry has been missing for long
 // enough, no runs can be on it, and its ends are acknowledged or it does not answer.
 func (o *Owner) canRemove(w *worker) bool {
-	missing := o.now.Sub(w.missingSince) > missingTimeout && o.now.Sub(o.storeReachableSince) > missingTimeout
+	reachable := !o.storeReachableSince.IsZero() && o.now.Sub(o.storeReachableSince) > missingTimeout
+	missing := reachable && o.now.Sub(w.missingSince) > missingTimeout
 	if !missing || len(w.runs) > 0 || w.mayHaveInheritedRuns {
 		return false
 	}
