--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -111,10 +111,10 @@
 		bootedAt time.Time
 		// bootClock is the reading of its clock at its start.
 		bootClock tw.WorkerTime
-		fence    tw.FencingToken
-		deadline time.Time
-		runs     map[tw.SubtaskID]*simRun
-		ended    []tw.EndedSubtask
+		fence     tw.FencingToken
+		deadline  time.Time
+		runs      map[tw.SubtaskID]*simRun
+		ended     []tw.EndedSubtask
 		// restartedAfter holds the sequence numbers of those ends with tw.EndDone after
 		// which the subtask was started again.
 		restartedAfter map[int64]bool
