Workers: a poll that a worker refuses for its deadline is repeated without one

Cause: a deadline in a poll is computed from the clock of the known incarnation. If the clock of the next one is far ahead, it refuses the poll as late, which counted as an answer: the same poll was sent again at once, without end. Change: such a refusal has the worker asked by a poll that grants nothing.

--- a/run/poll.go
+++ b/run/poll.go
@@ -226,6 +226,9 @@
 	case tw.RefusedFor(err, tw.RefusedStaleFence):
 		o.loseOwnership("a worker has a newer owner")
 		return
+	case tw.RefusedFor(err, tw.RefusedDeadlinePassed):
+		o.askIncarnation(w) // by a poll that grants nothing
+		return
 	}
 	if result.lost {
 		return // a later call was answered
