Workers: a start under way is not repeated elsewhere before its worker may have come back

What callers would see: a subtask runs twice, as its worker is taken for ended because the list of machines shows the machine as down, comes back under its ID within seconds and carries out a start without an answer before it can be told not to (TWICE). Cause: the list of machines is no proof where IDs are used again; the runs of a presumed end were given up at once, also those of which the order to start them may still be carried out. Test: TestStartWaitsForAWorkerThatMayComeBack, red before in two of its four cases. Change: where IDs are used again, a run with an open order is kept for the next worker with the ID for 4 s, and that worker is asked every 0.3 s meanwhile; it is handed over when one is added, or given up then. Crashes are not counted again for a worker that has not answered.

--- a/run/restart_starts_test.go
+++ b/run/restart_starts_test.go
@@ -242,3 +242,34 @@
 		})
 	}
 }
+
+// TestStartWaitsForAWorkerThatMayComeBack guards against a subtask that runs twice, as its worker comes back under its ID
+// and carries out an old start before it can be told not to. Work of a worker that stays away must not wait long.
+func TestStartWaitsForAWorkerThatMayComeBack(t *testing.T) {
+	cases := map[string]struct {
+		late, down time.Duration
+		gone       bool
+	}{
+		"carried out as soon as it is back":   {late: 2550 * time.Millisecond, down: 2500 * time.Millisecond},
+		"carried out before its entry is new": {late: 3 * time.Second, down: 2500 * time.Millisecond},
+		"back at once":                        {late: 700 * time.Millisecond, down: 600 * time.Millisecond},
+		"lost for good":                       {late: 3 * time.Second, gone: true},
+	}
+	for name, c := range cases {
+		runCase(t, name, 1, func(r *rig) {
+			w := r.crashAfterOrder(c.late)
+			w.listAsDown()
+			crashed := time.Now()
+			if !c.gone {
+				time.Sleep(c.down)
+				entry := w.restart(0)
+				time.Sleep(1500 * time.Millisecond)
+				w.listAsRunning(entry)
+				w.relistWorker(w.owner, entry)
+			}
+			r.Eventually(func() int { return r.fleet.SubtaskRuns(subtask("s1", 0, 0)) }, 10*time.Second, 10*time.Millisecond).Should(Equal(1))
+			r.Expect(time.Since(crashed)).To(BeNumerically("<", 6500*time.Millisecond))
+			r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+		})
+	}
+}
--- a/run/submission.go
+++ b/run/submission.go
@@ -165,6 +165,9 @@
 		// startOpen: the order to start it, or a copy of it, has no answer and may be carried out
 		// later.
 		startOpen bool
+		// doubtUntil is until when it is expected to be started by the next worker with the ID of its
+		// own, which is taken for ended; zero if that was never so.
+		doubtUntil time.Time
 		// firstSeen is the worker's clock when it first reported the run; zero before.
 		firstSeen tw.WorkerTime
 		// reported: a report of its worker has listed it. Unlike an answer to the start, a report
--- a/run/termination.go
+++ b/run/termination.go
@@ -252,10 +252,14 @@
 func (o *Owner) removeTerminated(w *worker, end termination) {
 	o.noteTerminated(w, end)
 	o.removeWorker(w, end.reason)
-	if !end.planned {
-		o.attributeCrash(w, end.replaced)
+	if !end.planned && !w.knownSince.IsZero() {
+		o.attributeCrash(w, end.replaced) // else its runs were counted with its previous incarnation
 	}
 	for _, r := range w.runs {
+		if o.mayStartOnReturn(r, end) {
+			o.keepInDoubt(r)
+			continue
+		}
 		o.runGone(r, "its worker has ended")
 	}
 }
@@ -272,6 +276,9 @@
 	if w.presumedEnd != nil {
 		record.askDelay = min(2*w.presumedEnd.askDelay, maxEndAskDelay)
 	}
+	if len(w.startsUnderWay(o.now)) > 0 {
+		record.askDelay = pollRetryDelay // the sooner it is told what not to start, the better
+	}
 	record.askAt = o.now.Add(record.askDelay)
 	o.terminated[w.entry.ID] = record
 }
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -244,6 +244,9 @@
 	o.markDuplicates(w)
 	o.log.Info("worker: listed", zap.String("worker", string(entry.ID)), zap.String("instance", string(entry.Instance)),
 		zap.String("rack", string(entry.Rack())), zap.Int64("cpu", int64(entry.Capacity.CPU)))
+	for _, r := range underWay.runs {
+		o.handOver(r, w)
+	}
 	return w
 }
 
@@ -276,6 +279,7 @@
 		next = o.now.Add(minRefreshInterval / 4)
 	}
 	next = earlier(earlier(next, o.askPresumedEnded()), o.addListedElsewhere())
+	next = earlier(next, o.endDoubts())
 	silent := 0
 	for _, w := range o.workers {
 		if w.silent() {
