--- a/run/owner.go
+++ b/run/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,10 +33,12 @@
 	// evacuations returns the evacuated halls known to the daemon; never nil.
 	evacuations func() *tw.Evacuations
 
-	events   chan func()
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     chan struct{}
+	events chan func()
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	// sessions counts those that have not ended, also of workers that were removed.
+	sessions sync.WaitGroup
 	permit   permit
 	refusals refusals
 	// orderTimeout bounds the time of each order, hedge is the time after which it is sent
@@ -343,9 +346,7 @@
 	for _, w := range o.workers {
 		w.session.close()
 	}
-	for _, w := range o.workers {
-		<-w.session.done
-	}
+	o.sessions.Wait()
 	o.writer.close()
 	o.caps.close()
 	o.advisor.close()
--- a/run/session.go
+++ b/run/session.go
@@ -112,18 +112,17 @@
 	s := &session{
 		ref: ref, orders: o.orders, clock: o.clock, permit: &o.permit, orderTimeout: &o.orderTimeout, hedge: &o.hedge, loss: &o.loss,
 		copiesSent: o.metrics.copies, events: o.events, cancel: cancel,
-		polls: make(chan pollRequest, maxOpenPolls), work: make(chan workOrder, sessionQueueSize), stops: make(chan workOrder, stopQueueSize), done: make(chan struct{}),
+		polls: make(chan pollRequest, maxOpenPolls), work: make(chan workOrder, sessionQueueSize), stops: make(chan workOrder, stopQueueSize),
 	}
 	pollLoopDone := make(chan struct{})
 	go func() {
 		defer close(pollLoopDone)
 		s.pollLoop(ctx)
 	}()
-	go func() {
-		defer close(s.done)
+	o.sessions.Go(func() {
 		s.orderLoop(ctx)
 		<-pollLoopDone
-	}()
+	})
 	return s
 }
 
