--- a/run/termination.go
+++ b/run/termination.go
@@ -276,9 +276,6 @@
 	if w.presumedEnd != nil {
 		record.askDelay = min(2*w.presumedEnd.askDelay, maxEndAskDelay)
 	}
-	if len(w.startsUnderWay(o.now)) > 0 {
-		record.askDelay = pollRetryDelay // the sooner it is told what not to start, the better
-	}
 	record.askAt = o.now.Add(record.askDelay)
 	o.terminated[w.entry.ID] = record
 }
--- a/run/under_way.go
+++ b/run/under_way.go
@@ -46,6 +46,10 @@
 	underWay := o.underWay[r.w.entry.ID]
 	underWay.runs = append(underWay.runs, r)
 	o.underWay[r.w.entry.ID] = underWay
+	if record, ended := o.terminated[r.w.entry.ID]; ended {
+		record.askAt = o.now.Add(pollRetryDelay) // the sooner it is told what not to start, the better
+		o.terminated[r.w.entry.ID] = record
+	}
 	o.log.Info("run: in doubt, its worker may come back", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(r.w.entry.ID)), r.w.incarnationField(), zap.Stringer("phase", r.phase),
 		zap.Duration("since_start", o.now.Sub(r.startedAt)), zap.Duration("for", r.doubtUntil.Sub(o.now)))
