--- a/run/session.go
+++ b/run/session.go
@@ -31,7 +31,6 @@
 		work, stops  chan workOrder
 		events       chan<- func()
 		cancel       context.CancelFunc
-		done         chan struct{}
 		// silence tells lost answers from a worker that does not answer.
 		silence silence
 		// gate bounds the orders of work that are sent at the same time, stopGate the stops.
