run: fillers paused by the previous owner work again under the next one

What callers saw: a filler that its owner had paused for a serving subtask stayed paused for good after the pool had changed hands, also when the tail latency had become low: it did no work.

Cause: an owner took each run that it found for one at full pace, so that no order to speed up was ever due. The pace is not in the workers' reports.

Evidence: TestPaceOfPreviousOwner, red before (pace 0 after 15 s where 100 is asked).

Change: the pace of a run that another owner has started is unknown. The filler is set to full pace once the tail latency is low, paused if it is high and left alone between. It costs one order for each filler after a takeover.

--- a/run/pace.go
+++ b/run/pace.go
@@ -53,6 +53,10 @@
 		if pace < minPace {
 			pace = 0
 		}
+	case filler.pace == paceInherited && worstRatio >= tailLowWater:
+		return // it is neither to be slowed nor to speed up, whatever its pace is
+	case filler.pace == paceInherited:
+		pace = fullPace
 	case worstRatio < tailLowWater:
 		pace = min(fullPace, pace+paceIncrease)
 	}
@@ -87,5 +91,10 @@
 	})
 }
 
-// paceUnknown differs from every pace, so that the next adjustment sends an order.
-const paceUnknown = -1
+const (
+	// paceUnknown differs from every pace, so that the next adjustment sends an order.
+	paceUnknown = -1
+	// paceInherited is the pace of a run that another owner has started. Most fillers work at full
+	// pace, so it is not raised step by step.
+	paceInherited = -2
+)
--- a/run/pace_test.go
+++ b/run/pace_test.go
@@ -9,6 +9,7 @@
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
+	"github.com/tamarindworks/tamarindworks/run"
 )
 
 const (
@@ -77,3 +78,40 @@
 	}
 	return longest
 }
+
+// startPaced starts a serving subtask and a filler that raises its tail latency over the target, and waits
+// until the filler is paused.
+func (r *rig) startPaced(o *run.Owner) {
+	r.fleet.UpdateWorker(workerID(0), func(w *standin.SimWorker) {
+		w.TailLatency, w.FillerInterference = 50*time.Millisecond, 2*time.Second
+	})
+	serving := longRunning("serving", 1)
+	serving.Steps[0].TailTarget = tailTarget
+	r.submit(o, serving)
+	filler := submission("filler", 1)
+	filler.Steps[0].Filler, filler.Steps[0].Estimate = true, time.Hour
+	r.submit(o, filler)
+	r.Eventually(r.fillerPace, time.Second, 10*time.Millisecond).Should(Equal(100))
+	r.Eventually(r.fillerPace, 5*time.Second, 50*time.Millisecond).Should(BeZero())
+}
+
+func (r *rig) fillerPace() int {
+	_, pace := r.fleet.TailLatencyOn(workerID(0))
+	return pace
+}
+
+// TestPaceOfPreviousOwner checks that a filler that was paused by the previous owner works again under the
+// next one, which does not know its pace.
+func TestPaceOfPreviousOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.end()
+		o := r.newOwner("a")
+		r.startPaced(o)
+		o.Close()
+		r.fleet.UpdateWorker(workerID(0), func(w *standin.SimWorker) { w.TailLatency, w.FillerInterference = 0, 0 })
+		r.newOwner("b")
+		r.Eventually(r.fillerPace, 15*time.Second, 100*time.Millisecond).Should(Equal(100))
+		r.expectNoViolations()
+	})
+}
--- a/run/poll.go
+++ b/run/poll.go
@@ -288,7 +288,7 @@
 
 // adopt adds a run of a previous owner, or one whose start was given up.
 func (o *Owner) adopt(w *worker, listed tw.RunningSubtask) *runState {
-	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, progressAt: o.now, pace: fullPace}
+	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, progressAt: o.now, pace: paceInherited}
 	var t *task
 	if sub := o.submissions[listed.Subtask.Submission]; sub != nil {
 		t = o.taskOf(sub, listed.Subtask)
