run: a filler that a late order starts on the next incarnation is slowed there

A filler that was paused on a worker that restarted, and that a late copy of its order started on the next incarnation, worked there at full pace without being slowed again: the tail latency of the subtask beside it stayed over its target.

Cause: the run is handed to the next incarnation with its pace, zero, so that no order to pause it was due. A run starts at full pace.

Evidence: TestPaceOnNextIncarnation, red before (over the target for all of the 20 s watched, where less than 4 s are asked).

--- a/run/pace_test.go
+++ b/run/pace_test.go
@@ -1,10 +1,12 @@
 package run_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
@@ -115,3 +117,43 @@
 		r.expectNoViolations()
 	})
 }
+
+// lateCopies executes the starts of fillers without answering them, and once more on request.
+type lateCopies struct {
+	*standin.Fleet
+	filler tw.SubmissionID
+	to     tw.WorkerRef
+	order  tw.StartOrder
+}
+
+func (l *lateCopies) Start(ctx context.Context, to tw.WorkerRef, order tw.StartOrder) (tw.WorkerTime, error) {
+	clock, err := l.Fleet.Start(ctx, to, order)
+	if order.Subtask.Submission != l.filler {
+		return clock, err
+	}
+	l.to, l.order = to, order
+	<-ctx.Done()
+	return 0, errors.Wrap(tw.ErrAmbiguous, ctx.Err().Error())
+}
+
+// TestPaceOnNextIncarnation checks that a filler that a late order has started on the next incarnation of
+// its worker, at full pace, is slowed there like any other one.
+func TestPaceOnNextIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.end()
+		r.setStartTimes()
+		orders := &lateCopies{Fleet: r.fleet, filler: "filler"}
+		o := r.newOwnerWith("a", r.kv, orders)
+		r.startPaced(o)
+		entry := r.restart(0)
+		r.fleet.UpdateWorker(workerID(0), func(w *standin.SimWorker) {
+			w.TailLatency, w.FillerInterference = 50*time.Millisecond, 2*time.Second
+		})
+		_, err := r.fleet.Start(r.ctx, orders.to, orders.order)
+		r.Expect(err).NotTo(HaveOccurred())
+		r.relistWorker(o, entry)
+		r.Expect(r.longestOverTarget(20 * time.Second)).To(BeNumerically("<", maxOverTarget))
+		r.expectNoViolations()
+	})
+}
