run: tickets of a worker's previous incarnation are not used for the next one

What callers saw: after a worker had restarted under its ID, starts on queues with advice were refused there for their tickets. The first refusal dropped the advice on all workers of the step, so that its other subtasks waited for it too. Each such start has its price.

Cause: tickets and answered requests were kept by the worker's ID. A ticket is valid for one incarnation.

Evidence: TestTicketsOfPreviousIncarnations, red before (4 starts refused, none allowed).

Change: both carry the start time of the worker that was asked about. Advice on one that has restarted is requested again, that on the others is kept.

--- a/run/advice.go
+++ b/run/advice.go
@@ -26,20 +26,29 @@
 		inFlight    bool
 		requestedAt time.Time
 		tickets     map[tw.WorkerID]ticket
-		// answered holds, for each worker, when the last answered request that named it was sent.
-		answered map[tw.WorkerID]time.Time
+		// answered holds, for each worker, the last answered request that named it.
+		answered map[tw.WorkerID]answeredAdvice
 	}
 
-	// ticket permits starts of the step on one worker until it expires.
+	// ticket permits starts of the step on one incarnation of a worker until it expires.
 	ticket struct {
 		text      string
+		startTime tw.WorkerStartTime
 		expiresAt time.Time
 	}
 
+	// answeredAdvice is when advice on a worker was requested, and on which incarnation.
+	answeredAdvice struct {
+		sentAt    time.Time
+		startTime tw.WorkerStartTime
+	}
+
 	adviceRequest struct {
 		st      *step
 		id      tw.SubtaskID
 		workers []tw.WorkerID
+		// startTimes are those of the workers, in the same order.
+		startTimes []tw.WorkerStartTime
 		// timeout is the time within which the service answers.
 		timeout time.Duration
 	}
@@ -96,12 +105,13 @@
 // there is no valid answer. known is false while no worker has a valid ticket.
 func (a *advisorClient) allowed(st *step) (allowed map[tw.WorkerID]bool, known bool) {
 	if st.advice == nil {
-		st.advice = &stepAdvice{tickets: map[tw.WorkerID]ticket{}, answered: map[tw.WorkerID]time.Time{}}
+		st.advice = &stepAdvice{tickets: map[tw.WorkerID]ticket{}, answered: map[tw.WorkerID]answeredAdvice{}}
 	}
 	now := a.o.now
 	allowed = map[tw.WorkerID]bool{}
 	for id, t := range st.advice.tickets {
-		if now.Add(ticketMargin).Before(t.expiresAt) {
+		w := a.o.workers[id]
+		if w != nil && w.startTime == t.startTime && now.Add(ticketMargin).Before(t.expiresAt) {
 			allowed[id] = true
 		}
 	}
@@ -119,8 +129,9 @@
 	}
 	var uncovered []*worker
 	for id, w := range a.o.workers {
-		at, covered := st.advice.answered[id]
-		if w.usable(now) && (!covered || now.Sub(at) > valid-ticketMargin) {
+		last, answered := st.advice.answered[id]
+		covered := answered && last.startTime == w.startTime && now.Sub(last.sentAt) <= valid-ticketMargin
+		if w.usable(now) && !covered {
 			uncovered = append(uncovered, w)
 		}
 	}
@@ -129,13 +140,14 @@
 	}
 	slices.SortFunc(uncovered, func(x, y *worker) int { return int(y.free().CPU - x.free().CPU) })
 	var ids []tw.WorkerID
+	var startTimes []tw.WorkerStartTime
 	for _, w := range uncovered[:min(len(uncovered), maxAdviceWorkers)] {
-		ids = append(ids, w.entry.ID)
+		ids, startTimes = append(ids, w.entry.ID), append(startTimes, w.startTime)
 	}
 	id := st.tasks[0].id
 	timeout := policy.Decide + time.Duration(len(ids))*policy.Each + adviceMargin
 	select {
-	case a.requests <- adviceRequest{st: st, id: id, workers: ids, timeout: timeout}:
+	case a.requests <- adviceRequest{st: st, id: id, workers: ids, startTimes: startTimes, timeout: timeout}:
 		st.advice.inFlight = true
 		st.advice.requestedAt = now
 	default: // the next placement pass requests it again
@@ -149,12 +161,12 @@
 		a.o.log.Warn("advice: request failed", zap.Stringer("step", request.id), logsink.Err(err))
 		return
 	}
-	for _, id := range request.workers {
-		state.answered[id] = sent
+	for n, id := range request.workers {
+		state.answered[id] = answeredAdvice{sentAt: sent, startTime: request.startTimes[n]}
 		delete(state.tickets, id)
-	}
-	for id, text := range advice.Tickets {
-		state.tickets[id] = ticket{text: text, expiresAt: sent.Add(advice.Valid)}
+		if text, allowed := advice.Tickets[id]; allowed {
+			state.tickets[id] = ticket{text: text, startTime: request.startTimes[n], expiresAt: sent.Add(advice.Valid)}
+		}
 	}
 	a.o.log.Info("advice: received", zap.Stringer("step", request.id), zap.Int("asked", len(request.workers)),
 		zap.Int("allowed", len(advice.Tickets)), zap.Duration("took", a.o.now.Sub(sent)))
