maintenance: a machine that the former manager may have ordered away takes no work

What callers saw: work was placed on a machine for which a maintenance order of the former manager had no answer. When the order was carried out seconds later, all that ran there died; for subtasks that last that may be one too many away at once (AVAIL).

Cause: a manager adopts such orders without the pool of the machine, so the request to vacate it went to no owner.

Evidence: TestTakeoverKeepsMachinesVacated, red before (nothing to be vacated under the next manager).

Change: the pool of such a machine is taken from the list of machines.

--- a/maintenance/collect.go
+++ b/maintenance/collect.go
@@ -69,7 +69,8 @@
 		d.Vacate = append(d.Vacate, id)
 		out[pool] = d
 	}
-	if list := m.MachineCache.Latest(); list != nil {
+	list := m.MachineCache.Latest()
+	if list != nil {
 		for id := range m.vacating {
 			vacate(list.Machines[id].Pool, id)
 		}
@@ -79,7 +80,12 @@
 	// The machine of an order may go down or leave its pool before the lists show this, so the
 	// owner must place no work there in the meantime.
 	for id, order := range m.ordered {
-		vacate(order.From, id)
+		switch {
+		case order.From != "":
+			vacate(order.From, id)
+		case list != nil: // ordered by a former manager
+			vacate(list.Machines[id].Pool, id)
+		}
 	}
 	for id, worker := range m.ended {
 		if m.Clock.Now().Sub(worker.at) > endedNoticeTime {
