maintenance: the time of a wave counts on when its manager changes

What callers saw: a wave was late, which is a duty missed, when the manager of the machines had changed while it was carried out: machines with subtasks that last were left alone for too long.

Cause: each manager counted the time of a wave from when it first saw it itself.

Evidence: TestTakeoverKeepsWaveTime, red before (the machine is vacated 25.2 s after the request, where less than 20 s are asked).

Change: the record of a wave's progress keeps when it was first seen. A record without that, of an older version, counts as before.

--- a/ledger/records.go
+++ b/ledger/records.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	tw "github.com/tamarindworks/tamarindworks"
 )
@@ -125,6 +126,9 @@
 		// Pending lists the machines whose maintenance was ordered, or was about to be,
 		// without a recorded answer.
 		Pending []tw.InstanceID `json:"given,omitempty"`
+		// FirstSeen is when a manager first saw the wave, from which its time counts; zero if it is not
+		// recorded.
+		FirstSeen time.Time `json:"firstSeen,omitzero"`
 	}
 
 	// Bitset is a set of small non-negative integers.
--- a/maintenance/manager.go
+++ b/maintenance/manager.go
@@ -230,6 +230,9 @@
 		return err
 	}
 	w := &Wave{MaintenanceWave: wave, FirstSeen: m.Clock.Now(), Done: map[tw.InstanceID]bool{}, Finished: progress.Finished}
+	if seen := progress.FirstSeen; !seen.IsZero() {
+		w.FirstSeen = earlier(seen, w.FirstSeen) // the clock of the former manager may be ahead
+	}
 	for _, id := range progress.Done {
 		w.Done[id] = true
 	}
--- a/maintenance/succession_test.go
+++ b/maintenance/succession_test.go
@@ -44,3 +44,27 @@
 		o.expectOneDownAtATime()
 	})
 }
+
+// TestTakeoverKeepsWaveTime guards against a manager that counts the time of a wave from its own start: a wave
+// whose managers change would be late.
+func TestTakeoverKeepsWaveTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newFixture(t)
+		defer o.machineCache.Close()
+		for _, id := range []tw.InstanceID{"m1", "m2", "m3"} {
+			o.addMachine(id, 1)
+		}
+		// Machines with long-running subtasks are not vacated before the wave is behind its time.
+		o.owners.loads["p"][0].LongRunning = 1
+		o.addWave("m1")
+		began := time.Now()
+		a := o.startManager("a")
+		time.Sleep(10 * time.Second)
+		a.Close()
+		o.Expect(o.vacated()).To(BeEmpty())
+		b := o.startManager("b")
+		defer b.Close()
+		o.Eventually(o.vacated, 20*time.Second, 50*time.Millisecond).Should(ConsistOf(tw.InstanceID("m1")))
+		o.Expect(time.Since(began)).To(BeNumerically("<", 20*time.Second))
+	})
+}
--- a/maintenance/waves.go
+++ b/maintenance/waves.go
@@ -55,7 +55,7 @@
 			pending[order.Machine] = true
 		}
 	}
-	return ledger.WaveProgress{Done: slices.Sorted(maps.Keys(w.Done)), Pending: slices.Sorted(maps.Keys(pending))}
+	return ledger.WaveProgress{Done: slices.Sorted(maps.Keys(w.Done)), Pending: slices.Sorted(maps.Keys(pending)), FirstSeen: w.FirstSeen}
 }
 
 // adoptPending adds to m.ordered the orders that a former manager may have issued, as they may be
