member: pings that a former process refused say nothing of the owner after a restart

What callers saw: a pool could change hands twice after a short restart of its owner: the restarted daemon took it again and another one took it from there at once, so that it had no owner for two takeovers instead of one.

Cause: refused connections are counted by address. The count of the former process was used for the ownership that the next process at this address had just recorded.

Evidence: TestRestartedOwnerKeepsItsPool, red before (taken, "its owner's process is gone").

Change: a new ownership begins with no refused pings.

--- a/member/members.go
+++ b/member/members.go
@@ -235,6 +235,9 @@
 		m.config.Log.Info("member: pool has an owner", zap.String("pool", string(o.Pool)),
 			zap.String("daemon", string(o.Daemon)), zap.Int64("fence", int64(o.Fence)))
 		delete(m.orphanedAt, o.Pool)
+		if state := m.pingStates[o.Address]; state != nil {
+			state.refusedInRow = 0 // those refused by a former process say nothing of this one
+		}
 	}
 	m.owners[o.Pool] = o
 }
--- a/member/succession_test.go
+++ b/member/succession_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// TestRestartedOwnerKeepsItsPool guards against a pool that is taken from a daemon that has just taken it again
+// after a restart: pings that its former process refused say nothing of the new one.
+func TestRestartedOwnerKeepsItsPool(t *testing.T) {
+	g := NewWithT(t)
+	clock := fakeclock.New()
+	m := newTestMembers(clock)
+	m.pingStates["a:1"].refusedInRow = refusalsUntilDown
+	m.live["a"] = DaemonRecord{Daemon: "a", Incarnation: 2, Address: "a:1", Cores: 1}
+	m.RecordOwner(ledger.Owner{Pool: "p", Daemon: "a", Address: "a:1", Incarnation: 2, Fence: 5})
+	g.Expect(m.takeoversDue(clock.Now())).To(BeEmpty())
+	clock.Advance(2 * candidateDelay)
+	g.Expect(m.takeoversDue(clock.Now())).To(BeEmpty())
+	m.pingStates["a:1"].refusedInRow = refusalsUntilDown
+	m.takeoversDue(clock.Now())
+	clock.Advance(2 * candidateDelay)
+	g.Expect(m.takeoversDue(clock.Now())).NotTo(BeEmpty())
+}
+
 func TestCandidatesByCores(t *testing.T) {
 	g := NewWithT(t)
 	clock := fakeclock.New()
