run: a worker that answers at another address is called there

What callers saw: accepted work waited though its worker was up: it had restarted at another address, and again before its entry was written. Until then it was called at the address where nobody listens any more.

Cause: the next incarnation was given the entry of the previous one, with its address, unless the listed entry was of the very incarnation that had answered.

Evidence: TestDisputedAddress, red before (the submission waits for the 8 s watched).

Change: an incarnation that answers at the address of a listed entry is used with that entry.

--- a/run/dispute.go
+++ b/run/dispute.go
@@ -126,7 +126,9 @@
 	case result.err != nil || startTime == 0 || startTime == w.startTime:
 		// It shows no other incarnation.
 	case sentAt.After(w.polledAt):
-		o.replaceIncarnation(w, w.nextEntry(startTime))
+		entry := w.dispute.entry // it answers at the address of that entry, also if it is a later one
+		entry.StartTime = startTime
+		o.replaceIncarnation(w, entry)
 	}
 }
 
