run: an idle worker is polled while an old order may still start something on its next incarnation

What callers saw: TWICE. A start got no answer, was revoked on its worker and made elsewhere. The worker, which ran nothing else, started again under its ID and was then given the old order: its new incarnation knows nothing of the stop, and the subtask ran twice.

Cause: the next incarnation is told what not to start as soon as a restart is noticed, but an idle worker is not called, so that only its entry tells. That comes late, or not at all while the store is cut off.

Change: a worker without runs on which an order may still be carried out has a poll open.

--- a/run/poll.go
+++ b/run/poll.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,11 @@
 	if w.pollRequested() && w.tally.trials == 0 {
 		return w.nextPoll, false, true
 	}
+	if len(w.runs) == 0 && w.ackedEnd >= w.seenEnd && w.mayStartLate(o.now) {
+		// If it starts again, the next incarnation must be told at once what it is not to start. A
+		// poll that waits is interrupted then, while one that is sent later waits there.
+		return w.polledAt, true, true
+	}
 	if len(w.runs) == 0 {
 		return w.polledAt.Add(ackEndsDelay), false, w.ackedEnd < w.recordedEnd
 	}
@@ -77,6 +83,11 @@
 	return false
 }
 
+// mayStartLate reports whether an order may still be carried out by the next incarnation of the worker.
+func (w *worker) mayStartLate(now time.Time) bool {
+	return slices.ContainsFunc(w.lateStarts, func(l lateStart) bool { return now.Sub(l.orderAt) <= maxOrderDelay })
+}
+
 // pollWait returns how long a worker may wait for an end before it answers a poll. A worker with
 // trials may wait until they are over, but at most shortPollWait. For other workers the wait is zero
 // while a start is unconfirmed or a stopped run has yet to end, shortPollWait where tail latencies
