run: a run that a late order has started takes its room until it has stopped

What callers saw: LIMIT. A late order started a run on the next incarnation of its worker. It was stopped, which takes up to 0.4 s; meanwhile the worker was given starts as if nothing ran there.

Cause: the placeholder by which such a run is stopped in advance has no resources. It has none to be charged with before the run starts, and got none when a report listed it.

Evidence: TestLateStartTakesCapacity, red before (3 starts beyond the capacity in each run).

Change: once a report lists it, it is charged with the resources of its subtask, or with the whole worker if the subtask is not known any more, as adopted runs are.

--- a/run/late_starts_test.go
+++ b/run/late_starts_test.go
@@ -31,7 +31,7 @@
 	if first {
 		l.to, l.order = to.ID, order
 	}
-	refuses := l.to == to.ID
+	refuses := l.to == to.ID && l.submission != ""
 	l.mu.Unlock()
 	switch {
 	case first:
@@ -91,3 +91,32 @@
 		})
 	}
 }
+
+// TestLateStartTakesCapacity checks that a run that a late order has started on the next incarnation of its worker
+// counts there until it has stopped.
+func TestLateStartTakesCapacity(t *testing.T) {
+	runCase(t, "a run that takes three quarters of the worker", 1, func(r *rig) {
+		r.setStartTimes()
+		orders := &lostStart{Fleet: r.fleet, submission: "s1"}
+		o := r.newOwnerWith("a", r.kv, orders)
+		time.Sleep(time.Second)
+		s := submission("s1", 1)
+		s.Steps[0].Need.CPU = 3000
+		r.submit(o, s)
+		time.Sleep(1500 * time.Millisecond) // the start is revoked
+		r.Expect(o.Cancel(r.ctx, "", "s1")).To(Succeed())
+		orders.open()
+		r.fleet.Restart(orders.to, startTimeNow())
+		r.fleet.DeliverLate(orders.to, orders.order)
+		time.Sleep(350 * time.Millisecond) // the restart is noticed
+		r.submit(o, submission("s2", 4))
+		r.eventually(o, "s2", tw.SubmissionSucceeded, 5*time.Second)
+	})
+}
+
+// open has the worker refuse no more starts.
+func (l *lostStart) open() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.submission = ""
+}
--- a/run/poll.go
+++ b/run/poll.go
@@ -280,6 +280,7 @@
 		if r == nil {
 			r = o.adopt(w, running)
 		}
+		o.chargeLateStart(w, r)
 		o.updateProgress(r, running, result.report.Clock)
 	}
 	if mayBeTruncated(result.report) {
--- a/run/unclaimed.go
+++ b/run/unclaimed.go
@@ -76,3 +76,20 @@
 		}
 	}
 }
+
+// chargeLateStart charges a run that was to be stopped before it starts, and that has started, with its resources, or
+// with the whole worker where they are unknown.
+func (o *Owner) chargeLateStart(w *worker, r *runState) {
+	if r.pending != nil || r.reservation != (tw.Resources{}) {
+		return
+	}
+	reservation := w.entry.Capacity
+	if sub := o.submissions[r.task.id.Submission]; sub != nil {
+		if t := o.taskOf(sub, r.task.id); t != nil {
+			reservation = t.step.spec.Reservation()
+		}
+	}
+	w.remove(r)
+	r.reservation = reservation
+	w.add(r)
+}
