--- a/run/poll.go
+++ b/run/poll.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,11 @@
 	if w.pollRequested() && w.tally.trials == 0 {
 		return w.nextPoll, false, true
 	}
+	if len(w.runs) == 0 && w.ackedEnd >= w.seenEnd && w.mayStartLate(o.now) {
+		// If it starts again, the next incarnation must be told at once what it is not to start. A
+		// poll that waits is interrupted then, while one that is sent later waits there.
+		return w.polledAt, true, true
+	}
 	if len(w.runs) == 0 {
 		return w.polledAt.Add(ackEndsDelay), false, w.ackedEnd < w.recordedEnd
 	}
@@ -77,6 +83,11 @@
 	return false
 }
 
+// mayStartLate reports whether an order may still be carried out by the next incarnation of the worker.
+func (w *worker) mayStartLate(now time.Time) bool {
+	return slices.ContainsFunc(w.lateStarts, func(l lateStart) bool { return now.Sub(l.orderAt) <= maxOrderDelay })
+}
+
 // pollWait returns how long a worker may wait for an end before it answers a poll. A worker with
 // trials may wait until they are over, but at most shortPollWait. For other workers the wait is zero
 // while a start is unconfirmed or a stopped run has yet to end, shortPollWait where tail latencies
@@ -273,6 +284,7 @@
 		if r == nil {
 			r = o.adopt(w, running)
 		}
+		o.chargeLateStart(w, r)
 		o.updateProgress(r, running, result.report.Clock)
 	}
 	if mayBeTruncated(result.report) {
@@ -292,7 +304,7 @@
 
 // adopt adds a run of a previous owner, or one whose start was given up.
 func (o *Owner) adopt(w *worker, listed tw.RunningSubtask) *runState {
-	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, progressAt: o.now, pace: fullPace}
+	r := &runState{run: listed.Run, w: w, phase: running, startedAt: o.now, progressAt: o.now, pace: paceInherited}
 	var t *task
 	if sub := o.submissions[listed.Subtask.Submission]; sub != nil {
 		t = o.taskOf(sub, listed.Subtask)
@@ -352,6 +364,7 @@
 	r.noteSeen(clock)
 	r.reported = true
 	if r.phase == starting || r.phase == unconfirmed {
+		r.pace = fullPace // on the next incarnation, where it was not slowed yet
 		o.confirmStart(r)
 	}
 	o.noteProgress(r, running.Percent)
