--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -79,7 +79,6 @@
 	r.w.remove(r)
 	revoked := r.phase == stopping || r.phase == stopConfirmed
 	r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
-	r.pace = fullPace
 	next.add(r)
 	if revoked {
 		o.stop(r, r.stopReason)
