run: no age of a worker's silence that never began

Operators saw "silent":"2562047h47m16.854775807s" in `worker: all that ran there has lapsed`: a worker that has never answered, or has just been replaced by its next incarnation, is not taken for silent, and the line printed the age of a zero time.

The field is left out where the worker is not taken for silent, and the line tells the age of the last answer, if there was one. `worker_seen` of `run: ordered` is left out alike while no clock of the worker is known. What is decided stays as it was.

--- a/run/start.go
+++ b/run/start.go
@@ -62,7 +62,7 @@
 	}
 	o.log.Info("run: ordered", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(w.entry.ID)), zap.Duration("waited", o.now.Sub(t.step.rep.due)),
-		zap.Duration("worker_seen", o.now.Sub(w.clockAt)))
+		ageField("worker_seen", o.now, w.clockAt))
 }
 
 // checkpoint is the checkpoint from which a start resumes. All members of a gang must be given
--- a/run/times.go
+++ b/run/times.go
@@ -1,6 +1,10 @@
 package run
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 // earlier returns the earlier of two times. A zero time means never.
 func earlier(a, b time.Time) time.Time {
@@ -17,3 +21,11 @@
 	}
 	return a
 }
+
+// ageField returns how long ago a time was as a log field; an empty one if the time is zero.
+func ageField(key string, now, at time.Time) zap.Field {
+	if at.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration(key, now.Sub(at))
+}
--- a/run/worker.go
+++ b/run/worker.go
@@ -157,10 +157,7 @@
 
 // answerAgeField returns the age of the last answer as a log field; an empty one if there was none.
 func (w *worker) answerAgeField(now time.Time) zap.Field {
-	if w.clockAt.IsZero() {
-		return zap.Skip()
-	}
-	return zap.Duration("last_answer", now.Sub(w.clockAt))
+	return ageField("last_answer", now, w.clockAt)
 }
 
 // noteUnanswered records an order without an answer.
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -316,7 +316,7 @@
 		return
 	}
 	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)),
-		zap.Duration("silent", o.now.Sub(w.silentSince)), zap.Int("runs", len(w.runs)))
+		ageField("silent", o.now, w.silentSince), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
 	w.mayHaveInheritedRuns = false
 	w.stateKnown = false // it must be polled before it is used again
 	o.attributeCrash(w, false)
