run: no negative age of a submission when the clock of another daemon is ahead

The age of a submission is measured from the clock of the daemon that accepted it. Where that is ahead of the owner's, `submission: recorded as ended` gave a negative duration ("after":"-1.174s" in TestWeightsWithAClockAhead), and the start delay was negative too: a histogram leaves such values out, so that tamarind_submission_start_seconds counted fewer starts than there were.

Such an age counts as zero. TestStartDelayWithAClockAhead, "clock is ahead", failed before: no sample where one is due.

--- a/run/requests.go
+++ b/run/requests.go
@@ -330,5 +330,9 @@
 	sub.notifyWaiters(nil)
 	o.metrics.ended(sub.final)
 	o.log.Info("submission: recorded as ended", zap.String("submission", string(sub.ID)),
-		zap.String("state", string(sub.final)), zap.Duration("after", o.now.Sub(sub.Accepted)))
+		zap.String("state", string(sub.final)), zap.Duration("after", o.sinceAccepted(sub)))
 }
+
+// sinceAccepted returns how long ago a submission was accepted; zero if the clock of the daemon that
+// has accepted it is ahead.
+func (o *Owner) sinceAccepted(sub *submission) time.Duration { return max(0, o.now.Sub(sub.Accepted)) }
--- a/run/start.go
+++ b/run/start.go
@@ -192,7 +192,7 @@
 	r.firstVisiblePoll = o.pollSeq + 1
 	sub := r.task.step.rep.sub
 	if !sub.begun {
-		o.metrics.startDelay.Update(o.now.Sub(sub.Accepted).Seconds())
+		o.metrics.startDelay.Update(o.sinceAccepted(sub).Seconds())
 	}
 	o.markBegun(sub)
 	if r.w.nextPoll.Before(r.w.polledAt) {
