run: no negative limit in the log line of a refused submission

`submission: refused, it would wait for too long` printed "work_limit":"-3.4s" for a submission that had come back for longer than it may wait. What is left of its time is zero then; for how long it has come back stands in `refused_for`. What is decided stays as it was.

--- a/run/admission.go
+++ b/run/admission.go
@@ -90,7 +90,7 @@
 	o.metrics.countRefusal(refusal.Reason)
 	o.log.Info("submission: refused, it would wait for too long", zap.String("submission", string(s.ID)),
 		zap.String("reason", string(refusal.Reason)), zap.Int("ahead", backlog.Starts), zap.Float64("starts_per_second", backlog.StartRate),
-		zap.Int64("work_ahead", int64(backlog.Work)), zap.Int64("room", int64(backlog.Room)), zap.Duration("work_limit", caller.WorkLimit),
+		zap.Int64("work_ahead", int64(backlog.Work)), zap.Int64("room", int64(backlog.Room)), zap.Duration("work_limit", max(0, caller.WorkLimit)),
 		zap.Float64("answer_loss", backlog.AnswerLoss), zap.String("organisation", string(s.Organisation)), zap.Float64("excess", caller.Excess),
 		zap.Duration("refused_for", waited), zap.Duration("backlog_age", o.now.Sub(o.backlog.countedAt)), zap.Duration("retry_after", busy.RetryAfter))
 	return busy
