--- a/control/node_test.go
+++ b/control/node_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
@@ -247,7 +248,7 @@
 	It("acquires the lease once, also when the store has lost its epochs", func() {
 		b := newTestBed()
 		core, logs := observer.New(zap.InfoLevel)
-		b.log = zap.New(core)
+		b.log = agecheck.LoggerOf(GinkgoT(), core)
 		b.applyConfig(0)
 		_, err := b.operator.documents.Write(GinkgoT().Context(), tw.PlanKey("h1"), platform.Document{}, tw.Plan{Hall: "h1", Generation: 5, Epoch: 50})
 		Expect(err).NotTo(HaveOccurred())
--- a/daemon/evacuations_test.go
+++ b/daemon/evacuations_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
@@ -98,8 +98,8 @@
 	for name, c := range evacuationsCases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := &evacuationFixture{WithT: NewWithT(t), kv: standin.KVConfig{Latency: time.Millisecond}.New(), metrics: metrics.NewSet()}
-				r.d = newDirectory(r.kv, tw.SystemClock{}, zap.NewNop(), r.metrics, func() { r.changes.Add(1) })
+				r := &evacuationFixture{WithT: NewWithT(t), kv: standin.KVConfig{Latency: time.Millisecond}.New(), metrics: agecheck.Metrics(t)}
+				r.d = newDirectory(r.kv, tw.SystemClock{}, agecheck.Logger(t), r.metrics, func() { r.changes.Add(1) })
 				r.d.watchOperator()
 				defer r.d.close()
 				c(r)
--- a/daemon/inbox_faults_test.go
+++ b/daemon/inbox_faults_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
@@ -155,7 +155,7 @@
 	messages := make(chan ledger.InboxRecord, 10)
 	_, err := kv.Commit(t.Context(), ledger.CancelUnsubmitted("p", "", "s0"))
 	g.Expect(err).NotTo(HaveOccurred())
-	w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(m ledger.InboxRecord) { messages <- m })
+	w := newInboxWatcher(kv, tw.SystemClock{}, agecheck.Logger(t), "p", func(m ledger.InboxRecord) { messages <- m })
 	defer w.Close()
 	for range keysOfCancel {
 		g.Eventually(messages, time.Second).Should(Receive(Equal(ledger.InboxRecord{Kind: ledger.InboxCancel, ID: "s0"})))
--- a/daemon/inbox_watch_test.go
+++ b/daemon/inbox_watch_test.go
@@ -15,9 +15,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/platform"
@@ -156,7 +156,7 @@
 	defer kv.Close()
 	store.openIdleConnections(t, kv)
 	messages := make(chan ledger.InboxRecord, 10)
-	w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(m ledger.InboxRecord) { messages <- m })
+	w := newInboxWatcher(kv, tw.SystemClock{}, agecheck.Logger(t), "p", func(m ledger.InboxRecord) { messages <- m })
 	defer w.Close()
 	g.Eventually(w.AnsweringSince, time.Second).ShouldNot(BeZero())
 	time.Sleep(100 * time.Millisecond) // the watch has begun
@@ -171,7 +171,7 @@
 func TestInboxWatchInterval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := &countedCalls{KV: standin.KVConfig{Latency: time.Millisecond}.New()}
-		w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(ledger.InboxRecord) {})
+		w := newInboxWatcher(kv, tw.SystemClock{}, agecheck.Logger(t), "p", func(ledger.InboxRecord) {})
 		defer w.Close()
 		time.Sleep(30 * time.Second)
 		g := NewWithT(t)
@@ -190,10 +190,10 @@
 	kv := platform.KVConfig{Address: strings.TrimPrefix(store.server.URL, "http://")}.New()
 	defer kv.Close()
 	pool := tw.PoolID(rand.Text()) // no other process calls for it
-	other := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), "p", func(ledger.InboxRecord) {})
+	other := newInboxWatcher(kv, tw.SystemClock{}, agecheck.Logger(t), "p", func(ledger.InboxRecord) {})
 	defer other.Close()
 	began := time.Now()
-	w := newInboxWatcher(kv, tw.SystemClock{}, zap.NewNop(), pool, func(ledger.InboxRecord) {})
+	w := newInboxWatcher(kv, tw.SystemClock{}, agecheck.Logger(t), pool, func(ledger.InboxRecord) {})
 	time.Sleep(2 * inboxInterval)
 	w.Close()
 	allowed := 1 + int(time.Since(began)/inboxInterval)
--- a/daemon/odd_entries_test.go
+++ b/daemon/odd_entries_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
@@ -34,7 +34,7 @@
 // startOddFixture starts a directory that calls the store through client, or directly if that is nil.
 func startOddFixture(t *testing.T, kv *standin.KV, client tw.KV) *oddFixture {
 	core, logs := observer.New(zapcore.InfoLevel)
-	f := &oddFixture{WithT: NewWithT(t), kv: kv, logs: logs, metrics: metrics.NewSet()}
+	f := &oddFixture{WithT: NewWithT(t), kv: kv, logs: logs, metrics: agecheck.Metrics(t)}
 	if client == nil {
 		client = kv
 	}
@@ -42,7 +42,7 @@
 	kv.Put(platform.WorkerPrefix+"w0", []byte(workerBody(false)))
 	kv.Put(platform.QueueConfigKey, []byte(`{"version":1,"services":[{"name":"p"}]}`))
 	kv.Put(platform.WavePrefix+"3", []byte(`{"wave":3,"machines":["m0"],"durationS":30,"maximum":1}`))
-	f.d = newDirectory(f.calls, tw.SystemClock{}, zap.New(core), f.metrics, func() {})
+	f.d = newDirectory(f.calls, tw.SystemClock{}, agecheck.LoggerOf(t, core), f.metrics, func() {})
 	f.d.watchOperator()
 	f.d.watchWorkers()
 	return f
--- a/daemon/owner_monitor_test.go
+++ b/daemon/owner_monitor_test.go
@@ -6,11 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -38,12 +37,12 @@
 
 // bareDaemon returns a daemon without listeners that has learnt the owner of the pool "p"
 // from a peer.
-func bareDaemon(known ledger.Owner) (d *QueueDaemon, end func()) {
+func bareDaemon(t testing.TB, known ledger.Owner) (d *QueueDaemon, end func()) {
 	kv := standin.KVConfig{Latency: time.Millisecond}.New()
 	self := member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}
-	d = &QueueDaemon{kv: blockingKV{}, clock: tw.SystemClock{}, log: zap.NewNop(), self: self}
+	d = &QueueDaemon{kv: blockingKV{}, clock: tw.SystemClock{}, log: agecheck.Logger(t), self: self}
 	d.directory = &directory{kv: d.kv, clock: d.clock, log: d.log}
-	members, endMembers := membertest.Start(kv, self)
+	members, endMembers := membertest.Start(t, kv, self)
 	d.members = members
 	d.members.RecordOwner(known)
 	d.owners = newOwners(d)
@@ -79,7 +78,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				known := ledger.Owner{Pool: "p", Daemon: "b", Address: "b:1", Incarnation: 1, Fence: c.known}
-				d, end := bareDaemon(known)
+				d, end := bareDaemon(t, known)
 				defer end()
 				_, err := d.Take(t.Context(), &member.TakeRequest{Pool: "p", Fence: c.requesting})
 				g.Expect(err).NotTo(HaveOccurred())
@@ -102,7 +101,7 @@
 		"manager of machines": {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			orders := relay.Config{Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
+			orders := relay.Config{Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t)}.New()
 			defer orders.Close()
 			o := &owners{d: &QueueDaemon{orders: orders}, ctx: t.Context()}
 			o.checkOverload(ownership{overload: c.overload})
--- a/daemon/ready_test.go
+++ b/daemon/ready_test.go
@@ -37,7 +37,7 @@
 				kv := standin.KVConfig{Latency: time.Millisecond}.New()
 				membertest.Announce(kv, member.DaemonRecord{Daemon: "b", Address: "b:1", Hall: "far"})
 				peers := &membertest.Peers{}
-				members, end := membertest.StartWithPeers(kv, member.DaemonRecord{Daemon: "a", Address: "a:1", Hall: "near"}, peers)
+				members, end := membertest.StartWithPeers(t, kv, member.DaemonRecord{Daemon: "a", Address: "a:1", Hall: "near"}, peers)
 				defer end()
 				d := &QueueDaemon{directory: &directory{}, members: members}
 				if c.configured {
--- a/daemon/report_test.go
+++ b/daemon/report_test.go
@@ -5,11 +5,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -23,17 +22,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		newer := ledger.Owner{Pool: "p", Daemon: "b", Address: "b:1", Fence: 5}
-		d, end := bareDaemon(newer)
+		d, end := bareDaemon(t, newer)
 		defer end()
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
 		self := ledger.Owner{Pool: "p", Daemon: d.self.Daemon, Incarnation: d.self.Incarnation}
 		book, err := ledger.Config{KV: kv, Clock: d.clock, Log: d.log, Owner: self}.Open(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
 		self.Fence = book.Fence()
-		machineCache := run.MachineCacheConfig{Machines: standin.CloudConfig{}.New(), Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+		machineCache := run.MachineCacheConfig{Machines: standin.CloudConfig{}.New(), Clock: tw.SystemClock{}, Log: agecheck.Logger(t)}.New()
 		defer machineCache.Close()
 		former := run.Config{
-			Book: book, Self: self, KV: kv, MachineCache: machineCache, Clock: d.clock, Log: d.log, Metrics: metrics.NewSet(),
+			Book: book, Self: self, KV: kv, MachineCache: machineCache, Clock: d.clock, Log: d.log, Metrics: agecheck.Metrics(t),
 		}.New()
 		defer former.Close()
 		d.owners.owned["p"] = &ownedPool{owner: former}
--- a/daemon/servers_test.go
+++ b/daemon/servers_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/drain"
 )
 
@@ -33,7 +33,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer idle.Close()
 	closed := make(chan error, 1)
-	go func() { closed <- closeListeners([]*net.TCPListener{l}, zap.NewNop()) }()
+	go func() { closed <- closeListeners([]*net.TCPListener{l}, agecheck.Logger(t)) }()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -53,7 +53,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	freed := free.Addr().String()
 	g.Expect(free.Close()).To(Succeed())
-	_, err = listenAll(zap.NewNop(), freed, taken.Addr().String())
+	_, err = listenAll(agecheck.Logger(t), freed, taken.Addr().String())
 	g.Expect(err).To(MatchError(ContainSubstring("address already in use")))
 	_, err = net.Dial("tcp", freed)
 	g.Expect(err).To(HaveOccurred())
--- a/daemon/silent_connections_test.go
+++ b/daemon/silent_connections_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -133,7 +133,7 @@
 
 // pingingMembers returns the members of a daemon that pings the owner of pool p.
 func (r *silentRig) pingingMembers(t *testing.T) *member.Members {
-	clock, log := tw.SystemClock{}, zap.NewNop()
+	clock, log := tw.SystemClock{}, agecheck.Logger(t)
 	kv := standin.KVConfig{Latency: time.Millisecond}.New()
 	self := member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}
 	presence := member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
--- a/daemon/silent_rig_test.go
+++ b/daemon/silent_rig_test.go
@@ -9,12 +9,11 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -125,13 +124,13 @@
 	t.Cleanup(server.Close)
 	r.link = newSilentLink(t, server.Listener.Addr().String())
 	r.kv = platform.KVConfig{Address: r.link.address()}.New()
-	r.store = ledger.ResenderConfig{KV: r.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
+	r.store = ledger.ResenderConfig{KV: r.kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t)}.New()
 	r.orders = platform.OrderConfig{}.New()
 	r.peers = member.NewPeers(nil)
-	members, end := membertest.Start(r.stand, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
+	members, end := membertest.Start(t, r.stand, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
 	members.RecordOwner(ledger.Owner{Pool: "p", Daemon: "b", Address: r.link.address(), Incarnation: 1, Fence: 1})
 	r.router = queue.RouterConfig{
-		Pools: noOwners{}, Members: members, Peers: r.peers, KV: r.store, Clock: tw.SystemClock{}, Log: zap.NewNop(),
+		Pools: noOwners{}, Members: members, Peers: r.peers, KV: r.store, Clock: tw.SystemClock{}, Log: agecheck.Logger(t),
 	}.New()
 	var err error
 	r.lease, _, err = r.stand.Grant(t.Context(), time.Minute)
--- a/daemon/silent_watches_test.go
+++ b/daemon/silent_watches_test.go
@@ -5,11 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -68,7 +67,7 @@
 			kv := platform.KVConfig{Address: strings.TrimPrefix(store.server.URL, "http://")}.New()
 			defer kv.Close()
 			store.openIdleConnections(t, kv)
-			d := newDirectory(kv, tw.SystemClock{}, zap.NewNop(), metrics.NewSet(), func() {})
+			d := newDirectory(kv, tw.SystemClock{}, agecheck.Logger(t), agecheck.Metrics(t), func() {})
 			d.watchOperator()
 			d.watchWorkers()
 			defer d.close()
@@ -99,7 +98,7 @@
 	kv := platform.KVConfig{Address: strings.TrimPrefix(store.server.URL, "http://")}.New()
 	defer kv.Close()
 	store.openIdleConnections(t, kv)
-	members, end := membertest.Start(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
+	members, end := membertest.Start(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
 	defer end()
 	known := func(id tw.DaemonID) func() bool {
 		return func() bool { _, known := members.AddressOf(id); return known }
--- a/daemon/takeover_order_test.go
+++ b/daemon/takeover_order_test.go
@@ -7,11 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -38,9 +37,9 @@
 func takeoverDaemon(t *testing.T) (*QueueDaemon, *inboxWatches) {
 	kv := &inboxWatches{KV: standin.KVConfig{Latency: time.Millisecond}.New()}
 	self := member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}
-	d := &QueueDaemon{kv: kv, clock: tw.SystemClock{}, log: zap.NewNop(), metrics: metrics.NewSet(), self: self}
+	d := &QueueDaemon{kv: kv, clock: tw.SystemClock{}, log: agecheck.Logger(t), metrics: agecheck.Metrics(t), self: self}
 	d.directory = newDirectory(d.kv, d.clock, d.log, d.metrics, func() {})
-	members, endMembers := membertest.Start(kv, self)
+	members, endMembers := membertest.Start(t, kv, self)
 	d.members = members
 	d.machineCache = run.MachineCacheConfig{Machines: standin.CloudConfig{}.New(), Clock: d.clock, Log: d.log}.New()
 	d.owners = newOwners(d)
--- a/internal/drain/log_test.go
+++ b/internal/drain/log_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/drain"
 )
 
@@ -70,7 +71,7 @@
 					<-release
 				}
 			}
-			server := drain.Config{HTTP: &http.Server{Handler: http.HandlerFunc(handler)}, Log: zap.New(core)}.New()
+			server := drain.Config{HTTP: &http.Server{Handler: http.HandlerFunc(handler)}, Log: agecheck.LoggerOf(t, core)}.New()
 			l, err := drain.Listen("127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			serve := func() { _ = server.Serve(l) } // returns http.ErrServerClosed
--- a/internal/membertest/membertest.go
+++ b/internal/membertest/membertest.go
@@ -6,9 +6,8 @@
 	"encoding/json"
 	"sync/atomic"
 
-	"go.uber.org/zap"
-
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -43,21 +42,21 @@
 // Start starts the membership of one daemon on a store. The daemon owns no
 // pool and its configuration has none, so that it takes over none. The caller
 // calls end when the test is over.
-func Start(kv tw.KV, self member.DaemonRecord) (members *member.Members, end func()) {
-	return StartWithPeers(kv, self, &Peers{})
+func Start(t agecheck.TB, kv tw.KV, self member.DaemonRecord) (members *member.Members, end func()) {
+	return StartWithPeers(t, kv, self, &Peers{})
 }
 
 // StartWithPeers is Start with the given peers.
-func StartWithPeers(kv tw.KV, self member.DaemonRecord, peers *Peers) (members *member.Members, end func()) {
-	return StartWithPools(kv, self, peers, nil, func(tw.PoolID, string) {})
+func StartWithPeers(t agecheck.TB, kv tw.KV, self member.DaemonRecord, peers *Peers) (members *member.Members, end func()) {
+	return StartWithPools(t, kv, self, peers, nil, func(tw.PoolID, string) {})
 }
 
 // StartWithPools is StartWithPeers with the pools of the configuration. takeOver is called for those that
 // the daemon should take over.
 func StartWithPools(
-	kv tw.KV, self member.DaemonRecord, peers member.Pinger, pools []tw.PoolID, takeOver func(pool tw.PoolID, reason string),
+	t agecheck.TB, kv tw.KV, self member.DaemonRecord, peers member.Pinger, pools []tw.PoolID, takeOver func(pool tw.PoolID, reason string),
 ) (members *member.Members, end func()) {
-	clock, log := tw.SystemClock{}, zap.NewNop()
+	clock, log := tw.SystemClock{}, agecheck.Logger(t)
 	presence := member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
 	members = member.Config{
 		KV: kv, Clock: clock, Log: log, Self: self, Peers: peers, Presence: presence,
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
@@ -20,6 +20,7 @@
 // fixture is a fake store with test helpers.
 type fixture struct {
 	*WithT
+	t   *testing.T
 	ctx context.Context
 	kv  *standin.KV
 }
@@ -32,7 +33,7 @@
 
 func (b *fixture) config(daemon tw.DaemonID) ledger.Config {
 	return ledger.Config{
-		KV: b.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: ledger.Owner{Pool: pool, Daemon: daemon, Incarnation: 1},
+		KV: b.kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(b.t), Owner: ledger.Owner{Pool: pool, Daemon: daemon, Incarnation: 1},
 	}
 }
 
@@ -377,7 +378,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				kv := standin.KVConfig{Latency: 4 * time.Millisecond}.New()
-				c(&fixture{WithT: NewWithT(t), ctx: t.Context(), kv: kv})
+				c(&fixture{WithT: NewWithT(t), t: t, ctx: t.Context(), kv: kv})
 			})
 		})
 	}
--- a/ledger/decode_test.go
+++ b/ledger/decode_test.go
@@ -53,7 +53,7 @@
 	for name, c := range oddRecords {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := &fixture{WithT: NewWithT(t), ctx: t.Context(), kv: standin.KVConfig{Latency: time.Millisecond}.New()}
+				b := &fixture{WithT: NewWithT(t), t: t, ctx: t.Context(), kv: standin.KVConfig{Latency: time.Millisecond}.New()}
 				first := b.open("a")
 				b.accept(first, "s1")
 				b.accept(first, "s2")
--- a/ledger/resender_test.go
+++ b/ledger/resender_test.go
@@ -8,11 +8,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
@@ -76,7 +75,7 @@
 // resend returns a Resender over a store with the given outcomes.
 func (b *fixture) resend(outcomeOf func(n int) outcome) (*ledger.Resender, *unansweringKV) {
 	kv := &unansweringKV{KV: b.kv, outcomeOf: outcomeOf}
-	return ledger.ResenderConfig{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New(), kv
+	return ledger.ResenderConfig{KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(b.t), Metrics: agecheck.Metrics(b.t)}.New(), kv
 }
 
 var resenderCases = map[string]func(b *fixture){
@@ -176,7 +175,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				kv := standin.KVConfig{Latency: 4 * time.Millisecond}.New()
-				c(&fixture{WithT: NewWithT(t), ctx: t.Context(), kv: kv})
+				c(&fixture{WithT: NewWithT(t), t: t, ctx: t.Context(), kv: kv})
 			})
 		})
 	}
--- a/ledger/shares_test.go
+++ b/ledger/shares_test.go
@@ -8,17 +8,17 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
 type units = map[tw.OrganisationID]ledger.ShareUnits
 
-func shareBook(kv tw.KV, name tw.PoolID, fence tw.FencingToken) *ledger.ShareBook {
-	return ledger.ShareBookConfig{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Pool: name, Fence: fence}.New()
+func shareBook(t testing.TB, kv tw.KV, name tw.PoolID, fence tw.FencingToken) *ledger.ShareBook {
+	return ledger.ShareBookConfig{KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Pool: name, Fence: fence}.New()
 }
 
 // upTo returns a function for Set that requests the free units of red's cap, at most n.
@@ -55,7 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
-		previous, current := shareBook(kv, "a", 1), shareBook(kv, "a", 2)
+		previous, current := shareBook(t, kv, "a", 1), shareBook(t, kv, "a", 2)
 		_, err := previous.Set(t.Context(), upTo("a", 500))
 		g.Expect(err).NotTo(HaveOccurred())
 		kept, err := current.Set(t.Context(), func(s ledger.Shares) units { return s.Pools["a"].Units })
@@ -73,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
-		a, b := shareBook(kv, "a", 1), shareBook(kv, "b", 1)
+		a, b := shareBook(t, kv, "a", 1), shareBook(t, kv, "b", 1)
 		_, err := a.Set(t.Context(), upTo("a", 1000))
 		g.Expect(err).NotTo(HaveOccurred())
 		kv.SetFaults(standin.KVFaults{LateWrites: 1})
@@ -94,7 +94,7 @@
 	g := NewWithT(t)
 	kv := standin.KVConfig{}.New()
 	kv.Put(ledger.SharesKey, []byte("not a record"))
-	_, err := shareBook(kv, "a", 1).Set(t.Context(), upTo("a", 10))
+	_, err := shareBook(t, kv, "a", 1).Set(t.Context(), upTo("a", 10))
 	g.Expect(err).To(HaveOccurred())
 	item, err := kv.Get(t.Context(), ledger.SharesKey)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -132,7 +132,7 @@
 			kv.SetFaults(standin.KVFaults{})
 		case 2:
 			fences[name]++
-			owners[name] = &shareOwner{book: shareBook(kv, name, fences[name])}
+			owners[name] = &shareOwner{book: shareBook(t, kv, name, fences[name])}
 			owners[name].claim(t, name)
 		default:
 			if o := owners[name]; o != nil {
--- a/maintenance/manager_test.go
+++ b/maintenance/manager_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/maintenance"
@@ -71,8 +71,8 @@
 			running: map[tw.PoolID]tw.Resources{}, offered: map[tw.PoolID]int64{},
 		},
 	}
-	o.machines, o.metrics = o.cloud, metrics.NewSet()
-	o.machineCache = run.MachineCacheConfig{Machines: o.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	o.machines, o.metrics = o.cloud, agecheck.Metrics(t)
+	o.machineCache = run.MachineCacheConfig{Machines: o.cloud, Clock: tw.SystemClock{}, Log: agecheck.Logger(t)}.New()
 	return o
 }
 
@@ -87,7 +87,7 @@
 
 func (o *fixture) startManager(daemon tw.DaemonID) *maintenance.Manager {
 	book, err := ledger.Config{
-		KV: o.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: ledger.Owner{Pool: maintenance.ManagerPool, Daemon: daemon},
+		KV: o.kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(o.t), Owner: ledger.Owner{Pool: maintenance.ManagerPool, Daemon: daemon},
 	}.Open(o.t.Context())
 	o.Expect(err).NotTo(HaveOccurred())
 	recent, err := ledger.FindOrders(o.t.Context(), o.kv)
@@ -96,7 +96,7 @@
 	return maintenance.Config{
 		Evacuations: func() *tw.Evacuations { return nil },
 		Book:        book, RecentlyChanged: recent, RecentChangesUnknown: unreadable, Holder: string(daemon), KV: o.kv, Machines: o.machines, MachineCache: o.machineCache, Owners: o.owners,
-		Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: o.metrics,
+		Clock: tw.SystemClock{}, Log: agecheck.Logger(o.t), Metrics: o.metrics,
 		Waves: func() []tw.MaintenanceWave { return o.waves },
 		Queue: func() *tw.QueueConfig {
 			return &tw.QueueConfig{Pools: []tw.QueuePool{{ID: "p"}, {ID: "parking", Parking: true}}}
--- a/maintenance/metrics_test.go
+++ b/maintenance/metrics_test.go
@@ -8,12 +8,13 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 )
 
 // A pool that is taken out of the configuration must not be shown with its last machines.
 func TestPoolMetricsOfARemovedPool(t *testing.T) {
 	g := NewWithT(t)
-	p := poolMetrics{set: metrics.NewSet(), gauges: map[string]*metrics.Gauge{}}
+	p := poolMetrics{set: agecheck.Metrics(t), gauges: map[string]*metrics.Gauge{}}
 	p.update(&State{
 		Pools:         map[tw.PoolID]*Pool{"a": {ID: "a", Need: 2}, "b": {ID: "b", Need: 3}},
 		machineCounts: map[tw.PoolID]int{"a": 4, "b": 5},
--- a/member/evacuations_test.go
+++ b/member/evacuations_test.go
@@ -135,7 +135,7 @@
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
 		membertest.Announce(kv, liveAB[1])
 		peers := &membertest.Peers{Answer: member.PingResponse{Daemon: "b", Evacuations: hallA}}
-		members, end := membertest.StartWithPeers(kv, member.DaemonRecord{Daemon: "self", Address: "self:1"}, peers)
+		members, end := membertest.StartWithPeers(t, kv, member.DaemonRecord{Daemon: "self", Address: "self:1"}, peers)
 		defer end()
 		time.Sleep(2 * time.Second)
 		g.Expect(members.PeerEvacuations()).To(ContainElement(And(HaveField("Daemon", tw.DaemonID("b")), HaveField("Known", hallA))))
@@ -150,7 +150,7 @@
 		for _, record := range liveAB {
 			membertest.Announce(kv, record)
 		}
-		members, end := membertest.Start(kv, member.DaemonRecord{Daemon: "self", Address: "self:1"})
+		members, end := membertest.Start(t, kv, member.DaemonRecord{Daemon: "self", Address: "self:1"})
 		defer end()
 		time.Sleep(time.Second)
 		members.HandlePing(&member.PingRequest{From: "b", Evacuations: noHall})
--- a/member/growth_test.go
+++ b/member/growth_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
@@ -30,7 +30,7 @@
 	owners  map[string]bool
 }
 
-func newCluster(daemons int) *cluster {
+func newCluster(t testing.TB, daemons int) *cluster {
 	c := &cluster{clock: fakeclock.New(), members: map[string]*Members{}, owners: map[string]bool{}}
 	live := map[tw.DaemonID]DaemonRecord{}
 	for n := range daemons {
@@ -50,7 +50,7 @@
 	}
 	for id, record := range live {
 		m := &Members{
-			config: Config{Clock: c.clock, Log: zap.NewNop(), Self: record}, pingStates: map[string]*pingState{}, live: live, lastKnown: live,
+			config: Config{Clock: c.clock, Log: agecheck.Logger(t), Self: record}, pingStates: map[string]*pingState{}, live: live, lastKnown: live,
 			owners: map[tw.PoolID]ledger.Owner{}, orphanedAt: map[tw.PoolID]time.Time{},
 		}
 		for pool, o := range owned {
@@ -107,7 +107,7 @@
 	g := NewWithT(t)
 	const maxSent, maxReceived = growthPools + probesPerHall*growthHalls, growthPools*pingersPerOwner + 12*probesPerHall*growthHalls
 	for _, size := range growthSizes {
-		c := newCluster(size)
+		c := newCluster(t, size)
 		out, in := c.round("")
 		g.Expect(maxCount(out)).To(BeNumerically("<=", maxSent), "sent, %d daemons", size)
 		g.Expect(maxCount(in)).To(BeNumerically("<=", maxReceived), "received, %d daemons", size)
@@ -122,7 +122,7 @@
 // eventually ping all daemons.
 func TestSearchReachesAllDaemons(t *testing.T) {
 	g := NewWithT(t)
-	c := newCluster(400)
+	c := newCluster(t, 400)
 	m := c.members["d0000"]
 	pinged := map[string]bool{}
 	for range 400 / maxSearchPings {
@@ -139,7 +139,7 @@
 	g := NewWithT(t)
 	for _, size := range growthSizes {
 		maxRounds := int(math.Ceil(math.Log2(float64(size))/2)) + 1
-		c := newCluster(size)
+		c := newCluster(t, size)
 		dead := "d0000"
 		rounds := 0
 		for unaware := size; unaware > 0; rounds++ {
@@ -175,7 +175,7 @@
 // daemons cannot renew it for each other.
 func TestSuspicionsExpire(t *testing.T) {
 	g := NewWithT(t)
-	c := newCluster(200)
+	c := newCluster(t, 200)
 	dead := "d0000"
 	for range 4 {
 		c.round(dead)
@@ -195,7 +195,7 @@
 // Only new and changed records must be decoded after a change, not all of them.
 func TestRecordsAreDecodedOnce(t *testing.T) {
 	g := NewWithT(t)
-	m := newCluster(50).members["d0000"]
+	m := newCluster(t, 50).members["d0000"]
 	m.live, m.lastKnown = map[tw.DaemonID]DaemonRecord{}, map[tw.DaemonID]DaemonRecord{}
 	items := map[tw.Key]tw.KVItem{}
 	for n := range 50 {
@@ -220,7 +220,7 @@
 func TestRelayCandidatesAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	for _, size := range growthSizes {
-		c := newCluster(size)
+		c := newCluster(t, size)
 		used := map[string]bool{}
 		for owner := range c.owners {
 			relays := c.members[owner].RelayCandidates("0")
--- a/member/heard_test.go
+++ b/member/heard_test.go
@@ -13,7 +13,7 @@
 // What is kept of pings must not grow with names that no daemon has had.
 func TestHeardEvacuationsAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	m := newTestMembers(fakeclock.New())
+	m := newTestMembers(t, fakeclock.New())
 	for n := range 1000 {
 		m.HandlePing(&PingRequest{From: tw.DaemonID(fmt.Sprint("stranger-", n))})
 	}
--- a/member/members_test.go
+++ b/member/members_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
-		m, end := membertest.Start(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
+		m, end := membertest.Start(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
 		defer end()
 		time.Sleep(time.Second)
 		g.Expect(m.StoreReachable()).To(BeTrue())
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -6,12 +6,13 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -32,6 +33,7 @@
 	// fleet is a set of daemons with a common store. Their Members and ledgers
 	// are real; the network between them is simulated.
 	fleet struct {
+		t       testing.TB
 		kv      *standin.KV
 		pools   []tw.PoolID
 		daemons []*modelDaemon
@@ -70,9 +72,9 @@
 	}
 )
 
-func newFleet(daemons int) *fleet {
+func newFleet(t testing.TB, daemons int) *fleet {
 	f := &fleet{
-		kv:  standin.KVConfig{Latency: 4 * time.Millisecond}.New(),
+		t: t, kv: standin.KVConfig{Latency: 4 * time.Millisecond}.New(),
 		cut: map[[2]tw.DaemonID]bool{}, taken: map[tw.PoolID]int{},
 	}
 	for i := range modelPools {
@@ -206,7 +208,7 @@
 	d.owned = map[tw.PoolID]ledger.Owner{}
 	kv := &partitionedKV{KV: d.fleet.kv, d: d, ctx: d.ctx}
 	self := member.DaemonRecord{Daemon: d.id, Incarnation: d.incarnation, Address: string(d.id), Hall: tw.HallID(fmt.Sprint(d.hall)), Cores: 1}
-	clock, log := tw.SystemClock{}, zap.NewNop()
+	clock, log := tw.SystemClock{}, agecheck.Logger(d.fleet.t)
 	d.presence = member.PresenceConfig{KV: kv, Clock: clock, Log: log, Self: self}.New()
 	d.members = member.Config{
 		KV: kv, Clock: clock, Log: log, Self: self, Peers: d, Presence: d.presence,
@@ -246,7 +248,7 @@
 	d.mu.Unlock()
 	d.background.Go(func() {
 		self := ledger.Owner{Pool: pool, Daemon: d.id, Address: string(d.id), Incarnation: incarnation}
-		book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: self}.Open(ctx)
+		book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(d.fleet.t), Owner: self}.Open(ctx)
 		if err == nil {
 			self.Fence = book.Fence()
 			d.mu.Lock()
--- a/member/reach_test.go
+++ b/member/reach_test.go
@@ -39,7 +39,7 @@
 				kv := standin.KVConfig{Latency: time.Millisecond}.New()
 				membertest.Announce(kv, c.other)
 				peers := &membertest.Peers{}
-				m, end := membertest.StartWithPeers(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"}, peers)
+				m, end := membertest.StartWithPeers(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"}, peers)
 				defer end()
 				time.Sleep(2 * time.Second)
 				g.Expect(m.Isolated()).To(BeFalse())
--- a/member/records_test.go
+++ b/member/records_test.go
@@ -9,11 +9,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -48,7 +48,7 @@
 				kv := standin.KVConfig{Latency: time.Millisecond}.New()
 				membertest.Announce(kv, member.DaemonRecord{Daemon: "b", Incarnation: 1, Address: "b:1", Hall: "far"})
 				kv.Put(c.key, []byte(c.body))
-				members, end := membertest.Start(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"})
+				members, end := membertest.Start(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"})
 				defer end()
 				time.Sleep(time.Second)
 				address, known := members.AddressOf("b")
@@ -77,9 +77,9 @@
 		core, logs := observer.New(zapcore.InfoLevel)
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
 		self := member.DaemonRecord{Daemon: "a"}
-		presence := member.PresenceConfig{KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Self: self}.New()
+		presence := member.PresenceConfig{KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Self: self}.New()
 		members := member.Config{
-			KV: kv, Clock: tw.SystemClock{}, Log: zap.New(core), Self: self, Peers: &membertest.Peers{}, Presence: presence,
+			KV: kv, Clock: tw.SystemClock{}, Log: agecheck.LoggerOf(t, core), Self: self, Peers: &membertest.Peers{}, Presence: presence,
 			Pools: func() []tw.PoolID { return nil }, OwnedPools: func() []tw.PoolID { return nil },
 			ConfigVersion: func() tw.Version { return 0 }, TakeOver: func(tw.PoolID, string) {}, OnNewerConfig: func(string, tw.Version) {},
 			Evacuations: func() *tw.Evacuations { return nil }, OnEvacuations: func(*tw.Evacuations, string) {},
--- a/member/silent_owner_test.go
+++ b/member/silent_owner_test.go
@@ -55,7 +55,7 @@
 					Owned: []ledger.Owner{{Pool: "p", Daemon: "b", Address: "b:1", Incarnation: 1, Fence: 1}},
 				}}
 				taken := make(chan time.Time, 1)
-				members, end := membertest.StartWithPools(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}, peers,
+				members, end := membertest.StartWithPools(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"}, peers,
 					[]tw.PoolID{"p"}, func(tw.PoolID, string) {
 						select {
 						case taken <- time.Now():
@@ -104,7 +104,7 @@
 					membertest.Announce(kv.KV, member.DaemonRecord{Daemon: id, Incarnation: 1, Address: string(id) + ":1", Cores: 4})
 				}
 				peers := &silentOwner{}
-				members, end := membertest.StartWithPools(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Cores: 1}, peers,
+				members, end := membertest.StartWithPools(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Cores: 1}, peers,
 					[]tw.PoolID{"p"}, func(tw.PoolID, string) {})
 				defer end()
 				members.RecordOwner(ledger.Owner{Pool: "p", Daemon: "owner", Address: "owner:1", Incarnation: 1, Fence: 1})
--- a/member/succession_model_test.go
+++ b/member/succession_model_test.go
@@ -38,7 +38,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				r := rand.New(rand.NewPCG(1, uint64(c.daemons)))
-				f := newFleet(c.daemons)
+				f := newFleet(t, c.daemons)
 				f.startAll(r)
 				defer func() { f.crashAll(f.daemons) }()
 				time.Sleep(3 * time.Second)
@@ -98,7 +98,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				r := rand.New(rand.NewPCG(seed, 2))
-				f := newFleet([]int{3, 9, 18}[seed%3])
+				f := newFleet(t, []int{3, 9, 18}[seed%3])
 				f.startAll(r)
 				defer func() { f.crashAll(f.daemons) }()
 				time.Sleep(3 * time.Second)
--- a/member/succession_test.go
+++ b/member/succession_test.go
@@ -7,19 +7,19 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/fakeclock"
 	"github.com/tamarindworks/tamarindworks/ledger"
 )
 
 // newTestMembers returns the Members of daemon "b", without background tasks, in a
 // deployment of three daemons of which "a" owns the pool "p".
-func newTestMembers(clock *fakeclock.Clock) *Members {
+func newTestMembers(t testing.TB, clock *fakeclock.Clock) *Members {
 	m := &Members{
 		config: Config{
-			Clock: clock, Log: zap.NewNop(), Self: DaemonRecord{Daemon: "b", Incarnation: 1, Address: "b:1"},
+			Clock: clock, Log: agecheck.Logger(t), Self: DaemonRecord{Daemon: "b", Incarnation: 1, Address: "b:1"},
 			Pools: func() []tw.PoolID { return []tw.PoolID{"p"} }, OwnedPools: func() []tw.PoolID { return nil },
 		},
 		watcher: &Watcher{answeringSince: clock.Now()}, started: clock.Now(),
@@ -94,7 +94,7 @@
 	for name, c := range takeoverCases {
 		t.Run(name, func(t *testing.T) {
 			clock := fakeclock.New()
-			m := newTestMembers(clock)
+			m := newTestMembers(t, clock)
 			c.event(m, clock.Now())
 			m.takeoversDue(clock.Now()) // records the time at which the pool lost its owner
 			clock.Advance(2 * candidateDelay)
@@ -107,7 +107,7 @@
 func TestCandidatesByCores(t *testing.T) {
 	g := NewWithT(t)
 	clock := fakeclock.New()
-	m := newTestMembers(clock)
+	m := newTestMembers(t, clock)
 	m.live["b"] = DaemonRecord{Daemon: "b", Cores: 0.2}
 	m.live["c"] = DaemonRecord{Daemon: "c", Cores: 0.8}
 	maps.Copy(m.lastKnown, m.live)
@@ -119,7 +119,7 @@
 func TestReachableSuccessorsByCores(t *testing.T) {
 	g := NewWithT(t)
 	clock := fakeclock.New()
-	m := newTestMembers(clock)
+	m := newTestMembers(t, clock)
 	for _, small := range []tw.DaemonID{"a", "c"} {
 		for id := range m.lastKnown {
 			cores := tw.Cores(0.8)
@@ -137,7 +137,7 @@
 // The owner of a pool must never be replaced by one with a lower fencing token.
 func TestOwnerIsNotReplacedByOlder(t *testing.T) {
 	g := NewWithT(t)
-	m := newTestMembers(fakeclock.New())
+	m := newTestMembers(t, fakeclock.New())
 	m.RecordOwner(ledger.Owner{Pool: "p", Daemon: "c", Fence: 3})
 	o, _ := m.Owner("p")
 	g.Expect(o.Daemon).To(Equal(tw.DaemonID("a")))
@@ -151,7 +151,7 @@
 func TestReachableSuccessorsRotate(t *testing.T) {
 	g := NewWithT(t)
 	clock := fakeclock.New()
-	m := newTestMembers(clock)
+	m := newTestMembers(t, clock)
 	for _, id := range []string{"a", "c"} {
 		m.pingStates[id+":1"] = &pingState{quietSince: clock.Now(), storeReachable: true}
 	}
@@ -193,7 +193,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			clock := fakeclock.New()
-			m := newTestMembers(clock)
+			m := newTestMembers(t, clock)
 			m.owners["p"] = ledger.Owner{Pool: "p", Daemon: "b", Address: "b:1", Incarnation: 1, Fence: 5}
 			for id, record := range m.live {
 				record.Cores = 2
@@ -230,7 +230,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			clock := fakeclock.New()
-			m := newTestMembers(clock)
+			m := newTestMembers(t, clock)
 			delete(m.owners, "p")
 			const pools = 14
 			for n := range pools {
--- a/member/watch_rate_test.go
+++ b/member/watch_rate_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/member"
 )
@@ -132,7 +132,7 @@
 				store.Put("p/1", []byte("one"))
 				kv := &countingKV{KV: store, answer: c.answer}
 				w := member.WatcherConfig{
-					KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Prefix: "p/", Wait: rateWait, AnswerTimeout: rateAnswerTimeout,
+					KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Prefix: "p/", Wait: rateWait, AnswerTimeout: rateAnswerTimeout,
 					Changed: func(map[tw.Key]tw.KVItem, tw.KVRevision) {},
 				}.New()
 				time.Sleep(rateTime)
--- a/member/watcher_test.go
+++ b/member/watcher_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/member"
 )
@@ -48,7 +48,7 @@
 				kv.Put("p/1", []byte("one"))
 				shown := make(chan string, 100)
 				w := member.WatcherConfig{
-					KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Prefix: "p/", Wait: time.Second,
+					KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Prefix: "p/", Wait: time.Second,
 					Changed: func(items map[tw.Key]tw.KVItem, _ tw.KVRevision) { shown <- string(items["p/1"].Value) },
 				}.New()
 				defer w.Close()
@@ -73,7 +73,7 @@
 		g := NewWithT(t)
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
 		p := member.PresenceConfig{
-			KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Self: member.DaemonRecord{Daemon: "a"}, MinTTL: time.Second,
+			KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Self: member.DaemonRecord{Daemon: "a"}, MinTTL: time.Second,
 		}.New()
 		exists := func() bool {
 			_, err := kv.Get(t.Context(), "tw/member/live/a")
@@ -97,7 +97,7 @@
 		kv := standin.KVConfig{Latency: time.Millisecond}.New()
 		shown := make(chan string, 100)
 		w := member.WatcherConfig{
-			KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Prefix: "p/", Wait: 3 * time.Second,
+			KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Prefix: "p/", Wait: 3 * time.Second,
 			Changed: func(items map[tw.Key]tw.KVItem, _ tw.KVRevision) { shown <- string(items["p/1"].Value) },
 		}.New()
 		defer w.Close()
--- a/queue/busy_test.go
+++ b/queue/busy_test.go
@@ -42,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r, end := newTestRouter()
+				r, end := newTestRouter(t)
 				defer end()
 				s := tw.Submission{ID: "00000000000000aa", Policy: tw.RoutePolicy{Pool: "p"}}
 				if c.storedBefore {
@@ -89,7 +89,7 @@
 func TestBusyOwnerIsCached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		r, end := newTestRouter()
+		r, end := newTestRouter(t)
 		defer end()
 		calls := 0
 		owner := func(context.Context, tw.Submission) error {
@@ -118,7 +118,7 @@
 func TestBusyPoolWithoutOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		r, end := newTestRouter()
+		r, end := newTestRouter(t)
 		defer end()
 		var answer error = errBusy
 		submit := func(id tw.SubmissionID) error {
--- a/queue/cancel_test.go
+++ b/queue/cancel_test.go
@@ -21,7 +21,7 @@
 func TestCancelOfSubmissionBeingStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		r, end := newTestRouter()
+		r, end := newTestRouter(t)
 		defer end()
 		s := &tw.Submission{ID: "5c0e7a21d94b36f8", Policy: tw.RoutePolicy{Pool: "p", Route: "r"}, Steps: []tw.Step{{Count: 1}}}
 		late := ledger.AcceptViaInbox(s)
@@ -128,7 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r, end := newTestRouter()
+				r, end := newTestRouter(t)
 				defer end()
 				s, store := cancelledSubmission(), r.KV
 				if c.before != nil {
@@ -179,7 +179,7 @@
 func TestCancelledBeforeItIsSubmitted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		r, end := newTestRouter()
+		r, end := newTestRouter(t)
 		defer end()
 		g.Expect(r.Cancel(t.Context(), cancelRequest)).To(MatchError(run.ErrUnknownSubmission))
 		s := cancelledSubmission()
--- a/queue/handler_test.go
+++ b/queue/handler_test.go
@@ -7,11 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
@@ -48,11 +47,11 @@
 		}},
 	}
 	router := queue.RouterConfig{
-		Pools: noOwners{}, Members: &member.Members{}, Peers: member.NewPeers(nil), KV: g.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(),
+		Pools: noOwners{}, Members: &member.Members{}, Peers: member.NewPeers(nil), KV: g.kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t),
 	}.New()
 	g.handler = queue.HandlerConfig{
 		Router: router, Codec: platform.Codec{}, Config: func() *tw.QueueConfig { return g.config },
-		Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+		Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t),
 	}.New()
 	return g
 }
--- a/queue/reach_test.go
+++ b/queue/reach_test.go
@@ -7,11 +7,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -65,13 +64,13 @@
 	d.peers.Unresponsive.Store(true)
 }
 
-func startPartitionedDaemon() (d *partitionedDaemon, end func()) {
+func startPartitionedDaemon(t testing.TB) (d *partitionedDaemon, end func()) {
 	d = &partitionedDaemon{kv: &mutedKV{KV: standin.KVConfig{Latency: time.Millisecond}.New()}, peers: &membertest.Peers{}}
 	membertest.Announce(d.kv.KV, member.DaemonRecord{Daemon: "b", Incarnation: 1, Address: "b:1", Hall: "far"})
-	store := ledger.ResenderConfig{KV: d.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
-	members, end := membertest.StartWithPeers(store, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"}, d.peers)
+	store := ledger.ResenderConfig{KV: d.kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t)}.New()
+	members, end := membertest.StartWithPeers(t, store, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1", Hall: "near"}, d.peers)
 	d.Router = RouterConfig{
-		Pools: noOwners{}, Members: members, KV: store, StoreSilence: store.Silence, Clock: tw.SystemClock{}, Log: zap.NewNop(),
+		Pools: noOwners{}, Members: members, KV: store, StoreSilence: store.Silence, Clock: tw.SystemClock{}, Log: agecheck.Logger(t),
 	}.New()
 	time.Sleep(2 * time.Second)
 	return d, end
@@ -126,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				d, end := startPartitionedDaemon()
+				d, end := startPartitionedDaemon(t)
 				defer end()
 				c.event(d)
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
--- a/queue/router_test.go
+++ b/queue/router_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/membertest"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
@@ -22,10 +22,10 @@
 func (noOwners) Local(tw.PoolID) *run.Owner { return nil }
 
 // newTestRouter returns the router of a daemon that knows no pool owner.
-func newTestRouter() (r *Router, end func()) {
+func newTestRouter(t testing.TB) (r *Router, end func()) {
 	kv := standin.KVConfig{Latency: time.Millisecond}.New()
-	members, end := membertest.Start(kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
-	r = RouterConfig{Pools: noOwners{}, Members: members, KV: kv, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	members, end := membertest.Start(t, kv, member.DaemonRecord{Daemon: "a", Incarnation: 1, Address: "a:1"})
+	r = RouterConfig{Pools: noOwners{}, Members: members, KV: kv, Clock: tw.SystemClock{}, Log: agecheck.Logger(t)}.New()
 	return r, end
 }
 
@@ -44,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r, end := newTestRouter()
+				r, end := newTestRouter(t)
 				defer end()
 				if c.age >= 0 {
 					r.counts["quick"] = waitingCount{count: 7, at: time.Now().Add(-c.age)}
@@ -88,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r, end := newTestRouter()
+				r, end := newTestRouter(t)
 				defer end()
 				s := &tw.Submission{ID: "s1", Policy: tw.RoutePolicy{Pool: "p"}}
 				var progress ledger.Progress
--- a/queue/store_test.go
+++ b/queue/store_test.go
@@ -36,7 +36,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r, end := newTestRouter()
+				r, end := newTestRouter(t)
 				defer end()
 				r.KV = refusingKV{KV: r.KV, conflict: conflict}
 				s := tw.Submission{ID: "5c0e7a21d94b36f8", Policy: tw.RoutePolicy{Pool: "p", Route: "r"}, Steps: []tw.Step{{Count: 1}}}
--- a/relay/failure_test.go
+++ b/relay/failure_test.go
@@ -7,11 +7,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/relay"
 )
@@ -119,7 +118,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		workers := &fakeWorkers{latency: time.Millisecond, latencies: map[tw.WorkerID]time.Duration{"w3": 200 * time.Millisecond}}
-		server := relay.ServerConfig{Orders: workers, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
+		server := relay.ServerConfig{Orders: workers, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t)}.New()
 		batch := make([]tw.RelayedStart, 10)
 		for n := range batch {
 			batch[n] = tw.RelayedStart{To: tw.WorkerRef{ID: tw.WorkerID(fmt.Sprintf("w%d", n))}, Limit: limit}
@@ -149,7 +148,7 @@
 			fleet.Add(tw.WorkerEntry{ID: refs[n].ID, Address: refs[n].Address, Capacity: tw.Resources{CPU: 4000, MemoryMB: 4000}})
 		}
 		r := newFixture(t, "r0")
-		r.servers["r0"] = relay.ServerConfig{Orders: fleet, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
+		r.servers["r0"] = relay.ServerConfig{Orders: fleet, Clock: tw.SystemClock{}, Log: agecheck.Logger(t), Metrics: agecheck.Metrics(t)}.New()
 		r.bandwidth, r.transit = unknownLink, 100*time.Millisecond
 		o := r.orders()
 		defer o.Close()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,11 +9,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/relay"
 )
 
@@ -33,6 +32,7 @@
 	// fixture is a daemon with relays. All relays send orders to the same fake workers.
 	fixture struct {
 		*WithT
+		t               *testing.T
 		direct, relayed *fakeWorkers
 		bandwidth       tw.BytesPerSecond
 		servers         map[string]*relay.Server
@@ -85,7 +85,7 @@
 
 func newFixture(t *testing.T, relays ...string) *fixture {
 	r := &fixture{
-		WithT: NewWithT(t), bandwidth: link, direct: &fakeWorkers{latency: slow}, relayed: &fakeWorkers{latency: time.Millisecond, errs: map[tw.WorkerID]error{}},
+		WithT: NewWithT(t), t: t, bandwidth: link, direct: &fakeWorkers{latency: slow}, relayed: &fakeWorkers{latency: time.Millisecond, errs: map[tw.WorkerID]error{}},
 		servers: map[string]*relay.Server{}, relayErrs: map[string]error{}, unresponsive: map[string]bool{}, batches: map[string][]int{},
 	}
 	for _, name := range relays {
@@ -95,12 +95,12 @@
 }
 
 func (r *fixture) newServer() *relay.Server {
-	return relay.ServerConfig{Orders: r.relayed, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New()
+	return relay.ServerConfig{Orders: r.relayed, Clock: tw.SystemClock{}, Log: agecheck.Logger(r.t), Metrics: agecheck.Metrics(r.t)}.New()
 }
 
 func (r *fixture) orders() *relay.Orders {
 	return relay.Config{
-		Direct: r.direct, Relays: r, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet(), LinkBandwidth: r.bandwidth,
+		Direct: r.direct, Relays: r, Clock: tw.SystemClock{}, Log: agecheck.Logger(r.t), Metrics: agecheck.Metrics(r.t), LinkBandwidth: r.bandwidth,
 	}.New()
 }
 
--- a/run/cancel_cluster_test.go
+++ b/run/cancel_cluster_test.go
@@ -6,9 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/member"
 	"github.com/tamarindworks/tamarindworks/queue"
@@ -125,8 +124,8 @@
 func (c *cluster) newDaemon(id tw.DaemonID) *clusterDaemon {
 	d := &clusterDaemon{c: c, id: id, cutUntil: map[link]time.Time{}}
 	d.ctx, d.kill = context.WithCancel(context.Background())
-	d.kv = ledger.ResenderConfig{KV: storeLink{KV: c.kv, d: d}, Clock: processClock{d}, Log: testLog(), Metrics: metrics.NewSet()}.New()
-	router := queue.RouterConfig{Pools: reach{d: d}, Members: &member.Members{}, KV: d.kv, Clock: processClock{d}, Log: testLog()}
+	d.kv = ledger.ResenderConfig{KV: storeLink{KV: c.kv, d: d}, Clock: processClock{d}, Log: testLog(d.c.t), Metrics: agecheck.Metrics(d.c.t)}.New()
+	router := queue.RouterConfig{Pools: reach{d: d}, Members: &member.Members{}, KV: d.kv, Clock: processClock{d}, Log: testLog(d.c.t)}
 	d.router = router.New()
 	router.Pools = reach{d: d, alone: true}
 	d.alone = router.New()
@@ -246,7 +245,7 @@
 	incarnation := tw.Incarnation(c.ownersOpened)
 	c.mu.Unlock()
 	self := ledger.Owner{Pool: pool, Daemon: d.id, Address: "10.1.0.1:1", Incarnation: incarnation}
-	book, err := ledger.Config{KV: d.kv, Clock: processClock{d}, Log: testLog(), Owner: self}.Open(d.ctx)
+	book, err := ledger.Config{KV: d.kv, Clock: processClock{d}, Log: testLog(d.c.t), Owner: self}.Open(d.ctx)
 	if err != nil {
 		return err
 	}
@@ -257,7 +256,7 @@
 	}
 	o := run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: d.kv, Orders: orderLink{WorkerOrders: c.fleet, d: d}, Advisor: noAdvisor{},
-		MachineCache: c.machineCache, Clock: processClock{d}, Log: testLog(), Metrics: metrics.NewSet(), RefreshWorkers: func() {},
+		MachineCache: c.machineCache, Clock: processClock{d}, Log: testLog(d.c.t), Metrics: agecheck.Metrics(d.c.t), RefreshWorkers: func() {},
 		Evacuations: c.evacuations.Load, QueueConfig: func() *tw.QueueConfig { return nil },
 		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
 	}.New()
@@ -284,7 +283,7 @@
 func (d *clusterDaemon) watchInbox(o *run.Owner) *member.Watcher {
 	seen := map[tw.Key]tw.KVRevision{}
 	return member.WatcherConfig{
-		KV: d.kv, Clock: processClock{d}, Log: testLog(), Prefix: ledger.InboxPrefix(pool), Wait: inboxWait, AnswerTimeout: inboxTimeout,
+		KV: d.kv, Clock: processClock{d}, Log: testLog(d.c.t), Prefix: ledger.InboxPrefix(pool), Wait: inboxWait, AnswerTimeout: inboxTimeout,
 		Changed: func(items map[tw.Key]tw.KVItem, _ tw.KVRevision) {
 			for key, item := range items {
 				if seen[key] == item.Revision {
--- a/run/caps_test.go
+++ b/run/caps_test.go
@@ -10,11 +10,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -92,14 +91,14 @@
 func (r *capRig) takePool(name tw.PoolID) *run.Owner {
 	r.ownersOpened++
 	self := ledger.Owner{Pool: name, Daemon: tw.DaemonID(fmt.Sprintf("d%d", r.ownersOpened)), Incarnation: tw.Incarnation(r.ownersOpened)}
-	book, err := ledger.Config{KV: r.kv, Clock: tw.SystemClock{}, Log: zap.NewNop(), Owner: self}.Open(r.ctx)
+	book, err := ledger.Config{KV: r.kv, Clock: tw.SystemClock{}, Log: testLog(r.t), Owner: self}.Open(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
 	loaded, err := book.Load(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
 	self.Fence = book.Fence()
 	o := run.Config{
 		Book: book, Loaded: loaded, Self: self, KV: r.kv, Orders: r.fleet, Advisor: noAdvisor{}, MachineCache: r.machineCache,
-		Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(), QueueConfig: r.config.Load, Evacuations: r.evacuations.Load,
+		Clock: tw.SystemClock{}, Log: testLog(r.t), Metrics: agecheck.Metrics(r.t), QueueConfig: r.config.Load, Evacuations: r.evacuations.Load,
 		Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
 	}.New()
 	r.opened = append(r.opened, o)
--- a/run/foreign_takeover_test.go
+++ b/run/foreign_takeover_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/run"
@@ -314,7 +314,7 @@
 	for {
 		r.ownersOpened++
 		self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.2:1", Incarnation: tw.Incarnation(r.ownersOpened)}
-		book, err := ledger.Config{KV: r.kv, Clock: tw.SystemClock{}, Log: testLog(), Owner: self}.Open(r.ctx)
+		book, err := ledger.Config{KV: r.kv, Clock: tw.SystemClock{}, Log: testLog(r.t), Owner: self}.Open(r.ctx)
 		r.Expect(err).NotTo(HaveOccurred())
 		if book.Fence() < fence {
 			continue
@@ -324,7 +324,7 @@
 		self.Fence = book.Fence()
 		o := run.Config{
 			Book: book, Loaded: loaded, Self: self, KV: r.kv, Orders: r.fleet, Advisor: noAdvisor{}, MachineCache: r.machineCache, RefreshWorkers: func() {},
-			Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet(), Evacuations: r.evacuations.Load,
+			Clock: tw.SystemClock{}, Log: testLog(r.t), Metrics: agecheck.Metrics(r.t), Evacuations: r.evacuations.Load,
 			QueueConfig: func() *tw.QueueConfig { return nil }, Bounds: run.Bounds{MaxHold: maxHold, StopTime: stopTime, KeepEnded: 2 * time.Minute},
 		}.New()
 		r.opened = append(r.opened, o)
--- a/run/lag_test.go
+++ b/run/lag_test.go
@@ -5,7 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
+
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 )
 
 // lagPhase is a time in which answers are handled at an interval, each some time after its arrival.
@@ -56,7 +57,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	o := &Owner{now: now, window: newSendWindow(now, defaultWindow), log: zap.NewNop()}
+	o := &Owner{now: now, window: newSendWindow(now, defaultWindow), log: agecheck.Logger(t)}
 	o.roomShortAt = now
 	o.hedge.noteAnswer(now, 2*time.Millisecond)
 	handle := func(lag time.Duration) {
--- a/run/relay_faults_test.go
+++ b/run/relay_faults_test.go
@@ -7,10 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"go.uber.org/zap"
-
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/relay"
 )
 
@@ -44,10 +42,10 @@
 func (s *soak) shortOrders() tw.WorkerOrders {
 	relays := &faultyRelays{
 		names:  []string{"r0", "r1", "r2"},
-		server: relay.ServerConfig{Orders: s.fleet, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: metrics.NewSet()}.New(),
+		server: relay.ServerConfig{Orders: s.fleet, Clock: tw.SystemClock{}, Log: testLog(s.t), Metrics: agecheck.Metrics(s.t)}.New(),
 		rand:   rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
 	}
-	orders := relay.Config{Direct: s.fleet, Relays: relays, Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet()}.New()
+	orders := relay.Config{Direct: s.fleet, Relays: relays, Clock: tw.SystemClock{}, Log: testLog(s.t), Metrics: agecheck.Metrics(s.t)}.New()
 	s.rig.relayed = append(s.rig.relayed, orders)
 	go func() {
 		for {
--- a/run/relays_test.go
+++ b/run/relays_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"go.uber.org/zap"
-
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/relay"
 )
@@ -42,11 +40,11 @@
 		relayBottleneck := short.bottleneck
 		relayBottleneck.out, relayBottleneck.in = &resource{}, &resource{}
 		relays.servers[name] = relay.ServerConfig{
-			Orders: bottleneckOrders{WorkerOrders: short.WorkerOrders, bottleneck: relayBottleneck}, Clock: tw.SystemClock{}, Log: zap.NewNop(), Metrics: r.metricSet,
+			Orders: bottleneckOrders{WorkerOrders: short.WorkerOrders, bottleneck: relayBottleneck}, Clock: tw.SystemClock{}, Log: testLog(r.t), Metrics: r.metricSet,
 		}.New()
 	}
 	relayed := relay.Config{
-		Direct: orders, Relays: relays, Clock: tw.SystemClock{}, Log: testLog(), Metrics: r.metricSet, LinkBandwidth: r.link,
+		Direct: orders, Relays: relays, Clock: tw.SystemClock{}, Log: testLog(r.t), Metrics: r.metricSet, LinkBandwidth: r.link,
 	}.New()
 	r.relayed = append(r.relayed, relayed)
 	return relayed
--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/relay"
@@ -84,7 +84,7 @@
 		list:  map[tw.WorkerID]tw.WorkerEntry{}, advisor: noAdvisor{},
 	}
 	r.evacuations.Store(&tw.Evacuations{Revision: 1})
-	r.machineCache = run.MachineCacheConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	r.machineCache = run.MachineCacheConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: testLog(t)}.New()
 	for n := range workers {
 		r.addWorker(n)
 	}
@@ -124,8 +124,8 @@
 func (r *rig) openBook(daemon tw.DaemonID, kv tw.KV) run.Config {
 	r.ownersOpened++
 	self := ledger.Owner{Pool: pool, Daemon: daemon, Address: "10.1.0.1:1", Incarnation: tw.Incarnation(r.ownersOpened)}
-	kv = ledger.ResenderConfig{KV: kv, Clock: tw.SystemClock{}, Log: testLog(), Metrics: metrics.NewSet()}.New()
-	book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: testLog(), Owner: self}.Open(r.ctx)
+	kv = ledger.ResenderConfig{KV: kv, Clock: tw.SystemClock{}, Log: testLog(r.t), Metrics: agecheck.Metrics(r.t)}.New()
+	book, err := ledger.Config{KV: kv, Clock: tw.SystemClock{}, Log: testLog(r.t), Owner: self}.Open(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
 	loaded, err := book.Load(r.ctx)
 	r.Expect(err).NotTo(HaveOccurred())
@@ -134,9 +134,9 @@
 }
 
 func (r *rig) startOwner(c run.Config, orders tw.WorkerOrders) *run.Owner {
-	r.metricSet = metrics.NewSet()
+	r.metricSet = agecheck.Metrics(r.t)
 	c.Orders, c.Advisor, c.MachineCache, c.RefreshWorkers = r.withRelays(orders), r.advisor, r.machineCache, func() { r.refreshes++ }
-	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(), r.metricSet
+	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(r.t), r.metricSet
 	c.LinkBandwidth, c.Cores = r.link, r.cores
 	c.Evacuations = r.evacuations.Load
 	c.QueueConfig = func() *tw.QueueConfig { return r.queueConfig }
@@ -268,10 +268,6 @@
 	return c.KV.Commit(ctx, txn)
 }
 
-// testLog writes to standard output if TAMARIND_TEST_LOG is set.
-func testLog() *zap.Logger {
-	if os.Getenv("TAMARIND_TEST_LOG") == "" {
-		return zap.NewNop()
-	}
-	return zap.Must(zap.NewDevelopment())
-}
+// testLog writes to standard output if TAMARIND_TEST_LOG is set, and fails the test if a line has an
+// impossible age.
+func testLog(t testing.TB) *zap.Logger { return agecheck.Logger(t) }
--- a/run/termination_test.go
+++ b/run/termination_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
@@ -277,5 +276,5 @@
 	for _, entry := range r.list {
 		r.listAsRunning(entry)
 	}
-	r.machineCache = run.MachineCacheConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: zap.NewNop()}.New()
+	r.machineCache = run.MachineCacheConfig{Machines: r.cloud, Clock: tw.SystemClock{}, Log: testLog(r.t)}.New()
 }
--- a/run/waiting_test.go
+++ b/run/waiting_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/ledger"
 	"github.com/tamarindworks/tamarindworks/schedule"
 )
@@ -148,7 +148,7 @@
 // that counting one again allocates nothing.
 func TestCountersWithoutAllocation(t *testing.T) {
 	g := NewWithT(t)
-	set := metrics.NewSet()
+	set := agecheck.Metrics(t)
 	m := newOwnerMetrics(set, "checks")
 	m.started("started")
 	m.started("outdated")
