--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 )
 
 // process is a program started by a test.
@@ -25,9 +27,11 @@
 }
 
 // start starts a program. If readAddress is set, it waits for the first line of output,
-// which holds the address. The caller must end the process.
+// which holds the address. The caller must end the process. The test fails if its log has an impossible
+// age.
 func start(name string, readAddress bool, program string, args ...string) *process {
 	GinkgoHelper()
+	checked := agecheck.Lines(GinkgoT())
 	p := &process{name: name, cmd: exec.Command(filepath.Join(bin, program), args...), exited: make(chan struct{})}
 	p.cmd.Stderr = GinkgoWriter
 	stdout, err := p.cmd.StdoutPipe()
@@ -41,7 +45,7 @@
 	}
 	p.reaper.Go(func() {
 		defer close(p.exited)
-		_, _ = io.Copy(GinkgoWriter, lines)
+		_, _ = io.Copy(io.MultiWriter(GinkgoWriter, checked), lines)
 		_ = p.cmd.Wait() // stop returns the exit code
 	})
 	return p
--- a/internal/agecheck/agecheck_test.go
+++ b/internal/agecheck/agecheck_test.go
@@ -93,3 +93,30 @@
 		})
 	}
 }
+
+func TestLines(t *testing.T) {
+	for name, c := range map[string]struct {
+		log   string
+		wrong int
+	}{
+		"nothing":          {},
+		"no JSON":          {log: "daemon: 2562047h47m16.854775807s\n"},
+		"sound":            {log: `{"msg":"a","took":"1.5ms","age":"0s","n":-1,"fields":{"a":"b"}}` + "\n"},
+		"age of zero time": {log: `{"msg":"a","silent":"2562047h47m16.854775807s"}` + "\n", wrong: 1},
+		"negative age":     {log: `{"msg":"a","took":"-3µs"}` + "\n" + `{"msg":"b"}` + "\n", wrong: 1},
+		"zero time":        {log: `{"msg":"a","at":"0001-01-01T00:00:00Z"}` + "\n", wrong: 1},
+		"time":             {log: `{"msg":"a","at":"2001-01-01T00:00:00Z"}` + "\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			inner := &test{}
+			w := agecheck.Lines(inner)
+			for i := range len(c.log) { // a line may come in parts
+				_, err := w.Write([]byte(c.log[i : i+1]))
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			inner.end()
+			g.Expect(inner.failures).To(HaveLen(c.wrong))
+		})
+	}
+}
