--- a/control/absence_test.go
+++ b/control/absence_test.go
@@ -136,7 +136,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				a := &absenceBed{bed: newTestBed()}
+				a := &absenceBed{bed: newTestBed(t)}
 				a.bed.intervals = Intervals{}
 				a.list = &partitionableList{InstanceList: a.bed.platform}
 				a.bed.list = a.list
--- a/control/claims_test.go
+++ b/control/claims_test.go
@@ -69,7 +69,7 @@
 	// The daemon may send to instances as soon as it has the plan, but gets the first
 	// heartbeats of the other daemons only later.
 	It("grants no key that a daemon in the roster has claimed", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.intervals.Sync = time.Second
 		one, _ := b.node("d1", b.platform)
 		two, _ := b.node("d2", b.platform)
@@ -88,7 +88,7 @@
 	})
 
 	It("grants keys by itself when the others' processes are gone", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.intervals.Sync = time.Second
 		one, _ := b.node("d1", b.platform)
 		b.applyConfig(0)
@@ -102,7 +102,7 @@
 	})
 
 	It("grants keys without a silent daemon once it counts as down", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.intervals.Sync = time.Second
 		b.node("d1", b.platform)
 		b.node("d2", b.platform)
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -23,7 +23,7 @@
 
 var _ = Describe("a configuration", func() {
 	It("reaches every daemon and becomes a plan that serves", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		_, one := b.node("d1", b.platform)
 		_, two := b.node("d2", b.platform)
 		b.applyConfig(0)
@@ -34,7 +34,7 @@
 	})
 
 	It("reaches a daemon that cannot reach the store, through a peer", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		store := &partitionableStore{Store: b.platform}
 		b.node("d1", b.platform)
 		_, two := b.node("d2", store)
@@ -46,7 +46,7 @@
 	})
 
 	It("is not reverted when the store is restored to an older revision", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		_, one := b.node("d1", b.platform)
 		b.applyConfig(0)
 		older, err := b.platform.Get(GinkgoT().Context(), tw.ConfigKey)
@@ -59,7 +59,7 @@
 	})
 
 	It("is not accepted over a store that is behind the daemons", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		_, one := b.node("d1", b.platform)
 		b.applyConfig(0)
 		older, err := b.platform.Get(GinkgoT().Context(), tw.ConfigKey)
@@ -76,7 +76,7 @@
 	})
 
 	It("reaches a new daemon that cannot reach the store", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.node("d1", b.platform)
 		b.applyConfig(0)
 		Eventually(func() int { return servingCount(b.plan()) }, eventualTimeout).Should(Equal(2))
@@ -89,7 +89,7 @@
 	})
 
 	It("is accepted from one of two concurrent operators, and the other gets a conflict", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.applyConfig(0)
 		results := make(chan error, 2)
 		for _, operator := range []string{"ama", "salim"} {
@@ -114,7 +114,7 @@
 var _ = Describe("a move", func() {
 	// startDaemons starts two daemons, and returns them and a serving instance.
 	startDaemons := func() (b *testBed, one, two *recordingDispatcher, id tw.InstanceID) {
-		b = newTestBed()
+		b = newTestBed(GinkgoT())
 		_, one = b.node("d1", b.platform)
 		_, two = b.node("d2", b.platform)
 		b.applyConfig(0)
@@ -168,7 +168,7 @@
 	})
 
 	It("waits for requests in flight at a daemon that a restored roster lacks", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.intervals.Roster = time.Minute // so that the daemon does not check its entry in time
 		b.node("d1", b.platform)
 		b.applyConfig(0)
@@ -228,7 +228,7 @@
 var _ = Describe("the planner of a hall", func() {
 	for _, name := range slices.Sorted(maps.Keys(plannerFaults)) {
 		It(name+": replaces lost instances, and no generation decreases", func() {
-			b := newTestBed()
+			b := newTestBed(GinkgoT())
 			store := &partitionableStore{Store: b.platform}
 			_, one := b.node("d1", store)
 			b.applyConfig(0)
@@ -246,7 +246,7 @@
 	}
 
 	It("acquires the lease once, also when the store has lost its epochs", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		core, logs := observer.New(zap.InfoLevel)
 		b.log = agecheck.LoggerOf(GinkgoT(), core)
 		b.applyConfig(0)
@@ -261,7 +261,7 @@
 	})
 
 	It("keeps planning when its predecessor's epoch is above its own, even if it already has that plan", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		b.node("d1", b.platform)
 		b.node("d2", b.platform)
 		b.applyConfig(0)
@@ -282,7 +282,7 @@
 	})
 
 	It("fences its predecessor by writing the plan before anything else", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		one, _ := b.node("d1", b.platform)
 		b.applyConfig(0)
 		Eventually(func() int { return servingCount(b.plan()) }, eventualTimeout).Should(Equal(2))
@@ -296,7 +296,7 @@
 	})
 
 	It("fences an earlier process of its own daemon that had the same epoch", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		one, _ := b.node("d1", b.platform)
 		b.applyConfig(0)
 		Eventually(func() int { return servingCount(b.plan()) }, eventualTimeout).Should(Equal(2))
@@ -317,7 +317,7 @@
 	})
 
 	It("is one daemon at a time", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		one, _ := b.node("d1", b.platform)
 		two, _ := b.node("d2", b.platform)
 		b.applyConfig(0)
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -50,7 +50,7 @@
 func TestPlannerAfterLeaseExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		b := newTestBed()
+		b := newTestBed(t)
 		b.intervals = Intervals{}
 		_, err := b.operator.Apply(t.Context(), testConfig, "test", 0)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -88,7 +88,7 @@
 
 var _ = Describe("a planner whose lease has expired", func() {
 	It("leaves its successor's drains in the ledgers", func() {
-		b := newTestBed()
+		b := newTestBed(GinkgoT())
 		n, _ := b.node("d1", b.platform)
 		entry := tw.Disruption{Instance: "w0", Hall: "h1"}
 		_, err := b.operator.documents.Write(GinkgoT().Context(), tw.BudgetKey("s"), platform.Document{},
--- a/control/suite_test.go
+++ b/control/suite_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 	"github.com/tamarindworks/tamarindworks/platform"
 )
@@ -140,8 +141,8 @@
 	intervals Intervals
 }
 
-func newTestBed() *testBed {
-	b := &testBed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), intervals: fastIntervals}
+func newTestBed(t agecheck.TB) *testBed {
+	b := &testBed{platform: standin.PlatformConfig{AutoRun: true}.New(), network: newNetwork(), intervals: fastIntervals, log: agecheck.Logger(t)}
 	b.list, b.workers = b.platform, b.platform
 	b.operator = OperatorConfig{Documents: b.documents(b.platform), Peers: b.network, Clock: tw.SystemClock{}}.New()
 	for i := range 4 {
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/agecheck"
 )
 
 func TestGateway(t *testing.T) {
@@ -86,6 +87,10 @@
 }
 
 func startGateway(config Config, view tw.View) *testGateway {
+	config.Log = agecheck.Logger(GinkgoT())
+	if config.Metrics == nil {
+		config.Metrics = agecheck.Metrics(GinkgoT())
+	}
 	g := config.New()
 	g.Install(view)
 	server := httptest.NewServer(g)
