--- a/run/requests.go
+++ b/run/requests.go
@@ -329,6 +329,7 @@
 	o.deleteCancelMessage(sub)
 	sub.notifyWaiters(nil)
 	o.metrics.ended(sub.final)
+	// The clock of the daemon that has accepted it may be ahead.
 	o.log.Info("submission: recorded as ended", zap.String("submission", string(sub.ID)),
-		zap.String("state", string(sub.final)), zap.Duration("after", o.now.Sub(sub.Accepted)))
+		zap.String("state", string(sub.final)), ageField("after", later(o.now, sub.Accepted), sub.Accepted))
 }
--- a/run/worker.go
+++ b/run/worker.go
@@ -170,18 +170,7 @@
 
 // answerAgeField returns the age of the last answer as a log field; an empty one if there was none.
 func (w *worker) answerAgeField(now time.Time) zap.Field {
-	if w.clockAt.IsZero() {
-		return zap.Skip()
-	}
-	return zap.Duration("last_answer", now.Sub(w.clockAt))
-}
-
-// silentField returns how long the worker has been silent as a log field; an empty one if it is not.
-func (w *worker) silentField(now time.Time) zap.Field {
-	if w.silentSince.IsZero() {
-		return zap.Skip()
-	}
-	return zap.Duration("silent", now.Sub(w.silentSince))
+	return ageField("last_answer", now, w.clockAt)
 }
 
 // clockOffsetField returns how far the clock in an answer is ahead of the worker's estimated clock, in
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -333,7 +333,7 @@
 		return
 	}
 	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)), w.incarnationField(),
-		w.silentField(o.now), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
+		ageField("silent", o.now, w.silentSince), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
 	w.stateKnown = false
 	o.attributeCrash(w, false)
 	for _, r := range w.runs {
