Stand-in: a machine that is added as down stays down

A list of machines brought it back at once, with a worker of a made-up ID and no pool, so that tests of machines that are down saw workers end as 'its machine runs another worker'.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -155,11 +155,11 @@
 }
 
 // finishChanges brings machines whose move or maintenance has ended back up, each
-// with a new worker.
+// with a new worker. Machines that were added as down stay so.
 func (c *Cloud) finishChanges() {
 	now := c.config.Clock.Now()
 	for _, m := range c.machines {
-		if m.State == tw.MachineUp || now.Before(m.returnsAt) {
+		if m.State == tw.MachineUp || m.State == tw.MachineDown || now.Before(m.returnsAt) {
 			continue
 		}
 		m.restarts++
