Workers: a new owner waits for a worker that may come back with an order of the previous one

Cause: a presumed end ended the wait for what the previous owner may have started there. Change: inherited work waits for 4 s at most for a worker that has not answered the new owner and is presumed ended because its machine is down. Only such ends have starts wait, as a machine that was moved, is maintained or has left does not bring a worker with the ID back within seconds.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -57,6 +57,8 @@
 	o.attributeCrash(w, true)
 	next := o.addWorker(entry)
 	next.startTime = entry.StartTime
+	next.inheritedExpireAt = o.inheritedExpireAt()
+	next.mayHaveInheritedRuns = o.now.Before(next.inheritedExpireAt)
 	next.listed, next.missingSince, next.vacating, next.maintenanceDue = w.listed, w.missingSince, w.vacating, w.maintenanceDue
 	ended, unclear := 0, 0
 	for _, r := range w.runs {
--- a/run/restart_starts_test.go
+++ b/run/restart_starts_test.go
@@ -273,3 +273,27 @@
 		})
 	}
 }
+
+// TestSuccessorWaitsForAWorkerThatMayComeBack guards against a subtask that runs twice, as a start that the previous owner
+// has ordered is carried out by a worker that comes back under its ID after the takeover.
+func TestSuccessorWaitsForAWorkerThatMayComeBack(t *testing.T) {
+	for name, gone := range map[string]bool{"comes back": false, "lost for good": true} {
+		runCase(t, name, 1, func(r *rig) {
+			w := r.crashAfterOrder(3 * time.Second)
+			w.listAsDown()
+			w.owner.Close()
+			crashed := time.Now()
+			o := r.newOwner("b")
+			if !gone {
+				time.Sleep(2500 * time.Millisecond)
+				entry := w.restart(0)
+				time.Sleep(1500 * time.Millisecond)
+				w.listAsRunning(entry)
+				w.relistWorker(o, entry)
+			}
+			r.Eventually(func() int { return r.fleet.SubtaskRuns(subtask("s1", 0, 0)) }, 10*time.Second, 10*time.Millisecond).Should(Equal(1))
+			r.Expect(time.Since(crashed)).To(BeNumerically("<", 6500*time.Millisecond))
+			r.eventually(o, "s1", tw.SubmissionSucceeded, time.Minute)
+		})
+	}
+}
--- a/run/termination.go
+++ b/run/termination.go
@@ -42,6 +42,8 @@
 	proven bool
 	// planned: the worker was not crashed by one of its runs.
 	planned bool
+	// mayReturn: a worker with its ID may start on its machine within seconds.
+	mayReturn bool
 	// replaced: another worker of its machine answers. One that is only listed does not
 	// count, as it may still be starting.
 	replaced bool
@@ -194,7 +196,7 @@
 	case tw.MachineMoving, tw.MachineMaintenance:
 		return termination{reason: "its machine is " + string(machine.State), planned: true}
 	case tw.MachineDown:
-		return termination{reason: "its machine is " + string(machine.State)}
+		return termination{reason: "its machine is " + string(machine.State), mayReturn: true}
 	case tw.MachineUp:
 		_, terminated := o.terminated[machine.Worker]
 		if machine.Worker != "" && machine.Worker != w.entry.ID && !terminated {
@@ -255,6 +257,7 @@
 	if !end.planned && !w.knownSince.IsZero() {
 		o.attributeCrash(w, end.replaced) // else its runs were counted with its previous incarnation
 	}
+	o.keepInheritedInDoubt(w, end)
 	for _, r := range w.runs {
 		if o.mayStartOnReturn(r, end) {
 			o.keepInDoubt(r)
@@ -298,7 +301,7 @@
 		default:
 			delete(o.terminated, id)
 			w := o.addWorker(entry)
-			w.mayHaveInheritedRuns, w.presumedEnd = false, &record
+			w.presumedEnd = &record
 		}
 	}
 	return next
--- a/run/under_way.go
+++ b/run/under_way.go
@@ -19,6 +19,9 @@
 	runs []*runState
 	// grantedAt is when an order that extends the deadline of runs was last sent.
 	grantedAt time.Time
+	// inheritedUntil is until when the next worker with the ID is expected to carry out an order of the
+	// previous owner; zero if it is not.
+	inheritedUntil time.Time
 }
 
 // maxOrderDelay is longer than the time after which an order without an answer may still be
@@ -32,7 +35,7 @@
 
 // mayStartOnReturn reports whether the next worker with the ID of one that is taken for ended may start a run.
 func (o *Owner) mayStartOnReturn(r *runState, end termination) bool {
-	if end.proven || r.w.startTime == 0 && r.doubtUntil.IsZero() || !r.startOpen || o.now.Sub(r.startedAt) > maxOrderDelay {
+	if !end.mayReturn || r.w.startTime == 0 && r.doubtUntil.IsZero() || !r.startOpen || o.now.Sub(r.startedAt) > maxOrderDelay {
 		return false
 	}
 	if r.doubtUntil.IsZero() {
@@ -46,19 +49,56 @@
 	underWay := o.underWay[r.w.entry.ID]
 	underWay.runs = append(underWay.runs, r)
 	o.underWay[r.w.entry.ID] = underWay
-	if record, ended := o.terminated[r.w.entry.ID]; ended {
-		record.askAt = o.now.Add(pollRetryDelay) // the sooner it is told what not to start, the better
-		o.terminated[r.w.entry.ID] = record
-	}
+	o.askSoon(r.w.entry.ID)
 	o.log.Info("run: in doubt, its worker may come back", zap.Stringer("subtask", r.task.id), zap.Int64("run", int64(r.run)),
 		zap.String("worker", string(r.w.entry.ID)), r.w.incarnationField(), zap.Stringer("phase", r.phase),
 		zap.Duration("since_start", o.now.Sub(r.startedAt)), zap.Duration("for", r.doubtUntil.Sub(o.now)))
 }
 
+// keepInheritedInDoubt has inherited work wait for the next worker with the ID of one that was taken for ended
+// without proof and has never answered this owner: the previous one may have ordered it to start something.
+func (o *Owner) keepInheritedInDoubt(w *worker, end termination) {
+	if !end.mayReturn || !w.mayHaveInheritedRuns || w.entry.StartTime == 0 {
+		return
+	}
+	until := o.now.Add(returnTimeout)
+	if w.inheritedExpireAt.Before(until) {
+		until = w.inheritedExpireAt
+	}
+	underWay := o.underWay[w.entry.ID]
+	underWay.inheritedUntil = until
+	o.underWay[w.entry.ID] = underWay
+	o.askSoon(w.entry.ID)
+}
+
+// askSoon has a worker that was taken for ended asked soon whether it has: the sooner it is told what not to
+// start, the better.
+func (o *Owner) askSoon(id tw.WorkerID) {
+	if record, ended := o.terminated[id]; ended {
+		record.askAt = o.now.Add(pollRetryDelay)
+		o.terminated[id] = record
+	}
+}
+
+// inheritedInDoubt reports whether inherited work waits for a worker that was taken for ended.
+func (o *Owner) inheritedInDoubt() bool {
+	for _, underWay := range o.underWay {
+		if !underWay.inheritedUntil.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // endDoubts gives up the runs whose workers have not come back. It returns when the next one is due.
 func (o *Owner) endDoubts() time.Time {
 	var next time.Time
 	for id, underWay := range o.underWay {
+		if until := underWay.inheritedUntil; !until.IsZero() && !o.now.Before(until) {
+			underWay.inheritedUntil = time.Time{}
+			o.placeRequested = true
+		}
+		next = earlier(next, underWay.inheritedUntil)
 		var kept []*runState
 		for _, r := range underWay.runs {
 			if o.now.Before(r.doubtUntil) {
@@ -79,17 +119,18 @@
 	o.underWay[w.entry.ID] = ordersUnderWay{starts: w.startsUnderWay(o.now), grantedAt: w.grantedAt}
 }
 
-// takeOrdersUnderWay returns what is under way to a worker that is added.
-func (o *Owner) takeOrdersUnderWay(id tw.WorkerID) ordersUnderWay {
-	underWay := o.underWay[id]
+// takeOrdersUnderWay returns what is under way to a worker that is added. known reports whether one with its ID
+// was removed before.
+func (o *Owner) takeOrdersUnderWay(id tw.WorkerID) (underWay ordersUnderWay, known bool) {
+	underWay, known = o.underWay[id]
 	delete(o.underWay, id)
-	return underWay
+	return underWay, known
 }
 
 // dropOldOrders forgets the orders that are not carried out any more.
 func (o *Owner) dropOldOrders() {
 	for id, underWay := range o.underWay {
-		if len(underWay.runs) == 0 && o.now.Sub(underWay.grantedAt) > maxOrderDelay {
+		if len(underWay.runs) == 0 && underWay.inheritedUntil.IsZero() && o.now.Sub(underWay.grantedAt) > maxOrderDelay {
 			delete(o.underWay, id)
 		}
 	}
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -221,7 +221,7 @@
 }
 
 func (o *Owner) addWorker(entry tw.WorkerEntry) *worker {
-	underWay := o.takeOrdersUnderWay(entry.ID)
+	underWay, known := o.takeOrdersUnderWay(entry.ID)
 	w := &worker{
 		entry: entry, listed: true, runs: map[runKey]*runState{}, rank: o.freeRank(), usage: o.caps.usage,
 		// The previous owner may have extended runs there until its permit expired. Workers
@@ -229,13 +229,14 @@
 		grantedAt:   later(o.takeoverAt.Add(permitTTL), underWay.grantedAt),
 		unforbidden: underWay.starts,
 	}
-	w.inheritedExpireAt = o.takeoverAt.Add(permitTTL + o.maxHoldTime())
-	w.mayHaveInheritedRuns = o.now.Before(w.inheritedExpireAt)
-	w.grantsExpireAt = w.inheritedExpireAt
-	if !underWay.grantedAt.IsZero() {
+	w.grantsExpireAt = o.inheritedExpireAt()
+	w.inheritedExpireAt = w.grantsExpireAt
+	if known {
 		// What an earlier incarnation was granted may be carried out late, and counts from then.
 		w.grantsExpireAt = later(w.grantsExpireAt, underWay.grantedAt.Add(maxOrderDelay+o.maxHoldTime()))
+		w.inheritedExpireAt = underWay.inheritedUntil
 	}
+	w.mayHaveInheritedRuns = o.now.Before(w.inheritedExpireAt)
 	w.session = newSession(o, entry.Ref())
 	o.workers[entry.ID] = w
 	o.ranks[w.rank] = true
@@ -250,6 +251,9 @@
 	return w
 }
 
+// inheritedExpireAt returns when all that the previous owner may have granted has expired.
+func (o *Owner) inheritedExpireAt() time.Time { return o.takeoverAt.Add(permitTTL + o.maxHoldTime()) }
+
 // maxHoldTime returns the longest local time for which a hold can keep runs going.
 func (o *Owner) maxHoldTime() time.Duration {
 	return time.Duration(float64(o.bounds.MaxHold)*clockDrift) + grantMargin
@@ -345,7 +349,7 @@
 // mayHaveInheritedRuns reports whether runs of the previous owner may be on workers that have not
 // answered.
 func (o *Owner) mayHaveInheritedRuns() bool {
-	if !o.machineListRead && o.now.Before(o.takeoverAt.Add(permitTTL+o.maxHoldTime())) {
+	if !o.machineListRead && o.now.Before(o.inheritedExpireAt()) {
 		o.machineCache.RequestRefresh(o.now)
 		return true
 	}
@@ -354,5 +358,5 @@
 			return true
 		}
 	}
-	return false
+	return o.inheritedInDoubt()
 }
