Run: one start counts as one crash, however often its worker restarts

Cause: a run that is handed to the next incarnation was counted once more when that one ended, and what was known when its order was sent to the previous incarnation (age of the last answer, closed connection) counted as proof that the order had reached the next one. TestStartCountsAsOneCrash, red before (3 instead of 1). Change: a run is counted once; a run that is handed over has no proof that it reached the next incarnation.

--- a/run/crash.go
+++ b/run/crash.go
@@ -73,6 +73,7 @@
 		switch {
 		case w.survived(r):
 			o.clearSuspect(r.task)
+		case r.crashCounted:
 		case replaced && o.now.Sub(r.startedAt) < minRestartTime:
 			o.log.Info("run: not counted as a crash, the machine runs a new worker too soon", zap.Stringer("subtask", r.task.id),
 				zap.String("worker", string(w.entry.ID)), zap.Duration("since_start", o.now.Sub(r.startedAt)))
@@ -134,6 +135,7 @@
 	sinceStart := o.now.Sub(r.startedAt)
 	t.crashesUncertain = t.crashesUncertain || sinceStart > o.crashDetectLimit()
 	limit := t.crashLimit(several)
+	r.crashCounted = true
 	o.metrics.suspectedRuns.Inc()
 	o.writer.markDirty(sub)
 	o.log.Info("run: may have ended its worker", zap.Stringer("subtask", t.id), zap.Int64("run", int64(r.run)),
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,10 +77,15 @@
 		zap.Int("unclear", unclear), zap.Int("late_starts", len(next.lateStarts)), zap.Duration("grants_left", max(0, next.grantsExpireAt.Sub(o.now))))
 }
 
+// unknownAnswerAge is the age of the last answer before an order that was not sent to the incarnation.
+const unknownAnswerAge = time.Duration(math.MaxInt64)
+
 // handOver makes a run one that the next incarnation of its worker may have started.
 func (o *Owner) handOver(r *runState, next *worker) {
 	r.w.remove(r)
 	revoked := r.phase == stopping || r.phase == stopConfirmed
+	// The order was sent to the previous incarnation, so it does not show that this one was reached.
+	r.connectionLost, r.sinceLastAnswer = false, unknownAnswerAge
 	r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
 	next.add(r)
 	if revoked {
--- a/run/restart_starts_test.go
+++ b/run/restart_starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -297,3 +298,24 @@
 		})
 	}
 }
+
+// TestStartCountsAsOneCrash guards against work that is given up because one start of it was counted as the crash of several
+// incarnations of its worker.
+func TestStartCountsAsOneCrash(t *testing.T) {
+	runCase(t, "restarts twice before it is told not to start it", 1, func(r *rig) {
+		r.setStartTimes()
+		orders := newFaultyOrders(r, "s1", orderFault{reset: true}, orderFault{lost: true})
+		o := r.newOwnerWith("a", r.kv, orders)
+		time.Sleep(ownerAge)
+		r.submit(o, longSubtasks("s1", 1))
+		for range 3 {
+			time.Sleep(1200 * time.Millisecond)
+			r.relistWorker(o, r.restart(0))
+		}
+		time.Sleep(100 * time.Millisecond)
+		suspected := r.metricSet.GetOrCreateCounter(fmt.Sprintf("tamarind_runs_suspected_total{pool=%q}", string(pool))).Get()
+		r.Expect(suspected).To(Equal(uint64(1)))
+		orders.heal()
+		r.eventually(o, "s1", tw.SubmissionSucceeded, time.Minute)
+	})
+}
--- a/run/submission.go
+++ b/run/submission.go
@@ -162,6 +162,8 @@
 		// connectionLost: the connection was closed before the start was answered.
 		sinceLastAnswer time.Duration
 		connectionLost  bool
+		// crashCounted: the end of a worker was counted against it. One order starts it once.
+		crashCounted bool
 		// startOpen: the order to start it, or a copy of it, has no answer and may be carried out
 		// later.
 		startOpen bool
