Workers: tests of grants that count from when a late order is carried out

TestRestartThatIsNeverSeen: the same bound is missing for the known incarnation, of which the owner has not learned that it has restarted.

--- /dev/null
+++ b/run/silent_restart_test.go
@@ -0,0 +1,50 @@
+package run_test
+
+import (
+	"testing"
+	"time"
+
+	tw "github.com/tamarindworks/tamarindworks"
+	"github.com/tamarindworks/tamarindworks/internal/standin"
+)
+
+// TestRestartThatIsNeverSeen guards against a subtask that runs twice, as a worker restarts under its ID, is cut off
+// before its next incarnation has answered, and carries out a start late. What it is granted then lasts longer than
+// what the previous incarnation was granted when the order was sent.
+func TestRestartThatIsNeverSeen(t *testing.T) {
+	for name, late := range map[string]time.Duration{"late by 2 s": 2 * time.Second, "late by 6 s": 6 * time.Second} {
+		runCase(t, name, 1, func(r *rig) {
+			w := r.crashAfterOrder(late)
+			time.Sleep(500 * time.Millisecond)
+			r.restart(0)
+			r.fleet.UpdateWorker(w.entry.ID, func(w *standin.SimWorker) { w.Silent = true })
+			time.AfterFunc(20*time.Second, func() {
+				r.fleet.UpdateWorker(w.entry.ID, func(w *standin.SimWorker) { w.Silent = false })
+			})
+			r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+		})
+	}
+}
+
+// TestLateStartAfterARestartThatWasSeen guards against a subtask that runs twice, as a worker is cut off once its next
+// incarnation has answered, before it can be told what not to start: an order to the previous incarnation may be
+// carried out until maxOrderDelay after it was sent, and its grant counts from then.
+func TestLateStartAfterARestartThatWasSeen(t *testing.T) {
+	runCase(t, "cut off at the first answer", 1, func(r *rig) {
+		r.setStartTimes()
+		orders := &partitionAfterRestart{
+			faultyOrders: newFaultyOrders(r, "s1", orderFault{lost: true, late: 4 * time.Second}, orderFault{}),
+			length:       20 * time.Second, known: map[tw.WorkerID]tw.WorkerStartTime{},
+		}
+		o := r.newOwnerWith("a", r.kv, orders)
+		time.Sleep(ownerAge)
+		r.submit(o, longSubtasks("s1", 1))
+		<-orders.sent
+		r.restart(0)
+		orders.heal()
+		r.addWorker(1)
+		r.setStartTime(1)
+		r.publishWorkers(o)
+		r.eventually(o, "s1", tw.SubmissionSucceeded, time.Minute)
+	})
+}
