Workers: a start that a restart behind a partition may delay bounds its run

What callers would see: a subtask runs twice (TWICE): a worker restarts and is cut off before its next incarnation has answered, which carries out a start late and by its own clock. Cause: without an answer of the next incarnation the owner knows the previous one only, and took the run for lapsed by what that one was granted when the order was sent. Change: where IDs are used again, a run with an open order lapses on a silent worker when its latest possible start has; the other runs there lapse as before. Only the runs that have lapsed are counted as possible crashes then.

--- a/run/crash.go
+++ b/run/crash.go
@@ -62,14 +62,14 @@
 	}
 }
 
-// attributeCrash counts the end of a worker against the subtasks that may have caused it.
+// attributeCrash counts the end of a worker against those of its runs that may have caused it.
 // replaced reports that a newer worker of the same machine already answers.
-func (o *Owner) attributeCrash(w *worker, replaced bool) {
+func (o *Owner) attributeCrash(w *worker, runs []*runState, replaced bool) {
 	if w.entry.Draining {
 		return
 	}
 	var candidates []*runState
-	for _, r := range w.runs {
+	for _, r := range runs {
 		switch {
 		case w.survived(r):
 			o.clearSuspect(r.task)
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -1,7 +1,9 @@
 package run
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,7 +57,7 @@
 	o.log.Info("worker: has started again", zap.String("worker", string(entry.ID)), zap.Int64("born", int64(entry.StartTime)),
 		zap.Int64("before", int64(w.startTime)), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
 	o.removeWorker(w, "it has started again")
-	o.attributeCrash(w, true)
+	o.attributeCrash(w, slices.Collect(maps.Values(w.runs)), true)
 	next := o.addWorker(entry)
 	next.startTime = entry.StartTime
 	next.inheritedExpireAt = o.inheritedExpireAt()
--- a/run/termination.go
+++ b/run/termination.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -255,7 +256,7 @@
 	o.noteTerminated(w, end)
 	o.removeWorker(w, end.reason)
 	if !end.planned && !w.knownSince.IsZero() {
-		o.attributeCrash(w, end.replaced) // else its runs were counted with its previous incarnation
+		o.attributeCrash(w, slices.Collect(maps.Values(w.runs)), end.replaced) // else its runs were counted with its previous incarnation
 	}
 	o.keepInheritedInDoubt(w, end)
 	for _, r := range w.runs {
--- a/run/under_way.go
+++ b/run/under_way.go
@@ -44,6 +44,15 @@
 	return o.now.Before(r.doubtUntil)
 }
 
+// lateStartExpiresAt returns until when a run may last on a silent worker if its next incarnation carries out the
+// order to start it; zero if it can't.
+func (o *Owner) lateStartExpiresAt(r *runState) time.Time {
+	if r.w.startTime == 0 || !r.startOpen {
+		return time.Time{}
+	}
+	return r.startedAt.Add(maxOrderDelay + o.maxHoldTime())
+}
+
 // keepInDoubt keeps a run of a removed worker for the next one with its ID.
 func (o *Owner) keepInDoubt(r *runState) {
 	underWay := o.underWay[r.w.entry.ID]
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -333,14 +333,23 @@
 		w.stateKnown = false // it must be polled before it is used again
 		o.placeRequested = true
 	}
-	if len(w.runs) == 0 || o.now.Before(w.grantsExpireAt) {
+	if o.now.Before(w.grantsExpireAt) {
+		return
+	}
+	var lapsed []*runState
+	for _, r := range w.runs {
+		if !o.now.Before(o.lateStartExpiresAt(r)) {
+			lapsed = append(lapsed, r)
+		}
+	}
+	if len(lapsed) == 0 {
 		return
 	}
 	o.log.Info("worker: all that ran there has lapsed", zap.String("worker", string(w.entry.ID)), w.incarnationField(),
-		ageField("silent", o.now, w.silentSince), zap.Int("runs", len(w.runs)), w.answerAgeField(o.now))
+		ageField("silent", o.now, w.silentSince), zap.Int("runs", len(lapsed)), zap.Int("unclear", len(w.runs)-len(lapsed)), w.answerAgeField(o.now))
 	w.stateKnown = false
-	o.attributeCrash(w, false)
-	for _, r := range w.runs {
+	o.attributeCrash(w, lapsed, false)
+	for _, r := range lapsed {
 		o.runGone(r, "lapsed on a silent worker")
 	}
 	o.placeRequested = true
