drain: a refused socket filter no longer fails a planned stop, nor resets callers

Callers saw: where the system refuses SO_ATTACH_FILTER, connections that came as a listener was closed were reset, with requests sent on some of them. Operators saw "daemon: planned stop failed" and exit code 1 at each planned stop, though it went on to its end; a stop that did run out of time looked the same.

Cause: the listener attached the filter and returned its error; without the filter it accepted until the backlog was empty at one of its looks, 20 ms apart, and was closed some time after the look. Connections kept coming in between.

Change: a refused filter is no error. A listener is then bound to an interface that does not exist (SO_BINDTOIFINDEX): further connections are refused at once, those in the backlog or being opened are kept. Where that is refused as well it accepts until none has come for 20 ms, for 250 ms at most, and stops listening in the step after its look at the backlog. The log says which options were refused and what follows for callers.

--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -9,27 +9,33 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
 )
 
 // listener accepts the connections in its backlog before it is closed.
 type listener struct {
 	*net.TCPListener
-	server   *Server
+	server *Server
+	// stopping is set after newConns and busyUntil.
 	stopping atomic.Bool
+	newConns newConns
+	// busyUntil is until when a listener that can't block further connections waits for a pause
+	// between them.
+	busyUntil time.Time
+	// lastAccepted is when the last connection was accepted, or zero.
+	lastAccepted time.Time
 }
 
 const (
 	// handshakeTimeout allows a connection that is being opened to complete, which takes a
 	// round trip.
 	handshakeTimeout = 20 * time.Millisecond
-	// flagsOffset is the offset of the flags in a TCP header, in bytes.
-	flagsOffset = 13
-	flagSYN     = 0x02
+	// busyTimeout bounds how long a listener that can't block further connections waits for a
+	// pause between them.
+	busyTimeout = 250 * time.Millisecond
 )
 
-// Listen opens a listener that can drop SYN packets. Go's default, a listener for
+// Listen opens a listener that can block further connections. Go's default, a listener for
 // multipath TCP, can't.
 func Listen(address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{}
@@ -47,12 +53,13 @@
 		tcp, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			c := &conn{TCPConn: tcp, server: l.server, idleSince: time.Now()}
+			l.lastAccepted = time.Now()
+			c := &conn{TCPConn: tcp, server: l.server, idleSince: l.lastAccepted}
 			l.server.add(c)
 			return c, nil
 		case !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !l.hasPending():
+		case l.mayClose() && l.closeIfEmpty():
 			return nil, http.ErrServerClosed
 		}
 		if err := l.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
@@ -62,43 +69,34 @@
 }
 
 // stop makes Accept return http.ErrServerClosed once the backlog is empty.
-func (l *listener) stop() error {
-	err := l.dropNew()
+func (l *listener) stop(ctx context.Context) error {
+	l.newConns = l.blockNew()
+	l.busyUntil = time.Now().Add(busyTimeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(l.busyUntil) {
+		l.busyUntil = deadline
+	}
 	l.stopping.Store(true)
-	return errors.CombineErrors(err, l.SetDeadline(time.Now().Add(handshakeTimeout)))
+	return errors.Wrap(l.SetDeadline(time.Now().Add(handshakeTimeout)), "drain.listener.stop")
 }
 
-// hasPending reports whether the backlog holds a connection.
-func (l *listener) hasPending() bool {
-	ready := 0
-	err := l.control(func(fd int) error {
-		var err error
-		ready, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		return err
-	})
-	return err == nil && ready > 0
+// mayClose reports whether hardly any connection is being opened: closing the listener resets it.
+func (l *listener) mayClose() bool {
+	now := time.Now()
+	return l.newConns != newAccepted || now.Sub(l.lastAccepted) >= handshakeTimeout || now.After(l.busyUntil)
 }
 
-// dropNew drops the SYN packets of further connections. The callers retransmit them and are
-// refused then, as the listener is closed by that time.
-func (l *listener) dropNew() error {
-	program, err := bpf.Assemble([]bpf.Instruction{
-		bpf.LoadAbsolute{Off: flagsOffset, Size: 1},
-		bpf.JumpIf{Cond: bpf.JumpBitsSet, Val: flagSYN, SkipFalse: 1},
-		bpf.RetConstant{Val: 0},
-		bpf.RetConstant{Val: 1 << 16},
-	})
-	if err != nil {
-		return errors.Wrap(err, "drain.listener.dropNew")
-	}
-	filter := make([]unix.SockFilter, len(program))
-	for n, i := range program {
-		filter[n] = unix.SockFilter{Code: i.Op, Jt: i.Jt, Jf: i.Jf, K: i.K}
-	}
-	return l.control(func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-			&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+// closeIfEmpty ends the listening if the backlog is empty, immediately after looking, so that
+// hardly any connection arrives between the two steps.
+func (l *listener) closeIfEmpty() (closed bool) {
+	err := l.control(func(fd int) error {
+		ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		if err != nil || ready > 0 {
+			return err
+		}
+		closed = true
+		return unix.Shutdown(fd, unix.SHUT_RDWR)
 	})
+	return closed || err != nil && !errors.Is(err, unix.EINTR)
 }
 
 func (l *listener) control(do func(fd int) error) error {
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -24,19 +24,23 @@
 		HTTP *http.Server
 		// Log receives how a shutdown went and which requests it did not answer; nil for no log.
 		Log *zap.Logger
+		// SetOption calls set, which sets an option of the listener's socket, or returns an error in its
+		// place; nil to call it. With it tests refuse options, as systems may do.
+		SetOption func(option string, set func() error) error
 	}
 
 	// Server is an HTTP/1 server, or an HTTP/2 server without TLS, that can be stopped
 	// without cutting off requests.
 	Server struct {
-		http     *http.Server
-		log      *zap.Logger
-		draining atomic.Bool
-		aborting atomic.Bool
-		accepted atomic.Int64 // number of connections accepted so far
-		mu       sync.Mutex
-		conns    map[*conn]struct{}
-		listener *listener
+		http      *http.Server
+		log       *zap.Logger
+		setOption func(option string, set func() error) error
+		draining  atomic.Bool
+		aborting  atomic.Bool
+		accepted  atomic.Int64 // number of connections accepted so far
+		mu        sync.Mutex
+		conns     map[*conn]struct{}
+		listener  *listener
 		// changed is closed and replaced when a connection is closed.
 		changed chan struct{}
 		// started is closed once Serve has set listener, done when Serve returns.
@@ -56,8 +60,11 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.SetOption == nil {
+		c.SetOption = func(_ string, set func() error) error { return set() }
+	}
 	s := &Server{
-		http: c.HTTP, log: c.Log, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
+		http: c.HTTP, log: c.Log, setOption: c.SetOption, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
 		started: make(chan struct{}), done: make(chan struct{}),
 	}
 	handler := c.HTTP.Handler
@@ -130,10 +137,17 @@
 	s.mu.Lock()
 	l := s.listener
 	s.mu.Unlock()
-	err := l.stop()
+	err := l.stop(ctx)
 	<-s.done
-	s.log.Info("daemon: listener stopped", zap.Stringer("address", l.Addr()), zap.Duration("waited_for_serve", waited),
-		zap.Int64("accepted", s.accepted.Load()-acceptedBefore), zap.Duration("took", time.Since(began)))
+	fields := []zap.Field{
+		zap.Stringer("address", l.Addr()), zap.Duration("waited_for_serve", waited),
+		zap.Int64("accepted", s.accepted.Load()-acceptedBefore), zap.Duration("took", time.Since(began)),
+		zap.String("new_connections", string(l.newConns)),
+	}
+	if !l.lastAccepted.IsZero() {
+		fields = append(fields, zap.Duration("last_accepted_ago", time.Since(l.lastAccepted)))
+	}
+	s.log.Info("daemon: listener stopped", fields...)
 	return err
 }
 
