--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -389,14 +389,3 @@
 	}
 	return f.done[id]
 }
-
-func (f *Fleet) running(id tw.SubtaskID) int {
-	n := 0
-	for _, w := range f.workers {
-		f.advance(w)
-		if w.runs[id] != nil {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/standin/fleet_lost_orders.go
+++ b/internal/standin/fleet_lost_orders.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// DeliverLateHold executes a hold that its caller has given up, on the incarnation of the worker that now has
+// the ID.
+func (f *Fleet) DeliverLateHold(id tw.WorkerID, order tw.HoldOrder) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil && !w.dead {
+		_ = f.extend(w, order)
+	}
+}
+
 // awaitTimeout waits until the caller gives up an order and returns the error that it gets.
 func awaitTimeout(ctx context.Context) error {
 	select {
--- a/internal/standin/fleet_orders.go
+++ b/internal/standin/fleet_orders.go
@@ -122,6 +122,17 @@
 	}
 }
 
+func (f *Fleet) running(id tw.SubtaskID) int {
+	n := 0
+	for _, w := range f.workers {
+		f.advance(w)
+		if w.runs[id] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fleet) addViolation(format string, args ...any) {
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
--- a/internal/standin/fleet_worker.go
+++ b/internal/standin/fleet_worker.go
@@ -15,6 +15,13 @@
 // defaultBootClock is the reading of a worker's clock at its start.
 const defaultBootClock tw.WorkerTime = 1000
 
+// WorkerClock returns what a worker's clock reads.
+func (f *Fleet) WorkerClock(id tw.WorkerID) tw.WorkerTime {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].clock(f.config.Clock.Now())
+}
+
 // admit checks an order's fencing token and extends the worker's deadline to the order's
 // deadline, but to no later than MaxHold from now.
 func (w *SimWorker) admit(f *Fleet, fence tw.FencingToken, deadline tw.WorkerTime) error {
