--- a/run/rig_test.go
+++ b/run/rig_test.go
@@ -1,6 +1,7 @@
 package run_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync/atomic"
@@ -48,6 +49,8 @@
 	ownersOpened int
 	// metricSet are the metrics of the owner that was opened last.
 	metricSet *metrics.Set
+	// log is the log of new owners; nil for that of testLog.
+	log *zap.Logger
 	// link and cores are the bandwidth and processor share configured for new owners.
 	link  tw.BytesPerSecond
 	cores tw.Cores
@@ -136,7 +139,7 @@
 func (r *rig) startOwner(c run.Config, orders tw.WorkerOrders) *run.Owner {
 	r.metricSet = agecheck.Metrics(r.t)
 	c.Orders, c.Advisor, c.MachineCache, c.RefreshWorkers = r.withRelays(orders), r.advisor, r.machineCache, func() { r.refreshes++ }
-	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, testLog(r.t), r.metricSet
+	c.Clock, c.Log, c.Metrics = tw.SystemClock{}, cmp.Or(r.log, testLog(r.t)), r.metricSet
 	c.LinkBandwidth, c.Cores = r.link, r.cores
 	c.Evacuations = r.evacuations.Load
 	c.QueueConfig = func() *tw.QueueConfig { return r.queueConfig }
