Workers: tests of the waits for a worker that may come back

With two faults planted no test turned red: a wait that never ends (endDoubts; the worker of the existing case is listed, so it is asked and removed again, which ends the wait too), and a successor that does not wait (inheritedInDoubt; the late order of the existing case comes 20 ms after the successor's first call, and is refused for its fence).

--- a/run/silent_restart_test.go
+++ b/run/silent_restart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	tw "github.com/tamarindworks/tamarindworks"
 	"github.com/tamarindworks/tamarindworks/internal/standin"
 )
@@ -48,3 +50,36 @@
 		r.eventually(o, "s1", tw.SubmissionSucceeded, time.Minute)
 	})
 }
+
+// TestSuccessorWaitsForALateStart is TestSuccessorWaitsForAWorkerThatMayComeBack with a worker that carries out the
+// order before the successor has called its next incarnation, which would refuse it then.
+func TestSuccessorWaitsForALateStart(t *testing.T) {
+	runCase(t, "carried out as soon as it is back", 1, func(r *rig) {
+		w := r.crashAfterOrder(2550 * time.Millisecond)
+		w.listAsDown()
+		w.owner.Close()
+		o := r.newOwner("b")
+		time.Sleep(2500 * time.Millisecond)
+		entry := w.restart(0)
+		time.Sleep(1500 * time.Millisecond)
+		w.listAsRunning(entry)
+		w.relistWorker(o, entry)
+		r.eventually(o, "s1", tw.SubmissionSucceeded, time.Minute)
+		r.Expect(r.fleet.Starts()).To(Equal(1))
+	})
+}
+
+// TestDoubtEndsWithoutAnEntry guards against work that waits for a worker that is not listed any more: it is not asked
+// again, so that nothing but the time ends the wait.
+func TestDoubtEndsWithoutAnEntry(t *testing.T) {
+	runCase(t, "no longer listed", 1, func(r *rig) {
+		w := r.crashAfterOrder(25 * time.Second)
+		w.listAsDown()
+		delete(w.list, w.entry.ID)
+		w.publishWorkers(w.owner)
+		crashed := time.Now()
+		r.Eventually(func() int { return r.fleet.SubtaskRuns(subtask("s1", 0, 0)) }, time.Minute, 10*time.Millisecond).Should(Equal(1))
+		r.Expect(time.Since(crashed)).To(BeNumerically("<", 6500*time.Millisecond))
+		r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+	})
+}
