Workers: test of the usage that a worker in doubt may have

While a new owner waits for a worker that may come back with an order of the previous one (inheritedInDoubt), unknownUsage counts the capacity of known workers only, and that one was removed: 0. Other work of the organisation is started, and the late order takes it beyond its cap (QUOTA).

--- a/run/silent_restart_test.go
+++ b/run/silent_restart_test.go
@@ -83,3 +83,36 @@
 		r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
 	})
 }
+
+// TestUsageInDoubtCountsAgainstCaps guards against a usage cap that is exceeded, as a successor starts other work of the
+// organisation while it waits for a worker that may come back with an order of the previous owner.
+func TestUsageInDoubtCountsAgainstCaps(t *testing.T) {
+	runCase(t, "of the previous owner", 1, func(r *rig) {
+		limit := tw.Resources{CPU: 1000} // one subtask
+		r.queueConfig = &tw.QueueConfig{
+			Version: 1, Organisations: []tw.Organisation{{ID: "red", UsageCap: limit}}, Pools: []tw.QueuePool{{ID: pool}},
+		}
+		r.fleet.SetCap("red", limit)
+		r.setStartTimes()
+		orders := newFaultyOrders(r, "s1", orderFault{lost: true, late: 2550 * time.Millisecond}, orderFault{})
+		w := &returningWorker{rig: r, owner: r.newOwnerWith("a", r.kv, orders), entry: r.list[workerID(0)]}
+		time.Sleep(ownerAge)
+		s1, s2 := longSubtasks("s1", 1), longSubtasks("s2", 1)
+		s1.Organisation, s2.Organisation = "red", "red"
+		r.submit(w.owner, s1)
+		<-orders.sent
+		r.fleet.Kill(w.entry.ID)
+		r.addWorker(1)
+		r.setStartTime(1)
+		w.listAsDown()
+		w.owner.Close()
+		w.owner = r.newOwner("b")
+		r.submit(w.owner, s2)
+		time.Sleep(2500 * time.Millisecond)
+		next := w.restart(0)
+		time.Sleep(1500 * time.Millisecond)
+		w.listAsRunning(next)
+		w.relistWorker(w.owner, next)
+		time.Sleep(time.Second)
+	})
+}
