--- a/run/silent_restart_test.go
+++ b/run/silent_restart_test.go
@@ -72,16 +72,23 @@
 // TestDoubtEndsWithoutAnEntry guards against work that waits for a worker that is not listed any more: it is not asked
 // again, so that nothing but the time ends the wait.
 func TestDoubtEndsWithoutAnEntry(t *testing.T) {
-	runCase(t, "no longer listed", 1, func(r *rig) {
-		w := r.crashAfterOrder(25 * time.Second)
-		w.listAsDown()
-		delete(w.list, w.entry.ID)
-		w.publishWorkers(w.owner)
-		crashed := time.Now()
-		r.Eventually(func() int { return r.fleet.SubtaskRuns(subtask("s1", 0, 0)) }, time.Minute, 10*time.Millisecond).Should(Equal(1))
-		r.Expect(time.Since(crashed)).To(BeNumerically("<", 6500*time.Millisecond))
-		r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
-	})
+	for name, replaced := range map[string]bool{"same owner": false, "next owner": true} {
+		runCase(t, name, 1, func(r *rig) {
+			w := r.crashAfterOrder(25 * time.Second)
+			w.listAsDown()
+			crashed := time.Now()
+			if replaced {
+				w.owner.Close()
+				w.owner = r.newOwner("b")
+				time.Sleep(time.Second)
+			}
+			delete(w.list, w.entry.ID)
+			w.publishWorkers(w.owner)
+			r.Eventually(func() int { return r.fleet.SubtaskRuns(subtask("s1", 0, 0)) }, time.Minute, 10*time.Millisecond).Should(Equal(1))
+			r.Expect(time.Since(crashed)).To(BeNumerically("<", 6500*time.Millisecond))
+			r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+		})
+	}
 }
 
 // TestUsageInDoubtCountsAgainstCaps guards against a usage cap that is exceeded, as a successor starts other work of the
@@ -116,3 +123,20 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestDoubtEndsWhenTheWorkerIsBack guards against a run that is given up although it goes on: the wait for its worker
+// ends when that one is back, also if it is cut off soon after.
+func TestDoubtEndsWhenTheWorkerIsBack(t *testing.T) {
+	runCase(t, "cut off after its first answers", 1, func(r *rig) {
+		w := r.crashAfterOrder(2550 * time.Millisecond)
+		w.listAsDown()
+		time.Sleep(2500 * time.Millisecond)
+		entry := w.restart(0)
+		w.listAsRunning(entry)
+		time.Sleep(time.Second)
+		r.fleet.UpdateWorker(entry.ID, func(w *standin.SimWorker) { w.Silent = true })
+		time.AfterFunc(4*time.Second, func() { r.fleet.UpdateWorker(entry.ID, func(w *standin.SimWorker) { w.Silent = false }) })
+		r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+		r.Expect(r.fleet.Starts()).To(Equal(1))
+	})
+}
