Workers: test of a worker that returns after its work was started elsewhere

No test turned red when the starts that a worker was still to be told of were lost with a removal before its first answer (startsUnderWay without unforbidden). TestReturningWorkerIsToldAfterTheWait is red 3 of 3 with that fault, green 5 of 5 without.

--- a/run/silent_restart_test.go
+++ b/run/silent_restart_test.go
@@ -140,3 +140,16 @@
 		r.Expect(r.fleet.Starts()).To(Equal(1))
 	})
 }
+
+// TestReturningWorkerIsToldAfterTheWait is TestReturningWorkerRefusesLateStart with a worker that stays away for so
+// long that its work is started elsewhere, and that is asked, and taken for ended again, several times meanwhile.
+func TestReturningWorkerIsToldAfterTheWait(t *testing.T) {
+	runCase(t, "taken for ended several times", 1, func(r *rig) {
+		w := r.crashAfterOrder(12 * time.Second)
+		w.listAsDown()
+		time.Sleep(10 * time.Second)
+		w.comeBack()
+		r.eventually(w.owner, "s1", tw.SubmissionSucceeded, time.Minute)
+		time.Sleep(5 * time.Second)
+	})
+}
