--- a/run/silent_restart_test.go
+++ b/run/silent_restart_test.go
@@ -153,3 +153,27 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestReportedRunLapsesWithItsGrant guards against work that waits for long on a worker that is silent: an order that has
+// started a run, as a report shows, isn't carried out once more, though it has no answer.
+func TestReportedRunLapsesWithItsGrant(t *testing.T) {
+	cases := map[string]orderFault{"answered": {}, "answer lost": {lost: true, done: true}, "connection reset": {reset: true, done: true}}
+	for name, fault := range cases {
+		runCase(t, name, 1, func(r *rig) {
+			r.setStartTimes()
+			orders := newFaultyOrders(r, "s1", fault, orderFault{})
+			o := r.newOwnerWith("a", r.kv, orders)
+			time.Sleep(ownerAge)
+			r.submit(o, longSubtasks("s1", 1))
+			<-orders.sent
+			r.addWorker(1)
+			r.setStartTime(1)
+			r.publishWorkers(o)
+			time.Sleep(3 * time.Second)
+			r.fleet.UpdateWorker(workerID(0), func(w *standin.SimWorker) { w.Silent = true })
+			silent := time.Now()
+			r.Eventually(r.fleet.Starts, time.Minute, 10*time.Millisecond).Should(Equal(2))
+			r.Expect(time.Since(silent)).To(BeNumerically("<", maxHold+time.Second))
+		})
+	}
+}
