Caps: what a worker in doubt may carry out for the previous owner counts

What callers would see: an organisation uses more than its cap (QUOTA) for up to 4 s after a takeover. Cause: what the previous owner may have running was bounded by the capacity of the workers that have not answered, without those that were taken for ended and are waited for.

--- a/run/under_way.go
+++ b/run/under_way.go
@@ -20,8 +20,9 @@
 	// grantedAt is when an order that extends the deadline of runs was last sent.
 	grantedAt time.Time
 	// inheritedUntil is until when the next worker with the ID is expected to carry out an order of the
-	// previous owner; zero if it is not.
+	// previous owner; zero if it is not. capacity is what it may use for that.
 	inheritedUntil time.Time
+	capacity       tw.Resources
 }
 
 // maxOrderDelay is longer than the time after which an order without an answer may still be
@@ -75,7 +76,7 @@
 		until = w.inheritedExpireAt
 	}
 	underWay := o.underWay[w.entry.ID]
-	underWay.inheritedUntil = until
+	underWay.inheritedUntil, underWay.capacity = until, w.entry.Capacity
 	o.underWay[w.entry.ID] = underWay
 	o.askSoon(w.entry.ID)
 }
--- a/run/usage.go
+++ b/run/usage.go
@@ -76,6 +76,11 @@
 			unreached = unreached.Plus(w.entry.Capacity)
 		}
 	}
+	for _, underWay := range o.underWay {
+		if !underWay.inheritedUntil.IsZero() {
+			unreached = unreached.Plus(underWay.capacity)
+		}
+	}
 	for id, need := range out {
 		out[id] = tw.Resources{
 			CPU: min(need.CPU, unreached.CPU), MemoryMB: min(need.MemoryMB, unreached.MemoryMB), GPU: min(need.GPU, unreached.GPU),
