--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -88,7 +88,10 @@
 	revoked := r.phase == stopping || r.phase == stopConfirmed
 	// The order was sent to the previous incarnation, so it does not show that this one was reached.
 	r.connectionLost, r.sinceLastAnswer = false, unknownAnswerAge
-	r.w, r.phase, r.firstVisiblePoll, r.firstSeen, r.reported, r.stoppedAt = next, unconfirmed, o.pollSeq+1, 0, false, time.Time{}
+	r.w, r.phase = next, unconfirmed
+	r.firstVisiblePoll = o.pollSeq + 1
+	r.firstSeen, r.reported = 0, false
+	r.stoppedAt = time.Time{}
 	next.add(r)
 	if revoked {
 		o.stop(r, r.stopReason)
--- a/run/late_starts.go
+++ b/run/late_starts.go
@@ -58,7 +58,8 @@
 }
 
 // forbidLateStarts stops, in advance, the runs that late orders could start on a worker that has answered: the
-// next incarnation, or one that was wrongly taken for ended.
+// next incarnation, or one that was wrongly taken for ended. The placeholders for them take no capacity unless a
+// report lists them (chargeLateStart).
 func (o *Owner) forbidLateStarts(w *worker) {
 	late := recentStarts(w.unforbidden, o.now)
 	w.unforbidden = nil
--- a/run/termination.go
+++ b/run/termination.go
@@ -43,7 +43,8 @@
 	proven bool
 	// planned: the worker was not crashed by one of its runs.
 	planned bool
-	// mayReturn: a worker with its ID may start on its machine within seconds.
+	// mayReturn: a worker with its ID may start on its machine within seconds. After maintenance, or in
+	// another pool, that is another worker.
 	mayReturn bool
 	// replaced: another worker of its machine answers. One that is only listed does not
 	// count, as it may still be starting.
@@ -255,8 +256,8 @@
 func (o *Owner) removeTerminated(w *worker, end termination) {
 	o.noteTerminated(w, end)
 	o.removeWorker(w, end.reason)
-	if !end.planned && !w.knownSince.IsZero() {
-		o.attributeCrash(w, slices.Collect(maps.Values(w.runs)), end.replaced) // else its runs were counted with its previous incarnation
+	if !end.planned {
+		o.attributeCrash(w, slices.Collect(maps.Values(w.runs)), end.replaced)
 	}
 	o.keepInheritedInDoubt(w, end)
 	for _, r := range w.runs {
--- a/run/under_way.go
+++ b/run/under_way.go
@@ -31,18 +31,16 @@
 
 // returnTimeout is how long a subtask is not started elsewhere while its worker, which has an order to start it
 // that may still be carried out, is taken for ended without proof. Restarts take up to some seconds, and work
-// of a worker that is lost for good must not wait longer.
+// of a worker that is lost for good must not wait longer. Once a worker with the ID is listed as running, its
+// answer is waited for, as for that of any worker.
 const returnTimeout = 4 * time.Second
 
 // mayStartOnReturn reports whether the next worker with the ID of one that is taken for ended may start a run.
 func (o *Owner) mayStartOnReturn(r *runState, end termination) bool {
-	if !end.mayReturn || r.w.startTime == 0 && r.doubtUntil.IsZero() || !r.startOpen || o.now.Sub(r.startedAt) > maxOrderDelay {
-		return false
-	}
-	if r.doubtUntil.IsZero() {
-		r.doubtUntil = o.now.Add(returnTimeout)
-	}
-	return o.now.Before(r.doubtUntil)
+	idsAreReused := r.w.startTime != 0 || !r.doubtUntil.IsZero()
+	mayComeLate := r.startOpen && o.now.Sub(r.startedAt) <= maxOrderDelay
+	waitIsOver := !r.doubtUntil.IsZero() && !o.now.Before(r.doubtUntil)
+	return end.mayReturn && idsAreReused && mayComeLate && !waitIsOver
 }
 
 // lateStartExpiresAt returns until when a run may last on a silent worker if its next incarnation carries out the
@@ -56,6 +54,9 @@
 
 // keepInDoubt keeps a run of a removed worker for the next one with its ID.
 func (o *Owner) keepInDoubt(r *runState) {
+	if r.doubtUntil.IsZero() {
+		r.doubtUntil = o.now.Add(returnTimeout)
+	}
 	underWay := o.underWay[r.w.entry.ID]
 	underWay.runs = append(underWay.runs, r)
 	o.underWay[r.w.entry.ID] = underWay
--- a/run/worker.go
+++ b/run/worker.go
@@ -191,7 +191,8 @@
 	}
 }
 
-// noteUncertain records that the worker may have ended although an order was answered.
+// noteUncertain records that the worker may have ended although an order was answered. It gets no work until a
+// poll is answered.
 func (w *worker) noteUncertain(now time.Time) {
 	w.unanswered++
 	if w.silentSince.IsZero() {
--- a/run/worker_list.go
+++ b/run/worker_list.go
@@ -232,7 +232,8 @@
 	w.grantsExpireAt = o.inheritedExpireAt()
 	w.inheritedExpireAt = w.grantsExpireAt
 	if known {
-		// What an earlier incarnation was granted may be carried out late, and counts from then.
+		// What an earlier incarnation was granted may be carried out late, and counts from then. Runs of
+		// the previous owner were waited for then, and are only if that was not over.
 		w.grantsExpireAt = later(w.grantsExpireAt, underWay.grantedAt.Add(maxOrderDelay+o.maxHoldTime()))
 		w.inheritedExpireAt = underWay.inheritedUntil
 	}
