--- a/run/crash.go
+++ b/run/crash.go
@@ -73,7 +73,7 @@
 		switch {
 		case w.survived(r):
 			o.clearSuspect(r.task)
-		case r.crashCounted:
+		case r.crashCounted: // at the end of a previous incarnation
 		case replaced && o.now.Sub(r.startedAt) < minRestartTime:
 			o.log.Info("run: not counted as a crash, the machine runs a new worker too soon", zap.Stringer("subtask", r.task.id),
 				zap.String("worker", string(w.entry.ID)), zap.Duration("since_start", o.now.Sub(r.startedAt)))
--- a/run/owner.go
+++ b/run/owner.go
@@ -119,8 +119,7 @@
 	underWay map[tw.WorkerID]ordersUnderWay
 	// listed are the workers in the last list of workers. It must not be changed.
 	listed map[tw.WorkerID]tw.WorkerEntry
-	// listedElsewhere is the number of those that are not used, as the list of machines names them in
-	// another pool.
+	// listedElsewhere counts those that are not used, as the list of machines has them in another pool.
 	listedElsewhere int
 	// unclaimed are the ends of runs whose submission is not known yet, by submission. A
 	// previous owner may have started such runs, if it learned of the submission after this
